--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Every target sets up what it needs; nothing has to be installed before.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SOURCES := cardamommill tests
+
+.PHONY: run test check format lock generate binary bench prove capacity clean
+
+$(STAMP): requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+run: $(STAMP)
+	$(BIN)/python -m cardamommill demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -n 6 --dist loadgroup
+
+check: $(STAMP)
+	$(BIN)/yapf --diff --recursive --parallel $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix --quiet $(SOURCES) || true
+	$(BIN)/yapf --in-place --recursive --parallel $(SOURCES)
+
+lock:
+	rm -rf .venv-lock && $(PYTHON) -m venv .venv-lock
+	.venv-lock/bin/pip install --quiet -r requirements-dev.txt
+	(echo "# Made by 'make lock' from requirements-dev.txt."; \
+	  .venv-lock/bin/pip freeze) > requirements.lock
+	rm -rf .venv-lock
+
+generate: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
+	  --grpc_python_out=. cardamommill/peer.proto
+
+clean:
+	rm -rf $(VENV) dist .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/cardamommill/settings.py
@@ -0,0 +1,191 @@
+"""The settings of a node: one YAML file, checked whole."""
+
+import pathlib
+from typing import Annotated
+
+import pydantic
+import yaml
+
+from cardamommill import documents, exceptions, fleet, periods
+
+Address = Annotated[str,
+                    pydantic.StringConstraints(
+                        pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class CallerSide(_Model):
+    """Limits towards callers.
+
+    Attributes:
+        address: Where callers are answered.
+        threads: Requests in progress at once.
+        header_bytes: The largest request head.
+        body_bytes: The largest request body, whatever a document allows.
+        read_timeout_ms: How long a request may take to arrive whole.
+        idle_timeout_ms: How long a connection may stand idle.
+        tls_certificate: A PEM file; empty for plain HTTP.
+        tls_key: A PEM file.
+    """
+
+    address: Address
+    threads: Annotated[int, pydantic.Field(ge=1, le=4096)] = 256
+    header_bytes: Annotated[int, pydantic.Field(ge=256)] = 16_384
+    body_bytes: Annotated[int, pydantic.Field(ge=1)] = 8_388_608
+    read_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 10_000
+    idle_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 30_000
+    tls_certificate: str = ""
+    tls_key: str = ""
+
+
+class OperatorSide(_Model):
+    """The operators' port.
+
+    Attributes:
+        address: Where operators are answered.
+        key_sha256: The hexadecimal SHA-256 of the operators' key.
+    """
+
+    address: Address
+    key_sha256: Annotated[str,
+                          pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
+
+
+class PeerSide(_Model):
+    """The port for other nodes.
+
+    Attributes:
+        address: Where other nodes are answered.
+        known: Addresses of other nodes for when the table can't be read.
+        message_bytes: The largest message taken.
+        tls_certificate: A PEM file for mutual TLS; empty for none.
+        tls_key: A PEM file.
+        tls_authority: A PEM file with the authority that signs nodes.
+    """
+
+    address: Address
+    known: tuple[Address, ...] = ()
+    message_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
+
+
+class Platform(_Model):
+    """The platform's service.
+
+    Attributes:
+        address: Its tables, objects and list of VMs.
+    """
+
+    address: Address
+
+
+class Tracing(_Model):
+    """Where spans go.
+
+    Attributes:
+        file: A file to append spans to, one JSON object a line.
+        otlp_address: An OTLP/HTTP collector; empty for none.
+    """
+
+    file: str = ""
+    otlp_address: str = ""
+
+
+class Logging(_Model):
+    """What is logged.
+
+    Attributes:
+        level: The least severe level that is written.
+        file: A file to append to; empty for standard error.
+    """
+
+    level: Annotated[
+        str,
+        pydantic.StringConstraints(
+            pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
+    file: str = ""
+
+
+class Settings(_Model):
+    """All settings of a node.
+
+    Attributes:
+        node: The node's name, unique in the fleet.
+        data_centre: Where it stands.
+        region: The region of that data centre.
+        callers: Limits towards callers.
+        operators: The operators' port.
+        peers: The port for other nodes.
+        platform: The platform's service.
+        tracing: Where spans go.
+        logging: What is logged.
+        timing: Periods that differ from `periods.PERIODS`, in milliseconds.
+    """
+
+    node: documents.Name
+    data_centre: documents.Name
+    region: documents.Name
+    callers: CallerSide
+    operators: OperatorSide
+    peers: PeerSide
+    platform: Platform
+    tracing: Tracing = Tracing()
+    logging: Logging = Logging()
+    timing: dict[str, int] = {}
+
+    @pydantic.field_validator("timing")
+    @classmethod
+    def _periods_are_known_and_safe(cls, value: dict[str,
+                                                     int]) -> dict[str, int]:
+        known = {period.name for period in periods.PERIODS}
+        unknown = sorted(set(value) - known)
+        if unknown:
+            raise ValueError(f"no such period: {', '.join(unknown)}")
+        broken = [
+            f"{' + '.join(rule.smaller)} must be less than {rule.larger}, "
+            f"or else this breaks: {rule.promise}"
+            for rule in periods.violations(periods.Timing(**value))
+        ]
+        if broken:
+            raise ValueError("; ".join(broken))
+        return value
+
+    def timing_in_force(self) -> periods.Timing:
+        """Returns the periods in force."""
+        return periods.Timing(**self.timing)
+
+    def identity(self, incarnation: int) -> fleet.NodeIdentity:
+        """Returns who this node is in the given life of its process."""
+        return fleet.NodeIdentity(self.node, self.data_centre, self.region,
+                                  incarnation, self.peers.address,
+                                  self.callers.address)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Returns the settings in a file.
+
+    Args:
+        path: A YAML file.
+
+    Raises:
+        SettingsError: Lists every fault in the file.
+    """
+    try:
+        return Settings.model_validate(yaml.safe_load(path.read_text("utf-8")))
+    except OSError as error:
+        raise exceptions.SettingsError(f"can't be read: {error.strerror}",
+                                       step="settings",
+                                       peer=str(path)) from error
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(f"not YAML: {error}",
+                                       step="settings",
+                                       peer=str(path)) from error
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsError(documents.faults(error),
+                                       step="settings",
+                                       peer=str(path)) from error
