--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,14 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest -n 6 --dist loadgroup
 
+SEEDS ?= 6
+EXAMPLES ?= 60
+STEPS ?= 60
+
+prove: $(STAMP)
+	$(BIN)/python tests/prove.py --seeds $(SEEDS) --examples $(EXAMPLES) \
+	  --steps $(STEPS)
+
 check: $(STAMP)
 	$(BIN)/yapf --diff --recursive --parallel $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
