--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -341,3 +341,8 @@
 
     service: str
     revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetChanged(Event):
+    """Rows of the fleet were written and are to be read again soon."""
