--- a/cardamommill/assignments.py
+++ b/cardamommill/assignments.py
@@ -1,7 +1,7 @@
 """What the table says of a data centre's replicas and VMs, kept current."""
 
 import functools
-from typing import TypeVar
+from typing import TypeVar, cast
 
 from cardamommill import actions, controller, events, fleet, periods, store
 from cardamommill import board as board_lib
@@ -130,11 +130,21 @@
         values: dict[str, T] = {}
         for row in rows:
             name = _name(row)
-            same = versions.get(name) == row.version and name in known
-            values[name] = known[name] if same else store.decode(
-                kind, row.value)
+            if versions.get(name) == row.version and name in known:
+                values[name] = known[name]
+                continue
+            try:
+                values[name] = store.decode(kind, row.value)
+            except ValueError:
+                if kind is fleet.VmRow:
+                    # Held by something that only a newer version can read.
+                    values[name] = cast(T, _unreadable(name))
         return values, {_name(row): row.version for row in rows}
 
 
 def _name(row: store.Row) -> str:
     return row.key.row.split("/", 1)[1]
+
+
+def _unreadable(vm_id: str) -> fleet.VmRow:
+    return fleet.VmRow(vm_id, fleet.VmUse.MEMBER, "unreadable", 0, "")
--- a/cardamommill/facts.py
+++ b/cardamommill/facts.py
@@ -1,6 +1,6 @@
 """What a planner may take for true at one moment, read off the blackboard."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 import dataclasses
 
 from cardamommill import board as board_lib
@@ -17,22 +17,34 @@
         now_ms: The local monotonic time of the round.
         watching_since_ms: Since when this node could have heard of runners
             without a break; silence counts from here at the earliest.
+        idle_since_ms: Since when a VM's runner has said, without a break,
+            that it belongs to no replica.
+        leaving_since_ms: Since when a VM is known to be leaving.
+        served: Replicas that this planner has seen serving.
         locked: VMs and replicas that a transaction in flight may change.
         pending: Replica rows as transactions in flight would make them.
+        heeds_leaving: Whether a leaving VM is replaced before it goes.
     """
 
     board: board_lib.Board
     timing: periods.Timing
     now_ms: int
     watching_since_ms: int
+    idle_since_ms: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    leaving_since_ms: Mapping[str,
+                              int] = dataclasses.field(default_factory=dict)
+    served: frozenset[str] = frozenset()
     locked: frozenset[str] = frozenset()
     pending: tuple[fleet.ReplicaRow, ...] = ()
+    heeds_leaving: bool = True
 
     @property
     def data_centre(self) -> str:
         """The data centre that is planned."""
         return self.board.identity.data_centre
 
+    # --- What is wanted ---
+
     def document(self, service: str) -> documents.Document | None:
         """Returns the document in force of a service, if there is one."""
         in_force = self.board.documents.in_force.get(service)
@@ -49,14 +61,21 @@
         return document.capacity.get(self.data_centre,
                                      documents.Capacity(replicas=0))
 
+    def revision(self, service: str) -> int:
+        """Returns the revision in force of a service's document."""
+        return self.board.documents.in_force[service].row.revision
+
+    # --- What the table says ---
+
     def replicas(self, service: str) -> list[fleet.ReplicaRow]:
         """Returns the assigned replicas of a service, by id.
 
         A replica that a transaction in flight may have made counts, or else a
         lost answer would have the planner make it twice.
         """
-        rows = dict(self.board.assignments.replicas)
-        rows.update({row.replica_id: row for row in self.pending})
+        rows = self.board.assignments.replicas
+        if self.pending:
+            rows = {**rows, **{row.replica_id: row for row in self.pending}}
         return sorted(
             (row for row in rows.values() if row.service == service and
              row.state is fleet.ReplicaState.ASSIGNED),
@@ -67,18 +86,20 @@
         return self.board.assignments.vms.get(
             vm_id, fleet.VmRow(vm_id, fleet.VmUse.FREE, "", 0, ""))
 
+    # --- What the platform and the runners say ---
+
     def report(self, vm_id: str) -> fleet.RunnerReport | None:
         """Returns what a runner says, if it said so lately."""
         evidence = self.board.evidence.by_vm.get(vm_id)
         if evidence is None:
             return None
-        report = evidence.report
         age_ms = self.now_ms - evidence.seen_ms
+        lost = self.board.evidence.lost_boots.get(vm_id)
         if (age_ms >= self.timing.evidence_max_age_ms or
                 evidence.seen_ms < self.board.life.not_before_ms or
-                self.board.evidence.lost_boots.get(vm_id) == report.boot_id):
+                lost == evidence.report.boot_id):
             return None
-        return report
+        return evidence.report
 
     def silent_ms(self, vm_id: str) -> int:
         """Returns for how long nothing was heard of a VM's runner."""
@@ -87,66 +108,84 @@
         return self.now_ms - max(seen_ms, self.watching_since_ms)
 
     def gone(self, vm_id: str) -> bool:
-        """Tells whether the platform's list, once read, lacks the VM."""
+        """Tells whether the platform lists the VM no more and it is silent."""
         vms = self.board.vms
-        return vms.listed_ms > self.watching_since_ms and (vm_id
-                                                           not in vms.listed)
+        return (vms.listed_ms > self.watching_since_ms and
+                vm_id not in vms.listed and self.report(vm_id) is None)
 
     def leaving(self, vm_id: str) -> bool:
         """Tells whether a VM is to be emptied."""
-        return (vm_id in self.board.vms.leaving or
-                vm_id in self.board.assignments.drained)
+        return self.heeds_leaving and (vm_id in self.board.vms.leaving or
+                                       vm_id in self.board.assignments.drained)
 
     def lost(self, vm_id: str) -> bool:
         """Tells whether a member is given up."""
         return self.gone(vm_id) or (self.silent_ms(vm_id)
                                     > self.timing.member_grace_ms)
 
-    def free_vms(self, pool: str) -> list[fleet.Vm]:
-        """Returns the VMs of a pool that could be assigned now."""
-        return [
-            vm for vm in self.board.vms.listed.values()
-            if vm.pool == pool and self._assignable(vm)
-        ]
-
-    def _assignable(self, vm: fleet.Vm) -> bool:
-        report = self.report(vm.vm_id)
-        return (vm.state is fleet.VmState.LIVE and
-                self.vm_row(vm.vm_id).use is fleet.VmUse.FREE and
-                not self.leaving(vm.vm_id) and vm.vm_id not in self.locked and
-                report is not None and not report.leaving and
-                not report.replica_id)
-
     def domain(self, vm_ids: Iterable[str]) -> str:
         """Returns the fabric domain that most of the VMs stand in."""
+        listed = self.board.vms.listed
         domains = [
-            self.board.vms.listed[vm_id].fabric_domain
-            for vm_id in vm_ids
-            if vm_id in self.board.vms.listed
+            listed[vm_id].fabric_domain for vm_id in vm_ids if vm_id in listed
         ]
         return max(sorted(set(domains)), key=domains.count, default="")
 
-    def loaded(self, vm_id: str, replica_id: str, weights: str) -> bool:
-        """Tells whether a spare of a replica holds the weights."""
+    # --- What follows ---
+
+    def usable(self, vm_id: str) -> bool:
+        """Tells whether a VM is here, to stay, and nobody is changing it."""
+        vm = self.board.vms.listed.get(vm_id)
         report = self.report(vm_id)
-        return report is not None and (
-            (report.replica_id, report.role, report.model, report.ready)
-            == (replica_id, fleet.RunnerRole.SPARE, weights, True))
+        return (vm is not None and vm.state is fleet.VmState.LIVE and
+                report is not None and not report.leaving and
+                vm_id not in self.locked and not self.leaving(vm_id) and
+                vm_id not in self.board.assignments.drained)
 
-    def member_present(self, row: fleet.ReplicaRow, vm_id: str) -> bool:
-        """Tells whether a member says that it is formed and ready."""
+    def free_vms(self, pool: str) -> list[fleet.Vm]:
+        """Returns the VMs of a pool that could be assigned now.
+
+        A free VM whose runner was lately in a replica may still be taken for
+        its member by a node that is cut off: see `releasing`.
+        """
+        return [
+            vm for vm in self.board.vms.listed.values()
+            if vm.pool == pool and self.vm_row(vm.vm_id).use is fleet.VmUse.FREE
+            and self.idle_long(vm.vm_id) and self.usable(vm.vm_id)
+        ]
+
+    def idle_long(self, vm_id: str) -> bool:
+        """Tells whether no node can take a VM for a replica's member."""
+        since_ms = self.idle_since_ms.get(vm_id, self.now_ms)
+        return self.now_ms - since_ms >= self.timing.releasing_ms
+
+    def holds(self, vm_id: str, weights: str) -> bool:
+        """Tells whether a VM could join a replica without loading."""
         report = self.report(vm_id)
-        return report is not None and report.ready and formed(report, row)
+        if report is None or report.model != weights:
+            return False
+        return report.ready or report.role is fleet.RunnerRole.IDLE
 
     def serving(self, row: fleet.ReplicaRow) -> bool:
         """Tells whether every member says that it is formed and ready."""
-        return all(
-            self.member_present(row, vm_id) and not self.leaving(vm_id)
-            for vm_id in row.members)
+        return all(self._present(row, vm_id) for vm_id in row.members)
+
+    def _present(self, row: fleet.ReplicaRow, vm_id: str) -> bool:
+        report = self.report(vm_id)
+        return (report is not None and report.ready and formed(report, row) and
+                not report.leaving and vm_id not in self.board.vms.leaving)
 
 
 def formed(report: fleet.RunnerReport, row: fleet.ReplicaRow) -> bool:
     """Tells whether a runner believes to be the member that the row says."""
-    return ((report.replica_id, report.epoch, report.formation, report.role,
-             report.model) == (row.replica_id, row.epoch, row.formation,
-                               fleet.RunnerRole.MEMBER, row.model))
+    believes = (report.replica_id, report.epoch, report.formation, report.role)
+    return believes == (row.replica_id, row.epoch, row.formation,
+                        fleet.RunnerRole.MEMBER)
+
+
+def spare(report: fleet.RunnerReport, row: fleet.ReplicaRow) -> bool:
+    """Tells whether a runner is, or is about to be, a spare of the row's."""
+    believes = (report.replica_id, report.role)
+    return believes == (row.replica_id,
+                        fleet.RunnerRole.SPARE) and (not report.ready or
+                                                     report.model == row.model)
--- a/cardamommill/fakes.py
+++ b/cardamommill/fakes.py
@@ -85,10 +85,12 @@
         paused: Whether it stands still.
         boots: How often it started.
         order: The last order that it took.
-        loaded: The weights that it holds.
+        loaded: The weights that it holds or is loading.
+        loaded_ms: When it holds them.
         ready_ms: When it has done what it was ordered.
         fence: The highest fencing number that it took.
         leaving: Whether it says that its VM will go.
+        running: How many requests it says that it runs.
     """
 
     vm: fleet.Vm
@@ -100,9 +102,11 @@
     boots: int = 1
     order: fleet.Order | None = None
     loaded: str = ""
+    loaded_ms: int = 0
     ready_ms: int = 0
     fence: int = 0
     leaving: bool = False
+    running: int = 0
 
     def take(self, order: fleet.Order, now_ms: int) -> bool:
         """Tells whether it takes an order, and takes it."""
@@ -113,14 +117,16 @@
             return True
         if self._same(order):
             return True
-        busy_ms = self.form_ms
-        if order.model and order.model != self.loaded:
-            busy_ms += self.load_ms
+        if order.kind is fleet.OrderKind.RELEASE:
+            self.order = None
+            if now_ms < self.loaded_ms:
+                self.loaded = ""
+            return True
+        if order.model != self.loaded:
             self.loaded = order.model
-        elif now_ms < self.ready_ms:
-            busy_ms += self.ready_ms - now_ms
-        self.ready_ms = now_ms + busy_ms
-        self.order = None if order.kind is fleet.OrderKind.RELEASE else order
+            self.loaded_ms = now_ms + (self.load_ms if order.model else 0)
+        self.ready_ms = max(now_ms, self.loaded_ms) + self.form_ms
+        self.order = order
         return True
 
     def restart(self) -> None:
@@ -129,25 +135,26 @@
         self.up = True
         self.order = None
         self.loaded = ""
-        self.ready_ms = 0
+        self.loaded_ms = 0
         self.fence = 0
 
     def report(self, now_ms: int) -> fleet.RunnerReport:
         """Returns what it says of itself."""
         order = self.order or fleet.Order("", fleet.OrderKind.RELEASE,
                                           self.vm.vm_id, 0)
-        return fleet.RunnerReport(self.vm.vm_id,
-                                  f"{self.vm.vm_id}/{self.boots}",
-                                  order.replica_id,
-                                  order.epoch,
-                                  order.formation,
-                                  order.role,
-                                  self.loaded,
-                                  self.order is not None and
-                                  now_ms >= self.ready_ms,
-                                  8,
-                                  leaving=self.leaving,
-                                  highest_fence=self.fence)
+        return fleet.RunnerReport(
+            self.vm.vm_id,
+            f"{self.vm.vm_id}/{self.boots}",
+            order.replica_id,
+            order.epoch,
+            order.formation,
+            order.role,
+            self.loaded if now_ms >= self.loaded_ms else "",
+            self.order is not None and now_ms >= self.ready_ms,
+            8,
+            self.running,
+            leaving=self.leaving,
+            highest_fence=self.fence)
 
     def _same(self, order: fleet.Order) -> bool:
         return self.order is not None and dataclasses.replace(
--- a/cardamommill/leases.py
+++ b/cardamommill/leases.py
@@ -227,15 +227,3 @@
 def may_order(lease: board_lib.LeaseSection, now_ms: int) -> bool:
     """Tells whether this node may give orders at this moment."""
     return lease.held and now_ms < lease.valid_until_ms
-
-
-def engine_ready(lease: board_lib.LeaseSection, checks_fencing: bool,
-                 now_ms: int) -> bool:
-    """Tells whether an order can't be overtaken by a predecessor's.
-
-    Args:
-        lease: The lease.
-        checks_fencing: Whether the engine refuses old numbers itself.
-        now_ms: The local monotonic time.
-    """
-    return checks_fencing or now_ms >= lease.first_order_ms
--- a/cardamommill/orders.py
+++ b/cardamommill/orders.py
@@ -1,17 +1,37 @@
 """Orders to runners: what each should be told, and when to tell it again."""
 
+from collections.abc import Iterator
 import dataclasses
 
-from cardamommill import actions, events, fleet, leases
+from cardamommill import actions, documents, events, fleet, requesting
 from cardamommill import facts as facts_lib
 
 # A runner that does not report what it was ordered is told again after this.
 RESEND_MS = 2000
+# The weight store is rate limited: when a dark domain comes back, its VMs
+# would all load at once, each so slowly that no replica is complete for long.
+# One of the largest replicas can load whole.
+LOADS_AT_ONCE = documents.MAX_REPLICA_VMS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Sent:
+class Wanted:
+    """An order that a runner should be given.
+
+    Attributes:
+        order: The order, without a number.
+        loads: Whether the runner will load weights for it.
+        urgency: Smaller goes first to the weight store.
+    """
+
     order: fleet.Order
+    loads: bool = False
+    urgency: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sent:
+    wanted: Wanted
     sent_ms: int
 
 
@@ -19,9 +39,10 @@
     """Tells runners what the table says until they report it themselves."""
 
     def __init__(self, node_id: str) -> None:
-        self._prefix = node_id
+        self._node_id = node_id
         self._serial = 0
         self._sent: dict[str, _Sent] = {}
+        self._adapters: set[tuple[str, str, int, str]] = set()
 
     def due(self, facts: facts_lib.Facts) -> actions.Actions:
         """Returns the orders to give now; only while the lease is held.
@@ -29,86 +50,152 @@
         Args:
             facts: What is known.
         """
-        return tuple(
-            self._send(facts, order)
-            for order in wanted(facts)
-            if self._unsaid(order, facts.now_ms))
+        found: list[actions.Action] = []
+        every = sorted(wanted(facts), key=lambda each: each.urgency)
+        loads = LOADS_AT_ONCE - self._loading(facts)
+        for each in every:
+            if not self._unsaid(each, facts.now_ms):
+                continue
+            if each.loads:
+                if loads <= 0:
+                    continue
+                loads -= 1
+            found.append(self._send(facts, each))
+        found += [self._send(facts, each) for each in self._adapter(facts)]
+        return tuple(found)
 
     def answered(self, event: events.OrderAnswered) -> actions.Actions:
-        """Records a refusal; taking an order shows in the runner's report."""
-        if event.outcome == "not-run":
-            return (actions.Record(
-                f"vm/{event.order.vm_id}", "order-refused",
-                f"{event.order.kind} with fence {event.order.fence}: "
-                f"{event.detail}"),)
-        return ()
-
-    def _unsaid(self, order: fleet.Order, now_ms: int) -> bool:
-        sent = self._sent.get(order.vm_id)
-        if sent is None or now_ms - sent.sent_ms >= RESEND_MS:
-            return True
-        return dataclasses.replace(sent.order, order_id="") != order
-
-    def _send(self, facts: facts_lib.Facts,
-              order: fleet.Order) -> actions.SendOrder:
-        self._sent[order.vm_id] = _Sent(order, facts.now_ms)
+        """Takes an answer; what an order did shows in the runner's report.
+
+        Args:
+            event: The answer.
+        """
+        order = event.order
+        if event.outcome is requesting.Outcome.RAN:
+            if order.kind is fleet.OrderKind.LOAD_ADAPTER:
+                self._adapters.add(_adapter_key(order))
+            return ()
+        if event.outcome is requesting.Outcome.UNKNOWN:
+            return ()
+        return (actions.Record(
+            f"vm/{order.vm_id}", "order-refused",
+            f"{order.kind} with fence {order.fence}: {event.detail}"),)
+
+    def _loading(self, facts: facts_lib.Facts) -> int:
+        """Returns how many VMs are loading, or were just told to."""
+        loading = {
+            vm_id for row in facts.board.assignments.replicas.values()
+            for vm_id in (*row.members, *row.spares)
+            if _loads_now(facts.report(vm_id), row)
+        }
+        loading |= {
+            vm_id for vm_id, sent in self._sent.items()
+            if sent.wanted.loads and facts.now_ms - sent.sent_ms < RESEND_MS
+        }
+        return len(loading)
+
+    def _unsaid(self, each: Wanted, now_ms: int) -> bool:
+        sent = self._sent.get(each.order.vm_id)
+        return (sent is None or now_ms - sent.sent_ms >= RESEND_MS or
+                sent.wanted.order != each.order)
+
+    def _send(self, facts: facts_lib.Facts, each: Wanted) -> actions.SendOrder:
+        order = each.order
+        self._sent[order.vm_id] = _Sent(each, facts.now_ms)
         self._serial += 1
-        numbered = dataclasses.replace(
-            order, order_id=f"{self._prefix}/{order.fence}/{self._serial}")
+        order_id = f"{self._node_id}/{order.fence}/{self._serial}"
         return actions.SendOrder(
-            facts.board.vms.listed[order.vm_id].address, numbered,
+            facts.board.vms.listed[order.vm_id].address,
+            dataclasses.replace(order, order_id=order_id),
             min(facts.board.lease.valid_until_ms,
                 facts.now_ms + facts.timing.order_timeout_ms))
 
+    def _adapter(self, facts: facts_lib.Facts) -> Iterator[Wanted]:
+        for row in facts.board.assignments.replicas.values():
+            document = facts.document(row.service)
+            if document is None or not document.adapters or (
+                    not facts.serving(row) or not _in_time(facts, (document,))):
+                continue
+            for adapter in document.adapters:
+                order = dataclasses.replace(_order(
+                    facts, row, row.members[0], fleet.OrderKind.LOAD_ADAPTER),
+                                            adapter=adapter)
+                each = Wanted(order)
+                if _adapter_key(order) not in self._adapters and (self._unsaid(
+                        each, facts.now_ms)):
+                    yield each
+                    break
+
+
+def _adapter_key(order: fleet.Order) -> tuple[str, str, int, str]:
+    return order.vm_id, order.replica_id, order.formation, order.adapter
 
-def wanted(facts: facts_lib.Facts) -> list[fleet.Order]:
-    """Returns an order for each runner that does not report what it should.
+
+def wanted(facts: facts_lib.Facts) -> Iterator[Wanted]:
+    """Yields an order for each runner that does not report what it should.
 
     Args:
         facts: What is known.
     """
-    found: list[fleet.Order] = []
     for row in facts.board.assignments.replicas.values():
         document = facts.document(row.service)
-        checks = document is not None and document.engine.checks_fencing
-        if not leases.engine_ready(facts.board.lease, checks, facts.now_ms):
-            continue
-        if row.state is fleet.ReplicaState.ASSIGNED and (row.replica_id
-                                                         not in facts.locked):
-            found += _of_replica(facts, row)
-    found += [
-        fleet.Order("", fleet.OrderKind.RELEASE, vm_id, facts.board.lease.epoch)
-        for vm_id in facts.board.vms.listed
-        if _to_be_idle(facts, vm_id)
-    ]
-    return found
-
-
-def _of_replica(facts: facts_lib.Facts,
-                row: fleet.ReplicaRow) -> list[fleet.Order]:
-    listed = facts.board.vms.listed
-    if not all(vm_id in listed for vm_id in row.members):
-        return []
-    orders = []
+        if (row.state is fleet.ReplicaState.ASSIGNED and document and
+                row.replica_id not in facts.locked and
+                _in_time(facts, (document,))):
+            yield from _of_replica(facts, row, document.priority)
+    documents_here = tuple(facts.duties())
+    for vm in facts.board.vms.listed.values():
+        if _to_be_idle(facts, vm.vm_id) and _in_time(
+                facts,
+                tuple(each for each in documents_here if each.pool == vm.pool)):
+            yield Wanted(
+                fleet.Order("", fleet.OrderKind.RELEASE, vm.vm_id,
+                            facts.board.lease.epoch))
+
+
+def _in_time(facts: facts_lib.Facts, concerned: tuple[documents.Document,
+                                                      ...]) -> bool:
+    """Tells whether no order of a former planner can undo one given now.
+
+    Engines that check refuse the former planner's number themselves. For the
+    others the new planner waits until its predecessor's last order must have
+    arrived, and then reads the runners' own reports.
+    """
+    checks = all(each.engine.checks_fencing for each in concerned)
+    return checks or facts.now_ms >= facts.board.lease.first_order_ms
+
+
+def _of_replica(facts: facts_lib.Facts, row: fleet.ReplicaRow,
+                priority: int) -> Iterator[Wanted]:
+    if not all(vm_id in facts.board.vms.listed for vm_id in row.members):
+        return
+    # A replica that lacks little goes before one that lacks much, so that one
+    # after the other is complete and not all of them late.
+    lacking = sum(not facts.holds(vm_id, row.model) for vm_id in row.members)
     for vm_id in row.members:
         report = facts.report(vm_id)
         if report and not facts_lib.formed(report, row):
-            orders.append(_order(facts, row, vm_id, fleet.OrderKind.FORM))
+            yield Wanted(_order(facts, row, vm_id, fleet.OrderKind.FORM),
+                         report.model != row.model, (priority, 0, lacking))
     for vm_id in row.spares:
         report = facts.report(vm_id)
-        if report and vm_id in listed and (
-                report.replica_id, report.role,
-                report.model) != (row.replica_id, fleet.RunnerRole.SPARE,
-                                  row.model):
-            orders.append(_order(facts, row, vm_id, fleet.OrderKind.PRELOAD))
-    return orders
+        if report and vm_id in facts.board.vms.listed and (not facts_lib.spare(
+                report, row)):
+            yield Wanted(_order(facts, row, vm_id, fleet.OrderKind.PRELOAD),
+                         report.model != row.model, (priority, 1, 0))
+
+
+def _loads_now(report: fleet.RunnerReport | None,
+               row: fleet.ReplicaRow) -> bool:
+    return (report is not None and report.replica_id == row.replica_id and
+            not report.ready and report.model != row.model)
 
 
 def _order(facts: facts_lib.Facts, row: fleet.ReplicaRow, vm_id: str,
            kind: fleet.OrderKind) -> fleet.Order:
-    forming = kind is fleet.OrderKind.FORM
-    role = fleet.RunnerRole.MEMBER if forming else fleet.RunnerRole.SPARE
+    spare = kind is fleet.OrderKind.PRELOAD
     listed = facts.board.vms.listed
+    members = () if spare else row.members
     return fleet.Order(
         "",
         kind,
@@ -116,13 +203,11 @@
         facts.board.lease.epoch,
         row.replica_id,
         row.epoch,
-        row.formation if forming else 0,
-        row.members if forming else (),
-        tuple(listed[member].address for member in row.members) if forming else
-        (),
-        row.model,
-        role,
-    )
+        formation=0 if spare else row.formation,
+        members=members,
+        member_addresses=tuple(listed[member].address for member in members),
+        model=row.model,
+        role=fleet.RunnerRole.SPARE if spare else fleet.RunnerRole.MEMBER)
 
 
 def _to_be_idle(facts: facts_lib.Facts, vm_id: str) -> bool:
--- a/cardamommill/placement.py
+++ b/cardamommill/placement.py
@@ -1,37 +1,69 @@
 """Which VMs make a replica."""
 
 import collections
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from cardamommill import documents, fleet
+from cardamommill import facts as facts_lib
 
 
-def choose(free: Iterable[fleet.Vm],
+def choose(facts: facts_lib.Facts,
            document: documents.Document) -> tuple[fleet.Vm, ...]:
     """Returns the VMs for a new replica, or none if there are too few.
 
+    Free VMs go first; the service's own spares fill up what is missing, since
+    a replica that lacks is worse than a spare that lacks.
+
+    Args:
+        facts: What is known.
+        document: The service's document.
+    """
+    free = facts.free_vms(document.pool)
+    return (choose_of(free, document, facts.holds) or
+            choose_of(free + spares(facts, document), document, facts.holds))
+
+
+def spares(facts: facts_lib.Facts,
+           document: documents.Document) -> list[fleet.Vm]:
+    """Returns the service's spares that no replica of it needs now.
+
+    Args:
+        facts: What is known.
+        document: The service's document.
+    """
+    return [
+        facts.board.vms.listed[vm_id]
+        for row in facts.replicas(document.service)
+        if row.replica_id not in facts.locked for vm_id in row.spares
+        if facts.usable(vm_id)
+    ]
+
+
+def choose_of(vms: Sequence[fleet.Vm], document: documents.Document,
+              holds: Callable[[str, str], bool]) -> tuple[fleet.Vm, ...]:
+    """Returns the VMs of a new replica out of some.
+
     Of the domains that have room it takes the one that is left with the least,
     so that room for large replicas stays whole elsewhere.
 
     Args:
-        free: VMs of the service's pool that can be assigned.
+        vms: VMs that can be assigned.
         document: The service's document.
+        holds: Tells whether a VM holds weights; such go first.
     """
     size = document.replica_vms
-    domains = by_domain(free)
-    fitting = [vms for vms in domains.values() if len(vms) >= size]
+    domains = by_domain(vms)
+    for each in domains.values():
+        each.sort(key=lambda vm: not holds(vm.vm_id, document.weights))
+    fitting = [each for each in domains.values() if len(each) >= size]
     if fitting:
         return tuple(min(fitting, key=len)[:size])
     if document.fabric is documents.FabricRule.REQUIRE:
         return ()
-    return _spread(list(domains.values()), size)
-
-
-def _spread(domains: Sequence[list[fleet.Vm]],
-            size: int) -> tuple[fleet.Vm, ...]:
     # The fewest domains: the largest first.
     ordered = [
-        vm for vms in sorted(domains, key=len, reverse=True) for vm in vms
+        vm for each in sorted(domains.values(), key=len, reverse=True)
+        for vm in each
     ]
     return tuple(ordered[:size]) if len(ordered) >= size else ()
 
@@ -42,3 +74,23 @@
     for vm in sorted(vms, key=lambda vm: (vm.fabric_domain, vm.vm_id)):
         domains[vm.fabric_domain].append(vm)
     return domains
+
+
+def room(facts: facts_lib.Facts,
+         document: documents.Document) -> dict[str, int]:
+    """Returns by domain how many VMs are free, spare or on their way to it.
+
+    Args:
+        facts: What is known.
+        document: The service's document.
+    """
+    counts: dict[str, int] = {}
+    usable = {vm.vm_id for vm in spares(facts, document)}
+    for vm in facts.board.vms.listed.values():
+        use = facts.vm_row(vm.vm_id).use
+        open_use = use in (fleet.VmUse.FREE, fleet.VmUse.RELEASING)
+        counts.setdefault(vm.fabric_domain, 0)
+        if vm.pool == document.pool and facts.usable(
+                vm.vm_id) and (open_use or vm.vm_id in usable):
+            counts[vm.fabric_domain] += 1
+    return counts
--- a/cardamommill/releasing.py
+++ b/cardamommill/releasing.py
@@ -1,64 +1,66 @@
 """When a VM that belonged to a replica may be used again."""
 
+from collections.abc import Mapping
+
 from cardamommill import changes, fleet
 from cardamommill import facts as facts_lib
 
 
-class Releasing:
-    """Watches VMs in releasing until nobody can take them for members."""
+class IdleWatch:
+    """Since when runners have said, without a break, that they are idle.
+
+    A node that was cut off may go on sending work to a replica for as long as
+    its members say that they belong to it, and for the age of its evidence
+    after that. So a VM is used again only when its own runner has said for
+    longer than any evidence lives that it belongs to none. Time counts from
+    this planner's own first sight: what its predecessor saw can't be known.
+    """
 
     def __init__(self) -> None:
-        self._idle_since_ms: dict[tuple[str, int], int] = {}
+        self._since_ms: dict[str, int] = {}
 
     def forget(self) -> None:
         """Starts all waits anew, as after a pause or without the lease."""
-        self._idle_since_ms.clear()
-
-    def freed(self, facts: facts_lib.Facts) -> changes.Change | None:
-        """Returns the change that frees all VMs whose wait is over.
+        self._since_ms.clear()
 
-        A node that was cut off may go on sending work to a replica for as
-        long as its members say that they belong to it, and for the age of its
-        evidence after that. So the wait begins when the runner itself no
-        longer says so, and lasts longer than any evidence.
+    def look(self, facts: facts_lib.Facts) -> Mapping[str, int]:
+        """Returns by VM since when its runner is idle.
 
         Args:
             facts: What is known.
         """
-        section = facts.board.assignments
-        waiting = {
-            (vm_id, section.vm_versions.get(vm_id, 0)): row
-            for vm_id, row in section.vms.items()
-            if row.use is fleet.VmUse.RELEASING
-        }
-        self._watch(facts, waiting)
-        over = [
-            key[0] for key in waiting if key[0] not in facts.locked and
-            (facts.gone(key[0]) or self._over(facts, key))
-        ]
-        return _change(facts, over)
-
-    def _watch(self, facts: facts_lib.Facts,
-               waiting: dict[tuple[str, int], fleet.VmRow]) -> None:
-        since_ms = {}
-        for key in waiting:
-            report = facts.report(key[0])
+        idle = {}
+        for vm_id in facts.board.vms.listed:
+            report = facts.report(vm_id)
             if report is not None and not report.replica_id:
-                since_ms[key] = self._idle_since_ms.get(key, facts.now_ms)
-        self._idle_since_ms = since_ms
+                idle[vm_id] = self._since_ms.get(vm_id, facts.now_ms)
+        self._since_ms = idle
+        return idle
 
-    def _over(self, facts: facts_lib.Facts, key: tuple[str, int]) -> bool:
-        since_ms = self._idle_since_ms.get(key)
-        return since_ms is not None and (facts.now_ms - since_ms
-                                         >= facts.timing.releasing_ms)
 
+def freed(facts: facts_lib.Facts) -> changes.Change | None:
+    """Returns the change that frees all VMs whose wait is over.
 
-def _change(facts: facts_lib.Facts, over: list[str]) -> changes.Change | None:
-    dc = facts.data_centre
-    gone = [vm_id for vm_id in over if facts.gone(vm_id)]
+    Args:
+        facts: What is known.
+    """
+    section = facts.board.assignments
+    over = [
+        vm_id for vm_id, row in section.vms.items()
+        if row.use is fleet.VmUse.RELEASING and vm_id not in facts.locked and
+        (facts.gone(vm_id) or facts.idle_long(vm_id))
+    ]
+    # Rows of VMs that are gone would stay for ever.
+    over += [
+        vm_id for vm_id, row in section.vms.items()
+        if row.use is fleet.VmUse.FREE and vm_id not in facts.locked and
+        facts.gone(vm_id)
+    ]
     replicas = _emptied(facts, set(over))
     if not over and not replicas:
         return None
+    dc = facts.data_centre
+    gone = [vm_id for vm_id in over if facts.gone(vm_id)]
     free = tuple(
         changes.vm_row(vm_id, fleet.VmUse.FREE)
         for vm_id in over
