Find nodes, watch runners and take documents, thinly

Cause: nothing yet fills the sections vms, evidence, peers, documents and store of the board, and nodes can't talk to one another.

Ruled out: sending every report whole in each answer (a report is some 100 bytes, and a repetition of it needs 15), and joining a repetition to its report by VM (of two answers that overtook one another the older would renew what the runner has taken back; they are joined by number instead).

Types grow by fields with defaults only.

--- /dev/null
+++ b/cardamommill/configuration.py
@@ -0,0 +1,181 @@
+"""The controller of documents: which revisions this node obeys.
+
+A revision only ever grows here, whether it comes from the table or from a
+peer. Sections `documents` and `store` of the board are its own.
+"""
+
+import functools
+
+from cardamommill import (
+    actions,
+    controller,
+    documents,
+    events,
+    exceptions,
+    peering,
+    store,
+)
+from cardamommill import board as board_lib
+
+FETCH_AT_ONCE = 32
+_INDEX = store.Key(store.INDEX, store.DOCUMENTS_INDEX)
+_INDEX_SUBJECT = "index"
+_FETCH_SUBJECT = "documents"
+
+
+class Configuration(controller.Controller):
+    """Takes higher revisions of documents and never goes back."""
+
+    name = "configuration"
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)  # type: ignore[arg-type]
+        self._read_due_ms = board_lib.NEVER_MS
+        self._wanted: dict[str, int] = {}
+        self._index_known = False
+        # Revisions that can't be used, and those whose alarm was raised.
+        self._refused: dict[str, int] = {}
+        self._alarmed: dict[str, int] = {}
+
+    @functools.singledispatchmethod
+    def step(self, event: events.Event, now_ms: int) -> actions.Actions:
+        """Returns what to do about an event."""
+        del event, now_ms
+        return ()
+
+    @step.register
+    def _tick(self, event: events.Tick, now_ms: int) -> actions.Actions:
+        del event
+        if now_ms < self._read_due_ms:
+            return ()
+        # Drawn anew each time, so that nodes that were started or cut off
+        # together do not read in step.
+        period_ms = self.timing.index_read_ms
+        self._read_due_ms = now_ms + int(
+            period_ms * self.random.uniform(0.8, 1.0))
+        return (actions.ReadRows(self.token(_INDEX_SUBJECT), (_INDEX,)),)
+
+    @step.register
+    def _read(self, event: events.RowsRead, now_ms: int) -> actions.Actions:
+        if not self.owns(event.token) or event.rows is None:
+            return ()
+        self.board.store.answered_ms = max(self.board.store.answered_ms, now_ms)
+        if event.token.subject == _INDEX_SUBJECT:
+            return self._take_index(event.rows[0])
+        wanted: list[actions.Action] = []
+        for row in event.rows:
+            if row.version:
+                wanted.extend(self._take(row.key.row, row.value, now_ms))
+        self._look_whether_complete()
+        return tuple(wanted)
+
+    @step.register
+    def _pulled(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
+        digest = event.digest
+        if digest is None or digest.version != peering.PROTOCOL_VERSION:
+            return ()
+        wanted: list[actions.Action] = []
+        for copy in digest.documents:
+            wanted.extend(self._take(copy.service, copy.row, now_ms))
+        # Without the table a peer's word is the best there is: it has all
+        # documents, and it has just named their revisions.
+        if (digest.documents_complete and not self._index_known and
+                digest.revisions and all(
+                    self._has(each.service, each.revision)
+                    for each in digest.revisions)):
+            self.board.documents.complete = True
+        return tuple(wanted)
+
+    def _take_index(self, row: store.Row) -> actions.Actions:
+        try:
+            revisions = (store.decode(store.DocumentsIndex, row.value).revisions
+                         if row.version else {})
+        except ValueError as error:
+            return (self._alarm("index", row.version, "index-unreadable",
+                                str(error)[:200]),) if self._is_news(
+                                    "index", row.version) else ()
+        self._index_known = True
+        self._wanted = {
+            service: max(revision, self._wanted.get(service, 0))
+            for service, revision in revisions.items()
+        }
+        wanted: list[actions.Action] = []
+        for service, in_force in self.board.documents.in_force.items():
+            listed = revisions.get(service, 0)
+            if listed < in_force.row.revision and self._is_news(
+                    service, listed):
+                # A table restored from an old copy, or a stale read: obeying
+                # it would undo a change that an operator was told is in
+                # force.
+                wanted.append(
+                    self._alarm(
+                        service, listed, "revision-went-back",
+                        f"the index says {listed}, in force stays "
+                        f"{in_force.row.revision}"))
+        missing = [
+            service for service, revision in self._wanted.items()
+            if not self._has(service, revision)
+        ][:FETCH_AT_ONCE]
+        if missing:
+            wanted.append(
+                actions.ReadRows(
+                    self.token(_FETCH_SUBJECT),
+                    tuple(
+                        store.Key(store.DOCUMENTS, service)
+                        for service in missing)))
+        self._look_whether_complete()
+        return tuple(wanted)
+
+    def _take(self, service: str, text: str, now_ms: int) -> actions.Actions:
+        """Puts a document in force if it is newer than the one there."""
+        try:
+            row = store.decode(store.DocumentRow, text)
+        except ValueError as error:
+            if not self._is_news(service, -1):
+                return ()
+            return (self._alarm(service, -1, "document-unreadable",
+                                str(error)[:200]),)
+        if row.service != service or self._has(service, row.revision):
+            return ()
+        try:
+            document = documents.parse(row.body,
+                                       f"{service} revision {row.revision}")
+            if document.service != service:
+                raise exceptions.DocumentError(f"it is of {document.service}",
+                                               step="document",
+                                               peer=service)
+        except exceptions.DocumentError as error:
+            # One bad document must not stop the others, nor this service:
+            # the revision before it stays in force.
+            self._refused[service] = row.revision
+            return (self._alarm(service, row.revision, "document-refused",
+                                str(error)[:500]),)
+        self.board.documents.in_force[service] = board_lib.DocumentInForce(
+            document, row, now_ms)
+        return (
+            actions.Record(
+                f"service/{service}", "document-in-force",
+                f"revision {row.revision} from {row.author}: "
+                f"{row.reason}"),
+            actions.Notify(events.DocumentAccepted(service, row.revision)),
+        )
+
+    def _has(self, service: str, revision: int) -> bool:
+        """Tells whether a revision is in force, replaced or unusable here."""
+        in_force = self.board.documents.in_force.get(service)
+        held = in_force.row.revision if in_force else 0
+        return max(held, self._refused.get(service, 0)) >= revision
+
+    def _look_whether_complete(self) -> None:
+        if self._index_known and all(
+                self._has(service, revision)
+                for service, revision in self._wanted.items()):
+            self.board.documents.complete = True
+
+    def _is_news(self, service: str, revision: int) -> bool:
+        return self._alarmed.get(service) != revision
+
+    def _alarm(self, service: str, revision: int, name: str,
+               detail: str) -> actions.Record:
+        self._alarmed[service] = revision
+        return actions.Record(f"service/{service}", name, detail)
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -29,6 +29,18 @@
     """The base of all events."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started(Event):
+    """The node has started; the first event where there are known peers.
+
+    Attributes:
+        known_addresses: Peers' addresses from the settings, for when the
+            table can't be read.
+    """
+
+    known_addresses: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick(Event):
     """Time has passed."""
--- /dev/null
+++ b/cardamommill/membership.py
@@ -0,0 +1,424 @@
+"""The controller of membership: VMs, evidence on runners, other nodes.
+
+Each runner is asked by two nodes; each node asks each other one of its data
+centre what it knows; two nodes fetch the summary of each other data centre.
+Sections `vms`, `evidence` and `peers` of the board are its own.
+"""
+
+from collections.abc import Iterable
+import functools
+
+from cardamommill import (
+    actions,
+    changes,
+    contacts,
+    controller,
+    digests,
+    events,
+    evidence,
+    fleet,
+    peering,
+    periods,
+    store,
+    summaries,
+    watching,
+)
+from cardamommill import board as board_lib
+
+NODES_READ_MS = 30_000
+ALL_NODES_READ_MS = 600_000
+RETRY_MS = 2_000
+MAX_LOST_VMS = 64
+
+_OWN_ROW = "own-row"
+_OWN_NODES = "own-nodes"
+_ALL_NODES = "all-nodes"
+
+
+class Membership(controller.Controller):
+    """Knows who is there: VMs, runners, nodes."""
+
+    name = "membership"
+
+    def __init__(self, board: board_lib.Board, timing: periods.Timing,
+                 seed: int) -> None:
+        super().__init__(board, timing, seed)
+        counter = changes.Counter()
+        self._contacts = contacts.Contacts(board.identity)
+        self._book = evidence.EvidenceBook(board, timing, counter)
+        self._digests = digests.DigestWriter(board, timing, self._book,
+                                             self._contacts, counter)
+        self._poll_due_ms: dict[str, int] = {}
+        self._watch_basis: object = None
+        self._reports_on: dict[str, int] = {}
+        self._summary_due_ms: dict[str, int] = {}
+        self._assignments_version = store.ABSENT
+        self._row_written = False
+        self._due_ms: dict[str, int] = {}
+        self._namesakes: set[int] = set()
+
+    @functools.singledispatchmethod
+    def step(self, event: events.Event, now_ms: int) -> actions.Actions:
+        """Returns what to do about an event."""
+        del event, now_ms
+        return ()
+
+    # --- Time ---
+
+    @step.register
+    def _started(self, event: events.Started, now_ms: int) -> actions.Actions:
+        for address in event.known_addresses:
+            self._contacts.add(address, now_ms, configured=True)
+        return ()
+
+    @step.register
+    def _tick(self, event: events.Tick, now_ms: int) -> actions.Actions:
+        del event
+        self._forget(now_ms)
+        self._set_leaving(now_ms)
+        self._set_watched(now_ms)
+        self._digests.refresh(now_ms, self._reports_on)
+        return (*self._platform(now_ms), *self._polls(now_ms),
+                *self._pulls(now_ms), *self._summary_pulls(now_ms))
+
+    @step.register
+    def _paused(self, event: events.Paused, now_ms: int) -> actions.Actions:
+        # Everything that is known has grown old at once; ask all again now.
+        del event
+        self._poll_due_ms = dict.fromkeys(self._poll_due_ms, now_ms)
+        for contact in self._contacts.by_address.values():
+            contact.due_ms = min(contact.due_ms, now_ms)
+        return ()
+
+    def _is_due(self, what: str, period_ms: int, now_ms: int) -> bool:
+        if now_ms < self._due_ms.get(what, board_lib.NEVER_MS):
+            return False
+        # Spread, so that nodes that started together do not act together.
+        self._due_ms[what] = now_ms + int(
+            period_ms * self.random.uniform(0.8, 1.0))
+        return True
+
+    def _platform(self, now_ms: int) -> Iterable[actions.Action]:
+        if self._is_due("vms", self.timing.vm_list_ms, now_ms):
+            yield actions.ListVms()
+        if not self._row_written and self._is_due(_OWN_ROW, RETRY_MS, now_ms):
+            yield self._write_own_row()
+        if self._is_due(_OWN_NODES, NODES_READ_MS, now_ms):
+            yield actions.ScanRows(self.token(_OWN_NODES), store.NODES,
+                                   f"{self.board.identity.data_centre}/")
+        if self._is_due(_ALL_NODES, ALL_NODES_READ_MS, now_ms):
+            yield actions.ScanRows(self.token(_ALL_NODES), store.NODES, "")
+
+    def _write_own_row(self) -> actions.Transact:
+        identity = self.board.identity
+        key = store.Key(store.NODES,
+                        f"{identity.data_centre}/{identity.node_id}")
+        return actions.Transact(self.token(_OWN_ROW), (),
+                                (store.Write(key, store.encode(identity)),))
+
+    def _forget(self, now_ms: int) -> None:
+        peers = self.board.peers.by_node
+        away_ms = now_ms - self.timing.peer_timeout_ms
+        for node_id, peer in list(peers.items()):
+            if peer.heard_ms < away_ms:
+                del peers[node_id]
+        self._contacts.forget(now_ms)
+        self._book.forget(now_ms)
+        summaries.forget(self.board.peers,
+                         now_ms - 4 * self.timing.summary_max_age_ms)
+
+    # --- Runners ---
+
+    def _set_watched(self, now_ms: int) -> None:
+        identity = self.board.identity
+        # A peer whose last answer is late may be dead. It is passed over long
+        # before it is declared away, since the evidence that it alone gives
+        # runs out sooner than that; if it lives, a runner is asked once more.
+        doubt_ms = (now_ms - self.timing.pull_ms - self.timing.pull_timeout_ms -
+                    self.timing.tick_ms)
+        alive = frozenset(node_id
+                          for node_id, peer in self.board.peers.by_node.items()
+                          if peer.heard_ms >= doubt_ms) | {identity.node_id}
+        data_centres = frozenset(self._contacts.data_centres())
+        basis = (alive, data_centres, frozenset(self.board.vms.listed))
+        if basis == self._watch_basis:
+            return
+        self._watch_basis = basis
+        self._reports_on = watching.reported(identity.node_id, alive,
+                                             data_centres)
+        watched = watching.watched(identity.node_id, alive,
+                                   self.board.vms.listed)
+        self._poll_due_ms = {
+            vm_id:
+                self._poll_due_ms.get(
+                    vm_id,
+                    now_ms + self.random.randrange(self.timing.poll_ms // 2))
+            for vm_id in sorted(watched)
+        }
+
+    def _polls(self, now_ms: int) -> Iterable[actions.Action]:
+        for vm_id, due_ms in self._poll_due_ms.items():
+            if now_ms >= due_ms:
+                self._poll_due_ms[vm_id] = max(due_ms + self.timing.poll_ms,
+                                               now_ms + 1)
+                yield actions.PollRunner(vm_id,
+                                         self.board.vms.listed[vm_id].address)
+
+    @step.register
+    def _polled(self, event: events.RunnerPolled,
+                now_ms: int) -> actions.Actions:
+        del now_ms
+        self._book.polled(event)
+        if event.report is not None and event.report.leaving:
+            self.board.vms.leaving.add(event.vm_id)
+        return ()
+
+    @step.register
+    def _listed(self, event: events.VmsListed, now_ms: int) -> actions.Actions:
+        if event.vms is None:
+            return ()
+        self._take_vms(event.vms)
+        self.board.vms.listed_ms = now_ms
+        self._set_leaving(now_ms)
+        return ()
+
+    def _take_vms(self, vms: Iterable[fleet.Vm]) -> None:
+        here = self.board.identity.data_centre
+        present = [
+            vm for vm in vms
+            if vm.data_centre == here and vm.state is not fleet.VmState.GONE
+        ]
+        self.board.vms.listed = {
+            vm.vm_id: vm for vm in present[:evidence.MAX_VMS]
+        }
+
+    def _set_leaving(self, now_ms: int) -> None:
+        by_vm = self.board.evidence.by_vm
+        fresh_ms = now_ms - evidence.FORGET_MS
+        told: set[str] = set()
+        for contact in self._contacts.by_address.values():
+            if contact.drained and contact.heard_ms >= fresh_ms:
+                told |= contact.drained
+        self.board.vms.leaving = told.union(
+            self._digests.drained(),
+            (vm_id for vm_id, each in by_vm.items() if each.report.leaving))
+
+    @step.register
+    def _crashed(self, event: events.RunnerCrashed,
+                 now_ms: int) -> actions.Actions:
+        row = self.board.assignments.replicas.get(event.replica_id)
+        if row is None or (row.epoch, row.formation) != (event.epoch,
+                                                         event.formation):
+            return ()
+        head = row.members[0]
+        known = self.board.evidence.by_vm.get(head)
+        if known is None or not self._book.accuse(head, known.report.boot_id,
+                                                  now_ms):
+            return ()
+        self._ask_at_once(head, now_ms)
+        notice = peering.Notice(peering.PROTOCOL_VERSION,
+                                self.board.identity,
+                                lost_vms=((head, known.report.boot_id),))
+        return (actions.Record(f"vm/{head}", "connection-lost",
+                               f"the head of {event.replica_id} broke off"),
+                *(actions.NotifyPeer(peer.identity.peer_address, notice)
+                  for peer in self.board.peers.by_node.values()))
+
+    @step.register
+    def _notified(self, event: events.PeerNotified,
+                  now_ms: int) -> actions.Actions:
+        notice = event.notice
+        if (notice.version != peering.PROTOCOL_VERSION or
+                self._contacts.is_former(notice.sender)):
+            return ()
+        for vm_id, boot_id in notice.lost_vms[:MAX_LOST_VMS]:
+            if self._book.accuse(vm_id, boot_id, now_ms):
+                self._ask_at_once(vm_id, now_ms)
+        return ()
+
+    def _ask_at_once(self, vm_id: str, now_ms: int) -> None:
+        if vm_id in self._poll_due_ms:
+            self._poll_due_ms[vm_id] = now_ms
+
+    # --- Peers ---
+
+    def _pulls(self, now_ms: int) -> Iterable[actions.Action]:
+        here = self.board.identity.data_centre
+        near = self._contacts.of_data_centre(here) + self._contacts.unmet()
+        for contact in near:
+            if now_ms >= contact.due_ms:
+                # Never longer than the period, and a little uneven, so that
+                # the questions of one tick spread over the whole period.
+                contact.due_ms = now_ms + int(
+                    self.timing.pull_ms * self.random.uniform(0.8, 1.0))
+                yield self._pull(contact)
+
+    def _summary_pulls(self, now_ms: int) -> Iterable[actions.Action]:
+        regions = self._contacts.data_centres()
+        for data_centre, place in self._reports_on.items():
+            near = regions.get(data_centre) == self.board.identity.region
+            period_ms = summaries.period_ms(self.timing, near)
+            # Of a far data centre the second reporter asks only where the
+            # first one seems to fail.
+            if not near and place and self._age_of(data_centre,
+                                                   now_ms) < 1.5 * period_ms:
+                continue
+            if self._is_due(f"summary/{data_centre}", period_ms, now_ms):
+                contact = self._reporter_of(data_centre)
+                if contact is not None:
+                    yield self._pull(contact, summary_only=True)
+
+    def _reporter_of(self, data_centre: str) -> contacts.Contact | None:
+        """Returns whom to ask: the same one as long as it answers."""
+        there = self._contacts.of_data_centre(data_centre)
+        fewest = min((each.failures for each in there), default=0)
+        usable = {
+            each.address: each for each in there if each.failures == fewest
+        }
+        first = watching.chosen(f"ask/{self.board.identity.node_id}", usable, 1)
+        return usable[first[0]] if first else None
+
+    def _age_of(self, data_centre: str, now_ms: int) -> int:
+        seen_ms = (each for key, each in self.board.peers.summaries_ms.items()
+                   if key[0] == data_centre)
+        return now_ms - max(seen_ms, default=board_lib.NEVER_MS)
+
+    def _pull(self,
+              contact: contacts.Contact,
+              summary_only: bool = False) -> actions.PullPeer:
+        identity = contact.identity
+        wants = contact.wants_documents
+        return actions.PullPeer(
+            contact.address,
+            peering.PullRequest(
+                peering.PROTOCOL_VERSION,
+                self.board.identity,
+                summary_only=summary_only,
+                after_sequence=contact.sequence,
+                revisions=digests.revisions(self.board) if wants else (),
+                after_incarnation=identity.incarnation if identity else 0,
+                wants_documents=wants,
+                documents_hash=digests.documents_hash(self.board),
+                assignments_version=max(self._assignments_version,
+                                        self.board.assignments.index_version),
+                wants_vms=not self.board.vms.listed))
+
+    @step.register
+    def _asked(self, event: events.PeerAsked, now_ms: int) -> actions.Actions:
+        sender = event.request.sender
+        if (event.request.version != peering.PROTOCOL_VERSION or
+                self._contacts.is_former(sender)):
+            return ()
+        self._contacts.learn(sender, now_ms)
+        contact = self._contacts.by_address.get(sender.peer_address)
+        if contact is not None:
+            if contact.failures:
+                # It can reach us: a cut is over. Do not wait out the backoff.
+                contact.failures = 0
+                contact.due_ms = min(contact.due_ms, now_ms)
+            if event.request.documents_hash != digests.documents_hash(
+                    self.board):
+                contact.wants_documents = True
+        return (actions.AnswerPeer(event.token,
+                                   self._digests.answer(event.request,
+                                                        now_ms)),)
+
+    @step.register
+    def _pulled(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
+        contact = self._contacts.by_address.get(event.address)
+        if contact is None:
+            return ()
+        digest = event.digest
+        if digest is None:
+            self._contacts.failed(contact, self.timing.pull_ms, now_ms)
+            return ()
+        if (digest.version != peering.PROTOCOL_VERSION or
+                self._contacts.is_former(digest.sender)):
+            return ()
+        if digest.sender.node_id == self.board.identity.node_id:
+            return self._met_namesake(contact, digest.sender)
+        self._contacts.met(contact, digest.sender)
+        contact.failures = 0
+        contact.heard_ms = max(contact.heard_ms, event.sent_ms)
+        contact.wants_documents = digest.documents_hash != (
+            digests.documents_hash(self.board))
+        for identity in digest.nodes:
+            self._contacts.learn(identity, now_ms)
+        if digest.sender.data_centre == self.board.identity.data_centre:
+            self._take_near(contact, digest, event.sent_ms)
+        else:
+            summaries.keep(self.board.peers,
+                           (each for each in digest.summaries
+                            if each.data_centre == digest.sender.data_centre),
+                           event.sent_ms)
+        contact.advance(digest)
+        return ()
+
+    def _take_near(self, contact: contacts.Contact, digest: peering.Digest,
+                   sent_ms: int) -> None:
+        for each in contact.reports(digest, sent_ms):
+            self._book.merge(each)
+            if each.report.leaving:
+                self.board.vms.leaving.add(each.report.vm_id)
+        contact.drained = frozenset(digest.drained)
+        self.board.vms.leaving |= contact.drained
+        if digest.replicas:
+            self._assignments_version = max(self._assignments_version,
+                                            digest.assignments_version)
+        if digest.vms and not self.board.vms.listed:
+            self._take_vms(digest.vms)
+        here = self.board.identity.data_centre
+        summaries.keep(
+            self.board.peers,
+            (each for each in digest.summaries if each.data_centre != here),
+            sent_ms)
+        before = self.board.peers.by_node.get(digest.sender.node_id)
+        if (before is None or before.heard_ms < sent_ms or
+                before.identity.incarnation < digest.sender.incarnation):
+            self.board.peers.by_node[digest.sender.node_id] = board_lib.Peer(
+                digest.sender, sent_ms, digest.ready, digest.in_flight,
+                digest.uses)
+
+    def _met_namesake(self, contact: contacts.Contact,
+                      identity: fleet.NodeIdentity) -> actions.Actions:
+        if identity.incarnation == self.board.identity.incarnation:
+            self._contacts.is_self(contact)
+            return ()
+        if identity.incarnation in self._namesakes:
+            return ()
+        self._namesakes.add(identity.incarnation)
+        return (actions.Record(
+            f"node/{identity.node_id}", "name-taken",
+            f"the node at {contact.address} has this node's name"),)
+
+    # --- The table of nodes ---
+
+    @step.register
+    def _transacted(self, event: events.TransactAnswered,
+                    now_ms: int) -> actions.Actions:
+        del now_ms
+        if self.owns(event.token) and (event.outcome
+                                       is store.TransactOutcome.COMMITTED):
+            self._row_written = True
+        return ()
+
+    @step.register
+    def _read(self, event: events.RowsRead, now_ms: int) -> actions.Actions:
+        if not self.owns(event.token):
+            return ()
+        if event.rows is None:
+            # Without the table: known addresses and what peers tell.
+            self._due_ms[event.token.subject] = now_ms + RETRY_MS
+            return ()
+        own = self.board.identity
+        for row in event.rows:
+            try:
+                identity = store.decode(fleet.NodeIdentity, row.value)
+            except ValueError:
+                continue
+            if identity.node_id != own.node_id:
+                self._contacts.learn(identity, now_ms)
+            elif identity.incarnation < own.incarnation:
+                # A write of the former life that arrived late.
+                self._row_written = False
+        return ()
--- a/cardamommill/peering.py
+++ b/cardamommill/peering.py
@@ -24,7 +24,16 @@
         summary_only: Whether it stands in another data centre.
         after_sequence: Evidence that changed after this number of the asked
             node's incarnation; 0 for all.
-        revisions: The revision that the asker has of each service.
+        revisions: The revision that the asker has of each service; only
+            with `wants_documents`.
+        after_incarnation: The life of the asked node that `after_sequence`
+            counts in; in another life it asks for all.
+        wants_documents: Whether the asker's documents differ from those that
+            the asked node had last time.
+        documents_hash: Stands for all revisions that the asker has.
+        assignments_version: The version of the fleet's index that the asker
+            has, from the table or a peer.
+        wants_vms: Whether the asker has no list of VMs yet.
     """
 
     version: int
@@ -32,6 +41,11 @@
     summary_only: bool = False
     after_sequence: int = 0
     revisions: tuple["Revision", ...] = ()
+    after_incarnation: int = 0
+    wants_documents: bool = False
+    documents_hash: int = 0
+    assignments_version: int = 0
+    wants_vms: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,11 +58,40 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgedReport:
-    """A runner's report and its age at the moment of answering."""
+    """A runner's report and its age at the moment of answering.
+
+    Attributes:
+        report: What the runner said.
+        age_ms: How old it is at least, in milliseconds.
+        watcher: The node that asked the runner.
+        sequence: Names the report for later `Unchanged` messages.
+    """
 
     report: fleet.RunnerReport
     age_ms: int
     watcher: str
+    sequence: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """A runner said again what the asker already has, but for its load.
+
+    Attributes:
+        sequence: Of the `AgedReport` that it repeats.
+        age_ms: How old the repetition is at least, in milliseconds.
+        running: As in `fleet.RunnerReport`.
+        queued: As in `fleet.RunnerReport`.
+        tokens_per_s: As in `fleet.RunnerReport`.
+        cache_sequence: As in `fleet.RunnerReport`.
+    """
+
+    sequence: int
+    age_ms: int
+    running: int = 0
+    queued: int = 0
+    tokens_per_s: float = 0.0
+    cache_sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,7 +205,17 @@
         replicas: Rows of replicas, for when the table can't be read.
         summaries: Of its own data centre, or of others for its peers.
         suspicions: What is held against requests.
-        drained: VMs that operators or the platform want emptied.
+        drained: VMs that operators or the platform want emptied, and those
+            whose runner told this node so; never what a peer told it, or
+            else a drain that was taken back would go round for ever.
+        unchanged: Evidence that repeats what the asker has.
+        after_sequence: The `PullRequest.after_sequence` that it answers.
+        documents_hash: Stands for all revisions that the answerer has.
+        documents_complete: Whether the answerer has all documents.
+        revisions: The answerer's revisions, with `wants_documents`.
+        assignments_version: The version of the fleet's index that `replicas`
+            came with.
+        vms: The platform's list, with `wants_vms`.
     """
 
     version: int
@@ -178,6 +231,13 @@
     summaries: tuple[ServiceSummary, ...] = ()
     suspicions: tuple[Suspicion, ...] = ()
     drained: tuple[str, ...] = ()
+    unchanged: tuple[Unchanged, ...] = ()
+    after_sequence: int = 0
+    documents_hash: int = 0
+    documents_complete: bool = False
+    revisions: tuple[Revision, ...] = ()
+    assignments_version: int = 0
+    vms: tuple[fleet.Vm, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/store.py
+++ b/cardamommill/store.py
@@ -104,6 +104,7 @@
         reason: Why, in the operator's words.
         at: Wall time in ISO 8601, for people only.
         body: The document as YAML.
+        attempt: The token of the transaction that wrote the row.
     """
 
     service: str
@@ -112,6 +113,7 @@
     reason: str
     at: str
     body: str
+    attempt: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
