Resolve an operator's lost answer by sending the same condition again

Cause: an `apply` whose answer was lost was only read back; a write that was still on its way then left the operator with "can't be known".

Ruled out: waiting longer for the write (nothing bounds it), and a blind repeat (it fails on its own first write and blames a colleague).

Change: the history row's token is looked at first; if it isn't there, the same transaction goes out again under the same versions, of which at most one commits. The documents' controller waits for all peers' word before it takes it for complete, and raises the alarm of a revision that went back only for a read that was sent after the document came.

--- a/cardamommill/applying.py
+++ b/cardamommill/applying.py
@@ -4,18 +4,17 @@
 index, so that a revision is either in all of them or in none.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 import dataclasses
 import difflib
 from typing import Protocol, TypeVar
 
 from returns import result
 
-from cardamommill import documents, exceptions, store
+from cardamommill import documents, events, exceptions, store
 
 HISTORY_DIGITS = 10
-INDEX_ATTEMPTS = 8
-READ_BACK_ATTEMPTS = 5
+ATTEMPTS = 8
 
 T = TypeVar("T")
 
@@ -28,7 +27,7 @@
 class SyncStore(Protocol):
     """The platform's tables, as the operators' commands call them."""
 
-    def read(self, keys: Sequence[store.Key]) -> tuple[store.Row, ...]:
+    def read(self, keys: tuple[store.Key, ...]) -> tuple[store.Row, ...]:
         """Returns a row per key, in order.
 
         Raises:
@@ -42,8 +41,8 @@
             StoreError: The table gave no answer.
         """
 
-    def transact(self, attempt: str, conditions: Sequence[store.Condition],
-                 writes: Sequence[store.Write]) -> store.TransactOutcome:
+    def transact(self, conditions: tuple[store.Condition, ...],
+                 writes: tuple[store.Write, ...]) -> events.TransactAnswered:
         """Commits all writes if all conditions hold; raises nothing."""
 
 
@@ -111,8 +110,22 @@
 
 def _apply(tables: SyncStore, service: str, change: Change) -> Applied:
     base = change.base_revision
-    for _ in range(INDEX_ATTEMPTS):
-        current = _read(tables, service)
+    unknown = False
+    for _ in range(ATTEMPTS):
+        try:
+            if unknown and base is not None:
+                # The answer to the write before was lost, or is still on its
+                # way. Taken for a failure, the operator would be told that
+                # somebody else was faster, namely he himself; the token in
+                # the history row, which stays as it was written, tells.
+                written = _in_history(tables, service, base + 1)
+                if written is not None and _is_of(written, change):
+                    return result.Success(written)
+            current = _read(tables, service)
+        except exceptions.StoreError as error:
+            if unknown:
+                continue
+            return result.Failure(error)
         if base is None:
             base = current.revision
         if current.revision != base:
@@ -120,22 +133,37 @@
         outcome, row = _commit(tables, service, current, change)
         if outcome is store.TransactOutcome.COMMITTED:
             return result.Success(row)
-        if outcome is store.TransactOutcome.NOT_RUN:
-            return result.Failure(
-                exceptions.StoreError("the table refused it; nothing changed",
-                                      step="apply"))
+        # A write whose answer was lost may be sent again because it is
+        # conditional on the same versions: of the two at most one commits.
+        # After a conflict either another service's change moved the index,
+        # which is no reason to refuse this one, or this document changed,
+        # which the next round finds out.
         if outcome is store.TransactOutcome.UNKNOWN:
-            # The write may have taken effect although the answer was lost. A
-            # blind repeat would then fail on its own first write and tell the
-            # operator that somebody else was faster. The row's token says
-            # whose write it is.
-            return _read_back(tables, row, change)
-        # A conflict: another service's change moved the index, which is
-        # no reason to refuse this one, or this document changed, which the
-        # next round finds out.
-    return result.Failure(
-        exceptions.StoreError("the index of documents changes too fast",
-                              step="apply"))
+            unknown = True
+    return result.Failure(_gave_up(service, unknown))
+
+
+def _gave_up(service: str, unknown: bool) -> exceptions.StoreError:
+    if unknown:
+        return exceptions.StoreError(
+            "no answer, so it may or may not have been accepted; look with "
+            f"'service history {service}' before you apply it again",
+            step="apply")
+    return exceptions.StoreError(
+        "the table refuses, or other changes are always faster; nothing was "
+        "changed",
+        step="apply")
+
+
+def _in_history(tables: SyncStore, service: str,
+                revision: int) -> store.DocumentRow | None:
+    found, = tables.read((history_key(service, revision),))
+    return _decode(found) if found.version else None
+
+
+def _is_of(row: store.DocumentRow, change: Change) -> bool:
+    return (row.author, row.reason,
+            row.attempt) == (change.author, change.reason, change.attempt)
 
 
 def _read(tables: SyncStore, service: str) -> _Current:
@@ -162,7 +190,7 @@
                             change.at, change.body, change.attempt)
     index = store.DocumentsIndex({**current.revisions, service: revision})
     text = store.encode(row)
-    outcome = tables.transact(change.attempt, (
+    answer = tables.transact((
         store.Condition(current.document.key, current.document.version),
         store.Condition(_INDEX, current.index.version),
     ), (
@@ -170,35 +198,7 @@
         store.Write(history_key(service, revision), text),
         store.Write(_INDEX, store.encode(index)),
     ))
-    return outcome, row
-
-
-def _read_back(tables: SyncStore, row: store.DocumentRow,
-               change: Change) -> Applied:
-    # The history row of that revision stays as it was written, also when the
-    # next operator has already replaced the document itself.
-    key = history_key(row.service, row.revision)
-    for _ in range(READ_BACK_ATTEMPTS):
-        try:
-            found, = tables.read((key,))
-        except exceptions.StoreError:
-            continue
-        if not found.version:
-            # Not there yet is not the same as never: the write may still be
-            # on its way.
-            continue
-        written = _decode(found)
-        ours = (change.author, change.reason, change.attempt)
-        if (written.author, written.reason, written.attempt) == ours:
-            return result.Success(written)
-        return result.Failure(
-            _conflict(row.service, row.revision - 1, written, change))
-    return result.Failure(
-        exceptions.StoreError(
-            "no answer, and it could not be read back; look with 'service "
-            f"history {row.service}' for revision {row.revision} before you "
-            "apply it again",
-            step="apply"))
+    return answer.outcome, row
 
 
 def _conflict(service: str, base: int, theirs: store.DocumentRow | None,
--- a/cardamommill/configuration.py
+++ b/cardamommill/configuration.py
@@ -13,11 +13,13 @@
     events,
     exceptions,
     peering,
+    periods,
     store,
 )
 from cardamommill import board as board_lib
 
 FETCH_AT_ONCE = 32
+MAX_READS = 16
 _INDEX = store.Key(store.INDEX, store.DOCUMENTS_INDEX)
 _INDEX_SUBJECT = "index"
 _FETCH_SUBJECT = "documents"
@@ -28,11 +30,17 @@
 
     name = "configuration"
 
-    def __init__(self, *args: object) -> None:
-        super().__init__(*args)  # type: ignore[arg-type]
+    def __init__(self, board: board_lib.Board, timing: periods.Timing,
+                 seed: int) -> None:
+        super().__init__(board, timing, seed)
+        self._started_ms: int | None = None
         self._read_due_ms = board_lib.NEVER_MS
+        self._read_sent: dict[int, int] = {}
+        # The revisions that the index, or else a peer, has named.
         self._wanted: dict[str, int] = {}
+        self._wanted_by_peers: dict[str, int] = {}
         self._index_known = False
+        self._peer_complete = False
         # Revisions that can't be used, and those whose alarm was raised.
         self._refused: dict[str, int] = {}
         self._alarmed: dict[str, int] = {}
@@ -46,6 +54,9 @@
     @step.register
     def _tick(self, event: events.Tick, now_ms: int) -> actions.Actions:
         del event
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        self._look_whether_complete(now_ms)
         if now_ms < self._read_due_ms:
             return ()
         # Drawn anew each time, so that nodes that were started or cut off
@@ -53,7 +64,11 @@
         period_ms = self.timing.index_read_ms
         self._read_due_ms = now_ms + int(
             period_ms * self.random.uniform(0.8, 1.0))
-        return (actions.ReadRows(self.token(_INDEX_SUBJECT), (_INDEX,)),)
+        token = self.token(_INDEX_SUBJECT)
+        self._read_sent[token.serial] = now_ms
+        while len(self._read_sent) > MAX_READS:
+            del self._read_sent[min(self._read_sent)]
+        return (actions.ReadRows(token, (_INDEX,)),)
 
     @step.register
     def _read(self, event: events.RowsRead, now_ms: int) -> actions.Actions:
@@ -61,12 +76,14 @@
             return ()
         self.board.store.answered_ms = max(self.board.store.answered_ms, now_ms)
         if event.token.subject == _INDEX_SUBJECT:
-            return self._take_index(event.rows[0])
+            sent_ms = self._read_sent.pop(event.token.serial,
+                                          board_lib.NEVER_MS)
+            return self._take_index(event.rows[0], sent_ms, now_ms)
         wanted: list[actions.Action] = []
         for row in event.rows:
             if row.version:
                 wanted.extend(self._take(row.key.row, row.value, now_ms))
-        self._look_whether_complete()
+        self._look_whether_complete(now_ms)
         return tuple(wanted)
 
     @step.register
@@ -77,16 +94,15 @@
         wanted: list[actions.Action] = []
         for copy in digest.documents:
             wanted.extend(self._take(copy.service, copy.row, now_ms))
-        # Without the table a peer's word is the best there is: it has all
-        # documents, and it has just named their revisions.
-        if (digest.documents_complete and not self._index_known and
-                digest.revisions and all(
-                    self._has(each.service, each.revision)
-                    for each in digest.revisions)):
-            self.board.documents.complete = True
+        for each in digest.revisions:
+            self._wanted_by_peers[each.service] = max(
+                each.revision, self._wanted_by_peers.get(each.service, 0))
+        if digest.documents_complete and digest.revisions:
+            self._peer_complete = True
         return tuple(wanted)
 
-    def _take_index(self, row: store.Row) -> actions.Actions:
+    def _take_index(self, row: store.Row, sent_ms: int,
+                    now_ms: int) -> actions.Actions:
         try:
             revisions = (store.decode(store.DocumentsIndex, row.value).revisions
                          if row.version else {})
@@ -102,11 +118,13 @@
         wanted: list[actions.Action] = []
         for service, in_force in self.board.documents.in_force.items():
             listed = revisions.get(service, 0)
-            if listed < in_force.row.revision and self._is_news(
-                    service, listed):
-                # A table restored from an old copy, or a stale read: obeying
-                # it would undo a change that an operator was told is in
-                # force.
+            # An answer that was asked for before the document came may be
+            # older than it and means nothing. One asked for later means a
+            # table that was restored from an old copy; obeying it would undo
+            # a change that an operator was told is in force.
+            if (listed < in_force.row.revision and
+                    sent_ms > in_force.since_ms and
+                    self._is_news(service, listed)):
                 wanted.append(
                     self._alarm(
                         service, listed, "revision-went-back",
@@ -123,7 +141,7 @@
                     tuple(
                         store.Key(store.DOCUMENTS, service)
                         for service in missing)))
-        self._look_whether_complete()
+        self._look_whether_complete(now_ms)
         return tuple(wanted)
 
     def _take(self, service: str, text: str, now_ms: int) -> actions.Actions:
@@ -166,11 +184,23 @@
         held = in_force.row.revision if in_force else 0
         return max(held, self._refused.get(service, 0)) >= revision
 
-    def _look_whether_complete(self) -> None:
-        if self._index_known and all(
-                self._has(service, revision)
-                for service, revision in self._wanted.items()):
-            self.board.documents.complete = True
+    def _look_whether_complete(self, now_ms: int) -> None:
+        if self.board.documents.complete or self._started_ms is None:
+            return
+        if self._index_known:
+            wanted = self._wanted
+        elif self._peer_complete and now_ms >= (self._started_ms +
+                                                self.timing.peer_timeout_ms):
+            # Without the table the peers' word is the best there is. All of
+            # them get the time to say it: a node that took the first answer
+            # might be in force with less than its former life was, although
+            # another peer still has the newer copy.
+            wanted = self._wanted_by_peers
+        else:
+            return
+        self.board.documents.complete = all(
+            self._has(service, revision)
+            for service, revision in wanted.items())
 
     def _is_news(self, service: str, revision: int) -> bool:
         return self._alarmed.get(service) != revision
