--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -15,10 +15,12 @@
 from cardamommill import (
     actions,
     assignments,
+    configuration,
     controller,
     events,
     fleet,
     leases,
+    membership,
     periods,
     planning,
 )
@@ -80,4 +82,10 @@
 
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
-    return (assignments.Assignments, leases.Leases, planning.Planner)
+    return (
+        membership.Membership,
+        configuration.Configuration,
+        assignments.Assignments,
+        leases.Leases,
+        planning.Planner,
+    )
