--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -179,12 +179,29 @@
             for correcting reports that lag.
         first_byte_ms: Smoothed time to the first byte.
         ejected_until_ms: Until when it gets nothing for being slow.
+        samples: How many times to the first byte were seen.
+        slowness: Its time to the first byte as a multiple of the median of
+            its service, 1 at least.
+        ejections: How often in a row it was ejected.
+        probing: Whether it is back from an ejection on trial.
+        alone: Attempts of suspects that run on it; nothing else is sent.
+        peers_in_flight: Requests of this data centre's other nodes on it.
+        unexplained: Reported requests that no node of this data centre knows.
+        unexplained_ms: When that was reported.
     """
 
     in_flight: int = 0
     sent_since: list[int] = dataclasses.field(default_factory=list)
     first_byte_ms: float = 0.0
     ejected_until_ms: int = NEVER_MS
+    samples: int = 0
+    slowness: float = 1.0
+    ejections: int = 0
+    probing: bool = False
+    alone: int = 0
+    peers_in_flight: int = 0
+    unexplained: float = 0.0
+    unexplained_ms: int = NEVER_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -206,10 +223,13 @@
 
     Attributes:
         uses: By service and account.
+        refused: Requests over a limit, with what to tell their callers.
     """
 
     uses: dict[tuple[str, str],
                peering.AccountUse] = dataclasses.field(default_factory=dict)
+    refused: dict[str,
+                  requesting.Problem] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cardamommill/choice.py
@@ -0,0 +1,277 @@
+"""Which replica a request goes to, by what the blackboard says."""
+
+from collections.abc import Iterable, Sequence
+import dataclasses
+import math
+import random
+import zlib
+
+from cardamommill import board as board_lib
+from cardamommill import periods, requesting, serving
+
+# A report's requests that nobody here knows of count half after this time.
+HALF_LIFE_MS = 1000
+# A replica that holds the prefix is taken up to this multiple of the mean.
+AFFINITY_BOUND = 1.25
+# What is common to all candidates is worked out anew this often; the one that
+# is chosen is always checked against the evidence of this very moment.
+CANDIDATES_MS = 50
+_PAIRS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that served when the candidates were last worked out.
+
+    Attributes:
+        replica_id: Which.
+        slots: Requests that it runs at once.
+        share: Slots that this node may use whatever other nodes do.
+        address: Of its head.
+        own_lane: Whether this node, of all in its data centre, sends
+            suspects there.
+    """
+
+    replica_id: str
+    slots: int
+    share: int
+    address: str
+    own_lane: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidates:
+    """The replicas of a service.
+
+    Attributes:
+        made_ms: When they were worked out.
+        each: The replicas.
+        mean_load: Requests per slot over all of them.
+        own_slots: Slots that this node may count on.
+    """
+
+    made_ms: int
+    each: tuple[Candidate, ...]
+    mean_load: float
+    own_slots: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """What a request needs of its replica.
+
+    Attributes:
+        prefixes: Hashes of growing prefixes, shortest first.
+        tried: Replicas that it has been sent to before.
+        alone: Whether it has crashed a replica and must not meet another
+            such request.
+    """
+
+    prefixes: tuple[str, ...] = ()
+    tried: frozenset[str] = frozenset()
+    alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Where a request goes and why there."""
+
+    target: requesting.Target
+    reason: str
+
+
+_NO_LOAD = board_lib.ReplicaLoad()
+
+
+def load_of(board: board_lib.Board, replica_id: str) -> board_lib.ReplicaLoad:
+    """Returns what is known of a replica's load."""
+    return board.load.by_replica.get(replica_id, _NO_LOAD)
+
+
+def expected(load: board_lib.ReplicaLoad, now_ms: int) -> float:
+    """Returns how many requests a replica has, as far as can be known.
+
+    Reports lag: one that was idle half a second ago may have got a request
+    from every node since, and all would go on to pile onto it. What this node
+    sent is known exactly, what its peers sent as of their last word; only the
+    rest of a report is believed, and less so as it ages.
+
+    Args:
+        load: What is known of it.
+        now_ms: The local monotonic time.
+    """
+    age_ms = max(0, now_ms - load.unexplained_ms)
+    rest = load.unexplained * math.exp2(-age_ms / HALF_LIFE_MS)
+    return load.in_flight + load.peers_in_flight + rest
+
+
+def score(load: board_lib.ReplicaLoad, slots: int, now_ms: int) -> float:
+    """Returns the expected wait in units that compare between replicas."""
+    return (expected(load, now_ms) + 1) / slots * load.slowness
+
+
+def candidates(board: board_lib.Board, service: str, timing: periods.Timing,
+               now_ms: int) -> Candidates:
+    """Returns the replicas of a service that may be sent work.
+
+    Args:
+        board: What the node knows.
+        service: The service.
+        timing: The periods in force.
+        now_ms: The local monotonic time.
+    """
+    me = board.identity.node_id
+    nodes = sorted([me] + [
+        name for name, peer in board.peers.by_node.items()
+        if peer.ready and now_ms - peer.heard_ms <= timing.peer_timeout_ms
+    ])
+    each = tuple(
+        _candidate(replica, board, me, nodes)
+        for replica in serving.serving_replicas(board, service, timing, now_ms)
+        if replica.row.members[0] in board.vms.listed)
+    slots = sum(candidate.slots for candidate in each)
+    busy = sum(
+        expected(load_of(board, candidate.replica_id), now_ms)
+        for candidate in each)
+    return Candidates(now_ms, each, busy / max(slots, 1), slots / len(nodes))
+
+
+def _candidate(replica: serving.ServingReplica, board: board_lib.Board, me: str,
+               nodes: Sequence[str]) -> Candidate:
+    replica_id = replica.row.replica_id
+    slots = max(1, replica.head.report.slots)
+    # The slots that don't divide evenly go to nodes that differ by replica.
+    start = zlib.crc32(replica_id.encode())
+    rank = (nodes.index(me) + start) % len(nodes)
+    share = slots // len(nodes) + (rank < slots % len(nodes))
+    address = board.vms.listed[replica.row.members[0]].address
+    return Candidate(replica_id, slots, share, address,
+                     nodes[start % len(nodes)] == me)
+
+
+def choose(board: board_lib.Board, among: Candidates, want: Want,
+           timing: periods.Timing, chance: random.Random,
+           now_ms: int) -> Choice | None:
+    """Returns where a request goes, or None where there is no room for it.
+
+    Args:
+        board: What the node knows.
+        among: The service's replicas.
+        want: What the request needs.
+        timing: The periods in force.
+        chance: Where the sampled pair comes from.
+        now_ms: The local monotonic time.
+    """
+    allowed = [each for each in among.each if each.replica_id not in want.tried]
+    if want.alone:
+        found = _alone(board, allowed, now_ms)
+    else:
+        found = _with_prefix(board, among, allowed, want.prefixes, now_ms)
+        found = found or _better_of_two(board, allowed, chance, now_ms)
+    if found is None:
+        return None
+    return _checked(board, found[0], found[1], timing, now_ms)
+
+
+def _checked(board: board_lib.Board, found: Candidate, reason: str,
+             timing: periods.Timing, now_ms: int) -> Choice | None:
+    row = board.assignments.replicas.get(found.replica_id)
+    replica = row and serving.serving_replica(board, row, timing, now_ms)
+    if not replica:
+        return None
+    target = requesting.Target(found.address, replica.row.members[0],
+                               found.replica_id, replica.row.epoch,
+                               replica.row.formation, replica.valid_until_ms)
+    return Choice(target, reason)
+
+
+def has_room(board: board_lib.Board, candidate: Candidate, now_ms: int) -> bool:
+    """Tells whether this node may send one more request to a replica.
+
+    Up to its share it always may, or else nodes that came first would keep a
+    full replica to themselves; beyond it only what nobody seems to use.
+
+    Args:
+        board: What the node knows.
+        candidate: The replica.
+        now_ms: The local monotonic time.
+    """
+    load = load_of(board, candidate.replica_id)
+    if load.alone or load.ejected_until_ms > now_ms:
+        return False
+    if load.probing:
+        return load.in_flight == 0
+    return (load.in_flight < candidate.share or
+            expected(load, now_ms) + 0.5 < candidate.slots)
+
+
+def _with_prefix(board: board_lib.Board, among: Candidates,
+                 allowed: Iterable[Candidate], prefixes: tuple[str, ...],
+                 now_ms: int) -> tuple[Candidate, str] | None:
+    for depth in range(len(prefixes), 0, -1):
+        holders = board.load.prefixes.get(prefixes[depth - 1])
+        if not holders:
+            continue
+        able = [
+            each for each in allowed
+            if each.replica_id in holders and has_room(board, each, now_ms) and
+            _bounded(board, among, each, now_ms)
+        ]
+        if able:
+            return _least(
+                board, able,
+                now_ms), (f"holds {depth} of {len(prefixes)} prefixes")
+    return None
+
+
+def _bounded(board: board_lib.Board, among: Candidates, each: Candidate,
+             now_ms: int) -> bool:
+    load = load_of(board, each.replica_id)
+    bound = AFFINITY_BOUND * among.mean_load * each.slots + 1
+    return expected(load, now_ms) * load.slowness <= bound
+
+
+def _least(board: board_lib.Board, among: Sequence[Candidate],
+           now_ms: int) -> Candidate:
+    return min(among,
+               key=lambda each: score(load_of(board, each.replica_id), each.
+                                      slots, now_ms))
+
+
+def _better_of_two(board: board_lib.Board, allowed: Sequence[Candidate],
+                   chance: random.Random,
+                   now_ms: int) -> tuple[Candidate, str] | None:
+    for _ in range(_PAIRS):
+        pair = (chance.sample(allowed, 2) if len(allowed) > 1 else allowed)
+        able = [each for each in pair if has_room(board, each, now_ms)]
+        if able:
+            return _least(board, able, now_ms), "shorter wait of two"
+    able = [each for each in allowed if has_room(board, each, now_ms)]
+    if able:
+        return _least(board, able, now_ms), "shortest wait of all with room"
+    # Slow ones are better than none, when all others are lost or were tried.
+    rest = [
+        each for each in allowed
+        if load_of(board, each.replica_id).ejected_until_ms > now_ms
+    ]
+    if rest and len(rest) == len(allowed):
+        return _least(board, rest, now_ms), "only ejected ones are left"
+    return None
+
+
+def _alone(board: board_lib.Board, allowed: Sequence[Candidate],
+           now_ms: int) -> tuple[Candidate, str] | None:
+    """Returns a replica on which no other suspect can be.
+
+    Two suspects on one replica that crashes could not be told apart, and the
+    innocent one would be quarantined with the other. Each node has replicas
+    of its own for them, so that not even two nodes let them meet.
+    """
+    lanes = [each for each in allowed if each.own_lane] or allowed
+    able = [
+        each for each in lanes if not load_of(board, each.replica_id).alone and
+        expected(load_of(board, each.replica_id), now_ms) < each.slots
+    ]
+    if not able:
+        return None
+    return _least(board, able, now_ms), "apart from other suspects"
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -335,6 +335,44 @@
     digests: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptSent(Event):
+    """A request was sent to a replica or to a node of another data centre.
+
+    Attributes:
+        head: The request.
+        attempt_id: Which attempt.
+        target: Where it went.
+        alone: Whether nothing else may be sent there while it runs.
+    """
+
+    head: requesting.RequestHead
+    attempt_id: str
+    target: requesting.Target
+    alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptClosed(Event):
+    """An attempt that was sent has ended or was given up; once for each.
+
+    Attributes:
+        head: The request.
+        attempt_id: Which attempt.
+        target: Where it had gone.
+        outcome: Whether it ran, as far as is known.
+        whole: Whether the whole answer reached the caller.
+        took_ms: From sending to the end.
+    """
+
+    head: requesting.RequestHead
+    attempt_id: str
+    target: requesting.Target
+    outcome: requesting.Outcome
+    whole: bool
+    took_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentAccepted(Event):
     """A higher revision of a document is now in force on this node."""
