--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -20,9 +20,12 @@
     events,
     fleet,
     leases,
+    limits,
     membership,
     periods,
     planning,
+    requests,
+    routing,
 )
 from cardamommill import board as board_lib
 
@@ -88,4 +91,7 @@
         assignments.Assignments,
         leases.Leases,
         planning.Planner,
+        limits.Limits,
+        routing.Routing,
+        requests.Requests,
     )
