--- /dev/null
+++ b/cardamommill/connections.py
@@ -0,0 +1,490 @@
+"""Callers' connections: one thread reads them all, any thread answers.
+
+A request that arrives slowly, or never whole, holds a socket and a buffer
+within limits but no thread. Weighed against werkzeug's own server: that has
+one unbounded thread a connection, no limit on the time in which a request
+arrives, and answers streams in a form whose cut looks like an end.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+import enum
+import selectors
+import socket
+import ssl
+import threading
+import time
+from typing import Protocol, Self
+
+import logbook
+
+from cardamommill import exceptions, http1, settings
+
+LOG = logbook.Logger("connections")
+
+ACCEPTS_PER_TURN = 64
+RECEIVE_BYTES = 65_536
+TURN_S = 0.1
+# How long a refused caller may go on sending before its connection is cut:
+# closing at once would reset it, and it might never see the refusal.
+LINGER_MS = 1000
+MS_PER_S = 1000
+
+_WAITS = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * MS_PER_S)
+
+
+class Handler(Protocol):
+    """Who answers the requests."""
+
+    def screen(self, start: http1.RequestStart) -> int:
+        """Returns the limit of the body in bytes, or raises RequestError."""
+
+    def answer(self, request: http1.Request, connection: "Connection") -> None:
+        """Answers, in time, from any thread; runs on a thread of the pool."""
+
+    def refuse(self, error: exceptions.RequestError,
+               connection: "Connection") -> None:
+        """Answers a request that can't be read; must be quick."""
+
+
+class _Phase(enum.Enum):
+    """What a connection is doing."""
+
+    HANDSHAKE = enum.auto()
+    IDLE = enum.auto()
+    READING = enum.auto()
+    ANSWERING = enum.auto()
+    LINGERING = enum.auto()
+    CLOSED = enum.auto()
+
+
+class Connection:
+    """One caller's connection.
+
+    Only the thread of `Connections` reads it and changes its phase. Any
+    thread may write; the lock also keeps a TLS socket from being read and
+    written at once, which its library does not allow.
+
+    Attributes:
+        peer: The caller's address.
+        parser: What has arrived.
+        phase: What it is doing.
+        until_ms: When it must have done so.
+        gone: See `on_gone`.
+    """
+
+    def __init__(self, owner: "Connections", sock: socket.socket, peer: str,
+                 limits: settings.CallerSide,
+                 screen: Callable[[http1.RequestStart], int]) -> None:
+        self.peer = peer
+        self.gone: Callable[[], None] | None = None
+        self._owner = owner
+        self._sock = sock
+        self._limits = limits
+        self._lock = threading.Lock()
+        self._unsent = bytearray()
+        self._broken = False
+        self._sent_ms = 0
+        self.parser = http1.RequestParser(limits.header_bytes, screen)
+        self.phase = _Phase.HANDSHAKE
+        self.until_ms = _now_ms() + limits.read_timeout_ms
+
+    @property
+    def sock(self) -> socket.socket:
+        """The socket, for the reading thread."""
+        return self._sock
+
+    def write(self, data: bytes, streamed: bool = False) -> bool:
+        """Sends bytes, or keeps them until the socket takes more.
+
+        Args:
+            data: What to send.
+            streamed: Whether more may follow without end. A caller that does
+                not read its stream is cut off at a limit, since its bytes
+                would otherwise fill this process.
+
+        Returns:
+            Whether the connection still stands.
+        """
+        with self._lock:
+            if self._broken:
+                return False
+            waiting = bool(self._unsent)
+            if waiting:
+                self._unsent += data
+            else:
+                sent = self._send(data)
+                if self._broken or sent == len(data):
+                    return self._checked()
+                self._unsent += memoryview(data)[sent:]
+                self._sent_ms = _now_ms()
+            if streamed and len(self._unsent) > self._limits.unsent_bytes:
+                self._broken = True
+                return self._checked()
+        if not waiting:
+            self._owner.call(lambda: self._owner.watch(self))
+        return True
+
+    def _checked(self) -> bool:
+        if self._broken:
+            self._owner.call(lambda: self._owner.drop(self))
+        return not self._broken
+
+    def _send(self, data: bytes | bytearray) -> int:
+        try:
+            return self._sock.send(data)
+        except _WAITS:
+            return 0
+        except OSError:
+            self._broken = True
+            return 0
+
+    def flush(self) -> bool:
+        """Sends what was kept; returns whether nothing is left."""
+        with self._lock:
+            sent = self._send(self._unsent) if self._unsent else 0
+            if sent:
+                del self._unsent[:sent]
+                self._sent_ms = _now_ms()
+            return not self._unsent
+
+    def stalled(self, now_ms: int) -> bool:
+        """Tells whether the caller has taken nothing for too long."""
+        with self._lock:
+            return self._broken or bool(
+                self._unsent
+            ) and now_ms - self._sent_ms > self._limits.read_timeout_ms
+
+    def receive(self) -> bytes | None:
+        """Returns what came, empty at the end, None if there is nothing."""
+        with self._lock:
+            try:
+                return self._sock.recv(RECEIVE_BYTES)
+            except _WAITS:
+                return None
+            except OSError:
+                return b""
+
+    @property
+    def wants_write(self) -> bool:
+        """Whether bytes wait for the socket."""
+        return bool(self._unsent)
+
+    def close(self) -> None:
+        """Closes the socket; later writes are dropped."""
+        with self._lock:
+            self._broken = True
+            self._unsent.clear()
+            self._sock.close()
+
+    def on_gone(self, callback: Callable[[], None]) -> None:
+        """Has this called if the caller closes before its answer is whole.
+
+        Args:
+            callback: Runs on the reading thread, once at most.
+        """
+
+        def remember() -> None:
+            if self.phase is _Phase.CLOSED:
+                callback()
+            elif self.phase is _Phase.ANSWERING:
+                self.gone = callback
+
+        self._owner.call(remember)
+
+    def answered(self, keep_alive: bool) -> None:
+        """Tells that the answer was written whole; from any thread."""
+        self._owner.call(lambda: self._owner.answered(self, keep_alive))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counts:
+    """Figures for the metrics page."""
+
+    open: int
+    accepted: int
+    refused: int
+    timed_out: int
+
+
+class Connections:
+    """Accepts and reads all callers' connections; a context manager.
+
+    Attributes:
+        address: Where it listens, once entered.
+        counts: Figures for the metrics page.
+    """
+
+    def __init__(self, limits: settings.CallerSide, handler: Handler) -> None:
+        self._limits = limits
+        self._handler = handler
+        self._open: set[Connection] = set()
+        self._calls: list[Callable[[], None]] = []
+        self._calls_lock = threading.Lock()
+        self._running = True
+        self.address = limits.address
+        self.counts = Counts(0, 0, 0, 0)
+
+    def __enter__(self) -> Self:
+        host, port = self._limits.address.split(":")
+        self._listener = socket.create_server((host, int(port)), backlog=512)
+        self._listener.setblocking(False)
+        self.address = f"{host}:{self._listener.getsockname()[1]}"
+        self._tls = _tls(self._limits)
+        self._selector = selectors.DefaultSelector()
+        self._wake, wake = socket.socketpair()
+        self._wake.setblocking(False)
+        self._woken = wake
+        wake.setblocking(False)
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._selector.register(wake, selectors.EVENT_READ)
+        self._pool = futures.ThreadPoolExecutor(self._limits.workers, "caller")
+        self._thread = futures.ThreadPoolExecutor(1, "callers")
+        self._thread.submit(self._run)
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._running = False
+        self.call(lambda: None)
+        self._thread.shutdown()
+        self._pool.shutdown()
+        for connection in tuple(self._open):
+            connection.close()
+        for each in (self._listener, self._wake, self._woken):
+            each.close()
+        self._selector.close()
+
+    def call(self, action: Callable[[], None]) -> None:
+        """Runs something on the reading thread, soon; from any thread."""
+        with self._calls_lock:
+            first = not self._calls
+            self._calls.append(action)
+        if first:
+            try:
+                self._wake.send(b"\0")
+            except OSError:
+                pass  # Already woken, or over.
+
+    def _run(self) -> None:
+        next_look_ms = 0
+        while self._running:
+            for key, mask in self._selector.select(TURN_S):
+                self._ready(key, mask)
+            with self._calls_lock:
+                calls, self._calls = self._calls, []
+            for action in calls:
+                action()
+            if _now_ms() >= next_look_ms:
+                next_look_ms = _now_ms() + int(TURN_S * MS_PER_S)
+                self._expire()
+
+    def _ready(self, key: selectors.SelectorKey, mask: int) -> None:
+        if key.fileobj is self._listener:
+            self._accept()
+        elif key.fileobj is self._woken:
+            self._woken.recv(RECEIVE_BYTES)
+        elif key.data.phase is not _Phase.CLOSED:
+            try:
+                self._serve(key.data, mask)
+            except Exception:
+                LOG.exception("event=connection-failed peer={}", key.data.peer)
+                self.drop(key.data)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS_PER_TURN):
+            try:
+                sock, peer = self._listener.accept()
+            except OSError:
+                return
+            if len(self._open) >= self._limits.connections:
+                sock.close()
+                self._count(refused=1)
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls:
+                sock = self._tls.wrap_socket(sock,
+                                             server_side=True,
+                                             do_handshake_on_connect=False)
+            connection = Connection(self, sock, f"{peer[0]}:{peer[1]}",
+                                    self._limits, self._handler.screen)
+            if not self._tls:
+                self._wait(connection)
+            self._open.add(connection)
+            self._selector.register(sock, selectors.EVENT_READ, connection)
+            self._count(accepted=1)
+
+    def _serve(self, connection: Connection, mask: int) -> None:
+        if mask & selectors.EVENT_WRITE:
+            connection.flush()
+            self.watch(connection)
+        if mask & selectors.EVENT_READ:
+            _READERS[connection.phase](self, connection)
+
+    def watch(self, connection: Connection) -> None:
+        """Looks for what the connection now needs."""
+        if connection.phase is _Phase.CLOSED:
+            return
+        if connection.phase is _Phase.LINGERING and connection.flush():
+            try:
+                connection.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.drop(connection)
+                return
+        mask = selectors.EVENT_READ
+        if connection.wants_write:
+            mask |= selectors.EVENT_WRITE
+        self._selector.modify(connection.sock, mask, connection)
+
+    def _handshake(self, connection: Connection) -> None:
+        assert isinstance(connection.sock, ssl.SSLSocket)
+        try:
+            connection.sock.do_handshake()
+        except _WAITS:
+            return
+        except OSError:
+            self.drop(connection)
+            return
+        self._wait(connection)
+        self._read(connection)
+
+    def _read(self, connection: Connection) -> None:
+        data = connection.receive()
+        while data:
+            connection.parser.feed(data)
+            # A TLS socket may hold bytes that the selector can't see.
+            data = connection.receive() if self._tls else None
+            if connection.parser.buffered_bytes > RECEIVE_BYTES:
+                self._advance(connection)
+        if data == b"":
+            self.drop(connection)
+        else:
+            self._advance(connection)
+
+    def _advance(self, connection: Connection) -> None:
+        if connection.phase not in (_Phase.IDLE, _Phase.READING):
+            return
+        try:
+            request = connection.parser.next()
+        except exceptions.RequestError as error:
+            connection.phase = _Phase.ANSWERING
+            self._count(refused=1)
+            self._handler.refuse(error, connection)
+            return
+        if request:
+            connection.phase = _Phase.ANSWERING
+            self._pool.submit(self._answer, request, connection)
+        elif (connection.phase is _Phase.IDLE and
+              (connection.parser.start or connection.parser.buffered_bytes)):
+            connection.phase = _Phase.READING
+            connection.until_ms = _now_ms() + self._limits.read_timeout_ms
+        start = connection.parser.start
+        if start and start.headers.get("Expect", "").lower() == "100-continue":
+            start.headers.remove("Expect")
+            connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _answer(self, request: http1.Request, connection: Connection) -> None:
+        try:
+            self._handler.answer(request, connection)
+        except Exception:
+            LOG.exception("event=answer-failed peer={}", connection.peer)
+            self._handler.refuse(
+                http1.refusal("this node failed before it ran the request",
+                              500), connection)
+
+    def _look_out(self, connection: Connection) -> None:
+        # While an answer goes out, the caller may send its next request,
+        # within a limit, or go.
+        data = connection.receive()
+        if data:
+            connection.parser.feed(data)
+        if data == b"" or (connection.parser.buffered_bytes
+                           > self._limits.header_bytes + RECEIVE_BYTES):
+            self.drop(connection)
+
+    def _discard(self, connection: Connection) -> None:
+        if connection.receive() == b"":
+            self.drop(connection)
+
+    def answered(self, connection: Connection, keep_alive: bool) -> None:
+        """Takes the next request, or ends the connection in good order."""
+        if connection.phase is not _Phase.ANSWERING:
+            return
+        connection.gone = None
+        if keep_alive and self._running:
+            self._wait(connection)
+            self._advance(connection)
+            return
+        connection.phase = _Phase.LINGERING
+        connection.until_ms = _now_ms() + LINGER_MS
+        self.watch(connection)
+
+    def _wait(self, connection: Connection) -> None:
+        connection.phase = _Phase.IDLE
+        connection.until_ms = _now_ms() + self._limits.idle_timeout_ms
+
+    def _expire(self) -> None:
+        now_ms = _now_ms()
+        for connection in tuple(self._open):
+            if connection.stalled(now_ms):
+                self.drop(connection)
+            elif (connection.phase is not _Phase.ANSWERING and
+                  now_ms >= connection.until_ms and
+                  not (connection.phase is _Phase.LINGERING and
+                       connection.wants_write)):
+                self._time_out(connection)
+
+    def _time_out(self, connection: Connection) -> None:
+        if connection.phase is not _Phase.READING:
+            self.drop(connection)
+            return
+        self._count(timed_out=1)
+        connection.phase = _Phase.ANSWERING
+        self._handler.refuse(
+            http1.refusal(
+                "the request was not whole after "
+                f"{self._limits.read_timeout_ms} ms", 408), connection)
+
+    def drop(self, connection: Connection) -> None:
+        """Closes a connection whose caller has gone or is not waited for."""
+        if connection.phase is _Phase.CLOSED:
+            return
+        connection.phase = _Phase.CLOSED
+        self._open.discard(connection)
+        self._selector.unregister(connection.sock)
+        connection.close()
+        gone, connection.gone = connection.gone, None
+        if gone:
+            gone()
+        self._count()
+
+    def _count(self,
+               accepted: int = 0,
+               refused: int = 0,
+               timed_out: int = 0) -> None:
+        counts = self.counts
+        self.counts = Counts(len(self._open), counts.accepted + accepted,
+                             counts.refused + refused,
+                             counts.timed_out + timed_out)
+
+
+_READERS = {
+    _Phase.HANDSHAKE: Connections._handshake,
+    _Phase.IDLE: Connections._read,
+    _Phase.READING: Connections._read,
+    _Phase.ANSWERING: Connections._look_out,
+    _Phase.LINGERING: Connections._discard,
+}
+
+
+def _tls(limits: settings.CallerSide) -> ssl.SSLContext | None:
+    if not limits.tls_certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(limits.tls_certificate, limits.tls_key or None)
+    return context
--- a/cardamommill/exceptions.py
+++ b/cardamommill/exceptions.py
@@ -43,3 +43,15 @@
 
 class CommandError(CardamommillError):
     """A command could not do what its user asked."""
+
+
+class RequestError(CardamommillError):
+    """A caller's request can't be taken.
+
+    Attributes:
+        status: The HTTP status that says why.
+    """
+
+    def __init__(self, message: str, *, status: int, step: str) -> None:
+        super().__init__(message, step=step)
+        self.status = status
--- /dev/null
+++ b/cardamommill/prompts.py
@@ -0,0 +1,75 @@
+"""What a node reads out of a request's body: stream or not, and prefixes."""
+
+from collections.abc import Iterator
+import dataclasses
+import hashlib
+import json
+from typing import Any
+
+PREFIX_BYTES = 256
+MAX_PREFIXES = 32
+HASH_DIGITS = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a body says of how to route it.
+
+    Attributes:
+        streaming: Whether it asks for a stream of events.
+        prefixes: Hashes of growing prefixes of its prompt, shortest first.
+    """
+
+    streaming: bool = False
+    prefixes: tuple[str, ...] = ()
+
+
+def read(body: bytes) -> Prompt:
+    """Returns what a JSON body says; a default for other JSON.
+
+    Args:
+        body: JSON text.
+
+    Raises:
+        ValueError: It is not JSON.
+    """
+    try:
+        fields = json.loads(body)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+    if not isinstance(fields, dict):
+        return Prompt()
+    return Prompt(
+        fields.get("stream") is True,
+        prefix_hashes("".join(_texts(fields.get("prompt"))) or
+                      "".join(_texts(fields.get("messages")))))
+
+
+def _texts(value: Any) -> Iterator[str]:
+    if isinstance(value, str):
+        yield value
+    elif isinstance(value, list):
+        for part in value:
+            yield from _texts(part)
+    elif isinstance(value, dict):
+        for name in ("role", "content", "text"):
+            yield from _texts(value.get(name))
+
+
+def prefix_hashes(text: str) -> tuple[str, ...]:
+    """Returns a hash per `PREFIX_BYTES` of a prompt, of all up to there.
+
+    Prompts that share their first kilobyte share their first four hashes.
+
+    Args:
+        text: The prompt.
+    """
+    data = text.encode("utf-8", "surrogatepass")
+    state = hashlib.sha256()
+    hashes = []
+    for end in range(PREFIX_BYTES, len(data) + 1, PREFIX_BYTES):
+        state.update(data[end - PREFIX_BYTES:end])
+        hashes.append(state.hexdigest()[:HASH_DIGITS])
+        if len(hashes) == MAX_PREFIXES:
+            break
+    return tuple(hashes)
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -27,6 +27,11 @@
         body_bytes: The largest request body, whatever a document allows.
         read_timeout_ms: How long a request may take to arrive whole.
         idle_timeout_ms: How long a connection may stand idle.
+        connections: Connections at once; more are closed at once.
+        workers: Threads that look into requests; none waits for an answer.
+        unsent_bytes: What may wait for a caller that does not read its
+            stream; with more the caller is cut off.
+        answer_bytes: The largest answer that is not a stream.
         tls_certificate: A PEM file; empty for plain HTTP.
         tls_key: A PEM file.
     """
@@ -37,6 +42,10 @@
     body_bytes: Annotated[int, pydantic.Field(ge=1)] = 8_388_608
     read_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 10_000
     idle_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 30_000
+    connections: Annotated[int, pydantic.Field(ge=1, le=65_536)] = 1024
+    workers: Annotated[int, pydantic.Field(ge=1, le=64)] = 8
+    unsent_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
+    answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8_388_608
     tls_certificate: str = ""
     tls_key: str = ""
 
