Claim keys before non-repeatable requests run; start and end a node

Cause: a booking must run once at most, whatever is lost on the way. Ruled out: deleting a claim to give it back (a write whose answer was lost could then take effect on the empty key hours later), and unconditional writes of the end. Change: a row, once there, stays; every write has the version last seen as its condition, and the token in the row tells who won. Claims share transactions; a conflict on one row spares the others. The lifecycle fails readiness first, goes on for balancer_ms, then drains until requests and unwritten ends are done.

--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -259,6 +259,19 @@
                     peering.Suspicion] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class ClaimsSection:
+    """Claims of requests that may run once only. Writer: `claims`.
+
+    Attributes:
+        held: Keys that requests of this node hold now.
+        unrecorded: Ends of requests that are not in the table yet.
+    """
+
+    held: int = 0
+    unrecorded: int = 0
+
+
 class NodePhase(enum.StrEnum):
     """How far a node is in its life."""
 
@@ -275,8 +288,10 @@
     Attributes:
         phase: How far it is.
         not_before_ms: After a pause, evidence older than this is not used.
+        leaving: Whether it was asked to end; the balancer is told at once.
     """
 
+    leaving: bool = False
     phase: NodePhase = NodePhase.STARTING
     not_before_ms: int = NEVER_MS
 
@@ -306,4 +321,5 @@
         default_factory=RequestsSection)
     suspects: SuspectsSection = dataclasses.field(
         default_factory=SuspectsSection)
+    claims: ClaimsSection = dataclasses.field(default_factory=ClaimsSection)
     life: LifeSection = dataclasses.field(default_factory=LifeSection)
--- a/cardamommill/connections.py
+++ b/cardamommill/connections.py
@@ -29,6 +29,8 @@
 # How long a refused caller may go on sending before its connection is cut:
 # closing at once would reset it, and it might never see the refusal.
 LINGER_MS = 1000
+# How long callers may take to read their answers when the node ends.
+FLUSH_MS = 3000
 MS_PER_S = 1000
 
 _WAITS = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
@@ -249,6 +251,12 @@
         return self
 
     def __exit__(self, *exception: object) -> None:
+        # The last answers of a graceful shutdown may wait in this process
+        # for a slow caller; closing now would cut them off.
+        until_ms = _now_ms() + FLUSH_MS
+        while _now_ms() < until_ms and any(
+                connection.wants_write for connection in tuple(self._open)):
+            time.sleep(TURN_S)
         self._running = False
         self.call(lambda: None)
         self._thread.shutdown()
--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -12,7 +12,15 @@
 
 import collections
 
-from cardamommill import actions, controller, events, fleet, periods
+from cardamommill import (
+    actions,
+    claims,
+    controller,
+    events,
+    fleet,
+    lifecycle,
+    periods,
+)
 from cardamommill import board as board_lib
 
 # A chain of notices that is longer than this never ends.
@@ -71,4 +79,4 @@
 
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
-    return ()
+    return (lifecycle.Lifecycle, claims.Claims)
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -143,7 +143,7 @@
     def _publish(self) -> None:
         board = self._decisions.board
         ready = (board.life.phase is board_lib.NodePhase.SERVING and
-                 board.documents.complete)
+                 not board.life.leaving and board.documents.complete)
         seen = self._view
         if (seen.phase, seen.ready) == (board.life.phase, ready) and all(
                 seen.documents.get(service) is in_force
--- a/cardamommill/prompts.py
+++ b/cardamommill/prompts.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-PREFIX_BYTES = 256
+PREFIX_CHARS = 256
 MAX_PREFIXES = 32
 HASH_DIGITS = 16
 
@@ -57,18 +57,18 @@
 
 
 def prefix_hashes(text: str) -> tuple[str, ...]:
-    """Returns a hash per `PREFIX_BYTES` of a prompt, of all up to there.
+    """Returns a hash per `PREFIX_CHARS` of a prompt, of all up to there.
 
     Prompts that share their first kilobyte share their first four hashes.
 
     Args:
         text: The prompt.
     """
-    data = text.encode("utf-8", "surrogatepass")
     state = hashlib.sha256()
     hashes = []
-    for end in range(PREFIX_BYTES, len(data) + 1, PREFIX_BYTES):
-        state.update(data[end - PREFIX_BYTES:end])
+    for end in range(PREFIX_CHARS, len(text) + 1, PREFIX_CHARS):
+        block = text[end - PREFIX_CHARS:end]
+        state.update(block.encode("utf-8", "surrogatepass"))
         hashes.append(state.hexdigest()[:HASH_DIGITS])
         if len(hashes) == MAX_PREFIXES:
             break
--- a/cardamommill/sinks.py
+++ b/cardamommill/sinks.py
@@ -112,9 +112,11 @@
                                           _passed_on(self._head), whole_events,
                                           live.attempts)
             live.delivered += self._splitter.take_count()
-        if self._keep:
-            self._held += whole_events
-        return standing
+        if not self._keep:
+            return standing
+        # The answer is worth having for a repeat, also if the caller is gone.
+        self._held += whole_events
+        return len(self._held) <= self._answer_bytes
 
     def complete(self) -> bool:
         """Tells whether all that must come has come, whatever follows."""
--- a/cardamommill/store.py
+++ b/cardamommill/store.py
@@ -26,6 +26,8 @@
 
 import pydantic
 
+from cardamommill import requesting
+
 DOCUMENTS = "documents"
 HISTORY = "history"
 INDEX = "index"
@@ -156,6 +158,42 @@
     value: str | None
 
 
+class ClaimState(enum.StrEnum):
+    """How far a request is that may run once only."""
+
+    # Its node may be running it, or have died at any step of it.
+    RUNNING = "running"
+    # It ran, and its answer is in the row if that could be kept.
+    FINISHED = "finished"
+    # Its node does not know whether it ran, and never will.
+    LOST = "lost"
+    # It did not run and its node will not run it: the key is free.
+    RETURNED = "returned"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRow:
+    """A row of ``claims``.
+
+    Attributes:
+        digest: Of the request.
+        attempt: The token of the claim; who can show it holds the key.
+        node: The node that claimed.
+        incarnation: Which life of that node.
+        request_id: The id of the request there.
+        state: How far it is.
+        answer: What repeats get.
+    """
+
+    digest: str
+    attempt: str
+    node: str
+    incarnation: int
+    request_id: str
+    state: ClaimState
+    answer: requesting.RecordedAnswer | None = None
+
+
 class TransactOutcome(enum.StrEnum):
     """How a transaction ended, as far as is known."""
 
