--- a/cardamommill/report.py
+++ b/cardamommill/report.py
@@ -232,7 +232,7 @@
         timing: The periods in force.
         now_ms: The local monotonic time.
     """
-    served = serving.servingreplica(board, row, timing, now_ms)
+    served = serving.serving_replica(board, row, timing, now_ms)
     head = board.evidence.by_vm.get(row.members[0]) if row.members else None
     load = board.load.by_replica.get(row.replica_id)
     return ReplicaPart(row.replica_id, row.service, row.epoch, row.formation,
