--- a/cardamommill/exceptions.py
+++ b/cardamommill/exceptions.py
@@ -55,3 +55,7 @@
     def __init__(self, message: str, *, status: int, step: str) -> None:
         super().__init__(message, step=step)
         self.status = status
+
+
+class ControlFailed(CardamommillError):
+    """A decision failed; the node ends rather than serve from half of one."""
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -8,7 +8,7 @@
 import types
 from typing import Any, Self, TypeVar
 
-from cardamommill import actions, events
+from cardamommill import actions, events, exceptions
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
 
@@ -97,6 +97,20 @@
         self._inbox.put(_Question(question, answer))
         return answer
 
+    def check(self) -> None:
+        """Raises what ended the control thread, if anything did.
+
+        A fault in a decision ends the thread: what it has half written to the
+        board must not be served from. The process ends with it, and a new one
+        starts from the table.
+
+        Raises:
+            ControlFailed: The control thread has ended.
+        """
+        if self._running.done() and (error := self._running.exception()):
+            raise exceptions.ControlFailed(f"{type(error).__name__}: {error}",
+                                           step="decide") from error
+
     def view(self) -> View:
         """Returns what is known, as of the last event."""
         return self._view
--- a/cardamommill/tracing.py
+++ b/cardamommill/tracing.py
@@ -50,6 +50,11 @@
     return os.urandom(length_bytes).hex()
 
 
+def wall_ns() -> int:
+    """Returns the wall time, for spans only."""
+    return time.time_ns()
+
+
 def from_header(traceparent: str) -> Context:
     """Returns the caller's context, or that of a new trace.
 
@@ -163,6 +168,24 @@
         span.set(**attributes)
         return span
 
+    def note(self, name: str, context: Context, parent_id: str, took_ns: int,
+             **attributes: object) -> None:
+        """Takes a span that has just ended and whose id is known.
+
+        Args:
+            name: What was done.
+            context: Its own place in the trace.
+            parent_id: The span that it is part of, or empty.
+            took_ns: How long it took.
+            **attributes: What belongs to it.
+        """
+        if self.enabled:
+            now_ns = wall_ns()
+            span = Span(name, context, parent_id, now_ns - took_ns, now_ns, {},
+                        self)
+            span.set(**attributes)
+            self.take(span)
+
     def take(self, span: Span) -> None:
         """Takes an ended span, or drops it: a request never waits for this."""
         try:
