Match routes with and without a leading slash; hide keys in tracebacks

Cause: a call to filings/1 with one Idempotency-Key ran twice, once through each of two nodes. Ruled out: the claim (none was asked for). The document's prefix 'filings' did not match the path '/filings/1', and the default is repeatable. Likewise pydantic's text showed a key in the wrong field through 'raise ... from'. Change: prefixes and paths are compared without the leading slash; faults of documents and settings do not chain pydantic's error.

--- a/cardamommill/documents.py
+++ b/cardamommill/documents.py
@@ -194,8 +194,12 @@
 
     def route(self, method: str, path: str) -> Route:
         """Returns the route with the longest prefix that takes the call."""
+        # With and without a leading slash is the same path: a prefix that
+        # silently matched nothing would let a booking count as repeatable.
+        bare = path.lstrip("/")
         matching = [
-            route for route in self.routes if path.startswith(route.prefix) and
+            route for route in self.routes
+            if bare.startswith(route.prefix.lstrip("/")) and
             (not route.methods or method in route.methods)
         ]
         return max(matching,
@@ -231,9 +235,11 @@
                                        step="document",
                                        peer=source) from error
     except pydantic.ValidationError as error:
+        # Not "from error": pydantic's text shows what it found, and a key
+        # written into the wrong field would reach the log with a traceback.
         raise exceptions.DocumentError(faults(error),
                                        step="document",
-                                       peer=source) from error
+                                       peer=source) from None
 
 
 def faults(error: pydantic.ValidationError) -> str:
@@ -246,6 +252,7 @@
     for fault in error.errors():
         path = ".".join(str(part) for part in fault["loc"]) or "(whole)"
         # A wrong key of an account must not reach a log or a terminal.
-        found = "(hidden)" if "key" in path else repr(fault["input"])[:80]
+        hidden = "key" in path or isinstance(fault["input"], dict)
+        found = "(hidden)" if hidden else repr(fault["input"])[:80]
         lines.append(f"{path}: found {found}: {fault['msg']}")
     return "\n".join(lines)
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -195,6 +195,8 @@
                                        step="settings",
                                        peer=str(path)) from error
     except pydantic.ValidationError as error:
+        # Not "from error": pydantic's text shows what it found, and a key
+        # written into the wrong field would reach the log with a traceback.
         raise exceptions.SettingsError(documents.faults(error),
                                        step="settings",
-                                       peer=str(path)) from error
+                                       peer=str(path)) from None
