--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -163,14 +163,20 @@
         now_ms: The local monotonic time.
     """
     allowed = [each for each in among.each if each.replica_id not in want.tried]
-    if want.alone:
-        found = _alone(board, allowed, now_ms)
-    else:
-        found = _with_prefix(board, among, allowed, want.prefixes, now_ms)
-        found = found or _better_of_two(board, allowed, chance, now_ms)
-    if found is None:
-        return None
-    return _checked(board, found[0], found[1], timing, now_ms)
+    while allowed:
+        if want.alone:
+            found = _alone(board, allowed, now_ms)
+        else:
+            found = (_with_prefix(board, among, allowed, want.prefixes, now_ms)
+                     or _better_of_two(board, allowed, chance, now_ms))
+        if found is None:
+            return None
+        checked = _checked(board, found[0], found[1], timing, now_ms)
+        if checked is not None:
+            return checked
+        # It was lost since the candidates were worked out.
+        allowed.remove(found[0])
+    return None
 
 
 def _checked(board: board_lib.Board, found: Candidate, reason: str,
@@ -201,6 +207,11 @@
         return False
     if load.probing:
         return load.in_flight == 0
+    return _free(load, candidate, now_ms)
+
+
+def _free(load: board_lib.ReplicaLoad, candidate: Candidate,
+          now_ms: int) -> bool:
     return (load.in_flight < candidate.share or
             expected(load, now_ms) + 0.5 < candidate.slots)
 
@@ -249,13 +260,24 @@
     able = [each for each in allowed if has_room(board, each, now_ms)]
     if able:
         return _least(board, able, now_ms), "shortest wait of all with room"
-    # Slow ones are better than none, when all others are lost or were tried.
-    rest = [
-        each for each in allowed
-        if load_of(board, each.replica_id).ejected_until_ms > now_ms
+    return _last_resort(board, allowed, now_ms)
+
+
+def _last_resort(board: board_lib.Board, allowed: Sequence[Candidate],
+                 now_ms: int) -> tuple[Candidate, str] | None:
+    """Returns a replica that others than a request like this should have."""
+    loads = [(load_of(board, each.replica_id), each) for each in allowed]
+    beside = [
+        each for load, each in loads if load.alone and
+        load.ejected_until_ms <= now_ms and _free(load, each, now_ms)
     ]
-    if rest and len(rest) == len(allowed):
-        return _least(board, rest, now_ms), "only ejected ones are left"
+    if beside:
+        return _least(board, beside, now_ms), "room beside a suspect only"
+    # Slow ones are better than none, when all others are lost or were tried.
+    if all(load.ejected_until_ms > now_ms for load, _ in loads):
+        slow = [each for load, each in loads if _free(load, each, now_ms)]
+        if slow:
+            return _least(board, slow, now_ms), "only ejected ones are left"
     return None
 
 
--- a/cardamommill/shares.py
+++ b/cardamommill/shares.py
@@ -21,8 +21,8 @@
 # A node that isn't heard keeps its place for so long: it may only be cut off,
 # and use its part at the other side.
 REMEMBER_MS = 60_000
-# Until it has had time to hear of others, a node takes itself for one of six.
-START_NODES = 6
+# Until it has had time to hear of others, a node takes itself for one of two.
+START_NODES = 2
 
 
 def growth_ms(timing: periods.Timing) -> int:
--- a/tests/requestnode.py
+++ b/tests/requestnode.py
@@ -37,10 +37,9 @@
 
 
 def account(name: str, **fields) -> documents.Account:
-    return documents.Account(name=name,
-                             key_sha256=hashlib.sha256(
-                                 name.encode()).hexdigest(),
-                             **fields)
+    wide = {"requests_per_s": 1e4, "burst": 10_000, "concurrent": 10_000}
+    key_sha256 = hashlib.sha256(name.encode()).hexdigest()
+    return documents.Account(name=name, key_sha256=key_sha256, **wide | fields)
 
 
 def head(request_id: str, now_ms: int, **fields) -> requesting.RequestHead:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,6 +1,18 @@
-"""Tests of a request's way from arrival to answer."""
+"""Tests of a request's way from arrival to its one final answer."""
 
-from cardamommill import actions, events, requesting
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from cardamommill import (
+    actions,
+    controller,
+    documents,
+    events,
+    peering,
+    requesting,
+)
+from cardamommill import board as board_lib
 from tests import requestnode
 
 NOT_RUN = requesting.Outcome.NOT_RUN
@@ -8,22 +20,288 @@
 UNKNOWN = requesting.Outcome.UNKNOWN
 
 
-def test_repeatable_stream_is_sent_and_finished():
+def node_with_notices(**fields) -> requestnode.Node:
+    """Returns a node and, as its `told`, the list of its events."""
+    told: list[events.Event] = []
+
+    class Keeper(controller.Controller):
+        """Keeps what controllers tell each other."""
+
+        def step(self, event, now_ms):
+            del now_ms
+            told.append(event)
+            return ()
+
+    node = requestnode.Node(kinds=requestnode.KINDS + (Keeper,), **fields)
+    node.told = told
+    return node
+
+
+def of_kind(told: list, kind: type) -> list:
+    return [each for each in told if isinstance(each, kind)]
+
+
+def dispatched(done: list) -> actions.Dispatch:
+    return requestnode.only(done, actions.Dispatch)
+
+
+def refused(done: list) -> requesting.Problem:
+    return requestnode.only(done, actions.Refuse).problem
+
+
+def test_stream_is_sent_finished_and_forgotten():
     node = requestnode.Node()
-    dispatch = requestnode.only(node.arrive("a"), actions.Dispatch)
+    dispatch = dispatched(node.arrive("a"))
     assert not dispatch.keep_answer
     node.step(events.AttemptStarted("a", dispatch.attempt_id, 200), 20)
-    done = node.ended(dispatch, delivered=5)
-    assert done == [actions.Finish("a", 1)]
+    assert node.ended(dispatch, delivered=5) == [actions.Finish("a", 1)]
     assert not node.board.requests.stages
-    assert not node.board.limits.uses[(requestnode.SERVICE,
-                                       "office")].concurrent
+    use = node.board.limits.uses[(requestnode.SERVICE, "office")]
+    assert use.concurrent == 0
+    assert {load.in_flight for load in node.board.load.by_replica.values()
+           } == {0}
 
 
-def test_non_repeatable_waits_for_its_claim():
-    node = requestnode.Node()
+def test_non_repeatable_waits_for_its_claim_and_settles_it():
+    node = node_with_notices()
     assert node.arrive("a", repeatable=False, idempotency_key="k") == []
-    done = node.step(events.ClaimGranted("a"), 20)
-    dispatch = requestnode.only(done, actions.Dispatch)
+    dispatch = dispatched(node.step(events.ClaimGranted("a"), 20))
     assert dispatch.keep_answer
-    assert requestnode.kinds(node.ended(dispatch)) == ["Finish"]
+    answer = requesting.RecordedAnswer(200, "text/plain", "done")
+    assert node.ended(dispatch, answer=answer) == [actions.Finish("a", 1)]
+    assert of_kind(node.told, events.ClaimSettled) == [
+        events.ClaimSettled("a", RAN, answer)
+    ]
+
+
+def test_claim_that_comes_too_late_is_given_back():
+    """The caller got a 504 `not-run` while the table took its time.
+
+    The grant comes after that. If nobody gave the claim back, the caller's
+    repeat of a request that never ran would be refused for a day.
+    """
+    node = node_with_notices()
+    node.arrive("a", repeatable=False, idempotency_key="k")
+    problem = refused(node.tick(60_000))
+    assert (problem.status, problem.outcome) == (504, NOT_RUN)
+    node.step(events.ClaimGranted("a"))
+    assert of_kind(node.told,
+                   events.ClaimSettled) == [events.ClaimSettled("a", NOT_RUN)]
+
+
+def test_refused_claim_gives_its_problem_or_the_recorded_answer():
+    node = requestnode.Node()
+    answer = requesting.RecordedAnswer(200, "text/plain", "done")
+    node.arrive("a", repeatable=False)
+    node.arrive("b", repeatable=False)
+    assert node.step(events.ClaimRefused(
+        "a", answer=answer)) == [actions.Replay("a", answer)]
+    problem = requesting.Problem(409, "Running", "", "claim", outcome=UNKNOWN)
+    assert refused(node.step(events.ClaimRefused("b", problem))) == problem
+
+
+@pytest.mark.parametrize("phase, service, digest, status", [
+    (board_lib.NodePhase.STARTING, requestnode.SERVICE, "good", 503),
+    (board_lib.NodePhase.DRAINING, requestnode.SERVICE, "good", 503),
+    (board_lib.NodePhase.SERVING, "nobody", "good", 404),
+    (board_lib.NodePhase.SERVING, requestnode.SERVICE, "bad", 422),
+])
+def test_refused_at_arrival(phase, service, digest, status):
+    node = requestnode.Node()
+    node.board.life.phase = phase
+    node.board.suspects.by_digest["bad"] = peering.Suspicion(
+        "bad", peering.SuspectState.QUARANTINED, ())
+    problem = refused(node.arrive("a", service=service, digest=digest))
+    assert (problem.status, problem.outcome) == (status, NOT_RUN)
+    assert (problem.retry_after_s > 0) == (status == 503)
+
+
+@hypothesis.given(offsets=st.lists(st.integers(0, 5), max_size=2),
+                  outcome=st.sampled_from([RAN, UNKNOWN]))
+def test_stream_goes_on_elsewhere_from_each_offset(offsets, outcome):
+    """A replica dies in mid-stream, and so may the one that goes on.
+
+    The caller must see each event once and in order: each attempt starts at
+    what was delivered so far, at a replica that it was not sent to before.
+    """
+    node = requestnode.Node()
+    dispatch = dispatched(node.arrive("a"))
+    delivered, tried = 0, {dispatch.target.replica_id}
+    for more in offsets:
+        node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+        delivered += more
+        done = node.ended(dispatch,
+                          outcome,
+                          whole=False,
+                          delivered=delivered,
+                          connection_lost=True)
+        dispatch = dispatched(done)
+        assert dispatch.resume_from == delivered
+        assert dispatch.target.replica_id not in tried
+        tried.add(dispatch.target.replica_id)
+    attempts = len(offsets) + 1
+    assert node.ended(dispatch) == [actions.Finish("a", attempts)]
+
+
+@pytest.mark.parametrize("fields, delivered, outcome", [
+    ({
+        "repeatable": False
+    }, 0, UNKNOWN),
+    ({
+        "repeatable": False
+    }, 0, RAN),
+    ({
+        "streaming": False
+    }, 0, UNKNOWN),
+    ({}, 3, UNKNOWN),
+])
+def test_broken_answer_that_may_not_go_on_ends_in_an_error(
+        fields, delivered, outcome):
+    """The replica breaks off after the head of its answer came.
+
+    The request isn't repeatable, or part of its body is out, or the engine
+    can't resume. The caller must get an explicit error that says that it may
+    have run, and no second attempt may be made.
+    """
+    doc = requestnode.document(engine=documents.Engine())
+    node = requestnode.Node(doc=doc)
+    done = node.arrive("a", **fields)
+    done += node.step(events.ClaimGranted("a"))
+    dispatch = dispatched(done)
+    node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+    problem = refused(
+        node.ended(dispatch, outcome, whole=False, delivered=delivered))
+    assert (problem.status, problem.outcome) == (503, outcome)
+
+
+def test_not_run_is_never_said_after_an_attempt_that_may_have_run():
+    """The first replica gives no answer, the second refuses the request.
+
+    The last word was `not-run`, but the first replica may have run it: a
+    caller who believed that would have it run twice.
+    """
+    node = requestnode.Node(replicas=2)
+    first = dispatched(node.arrive("a"))
+    second = dispatched(node.ended(first, UNKNOWN, whole=False))
+    problem = refused(node.ended(second, NOT_RUN, whole=False, status=503))
+    assert problem.outcome == UNKNOWN
+
+
+def test_end_of_a_former_attempt_changes_nothing():
+    """An attempt's end comes twice, the second time after its retry began.
+
+    If it were taken for the retry's end, the request would be sent a third
+    time or answered while a replica still runs it.
+    """
+    node = requestnode.Node()
+    first = dispatched(node.arrive("a"))
+    second = dispatched(node.ended(first, UNKNOWN, whole=False))
+    assert node.ended(first, NOT_RUN, whole=False) == []
+    assert node.ended(second) == [actions.Finish("a", 2)]
+    assert node.ended(second) == []
+
+
+def test_lost_end_of_an_attempt_is_answered_after_the_deadline():
+    """The shell's word of an attempt's end is lost.
+
+    The caller must get its final answer all the same, and what is kept for
+    the request must be freed.
+    """
+    node = requestnode.Node()
+    dispatch = dispatched(node.arrive("a", deadline_ms=node.now_ms + 1000))
+    assert node.tick(1000) == []
+    done = node.tick(1000)
+    assert actions.CancelAttempt("a", dispatch.attempt_id) in done
+    assert (refused(done).status, refused(done).outcome) == (504, UNKNOWN)
+    assert not node.board.requests.stages
+
+
+def test_caller_that_goes_ends_a_repeatable_attempt_only():
+    node = node_with_notices()
+    dispatch = dispatched(node.arrive("a"))
+    assert node.step(events.CallerGone("a")) == [
+        actions.CancelAttempt("a", dispatch.attempt_id)
+    ]
+    node.arrive("b", repeatable=False)
+    dispatch = dispatched(node.step(events.ClaimGranted("b")))
+    assert node.step(events.CallerGone("b")) == []
+    answer = requesting.RecordedAnswer(200, "text/plain", "done")
+    assert node.ended(dispatch, whole=False, answer=answer) == []
+    assert of_kind(node.told, events.ClaimSettled) == [
+        events.ClaimSettled("b", RAN, answer)
+    ]
+    assert len(of_kind(node.told, events.RequestEnded)) == 2
+
+
+def test_crash_is_told_once_with_all_that_ran():
+    """One runner's crash breaks the connections of three requests.
+
+    Told three times, it would count as three crashes against each of them.
+    """
+    node = node_with_notices(replicas=1)
+    sent = [dispatched(node.arrive(name)) for name in "abc"]
+    for dispatch in sent:
+        node.ended(dispatch, UNKNOWN, whole=False, connection_lost=True)
+    crash, = of_kind(node.told, events.RunnerCrashed)
+    assert crash.digests == ("digest-a", "digest-b", "digest-c")
+
+
+def test_suspects_run_apart_and_are_not_tried_again():
+    """Three requests were on a replica that crashed; one of them did it.
+
+    Each must run where no other suspect runs, or an innocent one would be
+    there at the second crash too and be quarantined. After a second crash
+    there is no third attempt. Others go beside them only if they must.
+    """
+    node = requestnode.Node(replicas=2)
+    for name in "abc":
+        digest = f"digest-{name}"
+        node.board.suspects.by_digest[digest] = peering.Suspicion(
+            digest, peering.SuspectState.SUSPECT, ("crash",))
+    first = dispatched(node.arrive("a"))
+    second = dispatched(node.arrive("b"))
+    assert first.target.replica_id != second.target.replica_id
+    assert node.arrive("c") == []
+    assert dispatched(node.arrive("innocent")).request_id == "innocent"
+    done = node.ended(first, UNKNOWN, whole=False, connection_lost=True)
+    assert refused(done).outcome == UNKNOWN
+    assert dispatched(done).request_id == "c"
+
+
+def test_all_replicas_tried_is_answered_at_once():
+    node = requestnode.Node(replicas=1)
+    dispatch = dispatched(node.arrive("a"))
+    done = node.ended(dispatch, NOT_RUN, whole=False)
+    assert refused(done).outcome == NOT_RUN
+
+
+def test_waits_for_evidence_but_not_for_ever():
+    node = requestnode.Node()
+    node.now_ms += 5000
+    assert node.arrive("a") == []
+    assert dispatched(node.tick()).request_id == "a"
+    node.now_ms += 5000
+    assert node.arrive("b") == []
+    assert refused(node.tick(5000, refresh=False)).status == 503
+
+
+@pytest.mark.parametrize("hop, spills", [(0, True), (1, False)])
+def test_goes_to_another_data_centre_once(hop, spills):
+    node = requestnode.Node(replicas=0)
+    node.summary()
+    done = node.arrive("a", hop=hop)
+    if not spills:
+        assert refused(done).status == 503
+        return
+    dispatch = dispatched(done)
+    assert dispatch.target.remote_node
+    assert dispatch.target.address == "10.9.9.9:80"
+    assert refused(node.ended(dispatch, NOT_RUN, whole=False)).status == 503
+
+
+def test_non_repeatable_is_claimed_before_it_goes_to_another_data_centre():
+    node = requestnode.Node(replicas=0)
+    node.summary()
+    assert node.arrive("a", repeatable=False) == []
+    dispatch = dispatched(node.step(events.ClaimGranted("a")))
+    assert dispatch.target.remote_node and dispatch.keep_answer
