--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -14,11 +14,18 @@
 
 from cardamommill import (
     actions,
+    assignments,
+    claims,
+    configuration,
     controller,
     events,
     fleet,
+    leases,
+    lifecycle,
     limits,
+    membership,
     periods,
+    planning,
     requests,
     routing,
 )
@@ -81,6 +88,13 @@
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
     return (
+        membership.Membership,
+        configuration.Configuration,
+        assignments.Assignments,
+        leases.Leases,
+        planning.Planner,
+        lifecycle.Lifecycle,
+        claims.Claims,
         limits.Limits,
         routing.Routing,
         requests.Requests,
