Keep what may not run twice in its data centre; forget less after cache gaps

Cause: a request that comes from another node says so in a header that any caller can send. With hop 1 it was neither charged to its account's limit nor claimed, so a caller could pass both by; a non-repeatable request that was sent on would have run there without a claim, or twice.

Change: every request is charged where it arrives, and one that isn't repeatable is claimed where it arrives and never sent to another data centre. After a gap in a replica's cache events as many prefixes are forgotten as events are missing, the oldest first, not all of them.

Ruled out: handing a claim over through the table. It can be done by a conditional write of the row; it costs two more transactions on a rare path.

--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -137,23 +137,17 @@
         """
         head = request.head
         self._ends.work[head.service].leave(head)
-        found = self.spill(request, now_ms)
-        if found is None or not (head.repeatable or request.claimed):
+        found = None
+        # What may not run twice stays with the node that claimed it: no other
+        # could tell its claim from a caller's word that there is one. Its
+        # caller is told at once that it did not run, and asks elsewhere.
+        if head.repeatable and not refusals.suspicion(self._board, head.digest):
+            found = spill.choose(self._board, head, request.tried, self._timing,
+                                 self._random, now_ms)
+        if found is None:
             return self._ends.refuse(request, problem)
         return self._send(request, found, False, now_ms)
 
-    def spill(self, request: _InProgress, now_ms: int) -> choice.Choice | None:
-        """Returns the node of another data centre that can take it, if any.
-
-        Args:
-            request: The request.
-            now_ms: The local monotonic time.
-        """
-        if refusals.suspicion(self._board, request.head.digest) is not None:
-            return None
-        return spill.choose(self._board, request.head, request.tried,
-                            self._timing, self._random, now_ms)
-
     def publish(self, now_ms: int) -> None:
         """Writes what waits and runs to the blackboard.
 
--- a/cardamommill/limits.py
+++ b/cardamommill/limits.py
@@ -95,8 +95,9 @@
     def _(self, event: events.RequestArrived, now_ms: int) -> actions.Actions:
         head = event.head
         limit = self._limit(head.service, head.account)
-        # Another data centre's node has charged it there.
-        if limit is None or head.hop or head.request_id in self._charged:
+        # One that comes from another data centre is charged here as well:
+        # that it does is its sender's word, and any caller can give it.
+        if limit is None or head.request_id in self._charged:
             return ()
         key = (head.service, head.account)
         account = self._accounts.get(key) or self._new(key, limit, now_ms)
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -65,11 +65,9 @@
         if problem is not None:
             return self._ends.refuse(request, problem)
         problem = self._dispatching.why_not(request, now_ms)
-        if problem is not None and (head.repeatable or self._dispatching.spill(
-                request, now_ms) is None):
+        if problem is not None:
             return self._dispatching.elsewhere(request, problem, now_ms)
-        # The node of another data centre that sent it holds the claim.
-        if head.repeatable or head.hop:
+        if head.repeatable:
             return self._dispatching.enqueue(request, now_ms)
         self._register.enter(request, _Stage.CLAIMING)
         return (actions.Notify(events.ClaimWanted(head)),)
--- a/cardamommill/routing.py
+++ b/cardamommill/routing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import itertools
 
 from cardamommill import actions, controller, events, stragglers
 from cardamommill import board as board_lib
@@ -109,11 +110,14 @@
         del now_ms
         replica_id = self._replica_of_head(event.vm_id)
         cache = self._caches.setdefault(event.vm_id, _Cache())
-        gap = event.first_sequence > cache.next_sequence + 1
-        if event.boot_id != cache.boot_id or gap:
-            # What was evicted in between isn't known: forget it all, and
-            # learn from what comes. A wrong hint costs a cache miss only.
-            self._drop(replica_id)
+        missing = event.first_sequence - cache.next_sequence - 1
+        if event.boot_id != cache.boot_id:
+            self._drop(replica_id, MAX_PREFIXES)
+        elif missing > 0:
+            # Each of the missing events evicted one prefix at most, and
+            # caches evict what wasn't used for longest. To forget more would
+            # cost hits; a wrong hint that stays costs one miss.
+            self._drop(replica_id, missing)
         cache.boot_id = event.boot_id
         cache.next_sequence = event.next_sequence
         if replica_id:
@@ -166,7 +170,7 @@
                 del self.board.load.by_replica[replica_id]
                 self._seen_ms.pop(replica_id, None)
                 self._known.pop(replica_id, None)
-                self._drop(replica_id)
+                self._drop(replica_id, MAX_PREFIXES)
         for vm_id in [
                 each for each in self._caches
                 if each not in self.board.vms.listed
@@ -237,9 +241,9 @@
             if not holders:
                 del self.board.load.prefixes[prefix]
 
-    def _drop(self, replica_id: str) -> None:
-        for prefix in [
-                prefix for prefix, holders in self.board.load.prefixes.items()
-                if replica_id in holders
-        ]:
+    def _drop(self, replica_id: str, count: int) -> None:
+        """Forgets a replica's prefixes that were not used for longest."""
+        held = (prefix for prefix, holders in self.board.load.prefixes.items()
+                if replica_id in holders)
+        for prefix in tuple(itertools.islice(held, count)):
             self._evict(replica_id, prefix)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -98,25 +98,26 @@
 
 
 @pytest.mark.parametrize("boot_id, first_sequence, kept", [
-    ("boot-r0", 4, True),
-    ("boot-r0", 9, False),
-    ("boot-new", 4, False),
+    ("boot-r0", 5, {"a", "b", "c", "d"}),
+    ("boot-r0", 7, {"c", "d"}),
+    ("boot-r0", 99, {"d"}),
+    ("boot-new", 5, {"d"}),
 ])
-def test_cache_events_after_a_gap_or_a_new_boot_start_anew(
-        boot_id, first_sequence, kept):
+def test_cache_events_after_a_gap_or_a_new_boot(boot_id, first_sequence, kept):
     """Events are lost, or the runner was started again with an empty cache.
 
-    What was evicted isn't known then; requests would go on to follow a
-    prefix to a replica that dropped it long ago.
+    What was evicted in a gap isn't known: as many as were lost are forgotten,
+    the oldest first, or requests would follow a prefix for ever to a replica
+    that dropped it long ago.
     """
     node = requestnode.Node()
-    node.step(events.CacheEventsRead("vm-r0", "boot-r0", 0, ("a", "b"), (), 3))
     node.step(
-        events.CacheEventsRead("vm-r0", boot_id, first_sequence, ("c",), ("b",),
-                               12))
-    assert ("a" in node.board.load.prefixes) == kept
-    assert "b" not in node.board.load.prefixes
-    assert node.board.load.prefixes["c"] == {"r0"}
+        events.CacheEventsRead("vm-r0", "boot-r0", 1, ("a", "b", "c", "x"),
+                               ("x",), 4))
+    node.step(
+        events.CacheEventsRead("vm-r0", boot_id, first_sequence, ("d",), (),
+                               first_sequence))
+    assert set(node.board.load.prefixes) == kept
 
 
 def test_cache_events_are_asked_for_where_there_are_some():
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -299,9 +299,21 @@
     assert refused(node.ended(dispatch, NOT_RUN, whole=False)).status == 503
 
 
-def test_non_repeatable_is_claimed_before_it_goes_to_another_data_centre():
+@pytest.mark.parametrize("hop", [0, 1])
+def test_non_repeatable_never_goes_to_another_data_centre(hop):
+    """All replicas of the data centre are lost; another one has room.
+
+    A node there can't tell this node's claim from a caller's word that there
+    is one, so it would have to claim the key itself, or run what may have
+    run. The caller gets `not-run` at once and can ask there with its key.
+    """
     node = requestnode.Node(replicas=0)
     node.summary()
-    assert node.arrive("a", repeatable=False) == []
-    dispatch = dispatched(node.step(events.ClaimGranted("a")))
-    assert dispatch.target.remote_node and dispatch.keep_answer
+    problem = refused(node.arrive("a", repeatable=False, hop=hop))
+    assert (problem.status, problem.outcome) == (503, NOT_RUN)
+
+
+def test_hop_that_a_caller_made_up_needs_a_claim_too():
+    node = node_with_notices()
+    assert node.arrive("a", repeatable=False, hop=1) == []
+    assert of_kind(node.told, events.ClaimWanted)
