Quarantine requests that crash backend servers

Cause: the caller of a request that crashes its runner sends it again, through any node, and takes down one replica after the other.

--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -20,6 +20,7 @@
     fleet,
     lifecycle,
     periods,
+    suspects,
 )
 from cardamommill import board as board_lib
 
@@ -79,4 +80,4 @@
 
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
-    return (lifecycle.Lifecycle, claims.Claims)
+    return (lifecycle.Lifecycle, claims.Claims, suspects.Suspects)
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -341,3 +341,16 @@
 
     service: str
     revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineLifted(Event):
+    """An operator wants a request to run again.
+
+    Attributes:
+        digest: Of the request.
+        by: The operator.
+    """
+
+    digest: str
+    by: str
--- a/tests/claimfleet.py
+++ b/tests/claimfleet.py
@@ -41,8 +41,10 @@
             if self.read(each.key).version != each.version)
         for write in () if failed else action.writes:
             self.version += 1
-            self.rows[write.key] = store.Row(write.key, self.version,
-                                             write.value)
+            self.rows.pop(write.key, None)
+            if write.value is not None:
+                self.rows[write.key] = store.Row(write.key, self.version,
+                                                 write.value)
         return failed
 
 
