--- a/cardamommill/prompts.py
+++ b/cardamommill/prompts.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterator
 import dataclasses
-import hashlib
 import json
 from typing import Any
 
-PREFIX_CHARS = 256
+from cardamommill import prefixes
+
 MAX_PREFIXES = 32
-HASH_DIGITS = 16
+MAX_DEPTH = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,37 +39,19 @@
         raise ValueError("nested too deeply") from error
     if not isinstance(fields, dict):
         return Prompt()
+    text = ("".join(_texts(fields.get("prompt"), MAX_DEPTH)) or
+            "".join(_texts(fields.get("messages"), MAX_DEPTH)))
     return Prompt(
         fields.get("stream") is True,
-        prefix_hashes("".join(_texts(fields.get("prompt"))) or
-                      "".join(_texts(fields.get("messages")))))
+        prefixes.of_prompt(text)[:MAX_PREFIXES])
 
 
-def _texts(value: Any) -> Iterator[str]:
+def _texts(value: Any, depth: int) -> Iterator[str]:
     if isinstance(value, str):
         yield value
-    elif isinstance(value, list):
+    elif depth and isinstance(value, list):
         for part in value:
-            yield from _texts(part)
-    elif isinstance(value, dict):
+            yield from _texts(part, depth - 1)
+    elif depth and isinstance(value, dict):
         for name in ("role", "content", "text"):
-            yield from _texts(value.get(name))
-
-
-def prefix_hashes(text: str) -> tuple[str, ...]:
-    """Returns a hash per `PREFIX_CHARS` of a prompt, of all up to there.
-
-    Prompts that share their first kilobyte share their first four hashes.
-
-    Args:
-        text: The prompt.
-    """
-    state = hashlib.sha256()
-    hashes = []
-    for end in range(PREFIX_CHARS, len(text) + 1, PREFIX_CHARS):
-        block = text[end - PREFIX_CHARS:end]
-        state.update(block.encode("utf-8", "surrogatepass"))
-        hashes.append(state.hexdigest()[:HASH_DIGITS])
-        if len(hashes) == MAX_PREFIXES:
-            break
-    return tuple(hashes)
+            yield from _texts(value.get(name), depth - 1)
