--- a/cardamommill/connections.py
+++ b/cardamommill/connections.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from concurrent import futures
 import dataclasses
-import enum
 import selectors
 import socket
 import ssl
@@ -19,6 +18,7 @@
 
 import logbook
 
+from cardamommill import connection as connection_lib
 from cardamommill import exceptions, http1, settings
 
 LOG = logbook.Logger("connections")
@@ -31,13 +31,12 @@
 LINGER_MS = 1000
 # How long callers may take to read their answers when the node ends.
 FLUSH_MS = 3000
-MS_PER_S = 1000
 
-_WAITS = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
-
-
-def _now_ms() -> int:
-    return int(time.monotonic() * MS_PER_S)
+Connection = connection_lib.Connection
+RECEIVE_BYTES = connection_lib.RECEIVE_BYTES
+MS_PER_S = connection_lib.MS_PER_S
+_Phase = connection_lib.Phase
+_now_ms = connection_lib.now_ms
 
 
 class Handler(Protocol):
@@ -46,164 +45,14 @@
     def screen(self, start: http1.RequestStart) -> int:
         """Returns the limit of the body in bytes, or raises RequestError."""
 
-    def answer(self, request: http1.Request, connection: "Connection") -> None:
+    def answer(self, request: http1.Request, connection: Connection) -> None:
         """Answers, in time, from any thread; runs on a thread of the pool."""
 
     def refuse(self, error: exceptions.RequestError,
-               connection: "Connection") -> None:
+               connection: Connection) -> None:
         """Answers a request that can't be read; must be quick."""
 
 
-class _Phase(enum.Enum):
-    """What a connection is doing."""
-
-    HANDSHAKE = enum.auto()
-    IDLE = enum.auto()
-    READING = enum.auto()
-    ANSWERING = enum.auto()
-    LINGERING = enum.auto()
-    CLOSED = enum.auto()
-
-
-class Connection:
-    """One caller's connection.
-
-    Only the thread of `Connections` reads it and changes its phase. Any
-    thread may write; the lock also keeps a TLS socket from being read and
-    written at once, which its library does not allow.
-
-    Attributes:
-        peer: The caller's address.
-        parser: What has arrived.
-        phase: What it is doing.
-        until_ms: When it must have done so.
-        gone: See `on_gone`.
-    """
-
-    def __init__(self, owner: "Connections", sock: socket.socket, peer: str,
-                 limits: settings.CallerSide,
-                 screen: Callable[[http1.RequestStart], int]) -> None:
-        self.peer = peer
-        self.gone: Callable[[], None] | None = None
-        self._owner = owner
-        self._sock = sock
-        self._limits = limits
-        self._lock = threading.Lock()
-        self._unsent = bytearray()
-        self._broken = False
-        self._sent_ms = 0
-        self.parser = http1.RequestParser(limits.header_bytes, screen)
-        self.phase = _Phase.HANDSHAKE
-        self.until_ms = _now_ms() + limits.read_timeout_ms
-
-    @property
-    def sock(self) -> socket.socket:
-        """The socket, for the reading thread."""
-        return self._sock
-
-    def write(self, data: bytes, streamed: bool = False) -> bool:
-        """Sends bytes, or keeps them until the socket takes more.
-
-        Args:
-            data: What to send.
-            streamed: Whether more may follow without end. A caller that does
-                not read its stream is cut off at a limit, since its bytes
-                would otherwise fill this process.
-
-        Returns:
-            Whether the connection still stands.
-        """
-        with self._lock:
-            if self._broken:
-                return False
-            waiting = bool(self._unsent)
-            if waiting:
-                self._unsent += data
-            else:
-                sent = self._send(data)
-                if self._broken or sent == len(data):
-                    return self._checked()
-                self._unsent += memoryview(data)[sent:]
-                self._sent_ms = _now_ms()
-            if streamed and len(self._unsent) > self._limits.unsent_bytes:
-                self._broken = True
-                return self._checked()
-        if not waiting:
-            self._owner.call(lambda: self._owner.watch(self))
-        return True
-
-    def _checked(self) -> bool:
-        if self._broken:
-            self._owner.call(lambda: self._owner.drop(self))
-        return not self._broken
-
-    def _send(self, data: bytes | bytearray) -> int:
-        try:
-            return self._sock.send(data)
-        except _WAITS:
-            return 0
-        except OSError:
-            self._broken = True
-            return 0
-
-    def flush(self) -> bool:
-        """Sends what was kept; returns whether nothing is left."""
-        with self._lock:
-            sent = self._send(self._unsent) if self._unsent else 0
-            if sent:
-                del self._unsent[:sent]
-                self._sent_ms = _now_ms()
-            return not self._unsent
-
-    def stalled(self, now_ms: int) -> bool:
-        """Tells whether the caller has taken nothing for too long."""
-        with self._lock:
-            return self._broken or bool(
-                self._unsent
-            ) and now_ms - self._sent_ms > self._limits.read_timeout_ms
-
-    def receive(self) -> bytes | None:
-        """Returns what came, empty at the end, None if there is nothing."""
-        with self._lock:
-            try:
-                return self._sock.recv(RECEIVE_BYTES)
-            except _WAITS:
-                return None
-            except OSError:
-                return b""
-
-    @property
-    def wants_write(self) -> bool:
-        """Whether bytes wait for the socket."""
-        return bool(self._unsent)
-
-    def close(self) -> None:
-        """Closes the socket; later writes are dropped."""
-        with self._lock:
-            self._broken = True
-            self._unsent.clear()
-            self._sock.close()
-
-    def on_gone(self, callback: Callable[[], None]) -> None:
-        """Has this called if the caller closes before its answer is whole.
-
-        Args:
-            callback: Runs on the reading thread, once at most.
-        """
-
-        def remember() -> None:
-            if self.phase is _Phase.CLOSED:
-                callback()
-            elif self.phase is _Phase.ANSWERING:
-                self.gone = callback
-
-        self._owner.call(remember)
-
-    def answered(self, keep_alive: bool) -> None:
-        """Tells that the answer was written whole; from any thread."""
-        self._owner.call(lambda: self._owner.answered(self, keep_alive))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Counts:
     """Figures for the metrics page."""
@@ -226,6 +75,7 @@
         self._limits = limits
         self._handler = handler
         self._open: set[Connection] = set()
+        self._held_bytes = 0
         self._calls: list[Callable[[], None]] = []
         self._calls_lock = threading.Lock()
         self._running = True
@@ -353,7 +203,7 @@
         assert isinstance(connection.sock, ssl.SSLSocket)
         try:
             connection.sock.do_handshake()
-        except _WAITS:
+        except connection_lib.WAITS:
             return
         except OSError:
             self.drop(connection)
@@ -379,6 +229,7 @@
             return
         try:
             request = connection.parser.next()
+            self._hold(connection)
         except exceptions.RequestError as error:
             connection.phase = _Phase.ANSWERING
             self._count(refused=1)
@@ -386,6 +237,8 @@
             return
         if request:
             connection.phase = _Phase.ANSWERING
+            connection.body_bytes = len(request.body)
+            self._sum_up(connection)
             self._pool.submit(self._answer, request, connection)
         elif (connection.phase is _Phase.IDLE and
               (connection.parser.start or connection.parser.buffered_bytes)):
@@ -396,6 +249,18 @@
             start.headers.remove("Expect")
             connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _hold(self, connection: Connection) -> None:
+        self._sum_up(connection)
+        if self._held_bytes > self._limits.held_bytes:
+            # Each caller is within its own limit, but together they would
+            # fill the memory of a small VM and end all streams on it.
+            raise http1.refusal("the node holds too many requests", 503)
+
+    def _sum_up(self, connection: Connection) -> None:
+        held_bytes = connection.parser.buffered_bytes + connection.body_bytes
+        self._held_bytes += held_bytes - connection.counted_bytes
+        connection.counted_bytes = held_bytes
+
     def _answer(self, request: http1.Request, connection: Connection) -> None:
         try:
             self._handler.answer(request, connection)
@@ -424,6 +289,8 @@
         if connection.phase is not _Phase.ANSWERING:
             return
         connection.gone = None
+        connection.body_bytes = 0
+        self._sum_up(connection)
         if keep_alive and self._running:
             self._wait(connection)
             self._advance(connection)
@@ -464,6 +331,7 @@
             return
         connection.phase = _Phase.CLOSED
         self._open.discard(connection)
+        self._held_bytes -= connection.counted_bytes
         self._selector.unregister(connection.sock)
         connection.close()
         gone, connection.gone = connection.gone, None
--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -28,6 +28,7 @@
     planning,
     requests,
     routing,
+    suspects,
 )
 from cardamommill import board as board_lib
 
@@ -95,6 +96,7 @@
         planning.Planner,
         lifecycle.Lifecycle,
         claims.Claims,
+        suspects.Suspects,
         limits.Limits,
         routing.Routing,
         requests.Requests,
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -393,6 +393,19 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineLifted(Event):
+    """An operator wants a request to run again.
+
+    Attributes:
+        digest: Of the request.
+        by: The operator.
+    """
+
+    digest: str
+    by: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetChanged(Event):
     """Rows of the fleet were written and are to be read again soon."""
