Add the operators' port and the commands

Cause: operators change documents, drain VMs, lift quarantines and ask what is and why, from any node, with a key of their own. Ruled out: the command line writing the tables itself (it would need the platform's access on operators' machines); forwarding an explanation through other nodes' operators' ports (the key would have to travel on), so nodes ask each other as peers. Change: operators (HTTP by werkzeug on four threads), operations (what is asked and done), counted (a row together with the count that nodes watch), asking (one explanation out of what all nodes of a data centre know), commands, cmdline (errors with step and peer, exit codes, no tracebacks). Fire reads 12e45 as a number; such ids are quoted before it sees them.

--- /dev/null
+++ b/cardamommill/operations.py
@@ -0,0 +1,224 @@
+"""What operators may ask of a node and have done by it."""
+
+import dataclasses
+import os
+import pathlib
+import platform
+import threading
+import uuid
+
+from returns import result
+
+from cardamommill import (
+    applying,
+    asking,
+    counted,
+    exceptions,
+    explaining,
+    loop,
+    report,
+    store,
+)
+from cardamommill import journal as journal_lib
+
+ASK_TIMEOUT_S = 5.0
+MAX_MENTIONS = 50
+
+Failure = exceptions.CardamommillError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """Who wants something done, and why.
+
+    Attributes:
+        author: The operator.
+        reason: Why, in the operator's words.
+    """
+
+    author: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of the process itself, for `cardamommill debug`.
+
+    Attributes:
+        python: The interpreter's version.
+        pid: The process's id.
+        resident_bytes: Its memory.
+        threads: The names of its threads.
+        control_cpu_ms: Processor time of the control thread.
+        control_events: Events that it has handled.
+        journal_entries: Entries that are kept.
+    """
+
+    python: str
+    pid: int
+    resident_bytes: int
+    threads: tuple[str, ...]
+    control_cpu_ms: int
+    control_events: int
+    journal_entries: int
+
+
+class Operations:
+    """Reads the board through the control thread, changes the tables itself."""
+
+    def __init__(self, control: loop.ControlLoop, journal: journal_lib.Journal,
+                 tables: applying.SyncStore, peers: asking.PeerAsker) -> None:
+        """Makes it.
+
+        Args:
+            control: Where the board is read.
+            journal: What happened on this node.
+            tables: The platform's tables; calls on them wait.
+            peers: Asks the other nodes.
+        """
+        self._control = control
+        self._journal = journal
+        self._tables = tables
+        self._peers = peers
+
+    # --- What is ---
+
+    def status(self) -> report.Status:
+        """Returns what this node knows."""
+        return self._control.ask(report.status).result(ASK_TIMEOUT_S)
+
+    def explain(self, kind: str, name: str) -> explaining.Explanation:
+        """Returns what all nodes of the data centre know of a subject.
+
+        Args:
+            kind: ``replica``, ``request`` or ``vm``.
+            name: Its id.
+        """
+        own = self.explain_alone(kind, name)
+        addresses = self._control.ask(
+            lambda decided, now_ms: {
+                node: peer.identity.peer_address
+                for node, peer in decided.board.peers.by_node.items()
+            }).result(ASK_TIMEOUT_S)
+        question = asking.Question(kind=kind, name=name)
+        return asking.merged(own, self._peers.ask(addresses, question))
+
+    def explain_alone(self, kind: str, name: str) -> explaining.Explanation:
+        """Returns what this node alone knows of a subject."""
+        own = self._control.ask(lambda decided, now_ms: explaining.explain(
+            kind, name, decided, now_ms)).result(ASK_TIMEOUT_S)
+        node = self._node()
+        entries = (*self._journal.about(own.subject),
+                   *self._journal.mentioning(name, MAX_MENTIONS))
+        lines = tuple(
+            explaining.Line(
+                entry.at, node, entry.event, entry.detail if entry.subject ==
+                own.subject else f"{entry.subject}: {entry.detail}")
+            for entry in entries)
+        return dataclasses.replace(own,
+                                   known=own.known or bool(lines),
+                                   history=(*own.history, *lines))
+
+    def answer_peer(self, data: bytes) -> bytes:
+        """Answers another node's question; raises ValueError for no question.
+
+        Args:
+            data: A `asking.Question`.
+        """
+        return asking.answer(data, self.explain_alone)
+
+    def figures(self) -> Figures:
+        """Returns figures of the process itself."""
+        return Figures(platform.python_version(), os.getpid(),
+                       _resident_bytes(),
+                       tuple(sorted(t.name for t in threading.enumerate())),
+                       self._control.cpu_ns // loop.NS_PER_MS,
+                       self._control.events, len(self._journal))
+
+    def _node(self) -> str:
+        return self._control.ask(lambda decided, now_ms: decided.board.identity.
+                                 node_id).result(ASK_TIMEOUT_S)
+
+    def _data_centre(self) -> str:
+        return self._control.ask(lambda decided, now_ms: decided.board.identity.
+                                 data_centre).result(ASK_TIMEOUT_S)
+
+    # --- Documents ---
+
+    def apply(self, body: str, base_revision: int | None,
+              wish: Wish) -> applying.Applied:
+        """Makes a document the accepted one of its service."""
+        return applying.apply(self._tables, _change(body, base_revision, wish))
+
+    def roll_back(self, service: str, revision: int,
+                  wish: Wish) -> applying.Applied:
+        """Makes an old document a new revision."""
+        return applying.roll_back(self._tables, service, revision,
+                                  _change("", None, wish))
+
+    def document(self, service: str, revision: int) -> applying.Applied:
+        """Returns a revision of a document, 0 for the accepted one."""
+        return applying.get(self._tables, service, revision)
+
+    def revisions(self) -> result.Result[dict[str, int], Failure]:
+        """Returns the accepted revision of each service."""
+        return applying.revisions(self._tables)
+
+    def history(
+            self, service: str
+    ) -> result.Result[tuple[store.DocumentRow, ...], Failure]:
+        """Returns all revisions of a document, oldest first."""
+        return applying.history(self._tables, service)
+
+    def diff(self, service: str, old: int,
+             new: int) -> result.Result[str, Failure]:
+        """Returns how two revisions differ, 0 for the accepted one."""
+        return applying.diff(self._tables, service, old, new)
+
+    # --- VMs and requests ---
+
+    def drain(self, vm_id: str, wish: Wish) -> counted.Changed:
+        """Has a VM of this data centre emptied and kept so."""
+        row = store.DrainRow(vm_id, wish.author, wish.reason,
+                             journal_lib.wall_time())
+        return self._set_drain(vm_id, store.encode(row))
+
+    def undrain(self, vm_id: str) -> counted.Changed:
+        """Lets a VM of this data centre be used again."""
+        return self._set_drain(vm_id, None)
+
+    def _set_drain(self, vm_id: str, value: str | None) -> counted.Changed:
+        data_centre = self._data_centre()
+        known = self._control.ask(
+            lambda decided, now_ms: vm_id in decided.board.vms.listed or vm_id
+            in decided.board.assignments.vms).result(ASK_TIMEOUT_S)
+        if value is not None and not known:
+            return result.Failure(
+                exceptions.CommandError(
+                    f"no VM {vm_id!r} in {data_centre}; ask a node of the "
+                    "VM's own data centre",
+                    step="drain"))
+        return counted.set_row(
+            self._tables, store.Key(store.DRAINS, f"{data_centre}/{vm_id}"),
+            value, store.fleet_index(data_centre))
+
+    def lift(self, digest: str) -> counted.Changed:
+        """Takes a request out of quarantine."""
+        return counted.set_row(self._tables, store.Key(store.QUARANTINE,
+                                                       digest), None,
+                               store.QUARANTINE_INDEX)
+
+
+def _change(body: str, base_revision: int | None,
+            wish: Wish) -> applying.Change:
+    return applying.Change(body, wish.author, wish.reason,
+                           journal_lib.wall_time(),
+                           uuid.uuid4().hex, base_revision)
+
+
+def _resident_bytes() -> int:
+    try:
+        pages = pathlib.Path("/proc/self/statm").read_text("ascii").split()[1]
+    except OSError:
+        return 0
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
--- a/cardamommill/standins.py
+++ b/cardamommill/standins.py
@@ -58,7 +58,7 @@
 def _engine_options(vm_id: str,
                     options: dict[str, Any]) -> standin_engine.EngineOptions:
     known = {
-        field.name: field.type
+        field.name: field.default
         for field in dataclasses.fields(standin_engine.EngineOptions)
     }
     unknown = sorted(set(options) - set(known))
@@ -67,19 +67,21 @@
             f"no such option: {', '.join(unknown)}; there are "
             f"{', '.join(sorted(known))}",
             step="standin runner")
-    taken = dict(_typed(name, value) for name, value in options.items())
+    taken = {
+        name: _typed(name, value, type(known[name]))
+        for name, value in options.items()
+    }
     return standin_engine.EngineOptions(vm_id=vm_id, **taken)
 
 
-def _typed(name: str, value: Any) -> tuple[str, Any]:
-    if name.startswith(("checks_", "can_")):
-        value = FLAGS.get(str(value).lower(), value)
-        if not isinstance(value, bool):
-            raise exceptions.CommandError(
-                f"--{name}: found {value!r}, must be "
-                "yes or no",
-                step="standin runner")
-    return name, value
+def _typed(name: str, value: Any, kind: type[Any]) -> Any:
+    try:
+        return FLAGS[str(value).lower()] if kind is bool else kind(value)
+    except (KeyError, ValueError) as error:
+        raise exceptions.CommandError(
+            f"--{name}: found {value!r}, must be "
+            f"{'yes or no' if kind is bool else kind.__name__}",
+            step="standin runner") from error
 
 
 def _say_ready(address: str, vm_id: str = "") -> None:
--- a/cardamommill/store.py
+++ b/cardamommill/store.py
@@ -116,6 +116,23 @@
     attempt: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainRow:
+    """A row of ``drains``; the VM is drained while it is there.
+
+    Attributes:
+        vm_id: The VM.
+        author: The operator who wants it emptied.
+        reason: Why, in the operator's words.
+        at: Wall time in ISO 8601, for people only.
+    """
+
+    vm_id: str
+    author: str
+    reason: str
+    at: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeCount:
     """An index row that counts changes of the rows that it stands for."""
--- a/cardamommill/webclient.py
+++ b/cardamommill/webclient.py
@@ -78,8 +78,10 @@
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.WRITEFUNCTION, take)
         curl.setopt(pycurl.HEADERFUNCTION, take_header)
-        curl.setopt(pycurl.HTTPHEADER, ["Expect:"] +
-                    [f"{n}: {v}" for n, v in (headers or {}).items()])
+        curl.setopt(pycurl.HTTPHEADER, [b"Expect:"] + [
+            f"{name}: {text}".encode()
+            for name, text in (headers or {}).items()
+        ])
         if body:
             curl.setopt(pycurl.POSTFIELDS, body)
         curl.perform()
