--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -14,12 +14,20 @@
 
 from cardamommill import (
     actions,
+    assignments,
+    claims,
     configuration,
     controller,
     events,
     fleet,
+    leases,
+    lifecycle,
+    limits,
     membership,
     periods,
+    planning,
+    requests,
+    routing,
 )
 from cardamommill import board as board_lib
 
@@ -82,4 +90,12 @@
     return (
         membership.Membership,
         configuration.Configuration,
+        assignments.Assignments,
+        leases.Leases,
+        planning.Planner,
+        lifecycle.Lifecycle,
+        claims.Claims,
+        limits.Limits,
+        routing.Routing,
+        requests.Requests,
     )
--- a/cardamommill/evidence.py
+++ b/cardamommill/evidence.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from cardamommill import board as board_lib
-from cardamommill import changes, events, fleet, peering, periods
+from cardamommill import changelog, events, fleet, peering, periods
 
 MAX_VMS = 4096
 FORGET_MS = 60_000
@@ -37,7 +37,7 @@
     """
 
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
-                 counter: changes.Counter) -> None:
+                 counter: changelog.Counter) -> None:
         self.own: dict[str, OwnReport] = {}
         self._board = board
         self._timing = timing
--- a/cardamommill/membership.py
+++ b/cardamommill/membership.py
@@ -10,7 +10,7 @@
 
 from cardamommill import (
     actions,
-    changes,
+    changelog,
     contacts,
     controller,
     digests,
@@ -43,7 +43,7 @@
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
                  seed: int) -> None:
         super().__init__(board, timing, seed)
-        counter = changes.Counter()
+        counter = changelog.Counter()
         self._contacts = contacts.Contacts(board.identity)
         self._book = evidence.EvidenceBook(board, timing, counter)
         self._digests = digests.DigestWriter(board, timing, self._book,
