Let nodes ask each other for explanations; name prefixes once

Cause: an explanation must come from any node of a data centre; and prompts and prefixes both hashed a prompt's prefixes. Change: the peers' port answers 'Explain' with the JSON of asking; prefixes gives way to prompts, which the stand-in's cache uses now. Measured: nodes' questions and refusals over gRPC in tests/test_operators.py.

--- a/cardamommill/peerlink.py
+++ b/cardamommill/peerlink.py
@@ -22,6 +22,7 @@
 SERVICE = "cardamommill.Peer"
 PULL = "Pull"
 NOTIFY = "Notify"
+EXPLAIN = "Explain"
 OWNER = "peerlink"
 
 # A pull is answered within milliseconds. These are enough for all peers of a
@@ -35,6 +36,8 @@
 log = logbook.Logger("peerlink")
 
 Post = Callable[[events.Event], None]
+# Answers a question of `asking`; raises ValueError for no question.
+Explain = Callable[[bytes], bytes]
 
 
 def _options(side: settings.PeerSide) -> list[tuple[str, Any]]:
@@ -62,6 +65,11 @@
                                        peer=path) from error
 
 
+def _explains_nothing(data: bytes) -> bytes:
+    del data
+    raise ValueError("this node explains nothing")
+
+
 class PeerServer:
     """Answers other nodes; a context manager that owns the port.
 
@@ -70,15 +78,20 @@
         refused: Messages that were not taken.
     """
 
-    def __init__(self, side: settings.PeerSide, post: Post,
-                 timeout_ms: int) -> None:
+    def __init__(self,
+                 side: settings.PeerSide,
+                 post: Post,
+                 timeout_ms: int,
+                 explain: Explain = _explains_nothing) -> None:
         """Makes the server.
 
         Args:
             side: The port and its limits.
             post: Takes events, from any thread.
             timeout_ms: How long a question may wait for its answer.
+            explain: Answers what operators ask through another node.
         """
+        self._explain = explain
         self.address = side.address
         self.refused = 0
         self._side = side
@@ -100,6 +113,7 @@
                 SERVICE, {
                     PULL: grpc.unary_unary_rpc_method_handler(self._pull),
                     NOTIFY: grpc.unary_unary_rpc_method_handler(self._notify),
+                    EXPLAIN: grpc.unary_unary_rpc_method_handler(self._tell),
                 }),))
         try:
             self._listen()
@@ -157,6 +171,16 @@
         # The message `Noted` has no fields.
         return b""
 
+    def _tell(self, data: bytes, context: Any) -> bytes:
+        try:
+            return self._explain(data)
+        except ValueError as error:
+            self.refused += 1
+            context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error)[:200])
+        except futures.TimeoutError:
+            context.abort(grpc.StatusCode.UNAVAILABLE, "busy")
+        return b""
+
     def _decode(self, data: bytes, context: Any, into: Any) -> Any:
         try:
             return peerwire.decode(data, into, context.peer())
@@ -217,6 +241,15 @@
         """Performs `actions.NotifyPeer`; it may be lost."""
         self._pool.submit(self._notify, action)
 
+    def explain(self, address: str, data: bytes) -> bytes | None:
+        """Returns a peer's answer to an operator's question; waits for it.
+
+        Args:
+            address: The peer's.
+            data: The question, as `asking` makes it.
+        """
+        return self._call(address, EXPLAIN, data)
+
     def _pull(self, action: actions.PullPeer) -> None:
         # Taken before anything is sent: whatever the answer says was true at
         # or before this time, less the age that it names.
--- a/cardamommill/standin_runner.py
+++ b/cardamommill/standin_runner.py
@@ -12,7 +12,7 @@
 import threading
 from typing import Any, Self
 
-from cardamommill import fleet, prefixes, standin_engine, standin_http
+from cardamommill import fleet, prompts, standin_engine, standin_http
 
 MEMBER_POLL_S = 0.2
 MEMBER_TIMEOUT_S = 1.0
@@ -240,7 +240,8 @@
         max_tokens = int(asked.get("max_tokens", DEFAULT_MAX_TOKENS))
         first = (_number(work.call, "cardamommill-resume-from")
                  if self._options.can_resume else 0)
-        missing = self._engine.cache.use(list(prefixes.of_prompt(prompt)))
+        missing = self._engine.cache.use(
+            list(prompts.read(work.call.body).prefixes) if asked else [])
         self._wait(work, missing * self._options.prefill_ms)
         texts = self._generate(work, prompt, first, max_tokens)
         if asked.get("stream"):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,6 +16,7 @@
     loop,
     operations,
     operators,
+    peerlink,
     platformlink,
     settings,
     standin_platform,
@@ -275,3 +276,25 @@
 ])
 def test_an_id_that_looks_like_a_number_stays_itself(given, kept):
     assert cmdline._kept(given) == kept
+
+
+def test_nodes_ask_each_other_over_their_own_port():
+
+    def explain(data):
+        return asking.answer(
+            data, lambda kind, name: asking.explaining.Explanation(
+                f"{kind}/{name}", True))
+
+    side = settings.PeerSide(address="127.0.0.1:0")
+    with peerlink.PeerServer(side, lambda event: None, 2000,
+                             explain) as server, peerlink.PeerClient(
+                                 side, lambda event: None, 2000,
+                                 loop.now_ms) as client, asking.PeerAsker(
+                                     client.explain) as asker:
+        found = asker.ask({
+            "n2": server.address,
+            "n3": "127.0.0.1:1"
+        }, asking.Question(kind="vm", name="v1"))
+        assert found["n2"].subject == "vm/v1"
+        assert found["n3"] is None
+        assert client.explain(server.address, b"nonsense") is None
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,7 +10,7 @@
 
 from cardamommill import (
     fleet,
-    prefixes,
+    prompts,
     standin_engine,
     standin_platform,
     standin_runner,
@@ -256,7 +256,7 @@
                                            cache_gap=0.5,
                                            seed=3)
     cache = standin_engine.PrefixCache(options)
-    hashes = prefixes.of_prompt("x" * prefixes.BLOCK_CHARS * 8)
+    hashes = prompts.prefix_hashes("x" * prompts.PREFIX_CHARS * 8)
     for each in hashes:
         cache.use([each])
     told, after = [], 0
