--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -12,6 +12,7 @@
 
 from cardamommill import (
     actions,
+    asking,
     decisions,
     events,
     exchange,
@@ -22,6 +23,8 @@
     loop,
     metrics,
     observing,
+    operations,
+    operators,
     peerlink,
     platformlink,
     runnerlink,
@@ -83,11 +86,17 @@
         self._runners = runnerlink.RunnerLink(self._calls,
                                               timing.poll_timeout_ms,
                                               timing.order_timeout_ms)
-        self._peer_server = peerlink.PeerServer(settings.peers, self._post,
-                                                timing.pull_timeout_ms)
         self._peer_client = peerlink.PeerClient(settings.peers, self._post,
                                                 timing.pull_timeout_ms,
                                                 loop.now_ms)
+        self._peers = asking.PeerAsker(self._peer_client.explain)
+        done_by = operations.Operations(
+            self.control, self.journal,
+            platformlink.SyncPlatform(self._platform), self._peers)
+        self._operators = operators.OperatorServer(settings.operators, done_by)
+        self._peer_server = peerlink.PeerServer(settings.peers, self._post,
+                                                timing.pull_timeout_ms,
+                                                done_by.answer_peer)
         self._replicas = upstream.Upstream(self._post)
         self._requests = exchange.Exchange(self._post, self._replicas)
         self._callers = frontend.Frontend(settings.callers, self.control,
@@ -98,7 +107,8 @@
             for part in (logs.LogHandler(self._settings.logging,
                                          self._settings.node), self._tracer,
                          self._calls, self._replicas, self._peer_client,
-                         self.control, self._peer_server, self._callers):
+                         self._peers, self.control, self._peer_server,
+                         self._operators, self._callers):
                 starting.enter_context(part)
             self._owned = starting.pop_all()
         self.control.post(events.Started(self._settings.peers.known))
