Date the causes in replicas' rows, and show each change once

Ruled out: filling the time in where the row is sent (the row is JSON by then). Change: a tick carries the wall time, for people only; the board shows it and the planner's causes take it. Lines of one event and detail within 2 s are one.

--- a/cardamommill/asking.py
+++ b/cardamommill/asking.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable, Iterable, Mapping
 from concurrent import futures
 import dataclasses
-from typing import Annotated, Any, Self
+from typing import Annotated, Self
 
 import pydantic
 
-from cardamommill import explaining
+from cardamommill import explaining, walltime
 
 THREADS = 8
 MAX_LINES = 500
+SAME_WITHIN_S = 2.0
 
 Ask = Callable[[str, bytes], bytes | None]
 
@@ -120,8 +121,17 @@
 
 def _lines(
         told: Iterable[explaining.Explanation]) -> tuple[explaining.Line, ...]:
-    lines: dict[Any, explaining.Line] = {}
-    for each in told:
-        for line in each.history:
-            lines.setdefault((line.at, line.event, line.detail), line)
-    return tuple(sorted(lines.values(), key=lambda line: line.at)[-MAX_LINES:])
+    kept: list[explaining.Line] = []
+    all_lines = [line for each in told for line in each.history]
+    # Lines without a time come last, so that their dated twins win.
+    for line in sorted(all_lines, key=lambda line: (not line.at, line.at)):
+        if not any(_same(line, other) for other in kept):
+            kept.append(line)
+    return tuple(sorted(kept, key=lambda line: line.at)[-MAX_LINES:])
+
+
+def _same(one: explaining.Line, other: explaining.Line) -> bool:
+    # A change stands in the row and in the journal of the node that made it,
+    # and every node shows the row.
+    return ((one.event, one.detail) == (other.event, other.detail) and
+            walltime.near(one.at, other.at, SAME_WITHIN_S))
--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -309,11 +309,13 @@
         phase: How far it is.
         not_before_ms: After a pause, evidence older than this is not used.
         leaving: Whether it was asked to end; the balancer is told at once.
+        at: Wall time of the last tick in ISO 8601, for people only.
     """
 
     leaving: bool = False
     phase: NodePhase = NodePhase.STARTING
     not_before_ms: int = NEVER_MS
+    at: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/cardamommill/changes.py
+++ b/cardamommill/changes.py
@@ -155,8 +155,8 @@
 
     def _caused(self, row: fleet.ReplicaRow, change: Change,
                 attempt: str) -> fleet.ReplicaRow:
-        cause = fleet.Cause("", change.event, self._board.identity.node_id,
-                            change.detail)
+        cause = fleet.Cause(self._board.life.at, change.event,
+                            self._board.identity.node_id, change.detail)
         return dataclasses.replace(row,
                                    attempt=attempt,
                                    causes=(*row.causes, cause)[-MAX_CAUSES:])
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -43,7 +43,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick(Event):
-    """Time has passed."""
+    """Time has passed.
+
+    Attributes:
+        at: Wall time in ISO 8601, for people only; empty where there is none.
+    """
+
+    at: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/journal.py
+++ b/cardamommill/journal.py
@@ -2,12 +2,11 @@
 
 import collections
 import dataclasses
-import datetime
 import threading
 
 import logbook
 
-from cardamommill import actions, logs
+from cardamommill import actions, logs, walltime
 
 # A subject that tells more than this forgets its oldest entries.
 ENTRIES_PER_SUBJECT = 64
@@ -36,12 +35,6 @@
     trace_id: str = ""
 
 
-def wall_time() -> str:
-    """Returns the wall time in ISO 8601, for people only."""
-    now = datetime.datetime.now(datetime.UTC)
-    return now.isoformat(timespec="milliseconds").replace("+00:00", "Z")
-
-
 class Journal:
     """Keeps the newest entries; thread-safe."""
 
@@ -64,8 +57,8 @@
 
     def record(self, action: actions.Record) -> None:
         """Keeps an entry and writes it to the log."""
-        entry = Entry(wall_time(), action.subject, action.event, action.detail,
-                      action.trace_id)
+        entry = Entry(walltime.now(), action.subject, action.event,
+                      action.detail, action.trace_id)
         self.add(entry)
         log.info(
             logs.line(action.event,
--- a/cardamommill/lifecycle.py
+++ b/cardamommill/lifecycle.py
@@ -41,7 +41,7 @@
 
     @step.register
     def _(self, event: events.Tick, now_ms: int) -> actions.Actions:
-        del event
+        self.board.life.at = event.at
         return _ON_TICK[self.board.life.phase](self, now_ms)
 
     def _start(self, now_ms: int) -> actions.Actions:
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -8,7 +8,7 @@
 import types
 from typing import Any, Self, TypeVar
 
-from cardamommill import actions, events, exceptions
+from cardamommill import actions, events, exceptions, walltime
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
 
@@ -123,7 +123,7 @@
             try:
                 item = self._inbox.get(timeout=wait_ms / 1000)
             except queue.Empty:
-                item = events.Tick()
+                item = events.Tick(walltime.now())
             if item is None:
                 return
             # Looked at before every event, not only at ticks: after a pause
@@ -135,7 +135,7 @@
                     self._handle(events.Paused(stood_ms))
                 last_tick_ms = now_ms()
                 if not isinstance(item, events.Tick):
-                    self._handle(events.Tick())
+                    self._handle(events.Tick(walltime.now()))
             if isinstance(item, _Question):
                 self._answer(item)
             else:
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -18,6 +18,7 @@
     loop,
     report,
     store,
+    walltime,
 )
 from cardamommill import journal as journal_lib
 
@@ -179,8 +180,7 @@
 
     def drain(self, vm_id: str, wish: Wish) -> counted.Changed:
         """Has a VM of this data centre emptied and kept so."""
-        row = store.DrainRow(vm_id, wish.author, wish.reason,
-                             journal_lib.wall_time())
+        row = store.DrainRow(vm_id, wish.author, wish.reason, walltime.now())
         return self._set_drain(vm_id, store.encode(row))
 
     def undrain(self, vm_id: str) -> counted.Changed:
@@ -211,8 +211,7 @@
 
 def _change(body: str, base_revision: int | None,
             wish: Wish) -> applying.Change:
-    return applying.Change(body, wish.author, wish.reason,
-                           journal_lib.wall_time(),
+    return applying.Change(body, wish.author, wish.reason, walltime.now(),
                            uuid.uuid4().hex, base_revision)
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -298,3 +298,16 @@
         assert found["n2"].subject == "vm/v1"
         assert found["n3"] is None
         assert client.explain(server.address, b"nonsense") is None
+
+
+def test_a_change_that_many_tell_of_is_shown_once_and_dated():
+    line = asking.explaining.Line("", "n2", "member-lost", "v1 is gone")
+    dated = dataclasses.replace(line, at="2026-01-01T00:00:00.100Z")
+    twin = dataclasses.replace(line, at="2026-01-01T00:00:00.900Z")
+    again = dataclasses.replace(line, at="2026-01-01T00:09:00.000Z")
+
+    def told(*lines):
+        return asking.explaining.Explanation("vm/v1", True, (), lines)
+
+    merged = asking.merged(told(line, twin), {"n2": told(dated, again)})
+    assert merged.history == (dated, again)
