--- a/cardamommill/prompts.py
+++ b/cardamommill/prompts.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterator
 import dataclasses
+import hashlib
 import json
 from typing import Any
 
-from cardamommill import prefixes
-
+PREFIX_CHARS = 256
 MAX_PREFIXES = 32
 MAX_DEPTH = 8
+HASH_DIGITS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,11 +40,10 @@
         raise ValueError("nested too deeply") from error
     if not isinstance(fields, dict):
         return Prompt()
-    text = ("".join(_texts(fields.get("prompt"), MAX_DEPTH)) or
-            "".join(_texts(fields.get("messages"), MAX_DEPTH)))
     return Prompt(
         fields.get("stream") is True,
-        prefixes.of_prompt(text)[:MAX_PREFIXES])
+        prefix_hashes("".join(_texts(fields.get("prompt"), MAX_DEPTH)) or
+                      "".join(_texts(fields.get("messages"), MAX_DEPTH))))
 
 
 def _texts(value: Any, depth: int) -> Iterator[str]:
@@ -55,3 +55,22 @@
     elif depth and isinstance(value, dict):
         for name in ("role", "content", "text"):
             yield from _texts(value.get(name), depth - 1)
+
+
+def prefix_hashes(text: str) -> tuple[str, ...]:
+    """Returns a hash per `PREFIX_CHARS` of a prompt, of all up to there.
+
+    Prompts that share their first kilobyte share their first four hashes.
+
+    Args:
+        text: The prompt.
+    """
+    state = hashlib.sha256()
+    hashes = []
+    for end in range(PREFIX_CHARS, len(text) + 1, PREFIX_CHARS):
+        block = text[end - PREFIX_CHARS:end]
+        state.update(block.encode("utf-8", "surrogatepass"))
+        hashes.append(state.hexdigest()[:HASH_DIGITS])
+        if len(hashes) == MAX_PREFIXES:
+            break
+    return tuple(hashes)
