--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -15,12 +15,20 @@
 from cardamommill import (
     actions,
     assignments,
+    claims,
+    configuration,
     controller,
     events,
     fleet,
     leases,
+    lifecycle,
+    limits,
+    membership,
     periods,
     planning,
+    requests,
+    routing,
+    suspects,
 )
 from cardamommill import board as board_lib
 
@@ -80,4 +88,16 @@
 
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
-    return (assignments.Assignments, leases.Leases, planning.Planner)
+    return (
+        membership.Membership,
+        configuration.Configuration,
+        assignments.Assignments,
+        leases.Leases,
+        planning.Planner,
+        lifecycle.Lifecycle,
+        claims.Claims,
+        suspects.Suspects,
+        limits.Limits,
+        routing.Routing,
+        requests.Requests,
+    )
