Use assigned spares without the table, and tell old reports to peers

Cause: without the table no lease can be renewed, and a replica that lost a member then stayed down for the whole outage beside its own loaded spare. Change: the last holder of the lease goes on, for own spares only, while it hears every other node of its data centre say that the table has been silent for a whole lease (Digest.store_age_ms): nobody else can have taken the lease then. Formations made so have numbers of their own, go to peers with the replicas' rows, and are written down when the table is back. Only engines that check the fencing number take part. Ruled out: letting any node act by rendezvous. One that is cut off can't tell whether a planner that reaches the table moves the same spare. Found by the state machine, now driving the real membership, and mended: a peer left a report out for its age but told the newer sequence, so that a restarted node never learned it and saw a healthy replica as incomplete.

--- a/cardamommill/assignments.py
+++ b/cardamommill/assignments.py
@@ -3,7 +3,15 @@
 import functools
 from typing import TypeVar, cast
 
-from cardamommill import actions, controller, events, fleet, periods, store
+from cardamommill import (
+    actions,
+    controller,
+    events,
+    fleet,
+    peering,
+    periods,
+    store,
+)
 from cardamommill import board as board_lib
 
 # A table not read for so many periods can't be read: peers' copies count.
@@ -27,6 +35,7 @@
         self._next_ms = 0
         self._sent_ms = 0
         self._index_version = store.ABSENT
+        self._whole = False
         self._waiting: set[events.Token] = set()
         self._scans: dict[str, tuple[store.Row, ...]] = {}
 
@@ -75,16 +84,35 @@
             return ()
         section = self.board.assignments
         for copy in event.digest.replicas:
-            known = section.replica_versions.get(copy.row.replica_id,
-                                                 store.ABSENT)
-            if (copy.row.data_centre == self._data_centre and
-                    copy.version > known):
-                section.replicas[copy.row.replica_id] = copy.row
-                section.replica_versions[copy.row.replica_id] = copy.version
-                # What was read last is no longer whole.
-                section.index_version = -1
+            if copy.row.data_centre == self._data_centre:
+                self._take_copy(section, copy)
         return ()
 
+    def _take_copy(self, section: board_lib.AssignmentsSection,
+                   copy: peering.ReplicaCopy) -> None:
+        replica_id = copy.row.replica_id
+        known = section.replicas.get(replica_id)
+        version = section.replica_versions.get(replica_id, store.ABSENT)
+        if copy.version > version or known is None:
+            section.replicas[replica_id] = copy.row
+            section.replica_versions[replica_id] = copy.version
+            # What was read last is no longer whole.
+            self._whole = False
+        elif (copy.version == version and copy.row.formation > known.formation):
+            self._take_formed(copy.row)
+
+    @step.register
+    def _(self, event: events.FormedWithoutTable,
+          now_ms: int) -> actions.Actions:
+        del now_ms
+        self._take_formed(event.row)
+        return ()
+
+    def _take_formed(self, row: fleet.ReplicaRow) -> None:
+        section = self.board.assignments
+        section.replicas[row.replica_id] = row
+        section.formed_without_table.add(row.replica_id)
+
     def _readable(self, now_ms: int) -> bool:
         stale_ms = STALE_READS * self.timing.fleet_read_ms
         return now_ms - self.board.assignments.read_ms <= stale_ms
@@ -96,7 +124,7 @@
 
     def _take_index(self, version: int) -> actions.Actions:
         section = self.board.assignments
-        if section.known and version == section.index_version:
+        if self._whole and version == section.index_version:
             section.read_ms = self._sent_ms
             return ()
         self._index_version = version
@@ -108,6 +136,7 @@
 
     def _take_scans(self) -> None:
         section = self.board.assignments
+        former = section.replica_versions
         section.replicas, section.replica_versions = self._newer(
             fleet.ReplicaRow, self._scans[store.REPLICAS], section.replicas,
             section.replica_versions)
@@ -115,6 +144,11 @@
                                                        self._scans[store.VMS],
                                                        section.vms,
                                                        section.vm_versions)
+        # A row keeps what was formed without the table until it is written.
+        section.formed_without_table = {
+            replica_id for replica_id in section.formed_without_table
+            if section.replica_versions.get(replica_id) == former[replica_id]
+        }
         section.drained = {
             _name(row) for row in self._scans[store.DRAINS] if row.version
         }
@@ -123,6 +157,7 @@
         section.index_version = self._index_version
         section.read_ms = self._sent_ms
         section.known = True
+        self._whole = True
 
     def _newer(self, kind: type[T], rows: tuple[store.Row,
                                                 ...], known: dict[str, T],
--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -156,6 +156,8 @@
         index_version: The version of the fleet's index when all was read.
         read_ms: When all was last known to be current.
         known: Whether it was read once.
+        formed_without_table: Replicas whose row here is newer than in the
+            table, which gave no answer.
     """
 
     replicas: dict[str,
@@ -167,6 +169,7 @@
     index_version: int = store.ABSENT
     read_ms: int = NEVER_MS
     known: bool = False
+    formed_without_table: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True)
--- a/cardamommill/digests.py
+++ b/cardamommill/digests.py
@@ -26,6 +26,7 @@
 MAX_DOCUMENT_BYTES = 400_000
 MAX_SUMMARIES = 512
 REMOTE_NODES = 4
+MAX_AGE_MS = 86_400_000
 
 
 def documents_hash(board: board_lib.Board) -> int:
@@ -110,6 +111,8 @@
             documents=(self._documents(request) if request.wants_documents else
                        ()),
             suspicions=self._suspicions.after(after)[:MAX_SUSPICIONS],
+            store_age_ms=max(0, min(now_ms - board.store.answered_ms,
+                                    MAX_AGE_MS)),
         )
         return (self._near(common, request, after, now_ms)
                 if near else self._far(common, now_ms))
@@ -119,7 +122,9 @@
         board = self._board
         reports, unchanged = self._book.told(after, now_ms)
         index_version = board.assignments.index_version
-        newer = index_version > request.assignments_version
+        # What was formed without the table has no newer version to go by.
+        newer = (index_version > request.assignments_version or
+                 bool(board.assignments.formed_without_table))
         return dataclasses.replace(
             common,
             nodes=self._nodes.after(after)[:MAX_NODES],
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -415,3 +415,10 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetChanged(Event):
     """Rows of the fleet were written and are to be read again soon."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormedWithoutTable(Event):
+    """A replica got other members, which the table doesn't know yet."""
+
+    row: fleet.ReplicaRow
--- a/cardamommill/evidence.py
+++ b/cardamommill/evidence.py
@@ -131,13 +131,14 @@
         node_id = self._board.identity.node_id
         for each in self.own.values():
             age_ms = now_ms - each.seen_ms
-            if age_ms > self._timing.evidence_max_age_ms:
-                continue
             if each.sequence > after_sequence:
+                # Also where it is too old to be evidence: the asker moves on
+                # to this answer's sequence, and later hears of the report by
+                # its number alone. It would never know what that repeats.
                 reports.append(
                     peering.AgedReport(each.report, age_ms, node_id,
                                        each.sequence))
-            else:
+            elif age_ms <= self._timing.evidence_max_age_ms:
                 unchanged.append(_unchanged(each, age_ms))
         return tuple(reports), tuple(unchanged)
 
--- a/cardamommill/facts.py
+++ b/cardamommill/facts.py
@@ -24,6 +24,7 @@
         locked: VMs and replicas that a transaction in flight may change.
         pending: Replica rows as transactions in flight would make them.
         heeds_leaving: Whether a leaving VM is replaced before it goes.
+        bridging: Whether the planner goes on without the table.
     """
 
     board: board_lib.Board
@@ -37,6 +38,7 @@
     locked: frozenset[str] = frozenset()
     pending: tuple[fleet.ReplicaRow, ...] = ()
     heeds_leaving: bool = True
+    bridging: bool = False
 
     @property
     def data_centre(self) -> str:
--- a/cardamommill/leases.py
+++ b/cardamommill/leases.py
@@ -123,8 +123,7 @@
                 == (identity.node_id, identity.incarnation))
 
     def _ending(self) -> bool:
-        return self.board.life.phase in (board_lib.NodePhase.DRAINING,
-                                         board_lib.NodePhase.ENDED)
+        return self.board.life.leaving
 
     def _read(self, now_ms: int) -> actions.Actions:
         self._call = _Call(self.token(READ), now_ms)
--- a/cardamommill/orders.py
+++ b/cardamommill/orders.py
@@ -104,11 +104,15 @@
         self._sent[order.vm_id] = _Sent(each, facts.now_ms)
         self._serial += 1
         order_id = f"{self._node_id}/{order.fence}/{self._serial}"
-        return actions.SendOrder(
-            facts.board.vms.listed[order.vm_id].address,
-            dataclasses.replace(order, order_id=order_id),
-            min(facts.board.lease.valid_until_ms,
-                facts.now_ms + facts.timing.order_timeout_ms))
+        return actions.SendOrder(facts.board.vms.listed[order.vm_id].address,
+                                 dataclasses.replace(order, order_id=order_id),
+                                 self._valid_until_ms(facts))
+
+    def _valid_until_ms(self, facts: facts_lib.Facts) -> int:
+        soon_ms = facts.now_ms + facts.timing.order_timeout_ms
+        if facts.bridging:
+            return soon_ms
+        return min(facts.board.lease.valid_until_ms, soon_ms)
 
     def _adapter(self, facts: facts_lib.Facts) -> Iterator[Wanted]:
         for row in facts.board.assignments.replicas.values():
@@ -162,6 +166,8 @@
     arrived, and then reads the runners' own reports.
     """
     checks = all(each.engine.checks_fencing for each in concerned)
+    if facts.bridging:
+        return checks
     return checks or facts.now_ms >= facts.board.lease.first_order_ms
 
 
@@ -188,7 +194,7 @@
 def _loads_now(report: fleet.RunnerReport | None,
                row: fleet.ReplicaRow) -> bool:
     return (report is not None and report.replica_id == row.replica_id and
-            not report.ready and report.model != row.model)
+            not report.ready)
 
 
 def _order(facts: facts_lib.Facts, row: fleet.ReplicaRow, vm_id: str,
--- a/cardamommill/peering.py
+++ b/cardamommill/peering.py
@@ -216,6 +216,7 @@
         assignments_version: The version of the fleet's index that `replicas`
             came with.
         vms: The platform's list, with `wants_vms`.
+        store_age_ms: How long ago the table last answered the answerer.
     """
 
     version: int
@@ -238,6 +239,7 @@
     revisions: tuple[Revision, ...] = ()
     assignments_version: int = 0
     vms: tuple[fleet.Vm, ...] = ()
+    store_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/planning.py
+++ b/cardamommill/planning.py
@@ -6,6 +6,7 @@
 
 from cardamommill import (
     actions,
+    bridging,
     changes,
     controller,
     downtime,
@@ -50,9 +51,9 @@
     """
 
     name = "planning"
-    proposals: tuple[Proposal,
-                     ...] = (repair.repairs, sizing.surplus, releases,
-                             sizing.missing, sizing.outdated, sparing.spares)
+    proposals: tuple[Proposal, ...] = (bridging.caught_up, repair.repairs,
+                                       sizing.surplus, releases, sizing.missing,
+                                       sizing.outdated, sparing.spares)
     heeds_leaving = True
 
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
@@ -60,6 +61,7 @@
         super().__init__(board, timing, seed)
         self._flights = changes.Flights(board)
         self._orders = orders.Orders(board.identity.node_id)
+        self._bridge = bridging.Bridge(board, timing)
         self._idle = releasing.IdleWatch()
         self._downtime = downtime.Downtime()
         self._recoveries: list[downtime.Recovery] = []
@@ -92,6 +94,11 @@
         again = actions.Notify(events.FleetChanged())
         return (*_journal(change), again) if change else (again,)
 
+    @step.register
+    def _(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
+        self._bridge.heard(event, now_ms)
+        return ()
+
     @step.register
     def _(self, event: events.OrderAnswered, now_ms: int) -> actions.Actions:
         del now_ms
@@ -112,7 +119,7 @@
         ]
         if not self._may_plan(now_ms):
             self._idle.forget()
-            return tuple(found)
+            return (*found, *self._without_table(now_ms))
         facts = self._facts(now_ms)
         for change in self._changes(facts):
             found.append(self._flights.send(change, self.token()))
@@ -120,6 +127,18 @@
         facts = dataclasses.replace(facts, locked=self._flights.locked())
         return (*found, *self._orders.due(facts))
 
+    def _without_table(self, now_ms: int) -> actions.Actions:
+        if not self._bridge.open(now_ms):
+            return ()
+        facts = dataclasses.replace(self._facts(now_ms), bridging=True)
+        formed = [
+            action for change in bridging.formations(facts) for action in (
+                actions.Notify(events.FormedWithoutTable(change.replicas[0])),
+                *_journal(change))
+        ]
+        # Orders follow in the next round, when the row is on the board.
+        return (*formed, *self._orders.due(facts))
+
     def _may_plan(self, now_ms: int) -> bool:
         return (leases.may_order(self.board.lease, now_ms) and
                 self.board.assignments.known and self.board.documents.complete)
--- a/cardamommill/repair.py
+++ b/cardamommill/repair.py
@@ -118,13 +118,26 @@
     ]
     if len(holding) < len(bad) or _finishing(facts, document, row, bad):
         return None
-    taken = dict(zip(bad, holding, strict=False))
+    return swapped(facts, row, dict(zip(bad, holding, strict=False)),
+                   next_formation(facts, row))
+
+
+def swapped(facts: facts_lib.Facts, row: fleet.ReplicaRow,
+            taken: dict[str, str], formation: int) -> changes.Change:
+    """Returns the change that puts VMs that hold the weights in others' place.
+
+    Args:
+        facts: What is known.
+        row: The replica.
+        taken: By each member that goes, the VM that takes its place.
+        formation: The number of the new formation.
+    """
     found = set(taken.values())
     new = dataclasses.replace(
         row,
         members=tuple(taken.get(vm_id, vm_id) for vm_id in row.members),
         spares=tuple(vm_id for vm_id in row.spares if vm_id not in found),
-        formation=next_formation(facts, row))
+        formation=formation)
     former = [
         dataclasses.replace(other,
                             spares=tuple(vm_id
@@ -135,13 +148,13 @@
     ]
     vms = [
         changes.vm_row(vm_id, fleet.VmUse.RELEASING, row.replica_id)
-        for vm_id in bad
+        for vm_id in taken
     ] + [
         changes.vm_row(vm_id, fleet.VmUse.MEMBER, row.replica_id)
         for vm_id in taken.values()
     ]
     seen = "; ".join(f"{vm_id} {why(facts, vm_id)}, {taken[vm_id]} holds the "
-                     "weights and takes its place" for vm_id in bad)
+                     "weights and takes its place" for vm_id in taken)
     return changes.Change(
         "member-replaced",
         f"{seen}; formation {row.formation} becomes {new.formation}",
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -1,80 +1,30 @@
 """A world with a fleet in it, for tests of the planner and its neighbours."""
 
-import functools
+import yaml
 
 from cardamommill import (
-    actions,
     assignments,
-    controller,
+    configuration,
     decisions,
     documents,
-    events,
     fakes,
+    fakeworld,
     fleet,
     leases,
+    lifecycle,
+    membership,
     periods,
     planning,
     serving,
     store,
 )
-from cardamommill import board as board_lib
 
 DC = "praha-a"
 TIMING = periods.Timing()
 
-
-class Watching(controller.Controller):
-    """Polls every runner and lists VMs: what membership does, alone."""
-
-    name = "membership"
-    next_poll_ms = 0
-    next_list_ms = 0
-
-    @functools.singledispatchmethod
-    def step(self, event, now_ms):
-        return ()
-
-    @step.register
-    def _(self, event: events.Tick, now_ms):
-        found = []
-        if now_ms >= self.next_list_ms:
-            self.next_list_ms = now_ms + self.timing.vm_list_ms
-            found.append(actions.ListVms())
-        if now_ms >= self.next_poll_ms:
-            self.next_poll_ms = now_ms + self.timing.poll_ms
-            found += [
-                actions.PollRunner(vm.vm_id, vm.address)
-                for vm in self.board.vms.listed.values()
-            ]
-        return tuple(found)
-
-    @step.register
-    def _(self, event: events.VmsListed, now_ms):
-        if event.vms is not None:
-            section = self.board.vms
-            section.listed = {vm.vm_id: vm for vm in event.vms}
-            section.leaving = {
-                vm.vm_id
-                for vm in event.vms
-                if vm.state is fleet.VmState.LEAVING
-            }
-            section.listed_ms = now_ms
-        return ()
-
-    @step.register
-    def _(self, event: events.RunnerPolled, now_ms):
-        if event.report is not None:
-            self.board.evidence.by_vm[event.vm_id] = fleet.Evidence(
-                event.report, event.sent_ms, self.board.identity.node_id)
-        return ()
-
-    @step.register
-    def _(self, event: events.Paused, now_ms):
-        self.board.life.not_before_ms = now_ms
-        return ()
-
-
-KINDS = (Watching, assignments.Assignments, leases.Leases, planning.Planner)
+KINDS = (membership.Membership, configuration.Configuration,
+         assignments.Assignments, leases.Leases, planning.Planner,
+         lifecycle.Lifecycle)
 
 
 def document(**fields):
@@ -100,22 +50,26 @@
     return documents.Document.model_validate({**base, **fields})
 
 
-def put_in_force(board, *wanted, revision=1):
-    """Puts documents in force on a node, as configuration does."""
+def apply(made, *wanted, revision=1):
+    """Writes documents to the table, as ``service apply`` does."""
+    revisions = {}
     for each in wanted:
+        body = yaml.safe_dump(each.model_dump(mode="json"))
         row = store.DocumentRow(each.service, revision, "tester", "test", "",
-                                "")
-        board.documents.in_force[each.service] = board_lib.DocumentInForce(
-            each, row, 0)
-    board.documents.complete = True
+                                body)
+        made.table.put(store.Key(store.DOCUMENTS, each.service),
+                       store.encode(row))
+        revisions[each.service] = revision
+    made.table.put(store.Key(store.INDEX, store.DOCUMENTS_INDEX),
+                   store.encode(store.DocumentsIndex(revisions)))
 
 
 def node(name, offset_ms=0, seed=1, incarnation=1, kinds=KINDS):
     """Returns a node of `DC`."""
     identity = fleet.NodeIdentity(name, DC, "cz-central", incarnation,
-                                  f"{name}:1", f"{name}:2")
-    return fakes.FakeNode(decisions.Decisions(identity, TIMING, seed, kinds),
-                          offset_ms)
+                                  f"127.0.0.{name[1:]}:1", f"{name}:2")
+    return fakeworld.FakeNode(
+        decisions.Decisions(identity, TIMING, seed, kinds), offset_ms)
 
 
 def runners(domains, pool="gpu", **fields):
@@ -131,12 +85,13 @@
 
 def world(domains, *wanted, nodes=2, seed=1, **fields):
     """Returns a world with nodes, VMs and documents in force."""
-    made = fakes.FakeWorld(TIMING, seed)
+    made = fakeworld.FakeWorld(TIMING, seed)
     made.add_vms(runners(domains, **fields))
+    apply(made, *wanted)
     for index in range(nodes):
-        each = node(f"n{index}", offset_ms=7919 * index, seed=seed + index)
-        put_in_force(each.decisions.board, *wanted)
-        made.add_node(f"n{index}", each)
+        made.add_node(
+            f"n{index}",
+            node(f"n{index}", offset_ms=7919 * index, seed=seed + index))
     return made
 
 
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -12,7 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from cardamommill import fakes, fleet, leases, serving, store
+from cardamommill import actions, fakeworld, fleet, leases, serving, store
 from tests import fleets
 
 STEP_MS = 100
@@ -109,11 +109,11 @@
         assert len(holders) <= 1, holders
 
 
-class FencedWorld(fakes.FakeWorld):
+class FencedWorld(fakeworld.FakeWorld):
     """Asserts that no order leaves a node that is not the planner any more."""
 
     def perform(self, action, name):
-        if isinstance(action, fleets.actions.SendOrder):
+        if isinstance(action, actions.SendOrder):
             key = store.Key(store.LEASES, fleets.DC)
             lease = store.decode(store.LeaseRow, self.table.read(key).value)
             assert action.order.fence == lease.epoch, name
@@ -159,11 +159,7 @@
                               replicas=1,
                               costs={"load_s": 4},
                               engine=engine)
-        for node in self.world.nodes.values():
-            fleets.put_in_force(node.decisions.board,
-                                high,
-                                low,
-                                revision=self.revision)
+        fleets.apply(self.world, high, low, revision=self.revision)
 
     def pass_time(self, for_ms):
         for _ in range(0, for_ms, STEP_MS):
@@ -221,7 +217,6 @@
                           seed=identity.incarnation,
                           incarnation=identity.incarnation + 1)
         self.world.add_node(name, new)
-        self.apply()
 
     @stateful.rule(down=st.booleans(), delay_ms=st.sampled_from((10, 1_500)))
     def table(self, down, delay_ms):
@@ -237,10 +232,10 @@
         self.world.faults.late_orders = late_orders
 
     @stateful.rule(name=st.sampled_from(NODES),
-                   other=st.sampled_from((fakes.TABLE, *DOMAINS)),
+                   other=st.sampled_from((fakeworld.TABLE, *DOMAINS)),
                    cut=st.booleans())
     def link(self, name, other, cut):
-        parties = [other] if other == fakes.TABLE else [
+        parties = [other] if other == fakeworld.TABLE else [
             vm_id for vm_id in self.world.runners if vm_id.startswith(other)
         ]
         pairs = {frozenset((name, party)) for party in parties}
@@ -257,7 +252,7 @@
 
     def teardown(self):
         """After the faults stop, all that is wanted serves, on all nodes."""
-        self.world.faults = fakes.Faults()
+        self.world.faults = fakeworld.Faults()
         for name in NODES:
             self.world.resume(name)
         for runner in self.world.runners.values():
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -245,10 +245,7 @@
 def test_fewer_wanted_replicas_free_their_vms():
     world = fleets.world({"d0": 8}, fleets.document())
     world.run(40_000)
-    for node in world.nodes.values():
-        fleets.put_in_force(node.decisions.board,
-                            fleets.document(replicas=1),
-                            revision=2)
+    fleets.apply(world, fleets.document(replicas=1), revision=2)
     world.run(20_000)
     assert len(fleets.replicas(world)) == 1
     uses = [row.use for row in fleets.rows(world, fleet.VmRow, store.VMS)]
@@ -265,10 +262,7 @@
     """
     world = fleets.world({"d0": vms}, fleets.document())
     world.run(50_000)
-    for node in world.nodes.values():
-        fleets.put_in_force(node.decisions.board,
-                            fleets.document(version="2"),
-                            revision=2)
+    fleets.apply(world, fleets.document(version="2"), revision=2)
     fewest = 2
     lost_ms = 0
     for _ in range(1200):
