--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -29,6 +29,7 @@
         idle_timeout_ms: How long a connection may stand idle.
         connections: Connections at once; more are closed at once.
         workers: Threads that look into requests; none waits for an answer.
+        held_bytes: What requests of all callers may take together.
         unsent_bytes: What may wait for a caller that does not read its
             stream; with more the caller is cut off.
         answer_bytes: The largest answer that is not a stream.
@@ -44,6 +45,7 @@
     idle_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 30_000
     connections: Annotated[int, pydantic.Field(ge=1, le=65_536)] = 1024
     workers: Annotated[int, pydantic.Field(ge=1, le=64)] = 8
+    held_bytes: Annotated[int, pydantic.Field(ge=1024)] = 67_108_864
     unsent_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
     answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8_388_608
     tls_certificate: str = ""
