Lift a quarantine through the node that is asked

Cause: the controller of suspects owns the rows of the quarantine and tells peers; deleting the row behind its back would reach nodes late, and not at all while the table is down. Change: the operators' port posts the event that the controller takes.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -45,10 +45,8 @@
             "POST",
             "services",
             service,
-            body={
+            body=_wish(author, reason) | {
                 "document": text,
-                "author": str(author or getpass.getuser()),
-                "reason": str(reason),
                 "base_revision": _base(text) if base is None else base
             })
         return f"accepted: {service} revision {row['revision']}"
@@ -114,16 +112,12 @@
             author: Who you are; by default the name of your account.
             reason: Why.
         """
-        row = self._client().json(
-            "POST",
-            "services",
-            service,
-            "rollback",
-            body={
-                "revision": revision,
-                "author": str(author or getpass.getuser()),
-                "reason": str(reason)
-            })
+        row = self._client().json("POST",
+                                  "services",
+                                  service,
+                                  "rollback",
+                                  body=_wish(author, reason) |
+                                  {"revision": revision})
         return f"accepted: {service} revision {row['revision']}"
 
 
@@ -140,13 +134,18 @@
                          f"{', '.join(each['crashes'])}"
                          for each in suspects) or "none"
 
-    def lift(self, digest: str) -> str:
+    def lift(self, digest: str, author: str = "", reason: str = "") -> str:
         """Lets a request run again.
 
         Args:
             digest: Of the request, as `quarantine list` prints it.
+            author: Who you are; by default the name of your account.
+            reason: Why.
         """
-        changed = self._client().json("DELETE", "quarantine", digest)
+        changed = self._client().json("DELETE",
+                                      "quarantine",
+                                      digest,
+                                      body=_wish(author, reason))
         return "lifted" if changed else "it was not in quarantine"
 
 
@@ -227,14 +226,10 @@
             author: Who you are; by default the name of your account.
             reason: Why.
         """
-        changed = self._client().json(
-            "PUT",
-            "drains",
-            vm,
-            body={
-                "author": str(author or getpass.getuser()),
-                "reason": str(reason)
-            })
+        changed = self._client().json("PUT",
+                                      "drains",
+                                      vm,
+                                      body=_wish(author, reason))
         return f"{vm} is drained" if changed else f"{vm} was drained already"
 
     def undrain(self, vm: str) -> str:
@@ -265,6 +260,10 @@
 BASE_MARK = "# made from revision "
 
 
+def _wish(author: str, reason: str) -> dict[str, Any]:
+    return {"author": str(author or getpass.getuser()), "reason": str(reason)}
+
+
 def _base(text: str) -> int | None:
     first = text.split("\n", 1)[0]
     number = first.removeprefix(BASE_MARK).strip()
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -13,9 +13,11 @@
     applying,
     asking,
     counted,
+    events,
     exceptions,
     explaining,
     loop,
+    peering,
     report,
     store,
     walltime,
@@ -202,11 +204,18 @@
             self._tables, store.Key(store.DRAINS, f"{data_centre}/{vm_id}"),
             value, store.fleet_index(data_centre))
 
-    def lift(self, digest: str) -> counted.Changed:
-        """Takes a request out of quarantine."""
-        return counted.set_row(self._tables, store.Key(store.QUARANTINE,
-                                                       digest), None,
-                               store.QUARANTINE_INDEX)
+    def lift(self, digest: str, wish: Wish) -> bool:
+        """Lets a request run again; returns whether anything was held to it.
+
+        The node tells its peers and the table, which may be down just now.
+        """
+        held = self._control.ask(lambda decided, now_ms: decided.board.suspects.
+                                 by_digest.get(digest)).result(ASK_TIMEOUT_S)
+        if held is None or held.state is peering.SuspectState.CLEARED:
+            return False
+        by = f"{wish.author}: {wish.reason}" if wish.reason else wish.author
+        self._control.post(events.QuarantineLifted(digest, by))
+        return True
 
 
 def _change(body: str, base_revision: int | None,
--- a/cardamommill/operators.py
+++ b/cardamommill/operators.py
@@ -250,8 +250,7 @@
                                       peer=digest)
 
     def _lift(self, request: wrappers.Request, digest: str) -> Answered:
-        del request
-        return _settled(self._operations.lift(digest))
+        return _json(self._operations.lift(digest, _body(request).wish()))
 
 
 def _wants_text(request: wrappers.Request) -> bool:
--- a/tests/boards.py
+++ b/tests/boards.py
@@ -32,11 +32,22 @@
 
     name = "quiet"
 
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.seen = []
+
     @functools.singledispatchmethod
     def step(self, event: events.Event, now_ms: int) -> actions.Actions:
+        self.seen.append(event)
         return ()
 
 
+def seen(made):
+    """Returns the events that decisions made here have seen so far."""
+    (quiet,) = made._controllers
+    return quiet.seen
+
+
 def identity(node="n1"):
     return fleet.NodeIdentity(node, "praha-a", "cz-central", 1, "127.0.0.1:1",
                               "127.0.0.1:2")
