Bound what people and runners send in; write the operators' pages

Cause: hypothesis and hand-made texts at the borders found: YAML aliases that stand for 2^40 values hang whoever prints the first fault; dates such as 2001-99-99, deep nesting and lone surrogates ended in other exceptions than DocumentError; a field named twice silently took the last value; YAML's own errors quoted the line, key included; and a runner's report with a number out of bounds was taken, passed on, and made peers refuse the whole digest. Change: yamltext (no aliases, no doubled fields, bounded nesting, errors that never quote), at most 50 faults in a message, peerwire.takes before a report counts. docs/OPERATORS.md and docs/DOCUMENTS.md with tables generated by 'make pages'; examples for both users' deployments.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := cardamommill tests packing
+SOURCES := cardamommill tests tools
 
-.PHONY: run test check format lock generate binary bench prove capacity clean
+.PHONY: run test check format lock generate binary pages bench prove capacity clean
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -43,7 +43,10 @@
 	rm -rf .venv-lock
 
 binary: $(STAMP)
-	$(BIN)/python packing/pack.py dist/cardamommill
+	$(BIN)/python tools/pack.py dist/cardamommill
+
+pages: $(STAMP)
+	$(BIN)/python -m tools.pages
 
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
--- a/cardamommill/documents.py
+++ b/cardamommill/documents.py
@@ -5,12 +5,12 @@
 from typing import Annotated
 
 import pydantic
-import yaml
 
-from cardamommill import exceptions
+from cardamommill import exceptions, yamltext
 
 MAX_REPLICA_VMS = 32
 MAX_DOCUMENT_BYTES = 262_144
+MAX_FAULTS = 50
 
 Name = Annotated[str,
                  pydantic.StringConstraints(
@@ -223,23 +223,23 @@
 
 @functools.lru_cache(maxsize=512)
 def _parse(text: str, source: str) -> Document:
-    if len(text.encode()) > MAX_DOCUMENT_BYTES:
+    if len(text.encode("utf-8", "replace")) > MAX_DOCUMENT_BYTES:
         raise exceptions.DocumentError(
             f"larger than {MAX_DOCUMENT_BYTES} bytes",
             step="document",
             peer=source)
     try:
-        return Document.model_validate(yaml.safe_load(text))
-    except yaml.YAMLError as error:
-        raise exceptions.DocumentError(f"not YAML: {error}",
-                                       step="document",
-                                       peer=source) from error
+        return Document.model_validate(yamltext.load(text))
     except pydantic.ValidationError as error:
         # Not "from error": pydantic's text shows what it found, and a key
         # written into the wrong field would reach the log with a traceback.
         raise exceptions.DocumentError(faults(error),
                                        step="document",
                                        peer=source) from None
+    except ValueError as error:
+        raise exceptions.DocumentError(f"not YAML: {error}",
+                                       step="document",
+                                       peer=source) from error
 
 
 def faults(error: pydantic.ValidationError) -> str:
@@ -249,10 +249,13 @@
         error: What pydantic found.
     """
     lines = []
-    for fault in error.errors():
+    found_faults = error.errors()
+    for fault in found_faults[:MAX_FAULTS]:
         path = ".".join(str(part) for part in fault["loc"]) or "(whole)"
         # A wrong key of an account must not reach a log or a terminal.
         hidden = "key" in path or isinstance(fault["input"], dict)
         found = "(hidden)" if hidden else repr(fault["input"])[:80]
         lines.append(f"{path}: found {found}: {fault['msg']}")
+    if len(found_faults) > MAX_FAULTS:
+        lines.append(f"and {len(found_faults) - MAX_FAULTS} more")
     return "\n".join(lines)
--- a/cardamommill/peerwire.py
+++ b/cardamommill/peerwire.py
@@ -179,6 +179,28 @@
         raise ValueError("a report without VM")
 
 
+_BOUNDS: dict[Any, _Decode] = {str: _text, int: _count, float: _rate}
+
+
+def takes(report: fleet.RunnerReport) -> bool:
+    """Tells whether peers would take a runner's report.
+
+    They refuse a digest whole for one bad number. A faulty runner whose
+    report was passed on would so take the evidence on all others from them.
+
+    Args:
+        report: What a runner said.
+    """
+    try:
+        _check_report(report)
+        for field in dataclasses.fields(report):
+            value = getattr(report, field.name)
+            _BOUNDS.get(type(value), bool)(value)
+    except ValueError:
+        return False
+    return True
+
+
 _CHECKS: dict[Any, Callable[[Any], None]] = {
     fleet.NodeIdentity: _check_identity,
     fleet.RunnerReport: _check_report,
--- a/cardamommill/runnerlink.py
+++ b/cardamommill/runnerlink.py
@@ -12,6 +12,7 @@
     fleet,
     httpcalls,
     loop,
+    peerwire,
     requesting,
     store,
 )
@@ -122,7 +123,9 @@
     except pydantic.ValidationError:
         return None
     # An address may have passed to another VM; its word is not evidence.
-    return report if report.vm_id == vm_id else None
+    if report.vm_id != vm_id or not peerwire.takes(report):
+        return None
+    return report
 
 
 def _order_answered(order: fleet.Order,
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -4,9 +4,8 @@
 from typing import Annotated
 
 import pydantic
-import yaml
 
-from cardamommill import documents, exceptions, fleet, periods
+from cardamommill import documents, exceptions, fleet, periods, yamltext
 
 Address = Annotated[str,
                     pydantic.StringConstraints(
@@ -187,18 +186,18 @@
         SettingsError: Lists every fault in the file.
     """
     try:
-        return Settings.model_validate(yaml.safe_load(path.read_text("utf-8")))
+        return Settings.model_validate(yamltext.load(path.read_text("utf-8")))
     except OSError as error:
         raise exceptions.SettingsError(f"can't be read: {error.strerror}",
                                        step="settings",
                                        peer=str(path)) from error
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
-        raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step="settings",
-                                       peer=str(path)) from error
     except pydantic.ValidationError as error:
         # Not "from error": pydantic's text shows what it found, and a key
         # written into the wrong field would reach the log with a traceback.
         raise exceptions.SettingsError(documents.faults(error),
                                        step="settings",
                                        peer=str(path)) from None
+    except ValueError as error:
+        raise exceptions.SettingsError(f"not YAML: {error}",
+                                       step="settings",
+                                       peer=str(path)) from error
--- a/packing/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Packs the one file that is shipped."""
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cardamommill import launching
-from packing import pack
+from tools import pack
 
 # In /proc/PID/stat: page faults of children that were waited for. Every
 # child has some, however short it lived.
--- a/packing/pack.py
+++ b/tools/pack.py
@@ -1,6 +1,6 @@
 """Packs cardamommill and what it runs on into one file.
 
-Usage: python packing/pack.py OUTPUT
+Usage: python tools/pack.py OUTPUT
 
 The file needs a Python of the version that it was packed with, and nothing
 else. What it runs on is taken from the environment of the Python that runs
@@ -112,7 +112,7 @@
                     archive.add(f"{name}c", compiled(name, data))
                 else:
                     archive.add(name, data)
-            main = (ROOT / "packing" / "bootstrap.py").read_bytes()
+            main = (ROOT / "tools" / "bootstrap.py").read_bytes()
             archive.add("__main__.py", main)
     output.chmod(0o755)
 
