--- a/cardamommill/contacts.py
+++ b/cardamommill/contacts.py
@@ -57,6 +57,12 @@
         self._reports.clear()
         self._sequence_of_vm.clear()
 
+    def want_documents(self, now_ms: int) -> None:
+        """Asks for documents, and at once where the difference is news."""
+        if not self.wants_documents:
+            self.wants_documents = True
+            self.due_ms = min(self.due_ms, now_ms)
+
     def reports(self, digest: peering.Digest,
                 sent_ms: int) -> Iterator[fleet.Evidence]:
         """Yields the evidence in an answer, dated; remembers what it names.
--- a/cardamommill/membership.py
+++ b/cardamommill/membership.py
@@ -19,12 +19,15 @@
     fleet,
     peering,
     periods,
+    polling,
+    pulling,
     store,
     summaries,
-    watching,
 )
 from cardamommill import board as board_lib
 
+# The own data centre's part of the table is read often, all of it seldom: at
+# 330 nodes a row each, the whole is half the size of a large answer.
 NODES_READ_MS = 30_000
 ALL_NODES_READ_MS = 600_000
 RETRY_MS = 2_000
@@ -33,6 +36,7 @@
 _OWN_ROW = "own-row"
 _OWN_NODES = "own-nodes"
 _ALL_NODES = "all-nodes"
+_RETRIES_MS = {_OWN_NODES: 4_000, _ALL_NODES: 60_000}
 
 
 class Membership(controller.Controller):
@@ -48,11 +52,9 @@
         self._book = evidence.EvidenceBook(board, timing, counter)
         self._digests = digests.DigestWriter(board, timing, self._book,
                                              self._contacts, counter)
-        self._poll_due_ms: dict[str, int] = {}
-        self._watch_basis: object = None
-        self._reports_on: dict[str, int] = {}
-        self._summary_due_ms: dict[str, int] = {}
-        self._assignments_version = store.ABSENT
+        self._polls = polling.PollSchedule(board, timing, self.random)
+        self._pulls = pulling.PullSchedule(board, timing, self.random,
+                                           self._contacts)
         self._row_written = False
         self._due_ms: dict[str, int] = {}
         self._namesakes: set[int] = set()
@@ -76,18 +78,19 @@
         del event
         self._forget(now_ms)
         self._set_leaving(now_ms)
-        self._set_watched(now_ms)
-        self._digests.refresh(now_ms, self._reports_on)
-        return (*self._platform(now_ms), *self._polls(now_ms),
-                *self._pulls(now_ms), *self._summary_pulls(now_ms))
+        alive = self._polls.alive(now_ms)
+        self._polls.share_out(alive, now_ms)
+        self._pulls.share_out(alive)
+        self._digests.refresh(now_ms, self._pulls.reports_on)
+        return (*self._platform(now_ms), *self._polls.polls(now_ms),
+                *self._pulls.pulls(now_ms), *self._pulls.summary_pulls(now_ms))
 
     @step.register
     def _paused(self, event: events.Paused, now_ms: int) -> actions.Actions:
         # Everything that is known has grown old at once; ask all again now.
         del event
-        self._poll_due_ms = dict.fromkeys(self._poll_due_ms, now_ms)
-        for contact in self._contacts.by_address.values():
-            contact.due_ms = min(contact.due_ms, now_ms)
+        self._polls.ask_all(now_ms)
+        self._pulls.ask_all(now_ms)
         return ()
 
     def _is_due(self, what: str, period_ms: int, now_ms: int) -> bool:
@@ -129,41 +132,6 @@
 
     # --- Runners ---
 
-    def _set_watched(self, now_ms: int) -> None:
-        identity = self.board.identity
-        # A peer whose last answer is late may be dead. It is passed over long
-        # before it is declared away, since the evidence that it alone gives
-        # runs out sooner than that; if it lives, a runner is asked once more.
-        doubt_ms = (now_ms - self.timing.pull_ms - self.timing.pull_timeout_ms -
-                    self.timing.tick_ms)
-        alive = frozenset(node_id
-                          for node_id, peer in self.board.peers.by_node.items()
-                          if peer.heard_ms >= doubt_ms) | {identity.node_id}
-        data_centres = frozenset(self._contacts.data_centres())
-        basis = (alive, data_centres, frozenset(self.board.vms.listed))
-        if basis == self._watch_basis:
-            return
-        self._watch_basis = basis
-        self._reports_on = watching.reported(identity.node_id, alive,
-                                             data_centres)
-        watched = watching.watched(identity.node_id, alive,
-                                   self.board.vms.listed)
-        self._poll_due_ms = {
-            vm_id:
-                self._poll_due_ms.get(
-                    vm_id,
-                    now_ms + self.random.randrange(self.timing.poll_ms // 2))
-            for vm_id in sorted(watched)
-        }
-
-    def _polls(self, now_ms: int) -> Iterable[actions.Action]:
-        for vm_id, due_ms in self._poll_due_ms.items():
-            if now_ms >= due_ms:
-                self._poll_due_ms[vm_id] = max(due_ms + self.timing.poll_ms,
-                                               now_ms + 1)
-                yield actions.PollRunner(vm_id,
-                                         self.board.vms.listed[vm_id].address)
-
     @step.register
     def _polled(self, event: events.RunnerPolled,
                 now_ms: int) -> actions.Actions:
@@ -215,7 +183,7 @@
         if known is None or not self._book.accuse(head, known.report.boot_id,
                                                   now_ms):
             return ()
-        self._ask_at_once(head, now_ms)
+        self._polls.ask_at_once(head, now_ms)
         notice = peering.Notice(peering.PROTOCOL_VERSION,
                                 self.board.identity,
                                 lost_vms=((head, known.report.boot_id),))
@@ -233,76 +201,11 @@
             return ()
         for vm_id, boot_id in notice.lost_vms[:MAX_LOST_VMS]:
             if self._book.accuse(vm_id, boot_id, now_ms):
-                self._ask_at_once(vm_id, now_ms)
+                self._polls.ask_at_once(vm_id, now_ms)
         return ()
 
-    def _ask_at_once(self, vm_id: str, now_ms: int) -> None:
-        if vm_id in self._poll_due_ms:
-            self._poll_due_ms[vm_id] = now_ms
-
     # --- Peers ---
 
-    def _pulls(self, now_ms: int) -> Iterable[actions.Action]:
-        here = self.board.identity.data_centre
-        near = self._contacts.of_data_centre(here) + self._contacts.unmet()
-        for contact in near:
-            if now_ms >= contact.due_ms:
-                # Never longer than the period, and a little uneven, so that
-                # the questions of one tick spread over the whole period.
-                contact.due_ms = now_ms + int(
-                    self.timing.pull_ms * self.random.uniform(0.8, 1.0))
-                yield self._pull(contact)
-
-    def _summary_pulls(self, now_ms: int) -> Iterable[actions.Action]:
-        regions = self._contacts.data_centres()
-        for data_centre, place in self._reports_on.items():
-            near = regions.get(data_centre) == self.board.identity.region
-            period_ms = summaries.period_ms(self.timing, near)
-            # Of a far data centre the second reporter asks only where the
-            # first one seems to fail.
-            if not near and place and self._age_of(data_centre,
-                                                   now_ms) < 1.5 * period_ms:
-                continue
-            if self._is_due(f"summary/{data_centre}", period_ms, now_ms):
-                contact = self._reporter_of(data_centre)
-                if contact is not None:
-                    yield self._pull(contact, summary_only=True)
-
-    def _reporter_of(self, data_centre: str) -> contacts.Contact | None:
-        """Returns whom to ask: the same one as long as it answers."""
-        there = self._contacts.of_data_centre(data_centre)
-        fewest = min((each.failures for each in there), default=0)
-        usable = {
-            each.address: each for each in there if each.failures == fewest
-        }
-        first = watching.chosen(f"ask/{self.board.identity.node_id}", usable, 1)
-        return usable[first[0]] if first else None
-
-    def _age_of(self, data_centre: str, now_ms: int) -> int:
-        seen_ms = (each for key, each in self.board.peers.summaries_ms.items()
-                   if key[0] == data_centre)
-        return now_ms - max(seen_ms, default=board_lib.NEVER_MS)
-
-    def _pull(self,
-              contact: contacts.Contact,
-              summary_only: bool = False) -> actions.PullPeer:
-        identity = contact.identity
-        wants = contact.wants_documents
-        return actions.PullPeer(
-            contact.address,
-            peering.PullRequest(
-                peering.PROTOCOL_VERSION,
-                self.board.identity,
-                summary_only=summary_only,
-                after_sequence=contact.sequence,
-                revisions=digests.revisions(self.board) if wants else (),
-                after_incarnation=identity.incarnation if identity else 0,
-                wants_documents=wants,
-                documents_hash=digests.documents_hash(self.board),
-                assignments_version=max(self._assignments_version,
-                                        self.board.assignments.index_version),
-                wants_vms=not self.board.vms.listed))
-
     @step.register
     def _asked(self, event: events.PeerAsked, now_ms: int) -> actions.Actions:
         sender = event.request.sender
@@ -318,7 +221,7 @@
                 contact.due_ms = min(contact.due_ms, now_ms)
             if event.request.documents_hash != digests.documents_hash(
                     self.board):
-                contact.wants_documents = True
+                contact.want_documents(now_ms)
         return (actions.AnswerPeer(event.token,
                                    self._digests.answer(event.request,
                                                         now_ms)),)
@@ -340,8 +243,10 @@
         self._contacts.met(contact, digest.sender)
         contact.failures = 0
         contact.heard_ms = max(contact.heard_ms, event.sent_ms)
-        contact.wants_documents = digest.documents_hash != (
-            digests.documents_hash(self.board))
+        if digest.documents_hash == digests.documents_hash(self.board):
+            contact.wants_documents = False
+        else:
+            contact.want_documents(now_ms)
         for identity in digest.nodes:
             self._contacts.learn(identity, now_ms)
         if digest.sender.data_centre == self.board.identity.data_centre:
@@ -363,8 +268,8 @@
         contact.drained = frozenset(digest.drained)
         self.board.vms.leaving |= contact.drained
         if digest.replicas:
-            self._assignments_version = max(self._assignments_version,
-                                            digest.assignments_version)
+            self._pulls.assignments_version = max(
+                self._pulls.assignments_version, digest.assignments_version)
         if digest.vms and not self.board.vms.listed:
             self._take_vms(digest.vms)
         here = self.board.identity.data_centre
@@ -407,8 +312,11 @@
         if not self.owns(event.token):
             return ()
         if event.rows is None:
-            # Without the table: known addresses and what peers tell.
-            self._due_ms[event.token.subject] = now_ms + RETRY_MS
+            # Without the table: known addresses and what peers tell. Uneven,
+            # so that its return is not met by all nodes at once.
+            self._due_ms[event.token.subject] = now_ms + int(
+                _RETRIES_MS.get(event.token.subject, RETRY_MS) *
+                self.random.uniform(0.5, 1.0))
             return ()
         own = self.board.identity
         for row in event.rows:
