--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -14,12 +14,21 @@
 
 from cardamommill import (
     actions,
+    assignments,
+    claims,
     configuration,
     controller,
     events,
     fleet,
+    leases,
+    lifecycle,
+    limits,
     membership,
     periods,
+    planning,
+    requests,
+    routing,
+    suspects,
 )
 from cardamommill import board as board_lib
 
@@ -82,4 +91,13 @@
     return (
         membership.Membership,
         configuration.Configuration,
+        assignments.Assignments,
+        leases.Leases,
+        planning.Planner,
+        lifecycle.Lifecycle,
+        claims.Claims,
+        suspects.Suspects,
+        limits.Limits,
+        routing.Routing,
+        requests.Requests,
     )
--- a/cardamommill/digests.py
+++ b/cardamommill/digests.py
@@ -6,7 +6,7 @@
 
 from cardamommill import board as board_lib
 from cardamommill import (
-    changes,
+    changelog,
     contacts,
     evidence,
     fleet,
@@ -52,18 +52,18 @@
 
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
                  book: evidence.EvidenceBook, known: contacts.Contacts,
-                 counter: changes.Counter) -> None:
+                 counter: changelog.Counter) -> None:
         self._board = board
         self._timing = timing
         self._book = book
         self._contacts = known
         self._counter = counter
-        self._nodes: changes.ChangeLog[str, fleet.NodeIdentity] = (
-            changes.ChangeLog(counter))
-        self._suspicions: changes.ChangeLog[str, peering.Suspicion] = (
-            changes.ChangeLog(counter))
-        self._summaries: changes.ChangeLog[tuple[str, str], tuple[
-            int, peering.ServiceSummary]] = changes.ChangeLog(counter)
+        self._nodes: changelog.ChangeLog[str, fleet.NodeIdentity] = (
+            changelog.ChangeLog(counter))
+        self._suspicions: changelog.ChangeLog[str, peering.Suspicion] = (
+            changelog.ChangeLog(counter))
+        self._summaries: changelog.ChangeLog[tuple[str, str], tuple[
+            int, peering.ServiceSummary]] = changelog.ChangeLog(counter)
 
     def refresh(self, now_ms: int, asked: Iterable[str]) -> None:
         """Looks at what has changed since the last time.
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -43,7 +43,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick(Event):
-    """Time has passed."""
+    """Time has passed.
+
+    Attributes:
+        at: Wall time in ISO 8601, for people only; empty where there is none.
+    """
+
+    at: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -347,9 +353,65 @@
     digests: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptSent(Event):
+    """A request was sent to a replica or to a node of another data centre.
+
+    Attributes:
+        head: The request.
+        attempt_id: Which attempt.
+        target: Where it went.
+        alone: Whether nothing else may be sent there while it runs.
+    """
+
+    head: requesting.RequestHead
+    attempt_id: str
+    target: requesting.Target
+    alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptClosed(Event):
+    """An attempt that was sent has ended or was given up; once for each.
+
+    Attributes:
+        head: The request.
+        attempt_id: Which attempt.
+        target: Where it had gone.
+        outcome: Whether it ran, as far as is known.
+        whole: Whether the whole answer reached the caller.
+        took_ms: From sending to the end.
+    """
+
+    head: requesting.RequestHead
+    attempt_id: str
+    target: requesting.Target
+    outcome: requesting.Outcome
+    whole: bool
+    took_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentAccepted(Event):
     """A higher revision of a document is now in force on this node."""
 
     service: str
     revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineLifted(Event):
+    """An operator wants a request to run again.
+
+    Attributes:
+        digest: Of the request.
+        by: The operator.
+    """
+
+    digest: str
+    by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetChanged(Event):
+    """Rows of the fleet were written and are to be read again soon."""
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -8,7 +8,7 @@
 import types
 from typing import Any, Self, TypeVar
 
-from cardamommill import actions, events
+from cardamommill import actions, events, exceptions, walltime
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
 
@@ -97,6 +97,20 @@
         self._inbox.put(_Question(question, answer))
         return answer
 
+    def check(self) -> None:
+        """Raises what ended the control thread, if anything did.
+
+        A fault in a decision ends the thread: what it has half written to the
+        board must not be served from. The process ends with it, and a new one
+        starts from the table.
+
+        Raises:
+            ControlFailed: The control thread has ended.
+        """
+        if self._running.done() and (error := self._running.exception()):
+            raise exceptions.ControlFailed(f"{type(error).__name__}: {error}",
+                                           step="decide") from error
+
     def view(self) -> View:
         """Returns what is known, as of the last event."""
         return self._view
@@ -109,7 +123,7 @@
             try:
                 item = self._inbox.get(timeout=wait_ms / 1000)
             except queue.Empty:
-                item = events.Tick()
+                item = events.Tick(walltime.now())
             if item is None:
                 return
             # Looked at before every event, not only at ticks: after a pause
@@ -121,7 +135,7 @@
                     self._handle(events.Paused(stood_ms))
                 last_tick_ms = now_ms()
                 if not isinstance(item, events.Tick):
-                    self._handle(events.Tick())
+                    self._handle(events.Tick(walltime.now()))
             if isinstance(item, _Question):
                 self._answer(item)
             else:
@@ -143,7 +157,7 @@
     def _publish(self) -> None:
         board = self._decisions.board
         ready = (board.life.phase is board_lib.NodePhase.SERVING and
-                 board.documents.complete)
+                 not board.life.leaving and board.documents.complete)
         seen = self._view
         if (seen.phase, seen.ready) == (board.life.phase, ready) and all(
                 seen.documents.get(service) is in_force
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -27,6 +27,12 @@
         body_bytes: The largest request body, whatever a document allows.
         read_timeout_ms: How long a request may take to arrive whole.
         idle_timeout_ms: How long a connection may stand idle.
+        connections: Connections at once; more are closed at once.
+        workers: Threads that look into requests; none waits for an answer.
+        held_bytes: What requests of all callers may take together.
+        unsent_bytes: What may wait for a caller that does not read its
+            stream; with more the caller is cut off.
+        answer_bytes: The largest answer that is not a stream.
         tls_certificate: A PEM file; empty for plain HTTP.
         tls_key: A PEM file.
     """
@@ -37,6 +43,11 @@
     body_bytes: Annotated[int, pydantic.Field(ge=1)] = 8_388_608
     read_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 10_000
     idle_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 30_000
+    connections: Annotated[int, pydantic.Field(ge=1, le=65_536)] = 1024
+    workers: Annotated[int, pydantic.Field(ge=1, le=64)] = 8
+    held_bytes: Annotated[int, pydantic.Field(ge=1024)] = 67_108_864
+    unsent_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
+    answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8_388_608
     tls_certificate: str = ""
     tls_key: str = ""
 
@@ -186,6 +197,8 @@
                                        step="settings",
                                        peer=str(path)) from error
     except pydantic.ValidationError as error:
+        # Not "from error": pydantic's text shows what it found, and a key
+        # written into the wrong field would reach the log with a traceback.
         raise exceptions.SettingsError(documents.faults(error),
                                        step="settings",
-                                       peer=str(path)) from error
+                                       peer=str(path)) from None
