Pass replicas' rows on in an outage, in a message that peers take

Cause: a node that has its replicas' rows from a peer calls its index -1; this went out in its answers, where the border refuses a number below zero. So in an outage, just when rows pass between nodes, whole digests would have been refused and the nodes lost sight of one another.

Ruled out: allowing negative numbers at the border (an age below zero would make evidence fresher than it was).

Change: a node names the version of the index that its rows came with, from the table or a peer. All messages of the fake fleet now go through the real encoding.

--- a/cardamommill/digests.py
+++ b/cardamommill/digests.py
@@ -84,12 +84,14 @@
                              for key, summary in section.summaries.items()
                              if key[0] in own)
 
-    def answer(self, request: peering.PullRequest,
+    def answer(self, request: peering.PullRequest, held_version: int,
                now_ms: int) -> peering.Digest:
         """Returns the answer to a pull.
 
         Args:
             request: What was asked.
+            held_version: The version of the fleet's index that the rows of
+                replicas came with, from the table or a peer.
             now_ms: The local monotonic time.
         """
         board = self._board
@@ -111,15 +113,14 @@
                        ()),
             suspicions=self._suspicions.after(after)[:MAX_SUSPICIONS],
         )
-        return (self._near(common, request, after, now_ms)
+        return (self._near(common, request, after, held_version, now_ms)
                 if near else self._far(common, now_ms))
 
     def _near(self, common: peering.Digest, request: peering.PullRequest,
-              after: int, now_ms: int) -> peering.Digest:
+              after: int, held_version: int, now_ms: int) -> peering.Digest:
         board = self._board
         reports, unchanged = self._book.told(after, now_ms)
-        index_version = board.assignments.index_version
-        newer = index_version > request.assignments_version
+        newer = held_version > request.assignments_version
         return dataclasses.replace(
             common,
             nodes=self._nodes.after(after)[:MAX_NODES],
@@ -128,7 +129,7 @@
             in_flight=self._in_flight(),
             uses=tuple(use for use in board.limits.uses.values()
                        if use.concurrent or use.requests_per_s > 0)[:MAX_USES],
-            assignments_version=index_version,
+            assignments_version=held_version,
             replicas=self._replicas() if newer else (),
             summaries=tuple(
                 _aged(summary, now_ms - seen_ms) for seen_ms, summary in
--- a/cardamommill/membership.py
+++ b/cardamommill/membership.py
@@ -222,9 +222,10 @@
             if event.request.documents_hash != digests.documents_hash(
                     self.board):
                 contact.want_documents(now_ms)
-        return (actions.AnswerPeer(event.token,
-                                   self._digests.answer(event.request,
-                                                        now_ms)),)
+        return (actions.AnswerPeer(
+            event.token,
+            self._digests.answer(event.request, self._pulls.held_version(),
+                                 now_ms)),)
 
     @step.register
     def _pulled(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
--- a/cardamommill/pulling.py
+++ b/cardamommill/pulling.py
@@ -116,10 +116,18 @@
                 after_incarnation=identity.incarnation if identity else 0,
                 wants_documents=wants,
                 documents_hash=digests.documents_hash(board),
-                assignments_version=max(self.assignments_version,
-                                        board.assignments.index_version),
+                assignments_version=self.held_version(),
                 wants_vms=not board.vms.listed))
 
+    def held_version(self) -> int:
+        """Returns the version of the fleet's index that is held here.
+
+        With rows of a peer the board names none, since not all of them were
+        read; they are still as new as the index that they came with.
+        """
+        return max(self.assignments_version,
+                   self._board.assignments.index_version)
+
     def ask_all(self, now_ms: int) -> None:
         """Makes all nodes due."""
         for contact in self._contacts.by_address.values():
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -16,6 +16,7 @@
     events,
     fleet,
     membership,
+    peerwire,
     periods,
     store,
 )
@@ -24,6 +25,11 @@
 KINDS = (membership.Membership, configuration.Configuration)
 
 
+def over_the_wire(message):
+    """Returns a message as another process reads it."""
+    return peerwire.decode(peerwire.encode(message), type(message), "fake")
+
+
 @dataclasses.dataclass
 class FakeRunner:
     """A runner, what it has ever said, and until when each was true."""
@@ -261,12 +267,14 @@
                     events.PeerAsked(events.Token("net", 0), action.request))
                 self._later(ended(None), self.timing.pull_timeout_ms)
                 return
-            asked = events.PeerAsked(events.Token("net", 0), action.request)
+            asked = events.PeerAsked(events.Token("net", 0),
+                                     over_the_wire(action.request))
             for answer in peer.decided.step(asked,
                                             self.now_ms + peer.offset_ms):
                 if isinstance(answer, actions.AnswerPeer) and self._arrives():
-                    self._later(ended(answer.digest))
+                    digest = over_the_wire(answer.digest)
+                    self._later(ended(digest))
                     if self.random.random() < self.repeats:
-                        self._later(ended(answer.digest))
+                        self._later(ended(digest))
 
         self._later(ask)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,343 @@
+"""Tests of membership: who watches whom, what is told, what is believed."""
+
+import dataclasses
+
+import pytest
+
+from cardamommill import (
+    actions,
+    board,
+    changelog,
+    contacts,
+    documents,
+    events,
+    evidence,
+    fleet,
+    peering,
+    periods,
+    store,
+    watching,
+)
+from tests import fake_fleet
+
+TIMING = periods.Timing()
+
+
+def heard(node) -> set[str]:
+    return set(node.board.peers.by_node)
+
+
+def test_nodes_find_one_another_without_the_table():
+    """The platform is down from the first moment.
+
+    Each node knows one address from its settings; the others become known
+    through that node's answers, and the list of VMs through nobody.
+    """
+    fleet_ = fake_fleet.FakeFleet(("dc-a", "dc-b"), 3)
+    fleet_.table.down = True
+    fleet_.advance(3000)
+    for name, node in fleet_.nodes.items():
+        others = {
+            peer for peer in fleet_.nodes
+            if peer[:4] == name[:4] and peer != name
+        }
+        assert heard(node) == others
+
+
+def test_node_that_starts_in_an_outage_learns_vms_and_documents_from_peers():
+    fleet_ = fake_fleet.FakeFleet(nodes=2)
+    fleet_.advance(3000)
+    fleet_.table.down = True
+    fleet_.restart_node("dc-a-1")
+    fleet_.advance(3000)
+    node = fleet_.nodes["dc-a-1"]
+    assert set(node.board.vms.listed) == set(fleet_.runners)
+    assert set(node.board.evidence.by_vm) == set(fleet_.runners)
+
+
+def test_each_runner_is_asked_by_two_nodes_and_known_to_all():
+    fleet_ = fake_fleet.FakeFleet(nodes=5, vms=20)
+    fleet_.advance(4000)
+    asked = {vm_id: set() for vm_id in fleet_.runners}
+    perform = fleet_._perform
+
+    def note(node, action):
+        if isinstance(action, actions.PollRunner):
+            asked[action.vm_id].add(node.name)
+        perform(node, action)
+
+    fleet_._perform = note
+    for _ in range(20):
+        fleet_.advance(100)
+        for node in fleet_.nodes.values():
+            now_ms = fleet_.now_ms + node.offset_ms
+            by_vm = node.board.evidence.by_vm
+            assert set(by_vm) == set(fleet_.runners)
+            oldest_ms = now_ms - min(each.seen_ms for each in by_vm.values())
+            assert oldest_ms <= TIMING.poll_ms + TIMING.pull_ms + 300
+    assert {len(nodes) for nodes in asked.values()} == {watching.WATCHERS}
+
+
+def test_runners_of_a_dead_node_are_taken_over_before_evidence_runs_out():
+    """Two of five nodes die at once.
+
+    Runners that only they asked are asked by others well before the last
+    evidence on them has run out, so no replica falls silent for it.
+    """
+    fleet_ = fake_fleet.FakeFleet(nodes=5, vms=20)
+    fleet_.advance(4000)
+    for name in ("dc-a-1", "dc-a-2"):
+        fleet_.nodes[name].alive = False
+    oldest_ms = 0
+    for _ in range(60):
+        fleet_.advance(100)
+        node = fleet_.nodes["dc-a-4"]
+        now_ms = fleet_.now_ms + node.offset_ms
+        oldest_ms = max(
+            oldest_ms, now_ms -
+            min(each.seen_ms for each in node.board.evidence.by_vm.values()))
+    assert oldest_ms < TIMING.evidence_max_age_ms
+
+
+def test_former_life_of_a_node_is_ignored():
+    """A node is restarted; an answer of its former life comes late.
+
+    The late answer says what its old evidence was and numbers it by the old
+    count; taken in, it would hide the new life's first changes.
+    """
+    fleet_ = fake_fleet.FakeFleet(nodes=2)
+    fleet_.advance(3000)
+    before = fleet_.nodes["dc-a-1"].identity
+    fleet_.restart_node("dc-a-1")
+    fleet_.advance(3000)
+    node = fleet_.nodes["dc-a-0"]
+    late = peering.Digest(peering.PROTOCOL_VERSION,
+                          before,
+                          sequence=10**9,
+                          drained=("dc-a-vm-0",))
+    fleet_._hand(
+        node,
+        events.PeerPulled(before.peer_address, late,
+                          fleet_.now_ms + node.offset_ms))
+    assert not node.board.vms.leaving
+    assert node.board.peers.by_node["dc-a-1"].identity.incarnation == 2
+    fleet_.runners["dc-a-vm-0"].change(fleet_.now_ms, formation=5)
+    fleet_.advance(2000)
+    assert node.board.evidence.by_vm["dc-a-vm-0"].report.formation == 5
+
+
+def test_repetition_is_joined_by_number_when_answers_overtake():
+    """Two answers of a peer arrive in the wrong order.
+
+    The later one brings a runner's new formation; the earlier one says that
+    its report is unchanged, meaning the old formation. Joined by VM, the new
+    formation would be dated by a question that the runner answered before it
+    was formed.
+    """
+    identity = fleet.NodeIdentity("b", "dc", "r", 1, "10.0.0.2:1", "10.0.0.2:2")
+    contact = contacts.Contact("10.0.0.2:1", False, 0, identity)
+    old = fleet.RunnerReport("vm", "boot", formation=1)
+    new = fleet.RunnerReport("vm", "boot", formation=2)
+    first = peering.Digest(1,
+                           identity,
+                           sequence=1,
+                           reports=(peering.AgedReport(old, 10, "b", 1),))
+    later = peering.Digest(1,
+                           identity,
+                           sequence=2,
+                           after_sequence=1,
+                           reports=(peering.AgedReport(new, 10, "b", 2),))
+    earlier = peering.Digest(1,
+                             identity,
+                             sequence=1,
+                             after_sequence=1,
+                             unchanged=(peering.Unchanged(1, 5),))
+    assert [each.report for each in contact.reports(first, 1000)] == [old]
+    assert [each.report for each in contact.reports(later, 3000)] == [new]
+    assert not list(contact.reports(earlier, 2000))
+
+
+def test_answer_that_skips_changes_does_not_move_the_count():
+    identity = fleet.NodeIdentity("b", "dc", "r", 1, "10.0.0.2:1", "10.0.0.2:2")
+    contact = contacts.Contact("10.0.0.2:1", False, 0, identity, sequence=3)
+    contact.advance(peering.Digest(1, identity, sequence=9, after_sequence=5))
+    assert contact.sequence == 3
+    contact.advance(peering.Digest(1, identity, sequence=6, after_sequence=3))
+    assert contact.sequence == 6
+
+
+def _book():
+    """Returns a node's board, and what writes its evidence."""
+    identity = fleet.NodeIdentity("a", "dc", "r", 1, "10.0.0.1:1", "10.0.0.1:2")
+    told = board.Board(identity)
+    return told, evidence.EvidenceBook(told, TIMING, changelog.Counter())
+
+
+def test_evidence_is_as_old_as_its_question():
+    told, book = _book()
+    report = fleet.RunnerReport("vm", "boot-1")
+    later = dataclasses.replace(report, boot_id="boot-2")
+    book.polled(events.RunnerPolled("vm", report, 1000))
+    # The answer to an earlier question comes later; it changes nothing.
+    book.polled(events.RunnerPolled("vm", later, 900))
+    assert told.evidence.by_vm["vm"] == fleet.Evidence(report, 1000, "a")
+    book.polled(events.RunnerPolled("vm", later, 1100))
+    assert told.evidence.by_vm["vm"].report == later
+    assert book.own["vm"].sequence == 2
+    # A runner that answers for another VM is no evidence on this one.
+    book.polled(events.RunnerPolled("other", later, 1200))
+    assert "other" not in told.evidence.by_vm
+
+
+def test_accusation_is_taken_back_by_a_later_answer_only():
+    """A head's connection breaks; the runner may or may not be dead.
+
+    Until an answer to a question asked after that, no work goes there; a
+    repetition of what was seen before does not clear it, a living runner's
+    next answer does, and an accusation of a former boot does nothing.
+    """
+    told, book = _book()
+    report = fleet.RunnerReport("vm", "boot-1")
+    book.polled(events.RunnerPolled("vm", report, 1000))
+    assert not book.accuse("vm", "boot-0", 1500)
+    assert book.accuse("vm", "boot-1", 1500)
+    book.merge(fleet.Evidence(report, 1400, "b"))
+    assert told.evidence.lost_boots == {"vm": "boot-1"}
+    book.merge(fleet.Evidence(report, 1600, "b"))
+    assert not told.evidence.lost_boots
+
+
+def test_crash_of_a_head_is_told_to_peers_at_once():
+    fleet_ = fake_fleet.FakeFleet(nodes=3)
+    fleet_.advance(3000)
+    node = fleet_.nodes["dc-a-0"]
+    row = fleet.ReplicaRow("r", "s", "dc-a", 1, 1, ("dc-a-vm-0",), (), "",
+                           fleet.ReplicaState.ASSIGNED, 1, "")
+    node.board.assignments.replicas["r"] = row
+    fleet_.runners["dc-a-vm-0"].alive = False
+    fleet_._hand(node, events.RunnerCrashed("r", 1, 1, ()))
+    fleet_.advance(100)
+    for each in fleet_.nodes.values():
+        assert each.board.evidence.lost_boots == {"dc-a-vm-0": "boot-1"}
+
+
+def test_drain_that_is_taken_back_is_forgotten_by_all():
+    """An operator drains a VM and takes it back.
+
+    Each node tells what it read itself. Were what peers told passed on too,
+    nodes would go on telling one another of the drain for ever.
+    """
+    fleet_ = fake_fleet.FakeFleet(nodes=3)
+    fleet_.advance(2000)
+    nodes = fleet_.nodes.values()
+    for node in nodes:
+        node.board.assignments.drained.add("dc-a-vm-1")
+    fleet_.advance(2000)
+    assert all(node.board.vms.leaving == {"dc-a-vm-1"} for node in nodes)
+    for node in nodes:
+        node.board.assignments.drained.clear()
+    fleet_.advance(2000)
+    assert not any(node.board.vms.leaving for node in nodes)
+
+
+def test_second_node_of_the_same_name_is_told_once():
+    fleet_ = fake_fleet.FakeFleet(nodes=2)
+    fleet_.advance(2000)
+    node = fleet_.nodes["dc-a-0"]
+    namesake = dataclasses.replace(node.identity, incarnation=9)
+    for _ in range(2):
+        fleet_._hand(
+            node,
+            events.PeerPulled(
+                "10.0.0.2:1", peering.Digest(peering.PROTOCOL_VERSION,
+                                             namesake), 0))
+    assert [record.event for record in node.records] == ["name-taken"]
+
+
+def test_rows_of_replicas_pass_on_through_nodes_that_have_them_from_peers():
+    """The table is down; a node has its replicas' rows from a peer only.
+
+    Its index then counts as not read (below zero). The rows must still pass
+    on to a third node, and the message must be one that peers take.
+    """
+    fleet_ = fake_fleet.FakeFleet(nodes=2)
+    fleet_.advance(2000)
+    node = fleet_.nodes["dc-a-0"]
+    row = fleet.ReplicaRow("r", "s", "dc-a", 1, 1, ("dc-a-vm-0",), (), "",
+                           fleet.ReplicaState.ASSIGNED, 1, "")
+    giver = fleet_.nodes["dc-a-1"].identity
+    fleet_._hand(
+        node,
+        events.PeerPulled(
+            giver.peer_address,
+            peering.Digest(1,
+                           giver,
+                           replicas=(peering.ReplicaCopy(4, row),),
+                           assignments_version=7),
+            fleet_.now_ms + node.offset_ms))
+    node.board.assignments.replicas["r"] = row
+    node.board.assignments.replica_versions["r"] = 4
+    node.board.assignments.index_version = -1
+    third = dataclasses.replace(giver, node_id="third")
+    answer, = node.decided.step(
+        events.PeerAsked(events.Token("net", 1), peering.PullRequest(1, third)),
+        fleet_.now_ms + node.offset_ms)
+    digest = fake_fleet.over_the_wire(answer.digest)
+    assert digest.assignments_version == 7
+    assert digest.replicas == (peering.ReplicaCopy(4, row),)
+
+
+def test_summaries_reach_every_node_of_other_data_centres():
+    fleet_ = fake_fleet.FakeFleet(("dc-a", "dc-b"), 3)
+    in_force = _document("desk", "dc-b")
+    for node in fleet_.nodes.values():
+        node.board.documents.in_force["desk"] = in_force
+        node.board.documents.complete = True
+        node.board.life.phase = board.NodePhase.SERVING
+    fleet_.advance(6000)
+    for name, node in fleet_.nodes.items():
+        if name.startswith("dc-a"):
+            summary = node.board.peers.summaries["dc-b", "desk"]
+            assert len(summary.entry_addresses) == 3
+            age_ms = (fleet_.now_ms + node.offset_ms -
+                      node.board.peers.summaries_ms["dc-b", "desk"])
+            assert age_ms <= TIMING.summary_ms + TIMING.pull_ms + 300
+
+
+def _document(service, data_centre):
+    body = (f"{{service: {service}, kind: plain, pool: p, accounts: [], "
+            f"capacity: {{{data_centre}: {{replicas: 1}}}}}}")
+    return board.DocumentInForce(
+        documents.parse(body, "test"),
+        store.DocumentRow(service, 1, "", "", "", body), 0)
+
+
+@pytest.mark.parametrize("nodes", (2, 5, 13))
+def test_watchers_move_only_as_far_as_they_must(nodes):
+    names = [f"n{number}" for number in range(nodes)]
+    vms = [f"vm{number}" for number in range(200)]
+    before = {vm_id: watching.chosen(vm_id, names, 2) for vm_id in vms}
+    after = {vm_id: watching.chosen(vm_id, names[1:], 2) for vm_id in vms}
+    for vm_id in vms:
+        kept = set(before[vm_id]) - {names[0]}
+        assert kept <= set(after[vm_id])
+
+
+def test_memory_of_vms_is_bounded(monkeypatch):
+    monkeypatch.setattr(evidence, "MAX_VMS", 3)
+    told, book = _book()
+    identity = fleet.NodeIdentity("b", "dc", "r", 1, "10.0.0.2:1", "10.0.0.2:2")
+    contact = contacts.Contact("10.0.0.2:1", False, 0, identity)
+    for number in range(1, 20):
+        report = fleet.RunnerReport(f"vm-{number}", "boot")
+        digest = peering.Digest(1,
+                                identity,
+                                sequence=number,
+                                after_sequence=number - 1,
+                                reports=(peering.AgedReport(
+                                    report, 0, "b", number),))
+        for each in contact.reports(digest, number):
+            book.merge(each)
+        contact.advance(digest)
+        assert len(contact._reports) <= 3
+    assert len(told.evidence.by_vm) == 3
