Test the border to callers, live requests and the node's life

Cause: limits, at most one answer and resumed streams need proof on real sockets. Found on the way: an attempt whose caller had gone ended as if its replica had failed, in a race with the news that the caller went, and would have been sent to another replica; the attempt now goes on until the decisions end it.

--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -89,9 +89,14 @@
                                                 timing.pull_timeout_ms,
                                                 loop.now_ms)
         self._replicas = upstream.Upstream(self._post)
-        self._requests = exchange.Exchange(self._post, self._replicas)
+        # All nodes have it in their settings, and callers don't know it.
+        hop_secret = settings.operators.key_sha256.encode()
+        self._requests = exchange.Exchange(self._post, self._replicas,
+                                           settings.callers.answer_bytes,
+                                           hop_secret)
         self._callers = frontend.Frontend(settings.callers, self.control,
-                                          self._requests, self.metrics.render)
+                                          self._requests, self.metrics.render,
+                                          hop_secret)
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as starting:
--- a/cardamommill/sinks.py
+++ b/cardamommill/sinks.py
@@ -108,12 +108,14 @@
         with live.lock:
             if not self._current():
                 return False
-            standing = live.answer.stream(self._head.status,
-                                          _passed_on(self._head), whole_events,
-                                          live.attempts)
+            # Whether the caller still listens is not asked: if it has gone,
+            # the decisions hear so and end the attempt. Ended here, it would
+            # look like a replica's failure and be sent to another one.
+            live.answer.stream(self._head.status, _passed_on(self._head),
+                               whole_events, live.attempts)
             live.delivered += self._splitter.take_count()
         if not self._keep:
-            return standing
+            return True
         # The answer is worth having for a repeat, also if the caller is gone.
         self._held += whole_events
         return len(self._held) <= self._answer_bytes
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -181,6 +181,8 @@
     name = "conductor"
     address = ""
     valid_ms = 5000
+    keep = False
+    remote = False
     seen: list = []
     on_end = None
 
@@ -191,8 +193,12 @@
     @step.register
     def _(self, event: events.RequestArrived, now_ms):
         self.seen.append(event)
+        kind = type(self)
         return (dispatch(event.head,
-                         type(self).address, now_ms + type(self).valid_ms),)
+                         kind.address,
+                         now_ms + kind.valid_ms,
+                         remote=kind.remote,
+                         keep_answer=kind.keep),)
 
     @step.register
     def _(self, event: events.AttemptStarted, now_ms):
@@ -221,13 +227,13 @@
                               "peer-1", outcome, 2)
 
 
-def dispatch(request, address, valid_until_ms, number=1, **more):
+def dispatch(request, address, valid_until_ms, number=1, remote=False, **more):
     """Returns a dispatch of a request."""
     values = {"resume_from": 0, "deadline_ms": request.deadline_ms}
     return actions.Dispatch(
         request.request_id, f"{request.request_id}-{number}",
         requesting.Target(address, "vm-1", REPLICA, EPOCH, FORMATION,
-                          valid_until_ms), **(values | more))
+                          valid_until_ms, remote), **(values | more))
 
 
 class Node(contextlib.ExitStack):
@@ -323,7 +329,17 @@
     """
 
     def __init__(self, sock):
-        self._file = sock.makefile("rb")
+        self._read(sock.makefile("rb"))
+
+    @classmethod
+    def of(cls, file):
+        """Returns the next answer of a connection."""
+        reply = cls.__new__(cls)
+        reply._read(file)
+        return reply
+
+    def _read(self, file):
+        self._file = file
         line = self._file.readline().decode()
         self.status = int(line.split()[1])
         self.headers = {}
