Go on after SIGSTOP and SIGCONT; add trials of real processes

Cause: a node that was stopped for 4 s and continued shut down gracefully though nobody had asked. Ruled out: a stray SIGTERM of the trial. signal.sigtimedwait, interrupted with its time over, returns as if a signal had come. Change: handlers that note the number; the main thread posts the event.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -249,6 +249,15 @@
         """Shows the main job on this machine, in under a minute."""
         importlib.import_module("cardamommill.demo").run()
 
+    def trial(self, seed: int = 1, seconds: float = 60) -> None:
+        """Lets real processes fail under load, and checks all answers.
+
+        Args:
+            seed: For all chance in it.
+            seconds: For how long things fail.
+        """
+        importlib.import_module("cardamommill.trial").main(seed, seconds)
+
     def version(self) -> str:
         """Prints the version."""
         package: Any = importlib.import_module("cardamommill")
--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -128,12 +128,17 @@
         Raises:
             CardamommillError: The control thread failed.
         """
-        # The signals must be blocked here and in no other thread; they are
-        # fetched one by one, so no handler runs amid other code.
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        asked: list[int] = []
+        # Handlers, and not sigtimedwait: after SIGSTOP and SIGCONT that
+        # returns as if a signal had come (it is interrupted with its time
+        # over), and a node that had only been paused ended itself.
+        for number in SIGNALS:
+            signal.signal(number, lambda number, frame: asked.append(number))
         log.info(logs.line("node-started", node=self._settings.node))
         while not self._ended.done():
-            if signal.sigtimedwait(SIGNALS, SIGNAL_POLL_S) is not None:
+            futures.wait((self._ended,), SIGNAL_POLL_S)
+            while asked:
+                log.info(logs.line("signal", number=asked.pop()))
                 self.control.post(events.ShutdownAsked())
             self.control.check()
         time.sleep(FLUSH_S)
