Name refusals in trials; keep the trial's account below its limits

Ruled out: a wrong share. Each of two data centre's nodes keeps half while the other is silent, and the callers were faster than the 16.7/s left. Change: refusals are counted by status and title; the account may send 2000/s.

--- a/cardamommill/trial.py
+++ b/cardamommill/trial.py
@@ -41,7 +41,8 @@
 capacity: {{hcm-q1: {{replicas: 2, spares: 1}}, hcm-td: {{replicas: 2}},
            hcm-q7: {{replicas: 2}}}}
 engine: {{can_resume: true}}
-accounts: [{{name: clerk, key_sha256: {launching.sha256(CALLER_KEY)}}}]
+accounts: [{{name: clerk, key_sha256: {launching.sha256(CALLER_KEY)},
+            requests_per_s: 2000, burst: 2000}}]
 """
 BOOKINGDESK = f"""
 service: bookingdesk
@@ -50,7 +51,8 @@
 capacity: {{hcm-q1: {{replicas: 1}}, hcm-td: {{replicas: 1}},
            hcm-q7: {{replicas: 1}}}}
 routes: [{{prefix: bookings, repeatable: false}}]
-accounts: [{{name: clerk, key_sha256: {launching.sha256(CALLER_KEY)}}}]
+accounts: [{{name: clerk, key_sha256: {launching.sha256(CALLER_KEY)},
+            requests_per_s: 2000, burst: 2000}}]
 """
 
 
@@ -297,8 +299,8 @@
         tally = trial.run()
     finally:
         print(f"seed {seed}: " + "; ".join(trial.faults))
-    refused = ", ".join(f"{count} with {status}"
-                        for status, count in sorted(tally.refused.items()))
+    refused = ", ".join(
+        f"{count} with {name}" for name, count in sorted(tally.refused.items()))
     print(f"{tally.delivered} answers whole, {tally.broken} broken off openly, "
           f"refused: {refused or 'none'}")
     if tally.violations():
--- a/cardamommill/trialoracle.py
+++ b/cardamommill/trialoracle.py
@@ -32,7 +32,7 @@
 
     Attributes:
         delivered: Answers that reached their caller whole.
-        refused: Final answers that were no success, by status.
+        refused: Final answers that were no success, by status and title.
         broken: Streams that ended in an explicit error.
         silent: Answers that ended as whole and were not.
         foreign: Answers that were another request's.
@@ -41,7 +41,7 @@
     """
 
     delivered: int = 0
-    refused: dict[int, int] = dataclasses.field(default_factory=dict)
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
     broken: int = 0
     silent: list[str] = dataclasses.field(default_factory=list)
     foreign: list[str] = dataclasses.field(default_factory=list)
@@ -75,7 +75,7 @@
             self.tally.broken += 1
             return
         if answer.status != 200:
-            self._refused(answer.status)
+            self._refused(answer)
             return
         request_id = answer.headers.get(REQUEST, "")
         lines = [line for line in answer.text().split("\n\n") if line.strip()]
@@ -110,10 +110,11 @@
         if answer.status == 200:
             self.tally.delivered += 1
         else:
-            self._refused(answer.status)
+            self._refused(answer)
 
-    def _refused(self, status: int) -> None:
-        self.tally.refused[status] = self.tally.refused.get(status, 0) + 1
+    def _refused(self, answer: webclient.Answer) -> None:
+        name = f"{answer.status} {_title(answer)}"
+        self.tally.refused[name] = self.tally.refused.get(name, 0) + 1
 
     def judge(self, runs: Mapping[str, int]) -> Tally:
         """Compares what was told with what ran.
@@ -131,3 +132,10 @@
             if len(bodies) > 1:
                 self.tally.foreign.append(f"{key}: answers differ")
         return self.tally
+
+
+def _title(answer: webclient.Answer) -> str:
+    try:
+        return str(answer.json()["title"])
+    except (ValueError, KeyError, TypeError):
+        return "without a problem's title"
