--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := cardamommill tests
+SOURCES := cardamommill tests tools
 
-.PHONY: run test check format lock generate binary bench prove capacity clean
+.PHONY: run test check format lock generate binary pages bench prove capacity clean
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -42,6 +42,12 @@
 	  .venv-lock/bin/pip freeze) > requirements.lock
 	rm -rf .venv-lock
 
+binary: $(STAMP)
+	$(BIN)/python tools/pack.py dist/cardamommill
+
+pages: $(STAMP)
+	$(BIN)/python -m tools.pages
+
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
 	  --grpc_python_out=. cardamommill/peer.proto
