Take a resumed stream only from an engine that says where it goes on

Ruled out: late bytes of a former attempt (attempt ids differ and are compared). The document said can_resume, the engines could not, ignored the offset and began anew. Change: an answer to a resumed attempt must name the offset, or no byte of it is passed on; the caller gets an explicit error. One data centre of the trial keeps engines that contradict their document. Measured: the new test fails without the comparison and passes with it.

--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -98,6 +98,7 @@
         deadline_ms: Local monotonic time at which it is given up.
         once: Whether it must go out on a connection of its own, so that a
             kept one that the server just closed can't leave it unknown.
+        resume_from: Stream events that the caller already has.
     """
 
     request_id: str
@@ -109,6 +110,7 @@
     body: bytes
     deadline_ms: int
     once: bool = False
+    resume_from: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -358,6 +360,10 @@
             "cardamommill-epoch": str(target.epoch),
             "cardamommill-formation": str(target.formation),
         }
+    if attempt.resume_from:
+        # An engine that can't resume, whatever its document says, begins
+        # anew, and the caller would get the first events twice.
+        wanted["cardamommill-resume-from"] = str(attempt.resume_from)
     for name, value in wanted.items():
         if head.get(name) != value:
             return f"{name} is {head.get(name)!r}, not {value!r}"
--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -230,7 +230,8 @@
                             tuple(passed_on + own),
                             live.body,
                             action.deadline_ms,
-                            once=not head.repeatable)
+                            once=not head.repeatable,
+                            resume_from=action.resume_from)
 
 
 def _goes_on(name: str, dropped: frozenset[str]) -> bool:
--- a/cardamommill/standin_runner.py
+++ b/cardamommill/standin_runner.py
@@ -238,8 +238,7 @@
         asked = work.call.json() if work.call.path == COMPLETIONS else {}
         prompt = str(asked.get("prompt", ""))
         max_tokens = int(asked.get("max_tokens", DEFAULT_MAX_TOKENS))
-        first = (_number(work.call, "cardamommill-resume-from")
-                 if self._options.can_resume else 0)
+        first = self._first(work)
         missing = self._engine.cache.use(
             list(prompts.read(work.call.body).prefixes) if asked else [])
         self._wait(work, missing * self._options.prefill_ms)
@@ -277,12 +276,21 @@
 
     def _names(self, work: _Work) -> dict[str, str]:
         replica_id, epoch, formation = self._engine.formation.key()
-        return {
+        names = {
             "Cardamommill-Replica": replica_id,
             "Cardamommill-Epoch": str(epoch),
             "Cardamommill-Formation": str(formation),
             "Cardamommill-Request": work.request_id,
         }
+        if first := self._first(work):
+            names["Cardamommill-Resume-From"] = str(first)
+        return names
+
+    def _first(self, work: _Work) -> int:
+        """Returns the number of the first event of a work's stream."""
+        if not self._options.can_resume:
+            return 0
+        return _number(work.call, "cardamommill-resume-from")
 
     # --- The head's watch over its members ---
 
--- a/cardamommill/trial.py
+++ b/cardamommill/trial.py
@@ -55,6 +55,9 @@
             requests_per_s: 2000, burst: 2000}}]
 """
 
+# The engines of one data centre can't do what the document says of them.
+_RESUMES = {"hcm-q1": "yes", "hcm-td": "yes", "hcm-q7": "no"}
+
 
 def _vms() -> Iterator[launching.VmPlan]:
     for dc in DATA_CENTRES:
@@ -62,7 +65,8 @@
             yield launching.VmPlan(f"{dc}-gpu-{number}", dc, f"{dc}-fabric",
                                    "gpu", {
                                        "load_ms": 500,
-                                       "token_ms": 10
+                                       "token_ms": 10,
+                                       "can_resume": _RESUMES[dc]
                                    })
         yield launching.VmPlan(f"{dc}-web-0", dc, f"{dc}-front", "web",
                                {"kind": "plain"})
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -142,6 +142,9 @@
     for name in names:
         value = more.pop(name, received.headers[f"cardamommill-{name}"])
         lines.append(f"Cardamommill-{name.title()}: {value}")
+    resumed = received.headers.get("cardamommill-resume-from")
+    if more.pop("resumes", True) and resumed:
+        lines.append(f"Cardamommill-Resume-From: {resumed}")
     lines += [
         f"{name.replace('_', '-')}: {value}" for name, value in more.items()
     ]
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -77,6 +77,32 @@
         assert ends[0].delivered == 5
 
 
+def test_engine_that_begins_anew_sends_the_caller_nothing():
+    """The document says that the engine can resume, and the engine can't.
+
+    The first replica breaks off after two events; the second ignores the
+    offset and begins anew. The caller must get an explicit error: it had got
+    the first events twice, in a stream that ended as if whole.
+    """
+
+    def first(received, send):
+        send(edge.stream_head(received) + edge.chunk(an_event(0) + an_event(1)))
+        return False
+
+    def anew(received, send):
+        send(
+            edge.stream_head(received, resumes=False) +
+            edge.chunk(b"".join(map(an_event, range(5))) + DONE) + b"0\r\n\r\n")
+
+    nodes = []
+    with edge.Runner(first) as dying, edge.Runner(anew) as other, edge.Node(
+            dying.address, on_end=resume(nodes, lambda: other.address)) as node:
+        nodes.append(node)
+        reply = node.call(body=STREAM)
+    assert reply.body.startswith(an_event(0) + an_event(1) + b"event: error")
+    assert DONE not in reply.body
+
+
 def test_resume_from_elsewhere_is_not_sent():
 
     def first(received, send):
