--- a/cardamommill/digests.py
+++ b/cardamommill/digests.py
@@ -85,12 +85,14 @@
                              for key, summary in section.summaries.items()
                              if key[0] in own)
 
-    def answer(self, request: peering.PullRequest,
+    def answer(self, request: peering.PullRequest, held_version: int,
                now_ms: int) -> peering.Digest:
         """Returns the answer to a pull.
 
         Args:
             request: What was asked.
+            held_version: The version of the fleet's index that the rows of
+                replicas came with, from the table or a peer.
             now_ms: The local monotonic time.
         """
         board = self._board
@@ -114,16 +116,15 @@
             store_age_ms=max(0, min(now_ms - board.store.answered_ms,
                                     MAX_AGE_MS)),
         )
-        return (self._near(common, request, after, now_ms)
+        return (self._near(common, request, after, held_version, now_ms)
                 if near else self._far(common, now_ms))
 
     def _near(self, common: peering.Digest, request: peering.PullRequest,
-              after: int, now_ms: int) -> peering.Digest:
+              after: int, held_version: int, now_ms: int) -> peering.Digest:
         board = self._board
         reports, unchanged = self._book.told(after, now_ms)
-        index_version = board.assignments.index_version
         # What was formed without the table has no newer version to go by.
-        newer = (index_version > request.assignments_version or
+        newer = (held_version > request.assignments_version or
                  bool(board.assignments.formed_without_table))
         return dataclasses.replace(
             common,
@@ -133,7 +134,7 @@
             in_flight=self._in_flight(),
             uses=tuple(use for use in board.limits.uses.values()
                        if use.concurrent or use.requests_per_s > 0)[:MAX_USES],
-            assignments_version=index_version,
+            assignments_version=held_version,
             replicas=self._replicas() if newer else (),
             summaries=tuple(
                 _aged(summary, now_ms - seen_ms) for seen_ms, summary in
--- /dev/null
+++ b/tests/test_bridging.py
@@ -0,0 +1,133 @@
+"""Tests of what a data centre does while the table gives no answer."""
+
+import pytest
+
+from cardamommill import fakeworld, fleet, store
+from tests import fleets
+
+OUTAGE_MS = 60_000
+
+
+def settled(**fields):
+    """Returns a world in which a replica and its loaded spare stand."""
+    document = fleets.document(replicas=1, spares=1, **fields)
+    world = fleets.world({"d0": 6},
+                         document,
+                         nodes=3,
+                         checks_fencing=document.engine.checks_fencing)
+    world.run(60_000)
+    assert len(fleets.serving_now(world)) == 1
+    return world
+
+
+def test_a_spare_takes_over_during_an_outage_and_is_written_down_after():
+    """The table is down when a runner dies; a loaded spare stands by.
+
+    The last planner's lease has run out and can't be renewed. All other nodes
+    tell it that they have no table either, so it forms the replica with its
+    own spare; all nodes serve it. Afterwards the table says the same.
+    """
+    world = settled()
+    (before,) = fleets.replicas(world)
+    world.faults.table_down = True
+    world.run(OUTAGE_MS)
+    world.runners[before.members[1]].up = False
+    world.run(OUTAGE_MS)
+    for name in world.nodes:
+        (found,) = fleets.serving_now(world, name=name)
+        assert before.spares[0] in found.row.members
+    assert fleets.replicas(world) == [before]
+    world.faults.table_down = False
+    world.run(2_000)
+    for name in world.nodes:
+        assert len(fleets.serving_now(world, name=name)) == 1
+    world.run(20_000)
+    (after,) = fleets.replicas(world)
+    assert after.members == found.row.members
+    uses = {
+        row.vm_id: row.use for row in fleets.rows(world, fleet.VmRow, store.VMS)
+    }
+    assert uses[before.members[1]] is fleet.VmUse.RELEASING
+    assert {uses[vm_id] for vm_id in after.members} == {fleet.VmUse.MEMBER}
+
+
+@pytest.mark.parametrize(
+    "how", ("peer has table", "peer silent", "unfenced", "new life"))
+def test_nothing_is_formed_where_another_could_be_planner(how):
+    """The last planner is cut off, but somebody else may hold the lease.
+
+    Were it to use the spare, the other could be moving that same spare to
+    another replica at this moment, and a VM would belong to two.
+    """
+    checks = how != "unfenced"
+    world = settled(engine={"checks_fencing": checks})
+    (before,) = fleets.replicas(world)
+    holder = fleets.planner(world)
+    others = [name for name in world.nodes if name != holder]
+    if how == "peer has table":
+        world.faults.cut = {
+            frozenset((name, fakeworld.TABLE)) for name in (holder, others[0])
+        }
+    else:
+        world.faults.table_down = True
+    if how == "peer silent":
+        world.faults.cut |= {frozenset((holder, each)) for each in others}
+    world.run(3_000)
+    if how == "new life":
+        world.nodes[holder].alive = False
+        world.add_node(holder, fleets.node(holder, incarnation=2))
+    world.run(OUTAGE_MS)
+    world.runners[before.members[1]].up = False
+    world.run(20_000)
+    orders = [
+        runner.order
+        for runner in world.runners.values()
+        if runner.up and runner.order and runner.order.members
+    ]
+    expected = fleets.replicas(world)[0].members
+    assert {order.members for order in orders} == {expected}
+    if how != "peer has table":
+        assert expected == before.members
+
+
+def test_the_holder_keeps_its_lease_over_an_outage():
+    """The table is back after an hour in which its row stood still.
+
+    Counted by that hour every other node would take the lease at once, and
+    each outage would end with a change of planner and all its waits. Time
+    without an answer does not count.
+    """
+    world = settled()
+    holder = fleets.planner(world)
+    world.faults.table_down = True
+    world.run(OUTAGE_MS)
+    world.faults.table_down = False
+    world.run(15_000)
+    assert fleets.planner(world) == holder
+    assert fleets.board(world, holder).lease.epoch == 1
+
+
+def test_writes_after_an_outage_stay_within_the_budget():
+    """A domain goes dark during an outage; much is to be done afterwards.
+
+    Every planner of the fleet would write at once when the table is back, and
+    take it down again; each keeps to its number of rows a second.
+    """
+    world = fleets.world({
+        "d0": 32,
+        "d1": 34
+    },
+                         fleets.document(replicas=8, spares=2),
+                         load_ms=2_000)
+    world.run(60_000)
+    world.faults.table_down = True
+    world.run(20_000)
+    for runner in world.runners.values():
+        runner.up = runner.vm.fabric_domain != "d0"
+    world.run(60_000)
+    before = world.table.writes
+    world.faults.table_down = False
+    seconds = 20
+    world.run(seconds * 1000)
+    # The burst, ten rows a second, and each node's own reads of liveness.
+    assert 0 < world.table.writes - before <= 80 + 34 + 11 * seconds
