--- a/cardamommill/facts.py
+++ b/cardamommill/facts.py
@@ -17,6 +17,7 @@
         now_ms: The local monotonic time of the round.
         watching_since_ms: Since when this node could have heard of runners
             without a break; silence counts from here at the earliest.
+        reports: What runners said lately, by VM.
         idle_since_ms: Since when a VM's runner has said, without a break,
             that it belongs to no replica.
         leaving_since_ms: Since when a VM is known to be leaving.
@@ -31,6 +32,7 @@
     timing: periods.Timing
     now_ms: int
     watching_since_ms: int
+    reports: Mapping[str, fleet.RunnerReport]
     idle_since_ms: Mapping[str, int] = dataclasses.field(default_factory=dict)
     leaving_since_ms: Mapping[str,
                               int] = dataclasses.field(default_factory=dict)
@@ -92,16 +94,7 @@
 
     def report(self, vm_id: str) -> fleet.RunnerReport | None:
         """Returns what a runner says, if it said so lately."""
-        evidence = self.board.evidence.by_vm.get(vm_id)
-        if evidence is None:
-            return None
-        age_ms = self.now_ms - evidence.seen_ms
-        lost = self.board.evidence.lost_boots.get(vm_id)
-        if (age_ms >= self.timing.evidence_max_age_ms or
-                evidence.seen_ms < self.board.life.not_before_ms or
-                lost == evidence.report.boot_id):
-            return None
-        return evidence.report
+        return self.reports.get(vm_id)
 
     def silent_ms(self, vm_id: str) -> int:
         """Returns for how long nothing was heard of a VM's runner."""
@@ -113,7 +106,7 @@
         """Tells whether the platform lists the VM no more and it is silent."""
         vms = self.board.vms
         return (vms.listed_ms > self.watching_since_ms and
-                vm_id not in vms.listed and self.report(vm_id) is None)
+                vm_id not in vms.listed and vm_id not in self.reports)
 
     def leaving(self, vm_id: str) -> bool:
         """Tells whether a VM is to be emptied."""
@@ -122,6 +115,8 @@
 
     def lost(self, vm_id: str) -> bool:
         """Tells whether a member is given up."""
+        if vm_id in self.reports:
+            return False
         return self.gone(vm_id) or (self.silent_ms(vm_id)
                                     > self.timing.member_grace_ms)
 
@@ -178,6 +173,26 @@
                 not report.leaving and vm_id not in self.board.vms.leaving)
 
 
+def fresh_reports(board: board_lib.Board, timing: periods.Timing,
+                  now_ms: int) -> dict[str, fleet.RunnerReport]:
+    """Returns what runners said lately, by VM.
+
+    Args:
+        board: What the node knows.
+        timing: The periods in force.
+        now_ms: The local monotonic time.
+    """
+    after_ms = max(now_ms - timing.evidence_max_age_ms + 1,
+                   board.life.not_before_ms)
+    lost_boots = board.evidence.lost_boots
+    return {
+        vm_id: evidence.report
+        for vm_id, evidence in board.evidence.by_vm.items()
+        if evidence.seen_ms >= after_ms and
+        lost_boots.get(vm_id) != evidence.report.boot_id
+    }
+
+
 def formed(report: fleet.RunnerReport, row: fleet.ReplicaRow) -> bool:
     """Tells whether a runner believes to be the member that the row says."""
     believes = (report.replica_id, report.epoch, report.formation, report.role)
--- a/cardamommill/planning.py
+++ b/cardamommill/planning.py
@@ -156,6 +156,8 @@
                                 self.timing,
                                 now_ms,
                                 self._watching_since_ms,
+                                facts_lib.fresh_reports(self.board, self.timing,
+                                                        now_ms),
                                 locked=self._flights.locked(),
                                 pending=self._flights.pending(),
                                 heeds_leaving=self.heeds_leaving)
