--- a/cardamommill/answering.py
+++ b/cardamommill/answering.py
@@ -14,7 +14,8 @@
 
 from werkzeug import datastructures
 
-from cardamommill import connections, http1, requesting
+from cardamommill import connection as connection_lib
+from cardamommill import http1, requesting
 
 EVENT_STREAM = "text/event-stream"
 PROBLEM_JSON = "application/problem+json"
@@ -40,13 +41,24 @@
         trace_id: Of its trace.
     """
 
-    def __init__(self, connection: connections.Connection,
-                 start: http1.RequestStart, request_id: str,
-                 trace_id: str) -> None:
+    def __init__(self, connection: connection_lib.Connection,
+                 start: http1.RequestStart, request_id: str, trace_id: str,
+                 keep_alive: bool) -> None:
+        """Makes the answer of a request.
+
+        Args:
+            connection: The caller's.
+            start: The request, without its body.
+            request_id: Of the request.
+            trace_id: Of its trace.
+            keep_alive: Whether the caller may use the connection again; a
+                node that leaves sends its callers to other ones.
+        """
         self.request_id = request_id
         self.trace_id = trace_id
         self._connection = connection
         self._start = start
+        self._keep_alive = keep_alive and start.keep_alive
         self._stage = _Stage.NOTHING
         # Two threads may both want to end it: the one that reads the
         # replica's last bytes and the one that gives the request up. The
@@ -85,29 +97,24 @@
             if self._stage is not _Stage.NOTHING:
                 return False
             self._stage = _Stage.DONE
-            keep_alive = self._start.keep_alive
             has_body = status not in (204, 304)
             head = self._head(headers, outcome, attempts)
             if has_body:
                 head.set("Content-Length", str(len(body)))
             if not has_body or self._start.method == "HEAD":
                 body = b""
-            if not keep_alive:
+            if not self._keep_alive:
                 head.set("Connection", "close")
             self._connection.write(_start_bytes(status, head) + body)
-        self._connection.answered(keep_alive)
+        self._connection.answered(self._keep_alive)
         return True
 
-    def problem(self,
-                problem: requesting.Problem,
-                attempts: int = 0,
-                close: bool = False) -> bool:
+    def problem(self, problem: requesting.Problem, attempts: int = 0) -> bool:
         """Gives a problem as the final answer, or as a stream's last event.
 
         Args:
             problem: What to tell.
             attempts: How often the request was sent to a replica.
-            close: Whether the connection can't be used again.
 
         Returns:
             Whether this is the answer; False if there was one already.
@@ -123,10 +130,6 @@
                 self._connection.write(_chunk(event))
                 self._connection.answered(False)
                 return True
-            if close:
-                self._start = http1.RequestStart(self._start.method,
-                                                 self._start.target, 0,
-                                                 self._start.headers)
         headers = [("Content-Type", PROBLEM_JSON)]
         if problem.retry_after_s:
             headers.append(("Retry-After", str(problem.retry_after_s)))
@@ -156,7 +159,7 @@
                 self._stage = _Stage.STREAMING
                 head = self._head(headers, requesting.Outcome.RAN, attempts)
                 head.set("Transfer-Encoding", "chunked")
-                if not self._start.keep_alive:
+                if not self._keep_alive:
                     head.set("Connection", "close")
                 data = _start_bytes(status, head) + data
             return self._connection.write(data, streamed=True)
@@ -172,7 +175,7 @@
                 return False
             self._stage = _Stage.DONE
             standing = self._connection.write(LAST_CHUNK)
-        self._connection.answered(self._start.keep_alive)
+        self._connection.answered(self._keep_alive)
         return standing
 
     def _head(self, headers: Headers, outcome: requesting.Outcome,
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -43,7 +43,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick(Event):
-    """Time has passed."""
+    """Time has passed.
+
+    Attributes:
+        at: Wall time in ISO 8601, for people only; empty where there is none.
+    """
+
+    at: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -393,6 +399,19 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineLifted(Event):
+    """An operator wants a request to run again.
+
+    Attributes:
+        digest: Of the request.
+        by: The operator.
+    """
+
+    digest: str
+    by: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetChanged(Event):
     """Rows of the fleet were written and are to be read again soon."""
--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -11,6 +11,7 @@
     answering,
     attempts,
     events,
+    hops,
     loop,
     requesting,
     sinks,
@@ -26,6 +27,7 @@
     ("connection", "keep-alive", "proxy-authorization", "proxy-connection",
      "te", "trailer", "transfer-encoding", "upgrade", "content-length", "host",
      "expect", "authorization", "traceparent"))
+_STANDIN = "cardamommill-standin-"
 _TO_NODES_TOO = frozenset(("authorization",))
 
 
@@ -40,17 +42,20 @@
     def __init__(self,
                  post: Callable[[events.Event], None],
                  replicas: upstream.Upstream,
-                 answer_bytes: int = DEFAULT_ANSWER_BYTES) -> None:
+                 answer_bytes: int = DEFAULT_ANSWER_BYTES,
+                 hop_secret: bytes = b"") -> None:
         """Makes it.
 
         Args:
             post: Hands an event to the control thread.
             replicas: Sends attempts.
             answer_bytes: The largest answer that is no stream.
+            hop_secret: What all nodes know and no caller does.
         """
         self._post = post
         self._replicas = replicas
         self._answer_bytes = answer_bytes
+        self._hop_secret = hop_secret
         self._live: dict[str, sinks.Live] = {}
         self._lock = threading.Lock()
 
@@ -119,7 +124,7 @@
             return
         sink = sinks.AnswerSink(live, action.attempt_id, self._answer_bytes,
                                 action.keep_answer, self._forget_if_over)
-        self._replicas.start(_attempt(action, live), sink)
+        self._replicas.start(_attempt(action, live, self._hop_secret), sink)
 
     def _not_sent(self, action: actions.Dispatch, detail: str,
                   delivered: int) -> None:
@@ -133,13 +138,13 @@
 
     @perform.register
     def _(self, action: actions.CancelAttempt) -> None:
+        self._replicas.cancel(action.attempt_id)
         live = self._live.get(action.request_id)
         if live is not None:
             with live.lock:
                 if live.attempt_id == action.attempt_id:
                     live.attempt_id = ""
             self._forget_if_over(live)
-        self._replicas.cancel(action.attempt_id)
 
     @perform.register
     def _(self, action: actions.Refuse) -> None:
@@ -168,10 +173,11 @@
             live.answer.problem(_NO_ANSWER, action.attempts)
 
     def _give_up(self, live: sinks.Live) -> None:
-        with live.lock:
-            attempt_id, live.attempt_id = live.attempt_id, ""
+        attempt_id = live.attempt_id
         if attempt_id:
             self._replicas.cancel(attempt_id)
+        with live.lock:
+            live.attempt_id = ""
 
 
 _NO_ANSWER = requesting.Problem(503,
@@ -181,7 +187,8 @@
                                 outcome=requesting.Outcome.UNKNOWN)
 
 
-def _attempt(action: actions.Dispatch, live: sinks.Live) -> attempts.Attempt:
+def _attempt(action: actions.Dispatch, live: sinks.Live,
+             hop_secret: bytes) -> attempts.Attempt:
     head = live.head
     target = action.target
     dropped = _NOT_PASSED_ON
@@ -198,7 +205,9 @@
         path = f"/services/{head.service}{head.path}"
         left_ms = max(1, action.deadline_ms - loop.now_ms())
         own += [
-            ("Cardamommill-Hop", str(head.hop + 1)),
+            (hops.HEADER, str(head.hop + 1)),
+            (hops.PROOF_HEADER,
+             hops.proof(hop_secret, action.attempt_id, head.digest)),
             ("Cardamommill-Deadline-Ms", str(left_ms)),
             ("Cardamommill-Repeatable", "yes" if head.repeatable else "no"),
         ]
@@ -212,7 +221,7 @@
         own.append(("Cardamommill-Resume-From", str(action.resume_from)))
     passed_on = [(name, value)
                  for name, value in live.headers
-                 if name.lower() not in dropped]
+                 if _goes_on(name.lower(), dropped)]
     return attempts.Attempt(head.request_id,
                             action.attempt_id,
                             target,
@@ -222,3 +231,13 @@
                             live.body,
                             action.deadline_ms,
                             once=not head.repeatable)
+
+
+def _goes_on(name: str, dropped: frozenset[str]) -> bool:
+    """Tells whether a caller's header goes to a replica.
+
+    Those of this system are this node's to give: a caller could otherwise
+    name the replica and the epoch that its request is for.
+    """
+    return name not in dropped and (not name.startswith("cardamommill-") or
+                                    name.startswith(_STANDIN))
--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -12,6 +12,7 @@
 
 from cardamommill import (
     actions,
+    asking,
     decisions,
     events,
     exchange,
@@ -22,6 +23,8 @@
     loop,
     metrics,
     observing,
+    operations,
+    operators,
     peerlink,
     platformlink,
     runnerlink,
@@ -83,22 +86,34 @@
         self._runners = runnerlink.RunnerLink(self._calls,
                                               timing.poll_timeout_ms,
                                               timing.order_timeout_ms)
-        self._peer_server = peerlink.PeerServer(settings.peers, self._post,
-                                                timing.pull_timeout_ms)
         self._peer_client = peerlink.PeerClient(settings.peers, self._post,
                                                 timing.pull_timeout_ms,
                                                 loop.now_ms)
+        self._peers = asking.PeerAsker(self._peer_client.explain)
+        done_by = operations.Operations(
+            self.control, self.journal,
+            platformlink.SyncPlatform(self._platform), self._peers)
+        self._operators = operators.OperatorServer(settings.operators, done_by)
+        self._peer_server = peerlink.PeerServer(settings.peers, self._post,
+                                                timing.pull_timeout_ms,
+                                                done_by.answer_peer)
         self._replicas = upstream.Upstream(self._post)
-        self._requests = exchange.Exchange(self._post, self._replicas)
+        # All nodes have it in their settings, and callers don't know it.
+        hop_secret = settings.operators.key_sha256.encode()
+        self._requests = exchange.Exchange(self._post, self._replicas,
+                                           settings.callers.answer_bytes,
+                                           hop_secret)
         self._callers = frontend.Frontend(settings.callers, self.control,
-                                          self._requests, self.metrics.render)
+                                          self._requests, self.metrics.render,
+                                          hop_secret)
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as starting:
             for part in (logs.LogHandler(self._settings.logging,
                                          self._settings.node), self._tracer,
                          self._calls, self._replicas, self._peer_client,
-                         self.control, self._peer_server, self._callers):
+                         self._peers, self.control, self._peer_server,
+                         self._operators, self._callers):
                 starting.enter_context(part)
             self._owned = starting.pop_all()
         self.control.post(events.Started(self._settings.peers.known))
@@ -113,12 +128,17 @@
         Raises:
             CardamommillError: The control thread failed.
         """
-        # The signals must be blocked here and in no other thread; they are
-        # fetched one by one, so no handler runs amid other code.
-        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+        asked: list[int] = []
+        # Handlers, and not sigtimedwait: after SIGSTOP and SIGCONT that
+        # returns as if a signal had come (it is interrupted with its time
+        # over), and a node that had only been paused ended itself.
+        for number in SIGNALS:
+            signal.signal(number, lambda number, frame: asked.append(number))
         log.info(logs.line("node-started", node=self._settings.node))
         while not self._ended.done():
-            if signal.sigtimedwait(SIGNALS, SIGNAL_POLL_S) is not None:
+            futures.wait((self._ended,), SIGNAL_POLL_S)
+            while asked:
+                log.info(logs.line("signal", number=asked.pop()))
                 self.control.post(events.ShutdownAsked())
             self.control.check()
         time.sleep(FLUSH_S)
--- a/cardamommill/prompts.py
+++ b/cardamommill/prompts.py
@@ -8,6 +8,7 @@
 
 PREFIX_CHARS = 256
 MAX_PREFIXES = 32
+MAX_DEPTH = 8
 HASH_DIGITS = 16
 
 
@@ -41,19 +42,19 @@
         return Prompt()
     return Prompt(
         fields.get("stream") is True,
-        prefix_hashes("".join(_texts(fields.get("prompt"))) or
-                      "".join(_texts(fields.get("messages")))))
+        prefix_hashes("".join(_texts(fields.get("prompt"), MAX_DEPTH)) or
+                      "".join(_texts(fields.get("messages"), MAX_DEPTH))))
 
 
-def _texts(value: Any) -> Iterator[str]:
+def _texts(value: Any, depth: int) -> Iterator[str]:
     if isinstance(value, str):
         yield value
-    elif isinstance(value, list):
+    elif depth and isinstance(value, list):
         for part in value:
-            yield from _texts(part)
-    elif isinstance(value, dict):
+            yield from _texts(part, depth - 1)
+    elif depth and isinstance(value, dict):
         for name in ("role", "content", "text"):
-            yield from _texts(value.get(name))
+            yield from _texts(value.get(name), depth - 1)
 
 
 def prefix_hashes(text: str) -> tuple[str, ...]:
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -4,9 +4,8 @@
 from typing import Annotated
 
 import pydantic
-import yaml
 
-from cardamommill import documents, exceptions, fleet, periods
+from cardamommill import documents, exceptions, fleet, periods, yamltext
 
 Address = Annotated[str,
                     pydantic.StringConstraints(
@@ -29,6 +28,7 @@
         idle_timeout_ms: How long a connection may stand idle.
         connections: Connections at once; more are closed at once.
         workers: Threads that look into requests; none waits for an answer.
+        held_bytes: What requests of all callers may take together.
         unsent_bytes: What may wait for a caller that does not read its
             stream; with more the caller is cut off.
         answer_bytes: The largest answer that is not a stream.
@@ -44,6 +44,7 @@
     idle_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 30_000
     connections: Annotated[int, pydantic.Field(ge=1, le=65_536)] = 1024
     workers: Annotated[int, pydantic.Field(ge=1, le=64)] = 8
+    held_bytes: Annotated[int, pydantic.Field(ge=1024)] = 67_108_864
     unsent_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
     answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 8_388_608
     tls_certificate: str = ""
@@ -185,16 +186,18 @@
         SettingsError: Lists every fault in the file.
     """
     try:
-        return Settings.model_validate(yaml.safe_load(path.read_text("utf-8")))
+        return Settings.model_validate(yamltext.load(path.read_text("utf-8")))
     except OSError as error:
         raise exceptions.SettingsError(f"can't be read: {error.strerror}",
                                        step="settings",
                                        peer=str(path)) from error
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
-        raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step="settings",
-                                       peer=str(path)) from error
     except pydantic.ValidationError as error:
+        # Not "from error": pydantic's text shows what it found, and a key
+        # written into the wrong field would reach the log with a traceback.
         raise exceptions.SettingsError(documents.faults(error),
+                                       step="settings",
+                                       peer=str(path)) from None
+    except ValueError as error:
+        raise exceptions.SettingsError(f"not YAML: {error}",
                                        step="settings",
                                        peer=str(path)) from error
