Leave out a replica that was not reached until newer evidence comes

Change: an attempt that did not get through, or whose connection broke, keeps its replica out of this node's choice until evidence of a later moment. The machine has the suspects' controller and poison requests now.

--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -184,6 +184,7 @@
             its service, 1 at least.
         ejections: How often in a row it was ejected.
         probing: Whether it is back from an ejection on trial.
+        failed_ms: When a request last did not get through to it.
         alone: Attempts of suspects that run on it; nothing else is sent.
         peers_in_flight: Requests of this data centre's other nodes on it.
         unexplained: Reported requests that no node of this data centre knows.
@@ -198,6 +199,7 @@
     slowness: float = 1.0
     ejections: int = 0
     probing: bool = False
+    failed_ms: int = NEVER_MS
     alone: int = 0
     peers_in_flight: int = 0
     unexplained: float = 0.0
--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -183,7 +183,8 @@
              timing: periods.Timing, now_ms: int) -> Choice | None:
     row = board.assignments.replicas.get(found.replica_id)
     replica = row and serving.serving_replica(board, row, timing, now_ms)
-    if not replica:
+    if not replica or (replica.head.seen_ms <= load_of(
+            board, found.replica_id).failed_ms):
         return None
     target = requesting.Target(found.address, replica.row.members[0],
                                found.replica_id, replica.row.epoch,
--- a/cardamommill/requestfakes.py
+++ b/cardamommill/requestfakes.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import functools
 import itertools
 import random
 
@@ -535,6 +536,16 @@
             replica.told.append(
                 (replica.sequence, self.now_ms + 500, prefix, stored))
 
+    def _tell_peer(self, action: actions.NotifyPeer, name: str) -> None:
+        for other, node in self.nodes.items():
+            identity = node.decisions.board.identity
+            if (identity.peer_address == action.address and
+                    self.reachable(name, other)):
+                self.later(
+                    self.LINK_MS,
+                    functools.partial(self.hand, other,
+                                      events.PeerNotified(action.notice)))
+
     def _read_cache(self, action: actions.ReadCacheEvents, name: str) -> None:
         replica = self.replicas[action.vm_id.removeprefix("vm-")]
         found = list(
@@ -558,5 +569,6 @@
     actions.Refuse: RequestWorld._answer_caller,
     actions.Replay: RequestWorld._answer_caller,
     actions.Finish: RequestWorld._answer_caller,
+    actions.NotifyPeer: RequestWorld._tell_peer,
     actions.ReadCacheEvents: RequestWorld._read_cache,
 }
--- a/cardamommill/routing.py
+++ b/cardamommill/routing.py
@@ -4,7 +4,7 @@
 import functools
 import itertools
 
-from cardamommill import actions, controller, events, stragglers
+from cardamommill import actions, controller, events, requesting, stragglers
 from cardamommill import board as board_lib
 
 JUDGE_MS = 500
@@ -75,6 +75,17 @@
                               now_ms - attempt.sent_ms)
         return ()
 
+    @step.register
+    def _(self, event: events.AttemptEnded, now_ms: int) -> actions.Actions:
+        attempt = self._attempts.get(event.attempt_id)
+        unreached = (event.outcome is requesting.Outcome.NOT_RUN and
+                     not event.status)
+        if attempt is not None and (unreached or event.connection_lost):
+            # Its evidence is young still. Each request of the next seconds
+            # would try it first, and lose one of its attempts.
+            self._load(attempt.replica_id).failed_ms = now_ms
+        return ()
+
     @step.register
     def _(self, event: events.AttemptClosed, now_ms: int) -> actions.Actions:
         del now_ms
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from cardamommill import actions, choice, events, fleet, routing, stragglers
+from cardamommill import (
+    actions,
+    choice,
+    events,
+    fleet,
+    requesting,
+    routing,
+    stragglers,
+)
 from cardamommill import board as board_lib
 from tests import requestnode
 
@@ -28,6 +36,22 @@
         assert place(node, str(number)) == "r1"
 
 
+def test_replica_that_was_not_reached_waits_for_newer_evidence():
+    """A runner died; its evidence stays young for another two seconds.
+
+    Without this each request of those seconds would be sent there first.
+    """
+    node = requestnode.Node(replicas=2, slots=20)
+    first = requestnode.only(node.arrive("a"), actions.Dispatch)
+    done = node.ended(first, requesting.Outcome.NOT_RUN, whole=False)
+    second = requestnode.only(done, actions.Dispatch)
+    lost = first.target.replica_id
+    assert lost not in {place(node, str(number)) for number in range(8)}
+    node.ended(second)
+    node.tick()
+    assert lost in {place(node, f"more{number}") for number in range(8)}
+
+
 def test_loads_that_peers_and_reports_tell_are_counted():
     node = requestnode.Node(replicas=3, slots=8)
     node.peer("node-2", in_flight=[requestnode.counted(5, "r0")])
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -17,11 +17,13 @@
     requesting,
     requests,
     routing,
+    suspects,
 )
 from tests import requestnode
 
 NODES = 3
-KINDS = (claims.Claims, limits.Limits, routing.Routing, requests.Requests)
+KINDS = (claims.Claims, suspects.Suspects, limits.Limits, routing.Routing,
+         requests.Requests)
 WORK = st.builds(requestfakes.Work,
                  tokens=st.integers(1, 40),
                  token_ms=st.sampled_from([5, 50]),
@@ -85,6 +87,12 @@
     def time_passes(self, for_ms):
         self.world.run(for_ms)
 
+    @stateful.rule(node=NODE, number=st.integers(0, 1))
+    def calls_poison(self, node, number):
+        self.world.call(node,
+                        requestfakes.Work(poison=True),
+                        digest=f"poison-{number}")
+
     @stateful.rule(name=REPLICA)
     def replica_crashes(self, name):
         if self.world.replicas[name].up:
