Measure the requests' policy; use a node's own slots first

Change: a choice is made among replicas where this node has not used up its own share of slots, and only then among those that look free; one slow sample or one waiting request ejects nobody; a replica that was never reached is left out, one whose connection broke isn't; a refusal that proves that nothing ran may be retried also while others wait, within the budget.

Ruled out: fresher news from peers. A pull every 700 ms is what the network budget gives, and runs are hardly longer than that here.

--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -16,7 +16,6 @@
 # What is common to all candidates is worked out anew this often; the one that
 # is chosen is always checked against the evidence of this very moment.
 CANDIDATES_MS = 50
-_PAIRS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,11 +203,19 @@
         now_ms: The local monotonic time.
     """
     load = load_of(board, candidate.replica_id)
+    return _open(load, now_ms) and _free(load, candidate, now_ms)
+
+
+def _within_share(board: board_lib.Board, candidate: Candidate,
+                  now_ms: int) -> bool:
+    load = load_of(board, candidate.replica_id)
+    return _open(load, now_ms) and load.in_flight < candidate.share
+
+
+def _open(load: board_lib.ReplicaLoad, now_ms: int) -> bool:
     if load.alone or load.ejected_until_ms > now_ms:
         return False
-    if load.probing:
-        return load.in_flight == 0
-    return _free(load, candidate, now_ms)
+    return not load.probing or load.in_flight == 0
 
 
 def _free(load: board_lib.ReplicaLoad, candidate: Candidate,
@@ -253,14 +260,15 @@
 def _better_of_two(board: board_lib.Board, allowed: Sequence[Candidate],
                    chance: random.Random,
                    now_ms: int) -> tuple[Candidate, str] | None:
-    for _ in range(_PAIRS):
-        pair = (chance.sample(allowed, 2) if len(allowed) > 1 else allowed)
-        able = [each for each in pair if has_room(board, each, now_ms)]
+    # Its own share first: no other node's requests were sent into that, and
+    # what this node sent itself is known without delay.
+    for rule in (_within_share, has_room):
+        able = [each for each in allowed if rule(board, each, now_ms)]
         if able:
-            return _least(board, able, now_ms), "shorter wait of two"
-    able = [each for each in allowed if has_room(board, each, now_ms)]
-    if able:
-        return _least(board, able, now_ms), "shortest wait of all with room"
+            pair = chance.sample(able, 2) if len(able) > 1 else able
+            return _least(
+                board, pair,
+                now_ms), (f"shorter wait of two, of {len(able)} with room")
     return _last_resort(board, allowed, now_ms)
 
 
--- a/cardamommill/retries.py
+++ b/cardamommill/retries.py
@@ -98,7 +98,9 @@
          "enough"),
         (ended.left_ms <= 0, "there is no time left for another"),
         # When a whole service is slow, retries would be what keeps it slow.
-        (not free and ended.crowded, "others of its service wait"),
+        (not free and ended.crowded and
+         ended.outcome is not requesting.Outcome.NOT_RUN,
+         "others of its service wait"),
     )
     for stands, reason in hurdles:
         if stands:
--- a/cardamommill/routing.py
+++ b/cardamommill/routing.py
@@ -80,7 +80,7 @@
         attempt = self._attempts.get(event.attempt_id)
         unreached = (event.outcome is requesting.Outcome.NOT_RUN and
                      not event.status)
-        if attempt is not None and (unreached or event.connection_lost):
+        if attempt is not None and unreached:
             # Its evidence is young still. Each request of the next seconds
             # would try it first, and lose one of its attempts.
             self._load(attempt.replica_id).failed_ms = now_ms
--- a/cardamommill/stragglers.py
+++ b/cardamommill/stragglers.py
@@ -6,7 +6,11 @@
 
 from cardamommill import board as board_lib
 
-SMOOTHING = 0.3
+SMOOTHING = 0.15
+# A request without a byte for so long, and for so many times as long as usual,
+# isn't only waiting for a slot.
+SILENT_MS = 1000
+SILENT_SLOWNESS = 8.0
 # Below this many samples a replica's speed isn't known.
 LEAST_SAMPLES = 3
 # So many times the median is a straggler.
@@ -44,7 +48,7 @@
         load: The replica's.
         waited_ms: Since the request was sent.
     """
-    if waited_ms > load.first_byte_ms:
+    if waited_ms > max(SILENT_MS, SILENT_SLOWNESS * load.first_byte_ms):
         load.first_byte_ms = float(waited_ms)
         load.samples = max(load.samples, LEAST_SAMPLES)
 
