--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -206,10 +206,10 @@
                                    "status")) if json else client.text("status")
 
     def explain(self, kind: str, name: str, json: bool = False) -> str:
-        """Prints how a replica, request or VM is and how it came to be so.
+        """Prints how something is, and how it came to be so.
 
         Args:
-            kind: replica, request or vm.
+            kind: replica, request, vm or service.
             name: Its id.
             json: Whether to print JSON.
         """
--- a/cardamommill/demo.py
+++ b/cardamommill/demo.py
@@ -171,7 +171,6 @@
         out_s = processes.wait_until(lambda: not self._serving("assist-llm"),
                                      "it is out of service",
                                      every_s=0.05)
-        deployment.unlist_vm(lost)
         back_s = processes.wait_until(lambda: self._serving("assist-llm"),
                                       "it is back", REPAIR_TIMEOUT_S, 0.1)
         after = self._replica()
--- a/cardamommill/explaining.py
+++ b/cardamommill/explaining.py
@@ -120,10 +120,36 @@
         ())
 
 
+def explain_service(service: str, decided: decisions_lib.Decisions,
+                    now_ms: int) -> Explanation:
+    """Returns what the board says of a service's document."""
+    board = decided.board
+    in_force = board.documents.in_force.get(service)
+    if in_force is None:
+        return Explanation(f"service/{service}", False)
+    row = in_force.row
+    now = [
+        f"Revision {row.revision} of its document, from {row.author}"
+        f"{f' ({row.reason})' if row.reason else ''}, has been in force on "
+        f"{board.identity.node_id} for {(now_ms - in_force.since_ms) // 1000} "
+        "s.",
+    ]
+    for centre, wanted in sorted(in_force.document.capacity.items()):
+        now.append(f"It wants {wanted.replicas} replicas and {wanted.spares} "
+                   f"spares in {centre}.")
+    for part in report.status(decided, now_ms).replicas:
+        if part.service == service:
+            now.append(f"{part.replica_id} " +
+                       ("serves." if part.serving else
+                        f"does not serve: {'; '.join(part.faults)}."))
+    return Explanation(f"service/{service}", True, tuple(now))
+
+
 EXPLAINERS = {
     "replica": explain_replica,
     "vm": explain_vm,
     "request": explain_request,
+    "service": explain_service,
 }
 
 
--- a/cardamommill/launching.py
+++ b/cardamommill/launching.py
@@ -17,7 +17,7 @@
 
 import yaml
 
-from cardamommill import exceptions, fleet, processes, webclient
+from cardamommill import exceptions, fleet, operatorclient, processes, webclient
 
 OPERATOR_KEY = "operators-key"
 COMMAND_TIMEOUT_S = 30.0
@@ -291,7 +291,9 @@
 
     def status(self, node: str) -> Any:
         """Returns a node's status, as JSON."""
-        return json.loads(self.command(node, "status", "--json"))
+        address = self.addresses[node].operators
+        return operatorclient.OperatorClient(address, OPERATOR_KEY).json(
+            "GET", "status")
 
     # --- What the outside systems do ---
 
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -94,7 +94,7 @@
         """Returns what all nodes of the data centre know of a subject.
 
         Args:
-            kind: ``replica``, ``request`` or ``vm``.
+            kind: ``replica``, ``request``, ``vm`` or ``service``.
             name: Its id.
         """
         own = self.explain_alone(kind, name)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -122,3 +122,12 @@
 def test_status_holds_plain_values_only():
     status = report.status(boards.decided(), boards.NOW_MS)
     assert dataclasses.asdict(status)["vms"]["member"] == 2
+
+
+def test_a_service_is_explained_by_its_document_and_replicas():
+    told = explaining.explain("service", "assist-llm", boards.decided(),
+                              boards.NOW_MS)
+    assert told.now == (
+        "Revision 1 of its document, from eva (first), has been in force on "
+        "n1 for 5 s.", "It wants 2 replicas and 1 spares in praha-a.",
+        "r1 serves.")
