Check spans, log lines and secrets of real nodes

Cause: that no key reaches a log or a span was tested on parts only. Change: the operators' test sends a traceparent and reads logs and spans.

--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -1,12 +1,15 @@
 """Tests of what operators do, with real processes."""
 
 import hashlib
+import json
 
 import pytest
 
 from cardamommill import exceptions, launching, processes
 
-KEY = "desk-key"
+KEY = "desk-s3cret"
+TRACE = "ab" * 16
+PARENT = f"00-{TRACE}-{'cd' * 8}-01"
 DOCUMENT = f"""
 service: portal
 kind: plain
@@ -24,7 +27,7 @@
 
 
 @pytest.mark.xdist_group("operating")
-def test_an_operators_day():
+def test_an_operators_day(tmp_path):
     """Two nodes, two VMs; a document, a call, a drain, an outage.
 
     The call goes through one node and is explained by the other. The drained
@@ -34,13 +37,19 @@
     vms = tuple(
         launching.VmPlan(name, "dc", "f1", "cpu", {"kind": "plain"})
         for name in ("v1", "v2"))
+    spans = tmp_path / "spans"
     timing = {"balancer_ms": 200, "index_read_ms": 300}
     plan = launching.Plan("region", {
         "n1": "dc",
         "n2": "dc"
     },
                           vms,
-                          settings={"timing": timing})
+                          settings={
+                              "timing": timing,
+                              "tracing": {
+                                  "file": str(spans)
+                              }
+                          })
     with launching.Deployment(plan) as deployment:
         deployment.wait_ready()
         assert "portal revision 1" in deployment.apply("n1", DOCUMENT)
@@ -51,7 +60,10 @@
                                     "/services/portal/filings/1",
                                     b"{}",
                                     key=KEY,
-                                    headers={"Idempotency-Key": "k1"})
+                                    headers={
+                                        "Idempotency-Key": "k1",
+                                        "traceparent": PARENT
+                                    })
         assert answer.status == 200
         request_id = answer.headers["cardamommill-request"]
         told = deployment.command("n2", "explain", "request", request_id)
@@ -83,3 +95,11 @@
         for node in deployment.nodes.values():
             node.terminate()
         assert [node.wait(20) for node in deployment.nodes.values()] == [0, 0]
+        logs = "".join(
+            node.log.read_text("utf-8") for node in deployment.nodes.values())
+    told = [json.loads(line) for line in spans.read_text("utf-8").splitlines()]
+    assert {span["name"] for span in told if span["traceId"] == TRACE
+           } >= {"request", "attempt"}
+    assert request_id in logs
+    for secret in (KEY, launching.OPERATOR_KEY):
+        assert secret not in logs + spans.read_text("utf-8")
