Hang a request's span under its caller's; one way to read traceparent

Cause: the span of a request had no parent, so a caller's trace fell in two; callerrequests and tracing both read the header, and spans as context managers had no user left. Change: tracing.from_header is the one reader, the request's head carries the caller's span, Tracer.note is the one way to a span.

--- a/cardamommill/answering.py
+++ b/cardamommill/answering.py
@@ -15,7 +15,7 @@
 from werkzeug import datastructures
 
 from cardamommill import connection as connection_lib
-from cardamommill import http1, requesting
+from cardamommill import http1, requesting, tracing
 
 EVENT_STREAM = "text/event-stream"
 PROBLEM_JSON = "application/problem+json"
@@ -38,24 +38,24 @@
 
     Attributes:
         request_id: Of the request that it answers.
-        trace_id: Of its trace.
+        trace: Where in a trace its caller is.
     """
 
     def __init__(self, connection: connection_lib.Connection,
-                 start: http1.RequestStart, request_id: str, trace_id: str,
-                 keep_alive: bool) -> None:
+                 start: http1.RequestStart, request_id: str,
+                 trace: tracing.Context, keep_alive: bool) -> None:
         """Makes the answer of a request.
 
         Args:
             connection: The caller's.
             start: The request, without its body.
             request_id: Of the request.
-            trace_id: Of its trace.
+            trace: Where in a trace its caller is.
             keep_alive: Whether the caller may use the connection again; a
                 node that leaves sends its callers to other ones.
         """
         self.request_id = request_id
-        self.trace_id = trace_id
+        self.trace = trace
         self._connection = connection
         self._start = start
         self._keep_alive = keep_alive and start.keep_alive
@@ -185,7 +185,7 @@
         head.set("Cardamommill-Outcome", outcome)
         head.set("Cardamommill-Attempts", str(attempts))
         head.set("traceparent",
-                 f"00-{self.trace_id}-{span_id(self.request_id)}-01")
+                 f"00-{self.trace.trace_id}-{span_id(self.request_id)}-01")
         attempt_id = self._start.headers.get("Cardamommill-Attempt")
         if attempt_id:
             # The node of another data centre compares this before it passes
--- a/cardamommill/callerrequests.py
+++ b/cardamommill/callerrequests.py
@@ -3,7 +3,6 @@
 import hashlib
 import hmac
 import re
-import secrets
 import urllib.parse
 
 from werkzeug import datastructures
@@ -16,6 +15,7 @@
     loop,
     prompts,
     requesting,
+    tracing,
 )
 
 JSON = "application/json"
@@ -27,9 +27,6 @@
 ENGINE_CALLS = frozenset(
     ("state", "orders", "cancel", "cache-events", "weights"))
 
-_TRACEPARENT = re.compile(r"[0-9a-f]{2}-([0-9a-f]{32})-[0-9a-f]{16}-[0-9a-f]{2}"
-                          r"(-.*)?")
-_NO_TRACE = "0" * 32
 _NUMBER = re.compile(r"[0-9]{1,9}")
 _KEY = re.compile(r"[\x21-\x7e]{1,%d}" % MAX_KEY_CHARACTERS)
 
@@ -40,7 +37,7 @@
 
 
 def read_head(request: http1.Request, document: documents.Document, path: str,
-              request_id: str, trace: str,
+              request_id: str, trace: tracing.Context,
               hop_secret: bytes) -> requesting.RequestHead:
     """Returns what the decisions need to know of a request.
 
@@ -49,7 +46,7 @@
         document: Of the service that it is for.
         path: What follows the service's name, with its query.
         request_id: What this node calls it.
-        trace: The id of its trace.
+        trace: Where in a trace its caller is.
         hop_secret: What all nodes know and no caller does.
 
     Raises:
@@ -71,7 +68,7 @@
     priority = _number(headers, "Cardamommill-Priority", DEFAULT_PRIORITY, 1, 9)
     return requesting.RequestHead(
         request_id=request_id,
-        trace_id=trace,
+        trace_id=trace.trace_id,
         account=caller.name,
         service=document.service,
         method=start.method,
@@ -85,7 +82,8 @@
         priority=max(priority, caller.top_priority),
         streaming=prompt.streaming,
         hop=_hop(headers, digest, hop_secret),
-        received_ms=received_ms)
+        received_ms=received_ms,
+        caller_span=trace.span_id)
 
 
 def account(document: documents.Document,
@@ -114,18 +112,6 @@
     return found
 
 
-def trace_id(headers: datastructures.Headers) -> str:
-    """Returns the id of the caller's trace, or a new one.
-
-    Args:
-        headers: Of the request.
-    """
-    match = _TRACEPARENT.fullmatch(headers.get("traceparent", ""))
-    if match and match[1] != _NO_TRACE:
-        return match[1]
-    return secrets.token_hex(16)
-
-
 def _check_path(path: str) -> None:
     bare = urllib.parse.unquote(path.partition("?")[0])
     parts = bare.split("/")
--- a/cardamommill/frontend.py
+++ b/cardamommill/frontend.py
@@ -20,6 +20,7 @@
     requesting,
     settings,
     sinks,
+    tracing,
 )
 from cardamommill import connection as connection_lib
 
@@ -122,7 +123,7 @@
         """
         start = request.start
         answer = answering.Answer(connection, start, secrets.token_hex(16),
-                                  callerrequests.trace_id(start.headers),
+                                  _trace(start),
                                   self._control.view().ready)
         try:
             if not start.target.startswith(SERVICES):
@@ -133,7 +134,7 @@
                                              "too many requests in progress")
             document, path = self._addressed(start)
             head = callerrequests.read_head(request, document, path,
-                                            answer.request_id, answer.trace_id,
+                                            answer.request_id, answer.trace,
                                             self._hop_secret)
         except exceptions.RequestError as error:
             answer.problem(_problem(error))
@@ -155,7 +156,7 @@
         answering.Answer(connection,
                          start,
                          secrets.token_hex(16),
-                         callerrequests.trace_id(start.headers),
+                         _trace(start),
                          keep_alive=False).problem(_problem(error))
 
     def _answer_page(self, start: http1.RequestStart,
@@ -186,6 +187,10 @@
 }
 
 
+def _trace(start: http1.RequestStart) -> tracing.Context:
+    return tracing.from_header(start.headers.get("traceparent", ""))
+
+
 def _problem(error: exceptions.RequestError) -> requesting.Problem:
     retry_after_s = (random.randint(
         *RETRY_AFTER_S) if error.status == 503 else 0)
--- a/cardamommill/observing.py
+++ b/cardamommill/observing.py
@@ -100,7 +100,7 @@
         self._tracer.note("request",
                           tracing.Context(request.head.trace_id,
                                           answering.span_id(request_id)),
-                          parent_id="",
+                          parent_id=request.head.caller_span,
                           took_ns=took_ns,
                           service=request.head.service,
                           account=request.head.account,
--- a/cardamommill/requesting.py
+++ b/cardamommill/requesting.py
@@ -44,6 +44,7 @@
         streaming: Whether the answer comes as a stream of events.
         hop: 0 from a caller, 1 from a node of another data centre.
         received_ms: Local monotonic time of arrival.
+        caller_span: The caller's span in that trace, or empty.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     streaming: bool
     hop: int
     received_ms: int
+    caller_span: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/tracing.py
+++ b/cardamommill/tracing.py
@@ -20,7 +20,6 @@
 MAX_BACKLOG = 10_000
 MAX_BATCH = 500
 EXPORT_TIMEOUT_S = 5.0
-SAMPLED = "01"
 KIND_INTERNAL = 1
 
 _TRACEPARENT = re.compile(
@@ -40,10 +39,6 @@
     trace_id: str
     span_id: str = ""
 
-    def traceparent(self) -> str:
-        """Returns the header that hands this on."""
-        return f"00-{self.trace_id}-{self.span_id or new_id(8)}-{SAMPLED}"
-
 
 def new_id(length_bytes: int) -> str:
     """Returns a new id in hexadecimal."""
@@ -67,16 +62,16 @@
     return Context(match[1], match[2])
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Span:
-    """A hop that is under way; a context manager that ends it.
+    """A hop that has ended.
 
     Attributes:
-        name: What is done, such as ``attempt``.
-        context: Its own place in the trace, to hand on.
+        name: What was done, such as ``attempt``.
+        context: Its own place in the trace.
         parent_id: The span that it is part of, or empty.
         started_ns: Wall time.
-        ended_ns: Wall time, 0 while it is under way.
+        ended_ns: Wall time.
         attributes: What belongs to it; never a secret or a body.
     """
 
@@ -85,38 +80,7 @@
     parent_id: str
     started_ns: int
     ended_ns: int
-    attributes: dict[str, str]
-    _tracer: "Tracer"
-
-    def set(self, **attributes: object) -> None:
-        """Notes what belongs to it."""
-        self.attributes.update({
-            name: logs.without_secrets(str(v)) for name, v in attributes.items()
-        })
-
-    def end(self) -> None:
-        """Ends it; a second call does nothing."""
-        if not self.ended_ns:
-            self.ended_ns = time.time_ns()
-            self._tracer.take(self)
-
-    def __enter__(self) -> Self:
-        return self
-
-    def __exit__(self, kind: object, error: object, trace: object) -> None:
-        if error is not None:
-            self.set(error=error)
-        self.end()
-
-
-class _NoSpan(Span):
-    """Stands in for every span while tracing is off."""
-
-    def set(self, **attributes: object) -> None:
-        del attributes
-
-    def end(self) -> None:
-        pass
+    attributes: Mapping[str, str]
 
 
 class Tracer:
@@ -151,23 +115,6 @@
             self._backlog.put(None)
             self._pool.shutdown()
 
-    def span(self, name: str, parent: Context, **attributes: object) -> Span:
-        """Begins a span.
-
-        Args:
-            name: What is done.
-            parent: Where it belongs.
-            **attributes: What belongs to it.
-        """
-        if not self.enabled:
-            # The caller's own span is handed on, so that its trace stays whole
-            # across a node that does not trace.
-            return _NoSpan(name, parent, "", 0, 0, {}, self)
-        span = Span(name, Context(parent.trace_id, new_id(8)), parent.span_id,
-                    time.time_ns(), 0, {}, self)
-        span.set(**attributes)
-        return span
-
     def note(self, name: str, context: Context, parent_id: str, took_ns: int,
              **attributes: object) -> None:
         """Takes a span that has just ended and whose id is known.
@@ -179,15 +126,15 @@
             took_ns: How long it took.
             **attributes: What belongs to it.
         """
-        if self.enabled:
-            now_ns = wall_ns()
-            span = Span(name, context, parent_id, now_ns - took_ns, now_ns, {},
-                        self)
-            span.set(**attributes)
-            self.take(span)
-
-    def take(self, span: Span) -> None:
-        """Takes an ended span, or drops it: a request never waits for this."""
+        if not self.enabled:
+            return
+        now_ns = wall_ns()
+        span = Span(
+            name, context, parent_id, now_ns - took_ns, now_ns, {
+                key: logs.without_secrets(str(value))
+                for key, value in attributes.items()
+            })
+        # A request never waits for this.
         try:
             self._backlog.put_nowait(span)
         except queue.Full:
