--- a/cardamommill/journal.py
+++ b/cardamommill/journal.py
@@ -10,8 +10,11 @@
 
 # A subject that tells more than this forgets its oldest entries.
 ENTRIES_PER_SUBJECT = 64
-# With full subjects of some 300 bytes an entry this stays under 10 MB.
-MAX_ENTRIES = 20_000
+# Requests have a place of their own: at 50 a second they would push all that
+# is known of replicas and VMs out within minutes.
+REQUEST_KIND = "request"
+MAX_REQUEST_ENTRIES = 8000
+MAX_OTHER_ENTRIES = 4000
 
 log = logbook.Logger("journal")
 
@@ -35,25 +38,48 @@
     trace_id: str = ""
 
 
+class _Place:
+    """Entries of some kinds of subjects, within a bound over all of them."""
+
+    def __init__(self, max_entries: int, per_subject: int) -> None:
+        self.max_entries = max_entries
+        self.per_subject = per_subject
+        self.count = 0
+        # Lists and no deques: an empty deque takes 600 bytes.
+        self.by_subject: collections.OrderedDict[
+            str, list[Entry]] = collections.OrderedDict()
+
+    def add(self, entry: Entry) -> None:
+        entries = self.by_subject.setdefault(entry.subject, [])
+        entries.append(entry)
+        self.count += 1
+        if len(entries) > self.per_subject:
+            del entries[0]
+            self.count -= 1
+        self.by_subject.move_to_end(entry.subject)
+        while self.count > self.max_entries:
+            _, forgotten = self.by_subject.popitem(last=False)
+            self.count -= len(forgotten)
+
+
 class Journal:
     """Keeps the newest entries; thread-safe."""
 
     def __init__(self,
-                 max_entries: int = MAX_ENTRIES,
+                 max_requests: int = MAX_REQUEST_ENTRIES,
+                 max_others: int = MAX_OTHER_ENTRIES,
                  per_subject: int = ENTRIES_PER_SUBJECT) -> None:
         """Makes an empty journal.
 
         Args:
-            max_entries: Over all subjects; beyond it the subject that has
+            max_requests: Entries on requests; beyond it the request that has
                 been silent for longest is forgotten whole.
-            per_subject: Of one subject.
+            max_others: The same for all other subjects.
+            per_subject: Entries on one subject.
         """
-        self._max_entries = max_entries
-        self._per_subject = per_subject
-        self._count = 0
         self._lock = threading.Lock()
-        self._by_subject: collections.OrderedDict[
-            str, collections.deque[Entry]] = collections.OrderedDict()
+        self._requests = _Place(max_requests, per_subject)
+        self._others = _Place(max_others, per_subject)
 
     def record(self, action: actions.Record) -> None:
         """Keeps an entry and writes it to the log."""
@@ -69,19 +95,12 @@
     def add(self, entry: Entry) -> None:
         """Keeps an entry."""
         with self._lock:
-            entries = self._by_subject.setdefault(
-                entry.subject, collections.deque(maxlen=self._per_subject))
-            self._count += len(entries) < self._per_subject
-            entries.append(entry)
-            self._by_subject.move_to_end(entry.subject)
-            while self._count > self._max_entries:
-                _, forgotten = self._by_subject.popitem(last=False)
-                self._count -= len(forgotten)
+            self._place(entry.subject).add(entry)
 
     def about(self, subject: str) -> tuple[Entry, ...]:
         """Returns what is known of a subject, oldest first."""
         with self._lock:
-            return tuple(self._by_subject.get(subject, ()))
+            return tuple(self._place(subject).by_subject.get(subject, ()))
 
     def mentioning(self, name: str, limit: int) -> tuple[Entry, ...]:
         """Returns the newest entries on other subjects that name something.
@@ -92,7 +111,8 @@
         """
         with self._lock:
             found = [
-                entry for subject, entries in self._by_subject.items()
+                entry for place in (self._requests, self._others)
+                for subject, entries in place.by_subject.items()
                 if not subject.endswith(f"/{name}") for entry in entries
                 if name in entry.detail
             ]
@@ -100,4 +120,8 @@
 
     def __len__(self) -> int:
         with self._lock:
-            return self._count
+            return self._requests.count + self._others.count
+
+    def _place(self, subject: str) -> _Place:
+        kind = subject.partition("/")[0]
+        return self._requests if kind == REQUEST_KIND else self._others
