--- a/cardamommill/metrics.py
+++ b/cardamommill/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latencies, rendered as text for ``/metrics``."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
 import threading
 
@@ -21,6 +21,21 @@
 Labels = tuple[tuple[str, str], ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """A figure as it is at this moment.
+
+    Attributes:
+        name: Such as ``replicas_serving``.
+        value: The figure.
+        labels: What it is of, in pairs of name and text.
+    """
+
+    name: str
+    value: float
+    labels: Labels = ()
+
+
 @dataclasses.dataclass(slots=True)
 class _Latency:
     histogram: histogram.HdrHistogram
@@ -35,7 +50,7 @@
         self._lock = threading.Lock()
         self._counters: dict[tuple[str, Labels], float] = {}
         self._latencies: dict[tuple[str, Labels], _Latency] = {}
-        self._gauges: dict[str, Callable[[], float]] = {}
+        self._collected: list[Callable[[], Iterable[Sample]]] = []
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter, such as ``requests_total``."""
@@ -61,9 +76,9 @@
             latency.count += 1
             latency.sum_us += value_us
 
-    def gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Has a figure read anew at each rendering."""
-        self._gauges[name] = read
+    def collect(self, read: Callable[[], Iterable[Sample]]) -> None:
+        """Has figures read anew at each rendering."""
+        self._collected.append(read)
 
     def percentile_ms(self, name: str, quantile: float, **labels: str) -> float:
         """Returns a latency's quantile; 0 where nothing was noted."""
@@ -78,12 +93,15 @@
     def render(self) -> str:
         """Returns all figures in the text format of Prometheus."""
         lines: list[str] = []
-        for name, read in sorted(self._gauges.items()):
-            lines += [
-                f"# TYPE {PREFIX}_{name} gauge", f"{PREFIX}_{name} {read():g}"
-            ]
+        typed: set[str] = set()
+        for read in self._collected:
+            for sample in sorted(read(), key=lambda each: each.name):
+                if sample.name not in typed:
+                    lines.append(f"# TYPE {PREFIX}_{sample.name} gauge")
+                    typed.add(sample.name)
+                lines.append(f"{PREFIX}_{sample.name}"
+                             f"{_braces(sample.labels)} {sample.value:g}")
         with self._lock:
-            typed: set[str] = set()
             for (name, labels), value in sorted(self._counters.items()):
                 if name not in typed:
                     lines.append(f"# TYPE {PREFIX}_{name} counter")
--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -99,6 +99,7 @@
             self.control, self.journal,
             platformlink.SyncPlatform(self._platform), self._peers)
         self._operators = operators.OperatorServer(settings.operators, done_by)
+        self.metrics.collect(done_by.samples)
         self._peer_server = peerlink.PeerServer(settings.peers, self._post,
                                                 timing.pull_timeout_ms,
                                                 done_by.answer_peer)
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -1,5 +1,6 @@
 """What operators may ask of a node and have done by it."""
 
+from concurrent import futures
 import dataclasses
 import os
 import pathlib
@@ -17,8 +18,10 @@
     exceptions,
     explaining,
     loop,
+    metrics,
     peering,
     report,
+    statusfigures,
     store,
     walltime,
 )
@@ -90,6 +93,13 @@
         """Returns what this node knows."""
         return self._control.ask(report.status).result(ASK_TIMEOUT_S)
 
+    def samples(self) -> tuple[metrics.Sample, ...]:
+        """Returns the status as figures; none if it takes too long."""
+        try:
+            return tuple(statusfigures.samples(self.status()))
+        except futures.TimeoutError:
+            return ()
+
     def explain(self, kind: str, name: str) -> explaining.Explanation:
         """Returns what all nodes of the data centre know of a subject.
 
@@ -111,13 +121,19 @@
         own = self._control.ask(lambda decided, now_ms: explaining.explain(
             kind, name, decided, now_ms)).result(ASK_TIMEOUT_S)
         node = self._node()
-        entries = (*self._journal.about(own.subject),
-                   *self._journal.mentioning(name, MAX_MENTIONS))
-        lines = tuple(
-            explaining.Line(
-                entry.at, node, entry.event, entry.detail if entry.subject ==
-                own.subject else f"{entry.subject}: {entry.detail}")
-            for entry in entries)
+        about = self._journal.about(own.subject)
+        told = {(entry.event, entry.detail) for entry in about}
+        lines = [
+            explaining.Line(entry.at, node, entry.event, entry.detail)
+            for entry in about
+        ]
+        for entry in self._journal.mentioning(name, MAX_MENTIONS):
+            # One change is noted once for each VM and replica that it is on.
+            if (entry.event, entry.detail) not in told:
+                told.add((entry.event, entry.detail))
+                lines.append(
+                    explaining.Line(entry.at, node, entry.event,
+                                    f"{entry.subject}: {entry.detail}"))
         return dataclasses.replace(own,
                                    known=own.known or bool(lines),
                                    history=(*own.history, *lines))
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -19,10 +19,15 @@
     figures = metrics.Metrics()
     figures.count("requests_total", service='a"\n')
     figures.count("requests_total", 2, service="b")
-    figures.gauge("ready", lambda: 1)
+    figures.collect(lambda: [
+        metrics.Sample("replicas", 2, (("service", "s"),)),
+        metrics.Sample("ready", True)
+    ])
     assert figures.render() == (
         "# TYPE cardamommill_ready gauge\n"
         "cardamommill_ready 1\n"
+        "# TYPE cardamommill_replicas gauge\n"
+        'cardamommill_replicas{service="s"} 2\n'
         "# TYPE cardamommill_requests_total counter\n"
         'cardamommill_requests_total{service="a\\"\\n"} 1\n'
         'cardamommill_requests_total{service="b"} 2\n')
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,7 +5,14 @@
 import pytest
 
 from cardamommill import board as board_lib
-from cardamommill import explaining, fleet, report, reporttext, serving
+from cardamommill import (
+    explaining,
+    fleet,
+    report,
+    reporttext,
+    serving,
+    statusfigures,
+)
 from tests import boards
 
 
@@ -90,6 +97,27 @@
     assert f"OUT OF REACH ({said})" in reporttext.status(status)
 
 
+def test_figures_count_what_serves_and_what_is_stranded():
+
+    def of(fill):
+        status = report.status(boards.decided(fill), boards.NOW_MS)
+        return {
+            (each.name, *(text for _, text in each.labels)):
+                each.value for each in statusfigures.samples(status)
+        }
+
+    whole, broken = of(lambda board: None), of(lost)
+    assert whole["replicas_serving", "assist-llm"] == 1
+    assert whole[
+        "vms_stranded",
+    ] == 1
+    assert broken["replicas_serving", "assist-llm"] == 0
+    assert broken[
+        "vms_stranded",
+    ] == 3
+    assert whole["replicas_wanted", "assist-llm"] == 2
+
+
 def test_a_replica_is_explained_by_the_causes_in_its_row():
     told = explaining.explain("replica", "r1", boards.decided(), boards.NOW_MS)
     text = reporttext.explanation(told)
