--- a/cardamommill/bench_day.py
+++ b/cardamommill/bench_day.py
@@ -43,6 +43,7 @@
 
     Attributes:
         down_ms: Time in which a wanted replica did not serve, summed.
+        dark_ms: The part of it in which a whole domain was dark.
         assigned_ms: Time of living VMs that were assigned, spare or being
             released and belonged to no serving replica, summed.
         idle_ms: The same with VMs that were free.
@@ -55,6 +56,7 @@
     """
 
     down_ms: int = 0
+    dark_ms: int = 0
     assigned_ms: int = 0
     idle_ms: int = 0
     outages_ms: list[int] = dataclasses.field(default_factory=list)
@@ -90,6 +92,7 @@
         self._changed_ms = self._now_ms
         self._down_since_ms: dict[str, int] = {}
         self._was_serving: frozenset[str] = frozenset()
+        self._dark = False
         self.tally = Tally()
 
     def _put_in_force(self, document: documents.Document) -> None:
@@ -114,12 +117,21 @@
         for at_ms, failure, begins in sorted(turns, key=lambda turn: turn[0]):
             self._pass_until(start_ms + at_ms)
             self._turn(failure, begins)
+            self._look_for_dark()
             self._changed_ms = self._now_ms
         self._pass_until(
             max(self._now_ms + 400_000, start_ms + bench_failures.DAY_MS))
         self.tally.rows = self._table.writes - written
         return self.tally
 
+    def _look_for_dark(self) -> None:
+        heard = {
+            runner.vm.fabric_domain
+            for runner in self._runners.values()
+            if runner.up and not runner.paused
+        }
+        self._dark = len(heard) < len(self._size.domains)
+
     def _turn(self, failure: bench_failures.Failure, begins: bool) -> None:
         for vm_id in failure.vm_ids:
             runner = self._runners[vm_id]
@@ -222,6 +234,8 @@
         members = {vm_id for row in serving for vm_id in row.members}
         lacking = max(0, self._size.replicas - len(serving))
         self.tally.down_ms += lacking * step_ms
+        if self._dark:
+            self.tally.dark_ms += lacking * step_ms
         alive = [
             vm_id for vm_id, runner in self._runners.items()
             if runner.up and not runner.paused and vm_id not in members
--- a/cardamommill/bench_fleet.py
+++ b/cardamommill/bench_fleet.py
@@ -114,9 +114,16 @@
 
 
 def report(results: Sequence[Result]) -> str:
-    """Returns the table of results, with ratios to `REBUILD` of each size."""
+    """Returns the table of results, with ratios to `REBUILD` of each size.
+
+    "lit" is the downtime outside of times in which a whole domain is dark,
+    when most of what is lost has nowhere to go under any policy. "idle" are
+    living VMs outside of serving replicas, "held" those of them that the
+    table assigns to a replica.
+    """
     lines = [
-        f"{'policy':24} {'down h':>7} {'ratio':>6} {'idle h':>8} {'ratio':>6} "
+        f"{'policy':24} {'down h':>7} {'ratio':>6} "
+        f"{'lit h':>7} {'ratio':>6} {'idle h':>8} {'ratio':>6} "
         f"{'held h':>8} {'p50 s':>6} {'p99 s':>7} {'rows/event':>10} "
         f"{'loads':>5} {'ms/step':>7}"
     ]
@@ -131,13 +138,15 @@
 
 def _line(result: Result, base: Result) -> str:
     down_h = result.total("down_ms") / MS_PER_H
+    lit_h = down_h - result.total("dark_ms") / MS_PER_H
+    base_lit_h = (base.total("down_ms") - base.total("dark_ms")) / MS_PER_H
     idle_h = result.total("idle_ms") / MS_PER_H
     outages_s = result.outages_s() or [0.0]
     cuts = (statistics.quantiles(outages_s, n=100)
             if len(outages_s) > 1 else outages_s * 99)
     return (f"{result.policy.name:24} {down_h:7.2f} "
             f"{down_h / (base.total('down_ms') / MS_PER_H or 1):6.3f} "
-            f"{idle_h:8.1f} "
+            f"{lit_h:7.2f} {lit_h / (base_lit_h or 1):6.3f} {idle_h:8.1f} "
             f"{idle_h / (base.total('idle_ms') / MS_PER_H or 1):6.3f} "
             f"{result.total('assigned_ms') / MS_PER_H:8.1f} "
             f"{cuts[49]:6.1f} {cuts[98]:7.1f} "
--- a/tests/test_bridging.py
+++ b/tests/test_bridging.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamommill import fakeworld, fleet, store
+from cardamommill import fakeworld, fleet, planning, store
 from tests import fleets
 
 OUTAGE_MS = 60_000
@@ -79,6 +79,7 @@
     world.run(OUTAGE_MS)
     world.runners[before.members[1]].up = False
     world.run(20_000)
+    assert not fleets.board(world, holder).assignments.formed_without_table
     orders = [
         runner.order
         for runner in world.runners.values()
@@ -107,27 +108,37 @@
     assert fleets.board(world, holder).lease.epoch == 1
 
 
-def test_writes_after_an_outage_stay_within_the_budget():
+def test_writes_after_an_outage_stay_within_the_budget(monkeypatch):
     """A domain goes dark during an outage; much is to be done afterwards.
 
     Every planner of the fleet would write at once when the table is back, and
     take it down again; each keeps to its number of rows a second.
     """
+    burst, rows_per_s, seconds = 12, 4, 10
     world = fleets.world({
         "d0": 32,
-        "d1": 34
+        "d1": 32
     },
-                         fleets.document(replicas=8, spares=2),
+                         fleets.document(replicas=8),
                          load_ms=2_000)
     world.run(60_000)
+    assert len(fleets.serving_now(world)) == 8
+    monkeypatch.setattr(planning, "WRITE_BURST", burst)
+    monkeypatch.setattr(planning, "WRITES_PER_S", rows_per_s)
     world.faults.table_down = True
     world.run(20_000)
-    for runner in world.runners.values():
-        runner.up = runner.vm.fabric_domain != "d0"
+    for row in fleets.replicas(world):
+        for vm_id in row.members:
+            world.runners[vm_id].up = False
     world.run(60_000)
-    before = world.table.writes
     world.faults.table_down = False
-    seconds = 20
+    before = world.table.writes
+    while world.table.writes < before + 4:
+        world.run(100)
     world.run(seconds * 1000)
-    # The burst, ten rows a second, and each node's own reads of liveness.
-    assert 0 < world.table.writes - before <= 80 + 34 + 11 * seconds
+    # One transaction may overdraw; renewals of the lease come on top.
+    largest, renewals = 7, 8
+    allowed = burst + largest + rows_per_s * seconds + renewals
+    assert allowed / 2 < world.table.writes - before <= allowed
+    world.run(60_000)
+    assert len(fleets.serving_now(world)) == 8
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -53,6 +53,14 @@
     board.assignments.vm_versions["a"] = 7
     flights.settle()
     assert not flights.locked()
+    # Without an answer it may take effect any moment: rows read before tell
+    # nothing.
+    flights.send(change, token)
+    board.assignments.read_ms = 20
+    flights.answered(token, store.TransactOutcome.UNKNOWN, 20)
+    assert not flights.settle() and flights.locked() == {"r1", "a"}
+    board.assignments.read_ms = 21
+    assert not flights.settle() and not flights.locked()
 
 
 def test_causes_are_bounded_and_tell_what_by_whom():
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamommill import fleet, store
+from cardamommill import fleet, orders, store
 from tests import fleets
 
 LOAD_MS = 20_000
@@ -274,3 +274,60 @@
     assert len(fleets.serving_now(world)) == 2
     assert fewest >= 1
     assert lost_ms <= most_down_ms
+
+
+@pytest.mark.parametrize("checks", (True, False))
+def test_a_successor_waits_where_engines_take_any_order(checks):
+    """The planner is paused, another takes over, and a runner needs an order.
+
+    An order of the paused one may still be on its way. Engines that check
+    refuse it; with the others the successor first waits until it must have
+    arrived, or else it would undo what was ordered after it.
+    """
+    engine = {"checks_fencing": checks}
+    world = fleets.world({"d0": 4},
+                         fleets.document(replicas=1, engine=engine),
+                         checks_fencing=checks)
+    world.run(40_000)
+    first = fleets.planner(world)
+    (row,) = fleets.replicas(world)
+    world.pause(first)
+    world.run(5_000)
+    runner = world.runners[row.members[0]]
+    runner.restart()
+    (successor,) = set(world.nodes) - {first}
+    lease = fleets.board(world, successor).lease
+    while not lease.held:
+        world.run(100)
+    held_ms = world.now_ms
+    while runner.order is None:
+        world.run(100)
+    waited_ms = world.now_ms - held_ms
+    assert (waited_ms >= fleets.TIMING.order_max_age_ms - 200) is not checks
+
+
+def test_loads_at_once_are_limited_and_the_urgent_duty_goes_first():
+    """A large domain comes back with all its weights lost.
+
+    All VMs would load at once, and the rate-limited store would make none of
+    the replicas complete for long. The urgent duty's VMs load first.
+    """
+    high = fleets.document(service="high", priority=1, replicas=5)
+    low = fleets.document(service="low", priority=9, replicas=5)
+    world = fleets.world({"d0": 40}, high, low)
+    world.run(100_000)
+    assert len(fleets.serving_now(world, "low")) == 5
+    for runner in world.runners.values():
+        runner.restart()
+    most = 0
+    for _ in range(150):
+        world.run(200)
+        most = max(
+            most,
+            sum(world.now_ms < runner.loaded_ms
+                for runner in world.runners.values()))
+    assert 20 <= most <= orders.LOADS_AT_ONCE
+    assert len(fleets.serving_now(world, "high")) == 5
+    assert len(fleets.serving_now(world, "low")) < 5
+    world.run(30_000)
+    assert len(fleets.serving_now(world, "low")) == 5
