--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -15,6 +15,8 @@
 
 from cardamommill import exceptions, operatorclient, standins
 
+BENCHES = ("edge", "requests", "fleet")
+
 Client = Callable[[], operatorclient.OperatorClient]
 
 
@@ -249,6 +251,22 @@
         """Shows the main job on this machine, in under a minute."""
         importlib.import_module("cardamommill.demo").run()
 
+    def bench(self, *names: str) -> None:
+        """Measures what is promised, against plain baselines in the same run.
+
+        Args:
+            *names: Some of edge, requests and fleet; all of them if empty.
+        """
+        unknown = sorted(set(names) - set(BENCHES))
+        if unknown:
+            raise exceptions.CommandError(
+                f"no bench {', '.join(unknown)}; there are "
+                f"{', '.join(BENCHES)}",
+                step="bench")
+        for name in names or BENCHES:
+            print(f"== {name}")
+            importlib.import_module(f"cardamommill.bench_{name}").main()
+
     def trial(self, seed: int = 1, seconds: float = 60) -> None:
         """Lets real processes fail under load, and checks all answers.
 
