--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -19,6 +19,7 @@
     http1,
     requesting,
     sinks,
+    tracing,
 )
 from tests import claimfleet, edge
 
@@ -77,6 +78,32 @@
         assert ends[0].delivered == 5
 
 
+def test_engine_that_begins_anew_sends_the_caller_nothing():
+    """The document says that the engine can resume, and the engine can't.
+
+    The first replica breaks off after two events; the second ignores the
+    offset and begins anew. The caller must get an explicit error: it had got
+    the first events twice, in a stream that ended as if whole.
+    """
+
+    def first(received, send):
+        send(edge.stream_head(received) + edge.chunk(an_event(0) + an_event(1)))
+        return False
+
+    def anew(received, send):
+        send(
+            edge.stream_head(received, resumes=False) +
+            edge.chunk(b"".join(map(an_event, range(5))) + DONE) + b"0\r\n\r\n")
+
+    nodes = []
+    with edge.Runner(first) as dying, edge.Runner(anew) as other, edge.Node(
+            dying.address, on_end=resume(nodes, lambda: other.address)) as node:
+        nodes.append(node)
+        reply = node.call(body=STREAM)
+    assert reply.body.startswith(an_event(0) + an_event(1) + b"event: error")
+    assert DONE not in reply.body
+
+
 def test_resume_from_elsewhere_is_not_sent():
 
     def first(received, send):
@@ -156,7 +183,8 @@
 
 def make_sink(connection):
     start = http1.RequestStart("POST", "/", 1, datastructures.Headers())
-    answer = answering.Answer(connection, start, "r", "t", True)
+    answer = answering.Answer(connection, start, "r", tracing.Context("t"),
+                              True)
     head = dataclasses.replace(claimfleet.head("r"), streaming=True)
     live = sinks.Live(head, (), b"", answer, attempt_id="r-1")
     sink = sinks.AnswerSink(live, "r-1", 1000, False, lambda live: None)
