Delete rows of nodes that are long dead

Cause: nothing took a node's row out of the table.

Ruled out: forgetting the addresses alone (the next read of the table brings them back), and a lease for each row (a write a node every few seconds).

The table of nodes is a module of its own.

Measured: no figure; the test deletes after a minute of virtual time.

--- a/cardamommill/contacts.py
+++ b/cardamommill/contacts.py
@@ -14,7 +14,8 @@
 # A silent peer is asked less often, but often enough to be heard again within
 # seconds once a cut is mended.
 MAX_BACKOFF = 4
-FORGET_MS = 600_000
+# Longer than `nodetable.ALL_NODES_READ_MS`, which vouches for the far ones.
+FORGET_MS = 1_500_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +25,7 @@
     Attributes:
         address: Its peers' port.
         configured: Whether the settings name it; then it is never forgotten.
-        added_ms: Since when it is in the book.
+        named_ms: When somebody last said that it exists.
         identity: Who answers there; None until that is known.
         due_ms: When to ask next.
         heard_ms: When the question was sent that it answered last.
@@ -36,7 +37,7 @@
 
     address: str
     configured: bool
-    added_ms: int
+    named_ms: int
     identity: fleet.NodeIdentity | None = None
     due_ms: int = board_lib.NEVER_MS
     heard_ms: int = board_lib.NEVER_MS
@@ -147,6 +148,7 @@
         contact = self.add(identity.peer_address, now_ms)
         if contact is None:
             return
+        contact.named_ms = now_ms
         # An address may have passed to another node. Who answers there knows
         # better than whoever still remembers the one before.
         before = contact.identity
@@ -190,6 +192,13 @@
             contact.identity.data_centre == data_centre
         ]
 
+    def heard_since(self, since_ms: int) -> frozenset[str]:
+        """Returns the names of nodes that answered a question since then."""
+        return frozenset(
+            contact.identity.node_id
+            for contact in self.by_address.values()
+            if contact.identity is not None and contact.heard_ms >= since_ms)
+
     def unmet(self) -> list[Contact]:
         """Returns the addresses of which nothing more is known."""
         return [
@@ -209,7 +218,7 @@
     def forget(self, now_ms: int) -> None:
         """Drops nodes that have been silent for long."""
         for address, contact in list(self.by_address.items()):
-            silent_ms = now_ms - max(contact.heard_ms, contact.added_ms)
+            silent_ms = now_ms - max(contact.heard_ms, contact.named_ms)
             if silent_ms > FORGET_MS and not contact.configured:
                 del self.by_address[address]
                 # The incarnation is dropped too, which bounds memory; a late
--- a/cardamommill/membership.py
+++ b/cardamommill/membership.py
@@ -17,27 +17,17 @@
     events,
     evidence,
     fleet,
+    nodetable,
     peering,
     periods,
     polling,
     pulling,
-    store,
     summaries,
 )
 from cardamommill import board as board_lib
 
-# The own data centre's part of the table is read often, all of it seldom: at
-# 330 nodes a row each, the whole is half the size of a large answer.
-NODES_READ_MS = 30_000
-ALL_NODES_READ_MS = 600_000
-RETRY_MS = 2_000
 MAX_LOST_VMS = 64
 
-_OWN_ROW = "own-row"
-_OWN_NODES = "own-nodes"
-_ALL_NODES = "all-nodes"
-_RETRIES_MS = {_OWN_NODES: 4_000, _ALL_NODES: 60_000}
-
 
 class Membership(controller.Controller):
     """Knows who is there: VMs, runners, nodes."""
@@ -55,8 +45,9 @@
         self._polls = polling.PollSchedule(board, timing, self.random)
         self._pulls = pulling.PullSchedule(board, timing, self.random,
                                            self._contacts)
-        self._row_written = False
-        self._due_ms: dict[str, int] = {}
+        self._nodes = nodetable.NodeTable(board.identity, self._contacts,
+                                          self.token, self.random)
+        self._list_due_ms = board_lib.NEVER_MS
         self._namesakes: set[int] = set()
 
     @functools.singledispatchmethod
@@ -82,8 +73,9 @@
         self._polls.share_out(alive, now_ms)
         self._pulls.share_out(alive)
         self._digests.refresh(now_ms, self._pulls.reports_on)
-        return (*self._platform(now_ms), *self._polls.polls(now_ms),
-                *self._pulls.pulls(now_ms), *self._pulls.summary_pulls(now_ms))
+        return (*self._list(now_ms), *self._nodes.calls(now_ms),
+                *self._polls.polls(now_ms), *self._pulls.pulls(now_ms),
+                *self._pulls.summary_pulls(now_ms))
 
     @step.register
     def _paused(self, event: events.Paused, now_ms: int) -> actions.Actions:
@@ -93,31 +85,12 @@
         self._pulls.ask_all(now_ms)
         return ()
 
-    def _is_due(self, what: str, period_ms: int, now_ms: int) -> bool:
-        if now_ms < self._due_ms.get(what, board_lib.NEVER_MS):
-            return False
-        # Spread, so that nodes that started together do not act together.
-        self._due_ms[what] = now_ms + int(
-            period_ms * self.random.uniform(0.8, 1.0))
-        return True
-
-    def _platform(self, now_ms: int) -> Iterable[actions.Action]:
-        if self._is_due("vms", self.timing.vm_list_ms, now_ms):
-            yield actions.ListVms()
-        if not self._row_written and self._is_due(_OWN_ROW, RETRY_MS, now_ms):
-            yield self._write_own_row()
-        if self._is_due(_OWN_NODES, NODES_READ_MS, now_ms):
-            yield actions.ScanRows(self.token(_OWN_NODES), store.NODES,
-                                   f"{self.board.identity.data_centre}/")
-        if self._is_due(_ALL_NODES, ALL_NODES_READ_MS, now_ms):
-            yield actions.ScanRows(self.token(_ALL_NODES), store.NODES, "")
-
-    def _write_own_row(self) -> actions.Transact:
-        identity = self.board.identity
-        key = store.Key(store.NODES,
-                        f"{identity.data_centre}/{identity.node_id}")
-        return actions.Transact(self.token(_OWN_ROW), (),
-                                (store.Write(key, store.encode(identity)),))
+    def _list(self, now_ms: int) -> actions.Actions:
+        if now_ms < self._list_due_ms:
+            return ()
+        self._list_due_ms = now_ms + int(
+            self.timing.vm_list_ms * self.random.uniform(0.8, 1.0))
+        return (actions.ListVms(),)
 
     def _forget(self, now_ms: int) -> None:
         peers = self.board.peers.by_node
@@ -301,31 +274,13 @@
     def _transacted(self, event: events.TransactAnswered,
                     now_ms: int) -> actions.Actions:
         del now_ms
-        if self.owns(event.token) and (event.outcome
-                                       is store.TransactOutcome.COMMITTED):
-            self._row_written = True
+        if self.owns(event.token):
+            self._nodes.written(event)
         return ()
 
     @step.register
     def _read(self, event: events.RowsRead, now_ms: int) -> actions.Actions:
         if not self.owns(event.token):
             return ()
-        if event.rows is None:
-            # Without the table: known addresses and what peers tell. Uneven,
-            # so that its return is not met by all nodes at once.
-            self._due_ms[event.token.subject] = now_ms + int(
-                _RETRIES_MS.get(event.token.subject, RETRY_MS) *
-                self.random.uniform(0.5, 1.0))
-            return ()
-        own = self.board.identity
-        for row in event.rows:
-            try:
-                identity = store.decode(fleet.NodeIdentity, row.value)
-            except ValueError:
-                continue
-            if identity.node_id != own.node_id:
-                self._contacts.learn(identity, now_ms)
-            elif identity.incarnation < own.incarnation:
-                # A write of the former life that arrived late.
-                self._row_written = False
-        return ()
+        alive = self._polls.alive(now_ms)
+        return tuple(self._nodes.read(event, alive, now_ms))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,6 +13,7 @@
     events,
     evidence,
     fleet,
+    nodetable,
     peering,
     periods,
     store,
@@ -375,6 +376,24 @@
         assert kept <= set(after[vm_id])
 
 
+def test_rows_of_dead_nodes_are_deleted_and_living_ones_come_back(monkeypatch):
+    """Entry VMs are replaced; one that seemed dead was only cut off.
+
+    Rows of the dead would pile up, and all nodes ask them for ever. The row
+    of a node that comes back is written again by that node.
+    """
+    monkeypatch.setattr(nodetable, "ROW_EXPIRY_MS", 60_000)
+    fleet_ = fake_fleet.FakeFleet(nodes=3)
+    fleet_.advance(2000)
+    fleet_.nodes["dc-a-2"].paused = True
+    fleet_.advance(200_000)
+    rows = [row.key.row for row in fleet_.table.under(store.NODES, "")]
+    assert rows == ["dc-a/dc-a-0", "dc-a/dc-a-1"]
+    fleet_.nodes["dc-a-2"].paused = False
+    fleet_.advance(40_000)
+    assert len(fleet_.table.under(store.NODES, "")) == 3
+
+
 def test_memory_of_vms_is_bounded(monkeypatch):
     monkeypatch.setattr(evidence, "MAX_VMS", 3)
     told, book = _book()
