Give a request whose caller has gone its final answer too

Cause: a caller that closes its connection right after its whole answer left the request's span unwritten (tests/test_operating.py failed by it), and one that goes earlier left its entry in the observer for the node's life.

Change: every request ends in exactly one Finish, Replay or Refuse; for a caller that has gone it is a 499 that reaches nobody.

Ruled out: an action of its own for this end. The shell and the observer free what they keep on the three they know.

--- a/cardamommill/answers.py
+++ b/cardamommill/answers.py
@@ -22,6 +22,7 @@
     DEADLINE = enum.auto()
     QUARANTINED = enum.auto()
     BROKEN = enum.auto()
+    GONE = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +49,9 @@
         _Form(422, "The request has crashed backend servers", "quarantine"),
     Reason.BROKEN:
         _Form(503, "The replica gave no whole answer", "attempt"),
+    # Nobody reads it, but whoever keeps something for the request frees it.
+    Reason.GONE:
+        _Form(499, "The caller has gone", "answer"),
 }
 
 
--- a/cardamommill/endings.py
+++ b/cardamommill/endings.py
@@ -44,13 +44,11 @@
         # What is said here must cover every attempt, not the last one alone.
         request.outcome = retries.combined(request.outcome, problem.outcome)
         problem = dataclasses.replace(problem, outcome=request.outcome)
-        wanted: actions.Actions = (record(
-            request, "refused",
-            f"{problem.status} {problem.title}: {problem.detail}"),)
-        if not request.gone:
-            wanted += (actions.Refuse(request.head.request_id, problem,
-                                      request.attempts),)
-        return wanted + self.end(request, problem.status)
+        return (actions.Refuse(request.head.request_id, problem,
+                               request.attempts),
+                record(request, "refused",
+                       f"{problem.status} {problem.title}: {problem.detail}"),
+                *self.end(request, problem.status))
 
     def end(self,
             request: _InProgress,
--- a/cardamommill/requestfakes.py
+++ b/cardamommill/requestfakes.py
@@ -18,7 +18,7 @@
     decisions,
     documents,
     events,
-    fakes,
+    fakeworld,
     fleet,
     peering,
     periods,
@@ -175,7 +175,7 @@
     repeat_end: float = 0.0
 
 
-class RequestWorld(fakes.FakeWorld):
+class RequestWorld(fakeworld.FakeWorld):
     """Nodes, replicas and callers of one service in one data centre.
 
     Attributes:
@@ -221,7 +221,7 @@
                 fleet.NodeIdentity(name, DATA_CENTRE, "region", 1,
                                    f"10.1.0.{number}:1", f"10.1.0.{number}:2"),
                 self.timing, seed + number, kinds)
-            self.add_node(name, fakes.FakeNode(node, 1000 * number))
+            self.add_node(name, fakeworld.FakeNode(node, 1000 * number))
             self._start(name)
 
     # --- What the rest of a node would know ---
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -147,9 +147,8 @@
             work.budget.succeeded(limits.retry_fraction)
             work.pace.finished(now_ms - request.sent_ms)
         request.outcome = _Outcome.RAN
-        finish = () if request.gone else (actions.Finish(
-            request.head.request_id, request.attempts),)
-        return finish + self._ends.end(request, event.status, event.answer)
+        finish = actions.Finish(request.head.request_id, request.attempts)
+        return (finish, *self._ends.end(request, event.status, event.answer))
 
     def _again(self, request: _InProgress, event: events.AttemptEnded,
                now_ms: int) -> actions.Actions:
@@ -203,14 +202,18 @@
     def _caller_gone(self, request: _InProgress, event: events.CallerGone,
                      now_ms: int) -> actions.Actions:
         del event
-        if request.stage is not _Stage.RUNNING:
-            return self._ends.end(request, 0)
-        if request.claimed:
-            # It may not run again, so its answer is worth having for the
-            # caller's repeat: it goes on, up to its deadline.
-            request.gone = True
-            return ()
-        return self._ends.cancel(request, now_ms) + self._ends.end(request, 0)
+        cancelled: actions.Actions = ()
+        if request.stage is _Stage.RUNNING:
+            if request.claimed:
+                # It may not run again, so its answer is worth having for the
+                # caller's repeat: it goes on, up to its deadline.
+                request.gone = True
+                return ()
+            cancelled = self._ends.cancel(request, now_ms)
+        problem = answers.problem(_Reason.GONE,
+                                  f"it was {request.stage.value}",
+                                  outcome=request.outcome)
+        return (*cancelled, *self._ends.refuse(request, problem))
 
     def _overdue(self, request: _InProgress, now_ms: int) -> actions.Actions:
         """Answers a request whose deadline has passed."""
