--- a/tools/pack.py
+++ b/tools/pack.py
@@ -72,8 +72,9 @@
 class Archive:
     """The one file while it is written."""
 
-    def __init__(self, file: zipfile.ZipFile) -> None:
+    def __init__(self, file: zipfile.ZipFile, level: int) -> None:
         self._file = file
+        self._level = level
         self._folders: set[str] = set()
 
     def add(self, name: str, data: bytes) -> None:
@@ -91,21 +92,21 @@
     def _write(self, name: str, data: bytes) -> None:
         info = zipfile.ZipInfo(name, EPOCH)
         info.external_attr = 0o700 << 16
-        info.compress_type = zipfile.ZIP_DEFLATED
-        self._file.writestr(info, data)
+        self._file.writestr(info, data, zipfile.ZIP_DEFLATED, self._level)
 
 
-def pack(output: pathlib.Path) -> None:
+def pack(output: pathlib.Path, level: int = 9) -> None:
     """Writes the one file.
 
     Args:
         output: Where to.
+        level: How well it is compressed, 0 to 9.
     """
     output.parent.mkdir(parents=True, exist_ok=True)
     with output.open("wb") as raw:
         raw.write(SHEBANG)
         with zipfile.ZipFile(raw, "w") as file:
-            archive = Archive(file)
+            archive = Archive(file, level)
             for name, path in members():
                 data = path.read_bytes()
                 if name.endswith(".py"):
