Hand the lease over when blind; move spares only once they know the planner

Cause: a planner cut off from all runners but not from the table renewed its lease for ever and repaired nothing. And a spare could go to another replica while a former planner, without the table, might still form it into the replica that it was assigned to. Change: a holder that heard no runner for a whole lease, though VMs are listed, gives the lease up, and such a node takes none. A spare of an engine that checks goes to another replica only after it has taken an order with the present fencing number; a new planner tells each spare once more. Ruled out: comparing with what peers hear. Measured: the test of the blind planner fails without the rule (the cut-off node stays the planner); with it the other node serves within 30 s. Conclusion: a planner that hears only some runners, and no peer that hears the others, still plans with what it hears.

--- a/cardamommill/facts.py
+++ b/cardamommill/facts.py
@@ -163,6 +163,19 @@
             return False
         return report.ready or report.role is fleet.RunnerRole.IDLE
 
+    def movable(self, vm_id: str, document: documents.Document) -> bool:
+        """Tells whether a spare may go to another replica.
+
+        Without the table its former planner could make it a member of the
+        replica that it is assigned to (see `bridging`). Once the runner has
+        taken an order of this planner it refuses that one's.
+        """
+        report = self.report(vm_id)
+        return report is not None and self.usable(vm_id) and (
+            not document.engine.checks_fencing or
+            (report.role is fleet.RunnerRole.SPARE and
+             report.highest_fence >= self.board.lease.epoch))
+
     def serving(self, row: fleet.ReplicaRow) -> bool:
         """Tells whether every member says that it is formed and ready."""
         return all(self._present(row, vm_id) for vm_id in row.members)
--- a/cardamommill/leases.py
+++ b/cardamommill/leases.py
@@ -43,6 +43,7 @@
         self._call: _Call | None = None
         self._taken: _Call | None = None
         self._next_ms = 0
+        self._saw_ms: int | None = None
         self._seen = (-1, -1)
         self._seen_ms = 0
         self._jitter_ms = 0
@@ -59,11 +60,12 @@
         lease = self.board.lease
         if lease.held and now_ms >= lease.valid_until_ms:
             lease.held = False
+        self._look(now_ms)
         if self._call or now_ms < self._next_ms:
             return ()
         if not self._mine():
             return self._read(now_ms)
-        if self._ending():
+        if self._ending() or self._is_blind(now_ms):
             return self._give_up(now_ms)
         return self._renew(now_ms)
 
@@ -122,6 +124,24 @@
         return (row is not None and (row.holder, row.incarnation)
                 == (identity.node_id, identity.incarnation))
 
+    def _look(self, now_ms: int) -> None:
+        board = self.board
+        if self._saw_ms is None or not board.vms.listed:
+            self._saw_ms = now_ms
+        self._saw_ms = max(
+            (self._saw_ms,
+             *(evidence.seen_ms for evidence in board.evidence.by_vm.values())))
+
+    def _is_blind(self, now_ms: int) -> bool:
+        """Tells whether VMs are listed and no runner was heard for long.
+
+        A holder that is cut off from the runners, but not from the table,
+        would keep the lease for ever and repair nothing, while other nodes
+        hear the runners.
+        """
+        return (self._saw_ms is not None and
+                now_ms - self._saw_ms >= self.timing.lease_ms)
+
     def _ending(self) -> bool:
         return self.board.life.leaving
 
@@ -147,8 +167,8 @@
             self._jitter_ms = self.random.randrange(MAX_JITTER_MS)
         stood_ms = now_ms - self._seen_ms
         free = lease.row is None or not lease.row.holder
-        if self._ending() or not (free or stood_ms
-                                  >= self.timing.lease_ms + self._jitter_ms):
+        if self._ending() or self._is_blind(now_ms) or not (
+                free or stood_ms >= self.timing.lease_ms + self._jitter_ms):
             return ()
         return self._take(renewal.version, now_ms)
 
--- a/cardamommill/orders.py
+++ b/cardamommill/orders.py
@@ -146,7 +146,7 @@
         if (row.state is fleet.ReplicaState.ASSIGNED and document and
                 row.replica_id not in facts.locked and
                 _in_time(facts, (document,))):
-            yield from _of_replica(facts, row, document.priority)
+            yield from _of_replica(facts, row, document)
     documents_here = tuple(facts.duties())
     for vm in facts.board.vms.listed.values():
         if _to_be_idle(facts, vm.vm_id) and _in_time(
@@ -172,7 +172,8 @@
 
 
 def _of_replica(facts: facts_lib.Facts, row: fleet.ReplicaRow,
-                priority: int) -> Iterator[Wanted]:
+                document: documents.Document) -> Iterator[Wanted]:
+    priority = document.priority
     if not all(vm_id in facts.board.vms.listed for vm_id in row.members):
         return
     # A replica that lacks little goes before one that lacks much, so that one
@@ -185,12 +186,19 @@
                          report.model != row.model, (priority, 0, lacking))
     for vm_id in row.spares:
         report = facts.report(vm_id)
-        if report and vm_id in facts.board.vms.listed and (not facts_lib.spare(
-                report, row)):
+        if report and vm_id in facts.board.vms.listed and not (facts_lib.spare(
+                report, row) and _knows_planner(facts, report, document)):
             yield Wanted(_order(facts, row, vm_id, fleet.OrderKind.PRELOAD),
                          report.model != row.model, (priority, 1, 0))
 
 
+def _knows_planner(facts: facts_lib.Facts, report: fleet.RunnerReport,
+                   document: documents.Document) -> bool:
+    """Tells whether a spare would refuse an order of a former planner."""
+    return (not document.engine.checks_fencing or
+            report.highest_fence >= facts.board.lease.epoch)
+
+
 def _loads_now(report: fleet.RunnerReport | None,
                row: fleet.ReplicaRow) -> bool:
     return (report is not None and report.replica_id == row.replica_id and
--- a/cardamommill/placement.py
+++ b/cardamommill/placement.py
@@ -35,7 +35,7 @@
         facts.board.vms.listed[vm_id]
         for row in facts.replicas(document.service)
         if row.replica_id not in facts.locked for vm_id in row.spares
-        if facts.usable(vm_id)
+        if facts.movable(vm_id, document)
     ]
 
 
--- a/cardamommill/repair.py
+++ b/cardamommill/repair.py
@@ -95,7 +95,7 @@
         vm_id for other in facts.replicas(document.service)
         if other.replica_id != row.replica_id and
         other.replica_id not in facts.locked and not _needs(facts, other)
-        for vm_id in other.spares if facts.usable(vm_id)
+        for vm_id in other.spares if facts.movable(vm_id, document)
     ]
     every = own + free + others
     domain = facts.domain(row.members)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -331,3 +331,25 @@
     assert len(fleets.serving_now(world, "low")) < 5
     world.run(30_000)
     assert len(fleets.serving_now(world, "low")) == 5
+
+
+def test_a_planner_that_hears_no_runner_hands_over():
+    """The planner is cut off from runners and nodes, but reaches the table.
+
+    It would renew its lease for ever while every replica looks lost to it and
+    no VM usable. Another node that hears the runners repairs instead.
+    """
+    world = fleets.world({"d0": 5}, fleets.document(replicas=1, spares=1))
+    world.run(80_000)
+    first = fleets.planner(world)
+    (row,) = fleets.replicas(world)
+    world.faults.cut = {
+        frozenset((first, other))
+        for other in (*world.runners, *world.nodes)
+        if other != first
+    }
+    lose(world, row.members[1])
+    world.run(30_000)
+    (other,) = set(world.nodes) - {first}
+    assert fleets.planner(world) == other
+    assert len(fleets.serving_now(world, name=other)) == 1
