Unite replicas that span fabric domains; load adapters once; forget old VMs

Cause: with `prefer` a replica could span two domains for ever, and the stated price of that, unshared_slowdown, decided nothing. The orders' books kept VMs and adapters of replicas that were long gone. Change: a replica spans domains only where no domain will have room once what is being released is free; when a domain has room, a new replica is made there first and the slow one goes when that one serves. Ruled out: swapping members one by one into the other domain. Until the last one moved the replica would span domains still, with a new formation, and so a short downtime, each time. Measured: the replica of the test moves to one domain with 0 s downtime.

--- a/cardamommill/fakes.py
+++ b/cardamommill/fakes.py
@@ -72,6 +72,7 @@
         fence: The highest fencing number that it took.
         leaving: Whether it says that its VM will go.
         running: How many requests it says that it runs.
+        adapters: The adapters that it was ordered to load, in order.
     """
 
     vm: fleet.Vm
@@ -88,6 +89,7 @@
     fence: int = 0
     leaving: bool = False
     running: int = 0
+    adapters: list[str] = dataclasses.field(default_factory=list)
 
     def take(self, order: fleet.Order, now_ms: int) -> bool:
         """Tells whether it takes an order, and takes it."""
@@ -95,6 +97,7 @@
             return False
         self.fence = max(self.fence, order.fence)
         if order.kind is fleet.OrderKind.LOAD_ADAPTER:
+            self.adapters.append(order.adapter)
             return True
         if self._same(order):
             return True
--- a/cardamommill/orders.py
+++ b/cardamommill/orders.py
@@ -50,6 +50,7 @@
         Args:
             facts: What is known.
         """
+        self._forget(facts)
         found: list[actions.Action] = []
         every = sorted(wanted(facts), key=lambda each: each.urgency)
         loads = LOADS_AT_ONCE - self._loading(facts)
@@ -81,6 +82,18 @@
             f"vm/{order.vm_id}", "order-refused",
             f"{order.kind} with fence {order.fence}: {event.detail}"),)
 
+    def _forget(self, facts: facts_lib.Facts) -> None:
+        """Drops what concerns VMs and replicas that are no more."""
+        listed = facts.board.vms.listed
+        if len(self._sent) > len(listed):
+            self._sent = {
+                vm_id: sent
+                for vm_id, sent in self._sent.items()
+                if vm_id in listed
+            }
+        replicas = facts.board.assignments.replicas
+        self._adapters = {key for key in self._adapters if key[1] in replicas}
+
     def _loading(self, facts: facts_lib.Facts) -> int:
         """Returns how many VMs are loading, or were just told to."""
         loading = {
--- a/cardamommill/placement.py
+++ b/cardamommill/placement.py
@@ -1,7 +1,7 @@
 """Which VMs make a replica."""
 
 import collections
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from cardamommill import documents, fleet
 from cardamommill import facts as facts_lib
@@ -19,8 +19,15 @@
         document: The service's document.
     """
     free = facts.free_vms(document.pool)
-    return (choose_of(free, document, facts.holds) or
-            choose_of(free + spares(facts, document), document, facts.holds))
+    every = free + spares(facts, document)
+    found = (together(facts, document, free) or
+             together(facts, document, every))
+    if found or document.fabric is documents.FabricRule.REQUIRE:
+        return found
+    if max(room(facts, document).values(), default=0) >= document.replica_vms:
+        # A domain will have room when its VMs have been released.
+        return ()
+    return _spread(free, document) or _spread(every, document)
 
 
 def spares(facts: facts_lib.Facts,
@@ -39,32 +46,36 @@
     ]
 
 
-def choose_of(vms: Sequence[fleet.Vm], document: documents.Document,
-              holds: Callable[[str, str], bool]) -> tuple[fleet.Vm, ...]:
-    """Returns the VMs of a new replica out of some.
+def together(facts: facts_lib.Facts, document: documents.Document,
+             vms: Sequence[fleet.Vm]) -> tuple[fleet.Vm, ...]:
+    """Returns the VMs of a new replica in one fabric domain, or none.
 
     Of the domains that have room it takes the one that is left with the least,
     so that room for large replicas stays whole elsewhere.
 
     Args:
-        vms: VMs that can be assigned.
+        facts: What is known.
         document: The service's document.
-        holds: Tells whether a VM holds weights; such go first.
+        vms: VMs that can be assigned; those that hold the weights go first.
     """
     size = document.replica_vms
-    domains = by_domain(vms)
-    for each in domains.values():
-        each.sort(key=lambda vm: not holds(vm.vm_id, document.weights))
-    fitting = [each for each in domains.values() if len(each) >= size]
-    if fitting:
-        return tuple(min(fitting, key=len)[:size])
-    if document.fabric is documents.FabricRule.REQUIRE:
+    fitting = [each for each in by_domain(vms).values() if len(each) >= size]
+    if not fitting:
         return ()
+    smallest = min(fitting, key=lambda each: len(each))
+    chosen = sorted(smallest,
+                    key=lambda vm: not facts.holds(vm.vm_id, document.weights))
+    return tuple(chosen[:size])
+
+
+def _spread(vms: Sequence[fleet.Vm],
+            document: documents.Document) -> tuple[fleet.Vm, ...]:
     # The fewest domains: the largest first.
     ordered = [
-        vm for each in sorted(domains.values(), key=len, reverse=True)
+        vm for each in sorted(by_domain(vms).values(), key=len, reverse=True)
         for vm in each
     ]
+    size = document.replica_vms
     return tuple(ordered[:size]) if len(ordered) >= size else ()
 
 
--- a/cardamommill/planning.py
+++ b/cardamommill/planning.py
@@ -51,9 +51,10 @@
     """
 
     name = "planning"
-    proposals: tuple[Proposal, ...] = (bridging.caught_up, repair.repairs,
-                                       sizing.surplus, releases, sizing.missing,
-                                       sizing.outdated, sparing.spares)
+    proposals: tuple[Proposal,
+                     ...] = (bridging.caught_up, repair.repairs, sizing.surplus,
+                             releases, sizing.missing, sizing.outdated,
+                             sizing.united, sparing.spares)
     heeds_leaving = True
 
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
--- a/cardamommill/sizing.py
+++ b/cardamommill/sizing.py
@@ -37,6 +37,21 @@
             len(row.members) == document.replica_vms)
 
 
+def _split(facts: facts_lib.Facts, row: fleet.ReplicaRow,
+           document: documents.Document) -> bool:
+    """Tells whether a replica is slow because it spans fabric domains."""
+    listed = facts.board.vms.listed
+    domains = {
+        listed[vm_id].fabric_domain for vm_id in row.members if vm_id in listed
+    }
+    return document.costs.unshared_slowdown > 1 and len(domains) > 1
+
+
+def _as_wanted(facts: facts_lib.Facts, row: fleet.ReplicaRow,
+               document: documents.Document) -> bool:
+    return current(row, document) and not _split(facts, row, document)
+
+
 def missing(facts: facts_lib.Facts) -> Iterator[changes.Change]:
     """Yields new replicas, and what is taken from others to make room.
 
@@ -168,21 +183,48 @@
 def _worst(facts: facts_lib.Facts,
            service: _Service) -> fleet.ReplicaRow | None:
     document = service.document
-    rows = sorted(service.rows,
-                  key=lambda row:
-                  (row.replica_id not in service.hopeless, current(
-                      row, document), facts.serving(row), -row.epoch))
+    rows = sorted(
+        service.rows,
+        key=lambda row:
+        (row.replica_id not in service.hopeless, current(row, document),
+         not _split(facts, row, document), facts.serving(row), -row.epoch))
     if not rows:
         return None
     serving = sum(map(facts.serving, rows[1:]))
     if serving >= service.wanted:
         return rows[0]
-    wanted = [row for row in service.viable() if current(row, document)]
+    wanted = [
+        row for row in service.viable() if _as_wanted(facts, row, document)
+    ]
     if len(wanted) > service.wanted:
         return min(wanted, key=facts.serving)
     return None
 
 
+def united(facts: facts_lib.Facts) -> Iterator[changes.Change]:
+    """Yields new replicas in one domain for such as span several.
+
+    The slow one goes on serving until the new one does. Loading it anew costs
+    once what the slowness costs again and again.
+
+    Args:
+        facts: What is known.
+    """
+    if facts.locked:
+        return
+    for service in _services(facts):
+        document = service.document
+        slow = [row for row in service.rows if _split(facts, row, document)]
+        if not slow or len(service.rows) > service.wanted:
+            continue
+        vms = placement.together(facts, document, facts.free_vms(document.pool))
+        if vms:
+            yield _assign(
+                facts, document, vms,
+                f"{slow[0].replica_id} spans fabric domains and is "
+                f"{document.costs.unshared_slowdown:g} times slower")
+
+
 def outdated(facts: facts_lib.Facts) -> Iterator[changes.Change]:
     """Yields changes towards a new version or size, one replica at a time.
 
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -65,6 +65,24 @@
     assert len(fleets.serving_now(loose)) == 1
 
 
+def test_a_replica_that_spans_domains_is_united_once_there_is_room():
+    """A replica was made of two domains for want of room, and is slow.
+
+    When a domain has room, a new one is made there, and the slow one goes on
+    serving until that one does.
+    """
+    world = fleets.world({
+        "d0": 2,
+        "d1": 2
+    }, fleets.document(replicas=1, fabric="prefer"))
+    world.run(40_000)
+    assert len(fleets.serving_now(world)) == 1
+    world.add_vms(fleets.runners({"d2": 4}))
+    assert down_ms(world, 60_000) == 0
+    (row,) = fleets.replicas(world)
+    assert {vm_id[:2] for vm_id in row.members} == {"d2"}
+
+
 def test_a_plain_service_takes_the_same_path():
     plain = fleets.document(service="registry-portal",
                             kind="plain",
@@ -353,3 +371,15 @@
     (other,) = set(world.nodes) - {first}
     assert fleets.planner(world) == other
     assert len(fleets.serving_now(world, name=other)) == 1
+
+
+def test_adapters_are_loaded_at_each_head_once():
+    wanted = fleets.document(replicas=1, adapters=["legal", "short"])
+    world = fleets.world({"d0": 5}, wanted)
+    world.run(60_000)
+    (row,) = fleets.replicas(world)
+    assert world.runners[row.members[0]].adapters == ["legal", "short"]
+    lose(world, row.members[0])
+    world.run(60_000)
+    (row,) = fleets.replicas(world)
+    assert world.runners[row.members[0]].adapters == ["legal", "short"]
