--- a/cardamommill/bench_requests.py
+++ b/cardamommill/bench_requests.py
@@ -7,186 +7,104 @@
 
 import collections
 from collections.abc import Callable, Iterable, Sequence
-import dataclasses
 import random
 import time
 
 from cardamommill import (
     actions,
-    baselines,
-    claims,
-    controller,
+    bench_faults,
+    benchload,
     decisions,
-    documents,
     events,
-    limits,
-    peering,
+    replicafakes,
     requestfakes,
-    requesting,
-    requests,
-    routing,
-    suspects,
 )
 
-OWN = (claims.Claims, suspects.Suspects, limits.Limits, routing.Routing,
-       requests.Requests)
-ROUND_ROBIN = (baselines.RoundRobin,)
-LEAST_LOADED = (baselines.LeastLoaded,)
+_WITHIN_MS = benchload.WITHIN_MS
+_CAPACITY_PER_S = benchload.CAPACITY_PER_S
 
-Kinds = tuple[type[controller.Controller], ...]
+_Prepare = Callable[[requestfakes.RequestWorld], None]
 
-REPLICAS = 10
-NODES = 2
-WORK = requestfakes.Work(tokens=40, token_ms=20, prefill_ms=100)
-RUN_MS = WORK.prefill_ms + WORK.tokens * WORK.token_ms
-SLOTS = 4
-CAPACITY_PER_S = REPLICAS * SLOTS * 1000 / RUN_MS
-WARM_MS = 8000
-WITHIN_MS = 5000
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Flow:
-    """Requests that come at random times.
-
-    Attributes:
-        name: What the figures call it, and its account.
-        per_s: How many a second.
-        priority: Their priority.
-    """
-
-    name: str
-    per_s: float
-    priority: int = 5
+def _nothing(_: requestfakes.RequestWorld) -> None:
+    """Prepares nothing."""
 
 
 def main() -> None:
     """Measures everything and prints it."""
     started_s = time.monotonic()
-    for measure in (_overload, _flood, _stragglers, _prefixes, _poison, _once,
-                    _cpu):
+    for measure in (_overload, _flood, _stragglers, _prefixes,
+                    bench_faults.poison, bench_faults.once, _cpu):
         for line in measure():
             print(line, flush=True)
     print(f"time: {time.monotonic() - started_s:.0f} s")
 
 
-def _document(accounts: Iterable[str]) -> documents.Document:
-    return documents.Document(service="assist-llm",
-                              pool="gpu",
-                              model="model",
-                              version="1",
-                              capacity={
-                                  requestfakes.DATA_CENTRE:
-                                      documents.Capacity(replicas=REPLICAS)
-                              },
-                              engine=documents.Engine(can_resume=True),
-                              accounts=tuple(
-                                  documents.Account(name=name,
-                                                    key_sha256=f"{number:064x}",
-                                                    requests_per_s=1e6,
-                                                    burst=1_000_000,
-                                                    concurrent=1_000_000)
-                                  for number, name in enumerate(accounts)))
-
-
-def _world(kinds: Kinds,
-           accounts: Iterable[str],
-           nodes: int = NODES) -> requestfakes.RequestWorld:
-    world = requestfakes.RequestWorld(_document(accounts),
-                                      kinds,
-                                      nodes,
-                                      REPLICAS,
-                                      seed=7)
-    world.run(2000)
-    return world
-
-
-def _drive(world: requestfakes.RequestWorld, flows: Sequence[Flow], for_ms: int,
-           send: Callable[[Flow], requestfakes.Call]) -> None:
-    """Lets requests of some flows come at random times."""
-    chance = random.Random(11)
-    total = sum(flow.per_s for flow in flows)
-    weights = [flow.per_s for flow in flows]
-    end_ms = world.now_ms + for_ms
-    at_ms = float(world.now_ms)
-    while True:
-        at_ms += chance.expovariate(total) * 1000
-        if at_ms >= end_ms:
-            break
-        world.run(max(0, round(at_ms) - world.now_ms))
-        send(chance.choices(flows, weights)[0])
-    world.run(2 * WITHIN_MS)
-
-
-def _loaded(
-    kinds: Kinds,
-    flows: Sequence[Flow],
-    for_ms: int = 30_000,
-    prepare: Callable[[requestfakes.RequestWorld], None] = lambda _: None
-) -> dict[str, list[requestfakes.Call]]:
+def _loaded(kinds: benchload.Kinds,
+            flows: Sequence[benchload.Flow],
+            for_ms: int = 30_000,
+            prepare: _Prepare = _nothing) -> dict[str, list[replicafakes.Call]]:
     """Returns the calls by flow, without those of the first seconds."""
-    world = _world(kinds, [flow.name for flow in flows])
+    world = benchload.world(kinds, [flow.name for flow in flows])
     prepare(world)
     chance = random.Random(5)
-    calls: dict[str, list[requestfakes.Call]] = collections.defaultdict(list)
+    calls: dict[str, list[replicafakes.Call]] = collections.defaultdict(list)
     start_ms = world.now_ms
 
-    def send(flow: Flow) -> requestfakes.Call:
+    def send(flow: benchload.Flow) -> replicafakes.Call:
         call = world.call(chance.choice(list(world.nodes)),
-                          WORK,
-                          WITHIN_MS,
+                          benchload.WORK,
+                          _WITHIN_MS,
                           account=flow.name,
                           priority=flow.priority)
-        if world.now_ms - start_ms >= WARM_MS:
+        if world.now_ms - start_ms >= benchload.WARM_MS:
             calls[flow.name].append(call)
         return call
 
-    _drive(world, flows, for_ms, send)
+    benchload.drive(world, flows, for_ms, send)
     return calls
 
 
-def _in_time(calls: Sequence[requestfakes.Call]) -> float:
-    return sum(call.in_time for call in calls) / max(1, len(calls))
-
-
-def _amplification(calls: Iterable[requestfakes.Call]) -> float:
+def _amplification(calls: Iterable[replicafakes.Call]) -> float:
     reached = [call.attempts for call in calls if call.attempts]
     return sum(reached) / max(1, len(reached))
 
 
 def _overload() -> Iterable[str]:
-    urgent = Flow("drafts", 0.4 * CAPACITY_PER_S, priority=1)
-    rest = Flow("rest", 1.6 * CAPACITY_PER_S, priority=5)
-    alone = _in_time(_loaded(OWN, (urgent,))["drafts"])
-    yield (f"overload at 2.0 of the capacity ({CAPACITY_PER_S:.0f} requests/s),"
-           f" 0.4 of it urgent; urgent alone in time: {alone:.1%}")
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN),
-                        ("least loaded", LEAST_LOADED)):
+    urgent = benchload.Flow("drafts", 0.4 * _CAPACITY_PER_S, 1)
+    rest = benchload.Flow("rest", 1.6 * _CAPACITY_PER_S, 5)
+    alone = benchload.in_time(_loaded(benchload.OWN, (urgent,))["drafts"])
+    yield (
+        f"overload at 2.0 of the capacity ({_CAPACITY_PER_S:.0f} requests/s),"
+        f" 0.4 of it urgent; urgent alone in time: {alone:.1%}")
+    for name, kinds in benchload.POLICIES:
         calls = _loaded(kinds, (urgent, rest))
-        ratio = _in_time(calls["drafts"]) / alone
+        ratio = benchload.in_time(calls["drafts"]) / alone
+        rest_in_time = benchload.in_time(calls["rest"])
         both = calls["drafts"] + calls["rest"]
-        useful = sum(call.in_time for call in both) / len(both) * 2.0
         yield (f"  {name:13} urgent in time, of alone: {ratio:6.1%}   rest in "
-               f"time: {_in_time(calls['rest']):6.1%}   all in time, of the "
-               f"capacity: {useful:6.1%}   attempts at runners a request: "
-               f"{_amplification(both):.2f}")
+               f"time: {rest_in_time:6.1%}   all in time, of the capacity: "
+               f"{2.0 * benchload.in_time(both):6.1%}   attempts at runners a "
+               f"request: {_amplification(both):.2f}")
 
 
 def _flood() -> Iterable[str]:
-    small = [Flow(f"small-{n}", 0.03 * CAPACITY_PER_S) for n in range(9)]
-    large = Flow("large", 2.0 * CAPACITY_PER_S)
-    calls = _loaded(OWN, small)
-    alone = _in_time([call for each in calls.values() for call in each])
+    small = [
+        benchload.Flow(f"small-{n}", 0.03 * _CAPACITY_PER_S) for n in range(9)
+    ]
+    large = benchload.Flow("large", 2.0 * _CAPACITY_PER_S)
+    calls = _loaded(benchload.OWN, small)
+    alone = benchload.in_time(
+        [call for each in calls.values() for call in each])
     yield (f"one account floods with 2.0 of the capacity, nine small ones ask "
            f"for 0.03 each; small alone in time: {alone:.1%}")
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN),
-                        ("least loaded", LEAST_LOADED)):
+    for name, kinds in benchload.POLICIES:
         calls = _loaded(kinds, [*small, large])
-        few = [_in_time(calls[flow.name]) for flow in small]
+        few = [benchload.in_time(calls[flow.name]) for flow in small]
         yield (f"  {name:13} small in time, of alone: "
                f"{sum(few) / len(few) / alone:6.1%} (least of them "
                f"{min(few) / alone:6.1%})   large in time: "
-               f"{_in_time(calls['large']):6.1%}")
+               f"{benchload.in_time(calls['large']):6.1%}")
 
 
 def _stragglers() -> Iterable[str]:
@@ -196,23 +114,23 @@
         def change() -> None:
             world.replicas["r3"].speed = 0.1
 
-        world.later(WARM_MS + 4000, change)
+        world.later(benchload.WARM_MS + 4000, change)
 
-    flow = Flow("office", 0.5 * CAPACITY_PER_S)
+    flow = benchload.Flow("office", 0.5 * _CAPACITY_PER_S)
     yield ("one replica of ten falls to a tenth of its speed, load 0.5: time "
            "to the first token, from 4 s before that to 48 s after")
-    for name, kinds, prepare in (("own, none slow", OWN,
-                                  lambda _: None), ("own", OWN, slow),
-                                 ("round robin", ROUND_ROBIN,
-                                  slow), ("least loaded", LEAST_LOADED, slow)):
+    runs: list[tuple[str, benchload.Kinds,
+                     _Prepare]] = [("own, none slow", benchload.OWN, _nothing)]
+    runs += [(name, kinds, slow) for name, kinds in benchload.POLICIES]
+    for name, kinds, prepare in runs:
         calls = _loaded(kinds, (flow,), 60_000, prepare)["office"]
         waits = sorted(call.first_ms -
-                       call.sent_ms if call.first_ms >= 0 else 2 * WITHIN_MS
+                       call.sent_ms if call.first_ms >= 0 else 2 * _WITHIN_MS
                        for call in calls)
         p50, p95, p99 = (
             waits[int(len(waits) * part)] for part in (0.5, 0.95, 0.99))
         yield (f"  {name:14} p50 {p50:5} ms   p95 {p95:5} ms   p99 {p99:5} ms"
-               f"   in time {_in_time(calls):6.1%}")
+               f"   in time {benchload.in_time(calls):6.1%}")
 
 
 SESSIONS = 80
@@ -223,8 +141,7 @@
     yield (f"{SESSIONS} conversations of {TURNS} turns, caches that hold 1.5 "
            "of them together, load 0.5: prefixes found in the cache (82% "
            "with one cache that holds all)")
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN),
-                        ("least loaded", LEAST_LOADED)):
+    for name, kinds in benchload.POLICIES:
         calls = _conversations(kinds)
         asked = sum(len(call.head.prefixes) for call in calls)
         found = sum(call.hits for call in calls)
@@ -235,167 +152,33 @@
                f"{waits[len(waits) // 2]} ms")
 
 
-def _conversations(kinds: Kinds) -> list[requestfakes.Call]:
-    world = _world(kinds, ["office"])
+def _conversations(kinds: benchload.Kinds) -> list[replicafakes.Call]:
+    world = benchload.world(kinds, ["office"])
     for replica in world.replicas.values():
-        replica.cache_size = round(1.5 * SESSIONS * TURNS / REPLICAS)
+        replica.cache_size = round(1.5 * SESSIONS * TURNS / benchload.REPLICAS)
     chance = random.Random(3)
     turns = [0] * SESSIONS
-    calls: list[requestfakes.Call] = []
+    calls: list[replicafakes.Call] = []
 
-    def send(flow: Flow) -> requestfakes.Call:
+    def send(flow: benchload.Flow) -> replicafakes.Call:
         session = chance.randrange(SESSIONS)
         turns[session] += 1
         talk, turn = divmod(turns[session], TURNS)
         prefixes = ("system",) + tuple(
             f"{session}/{talk}/{each}" for each in range(turn + 1))
         call = world.call(chance.choice(list(world.nodes)),
-                          WORK,
-                          WITHIN_MS,
+                          benchload.WORK,
+                          _WITHIN_MS,
                           account=flow.name,
                           prefixes=prefixes)
         calls.append(call)
         return call
 
-    _drive(world, [Flow("office", 0.5 * CAPACITY_PER_S)], 60_000, send)
+    benchload.drive(world, [benchload.Flow("office", 0.5 * _CAPACITY_PER_S)],
+                    60_000, send)
     return calls
 
 
-POISONS = 5
-SENDINGS = 20
-
-
-def _poison() -> Iterable[str]:
-    """Sends requests that crash replicas, again and again, among others."""
-    yield (f"{POISONS} requests that crash each replica that runs them, sent "
-           f"{SENDINGS} times through all nodes, among others at load 0.3")
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN)):
-        world = _world(kinds, ["office"], nodes=3)
-        flow = Flow("office", 0.3 * CAPACITY_PER_S)
-        chance = random.Random(17)
-        sent = 0
-
-        def send(flow: Flow,
-                 world: requestfakes.RequestWorld = world,
-                 chance: random.Random = chance) -> requestfakes.Call:
-            nonlocal sent
-            sent += 1
-            number, rest = divmod(sent, 10)
-            if not rest and number <= POISONS * SENDINGS:
-                return world.call(chance.choice(list(world.nodes)),
-                                  requestfakes.Work(poison=True),
-                                  WITHIN_MS,
-                                  digest=f"poison-{number % POISONS}")
-            return world.call(chance.choice(list(world.nodes)),
-                              WORK,
-                              WITHIN_MS,
-                              account=flow.name)
-
-        _drive(world, [flow], 90_000, send)
-        boots = sum(each.boots - 1 for each in world.replicas.values())
-        held = {
-            suspicion.digest
-            for node in world.nodes.values()
-            for suspicion in node.decisions.board.suspects.by_digest.values()
-            if suspicion.state is peering.SuspectState.QUARANTINED
-        }
-        innocent = sum(not each.startswith("poison") for each in held)
-        calls = [call for call in world.calls.values() if not call.work.poison]
-        yield (f"  {name:13} replicas lost a poison request: "
-               f"{boots / POISONS:.1f}   innocents quarantined: {innocent}   "
-               f"others in time: {_in_time(calls):.1%}")
-
-
-KEYS = 10_000
-AGAIN = 3
-
-
-def _once() -> Iterable[str]:
-    yield (f"{KEYS} keys of requests that may run once, sent again after each "
-           "answer that is not the whole one, and as many streams; crashes, "
-           "pauses, cut connections, lost and late answers of the table")
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN)):
-        world = _faulty(kinds)
-        calls = list(world.calls.values())
-        twice = sum(count > 1 for count in world.key_runs.values())
-        run = len(world.key_runs)
-        untrue = sum(_is_untrue(call) for call in calls)
-        wrong = sum(bool(call.mixed) for call in calls)
-        cut = sum(_is_cut(call) for call in calls)
-        several = sum(len(call.answers) != 1 for call in calls)
-        streams = [call for call in calls if call.head.repeatable]
-        yield (f"  {name:13} keys run twice: {twice} of {run}   'not-run' of "
-               f"what ran: {untrue}   mixed: {wrong}   silently cut: {cut}   "
-               f"not one final answer: {several}   streams whole in time: "
-               f"{_in_time(streams):.1%}")
-
-
-def _is_untrue(call: requestfakes.Call) -> bool:
-    return call.runs > 0 and any(
-        isinstance(answer, actions.Refuse) and
-        answer.problem.outcome is requesting.Outcome.NOT_RUN
-        for answer in call.answers)
-
-
-def _is_cut(call: requestfakes.Call) -> bool:
-    return not call.whole and any(
-        isinstance(answer, actions.Finish) for answer in call.answers)
-
-
-def _faulty(kinds: Kinds) -> requestfakes.RequestWorld:
-    world = _world(kinds, ["office"], nodes=3)
-    world.trouble = requestfakes.Trouble(cut=0.03, repeat_end=0.1)
-    world.faults.lose_answers = 0.05
-    world.faults.late_transactions = 0.03
-    chance = random.Random(13)
-    names = list(world.nodes)
-    short = requestfakes.Work(tokens=4, token_ms=10, prefill_ms=10)
-    pending: list[tuple[str, int, requestfakes.Call]] = []
-
-    def send(key: str, left: int) -> None:
-        call = world.call(chance.choice(names),
-                          short,
-                          4000,
-                          repeatable=False,
-                          streaming=False,
-                          idempotency_key=key,
-                          digest=f"digest-{key}")
-        pending.append((key, left, call))
-
-    for number in range(KEYS):
-        world.run(5)
-        send(f"k{number}", AGAIN)
-        world.call(chance.choice(names), short, 4000)
-        if number % 100 == 0:
-            _harm(world, chance, number)
-            waiting, pending[:] = list(pending), []
-            for key, left, call in waiting:
-                if not call.answers:
-                    pending.append((key, left, call))
-                elif left and not call.whole:
-                    send(key, left - 1)
-    for name in names:
-        world.resume(name)
-    world.run(10_000)
-    return world
-
-
-def _harm(world: requestfakes.RequestWorld, chance: random.Random,
-          number: int) -> None:
-    name = chance.choice(list(world.nodes))
-    if world.nodes[name].paused:
-        world.resume(name)
-    elif number % 300 == 0:
-        world.pause(name)
-    for each in world.nodes:
-        if each != name and chance.random() < 0.7:
-            world.resume(each)
-    replica = chance.choice(list(world.replicas.values()))
-    if replica.up and number % 400 == 0:
-        world.crash(replica)
-    world.faults.table_down = number % 1500 == 0
-
-
 class _Timed(decisions.Decisions):
     """A node's decisions with a count of the processor time they take."""
 
@@ -412,32 +195,34 @@
 
 
 def _cpu() -> Iterable[str]:
-    for name, kinds in (("own", OWN), ("round robin", ROUND_ROBIN)):
+    for name, kinds in benchload.POLICIES[:2]:
         idle_ns, _ = _cpu_of(kinds, 0.0)
         busy_ns, count = _cpu_of(kinds, 0.7)
-        yield (f"processor time of the decisions, {REPLICAS} replicas, {name}: "
-               f"{(busy_ns - idle_ns) / count / 1000:.0f} us a request; idle "
+        each_us = (busy_ns - idle_ns) / count / 1000
+        yield (f"processor time of the decisions, {benchload.REPLICAS} "
+               f"replicas, {name}: {each_us:.0f} us a request; idle "
                f"{idle_ns / 20 / 1e6:.1f} ms a second and node")
 
 
-def _cpu_of(kinds: Kinds, load: float) -> tuple[int, int]:
+def _cpu_of(kinds: benchload.Kinds, load: float) -> tuple[int, int]:
     """Returns the time that one node took in 20 s, and its requests."""
-    world = _world(kinds, ["office"])
+    world = benchload.world(kinds, ["office"])
     timed = _Timed(world.nodes["n0"].decisions)
     world.nodes["n0"].decisions = timed
-    flow = Flow("office", load * CAPACITY_PER_S)
+    flow = benchload.Flow("office", load * _CAPACITY_PER_S)
     count = 0
 
-    def send(_: Flow) -> requestfakes.Call:
+    def send(_: benchload.Flow) -> replicafakes.Call:
         nonlocal count
         count += 1
-        return world.call(f"n{count % NODES}", WORK, WITHIN_MS)
+        return world.call(f"n{count % benchload.NODES}", benchload.WORK,
+                          _WITHIN_MS)
 
     if load:
-        _drive(world, [flow], 10_000, send)
+        benchload.drive(world, [flow], 10_000, send)
     else:
         world.run(20_000)
-    return timed.cpu_ns, max(1, count // NODES)
+    return timed.cpu_ns, max(1, count // benchload.NODES)
 
 
 if __name__ == "__main__":
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -13,6 +13,7 @@
     claims,
     documents,
     limits,
+    replicafakes,
     requestfakes,
     requesting,
     requests,
@@ -24,7 +25,7 @@
 NODES = 3
 KINDS = (claims.Claims, suspects.Suspects, limits.Limits, routing.Routing,
          requests.Requests)
-WORK = st.builds(requestfakes.Work,
+WORK = st.builds(replicafakes.Work,
                  tokens=st.integers(1, 40),
                  token_ms=st.sampled_from([5, 50]),
                  prefill_ms=st.sampled_from([5, 400]))
@@ -90,7 +91,7 @@
     @stateful.rule(node=NODE, number=st.integers(0, 1))
     def calls_poison(self, node, number):
         self.world.call(node,
-                        requestfakes.Work(poison=True),
+                        replicafakes.Work(poison=True),
                         digest=f"poison-{number}")
 
     @stateful.rule(name=REPLICA)
@@ -154,7 +155,7 @@
                            for load in board.load.by_replica.values())
 
 
-def check(call: requestfakes.Call, answer: actions.Action,
+def check(call: replicafakes.Call, answer: actions.Action,
           world: requestfakes.RequestWorld) -> None:
     """Checks what a caller was told against what is so."""
     if isinstance(answer, actions.Finish):
