--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
-	  --grpc_python_out=. cardamommill/peer.proto
+	  cardamommill/peer.proto
 
 clean:
 	rm -rf $(VENV) dist .mypy_cache .ruff_cache .hypothesis
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -14,7 +14,6 @@
     fleet,
     loop,
     peer_pb2,
-    peer_pb2_grpc,
     peering,
     peerlink,
     peerwire,
@@ -130,14 +129,14 @@
         assert pulled.digest == DIGEST
 
 
-class _Odd(peer_pb2_grpc.PeerServicer):
+def _odd_handlers(answer):
     """Another implementation of the protocol, which answers nonsense."""
-
-    def __init__(self, answer):
-        self._answer = answer
-
-    def Pull(self, request, context):  # noqa: N802
-        return self._answer
+    return (grpc.method_handlers_generic_handler(
+        peerlink.SERVICE, {
+            peerlink.PULL:
+                grpc.unary_unary_rpc_method_handler(
+                    lambda request, context: answer.SerializeToString())
+        }),)
 
 
 @pytest.mark.parametrize(
@@ -148,7 +147,7 @@
     limits = side()
     with peerlink.futures.ThreadPoolExecutor(1) as pool:
         odd = grpc.server(pool)
-        peer_pb2_grpc.add_PeerServicer_to_server(_Odd(answer), odd)
+        odd.add_generic_rpc_handlers(_odd_handlers(answer))
         odd.add_insecure_port(limits.address)
         odd.start()
         pulled, _ = pull(limits.address, side(message_bytes=2048))
