--- a/cardamommill/documents.py
+++ b/cardamommill/documents.py
@@ -255,6 +255,8 @@
         # A wrong key of an account must not reach a log or a terminal.
         hidden = "key" in path or isinstance(fault["input"], dict)
         found = "(hidden)" if hidden else repr(fault["input"])[:80]
+        if fault["type"] == "missing":
+            found = "nothing"
         lines.append(f"{path}: found {found}: {fault['msg']}")
     if len(found_faults) > MAX_FAULTS:
         lines.append(f"and {len(found_faults) - MAX_FAULTS} more")
