--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -29,6 +29,7 @@
 AttemptSent = internalevents.AttemptSent
 AttemptClosed = internalevents.AttemptClosed
 DocumentAccepted = internalevents.DocumentAccepted
+CrashNews = internalevents.CrashNews
 QuarantineLifted = internalevents.QuarantineLifted
 FleetChanged = internalevents.FleetChanged
 FormedWithoutTable = internalevents.FormedWithoutTable
--- a/cardamommill/internalevents.py
+++ b/cardamommill/internalevents.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from cardamommill import eventbase, fleet, requesting
+from cardamommill import eventbase, fleet, peering, requesting
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +132,17 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews(eventbase.Event):
+    """News of crashes that nodes of other data centres must hear at once.
+
+    Attributes:
+        notice: The news; nodes of this data centre have been told.
+    """
+
+    notice: peering.Notice
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineLifted(eventbase.Event):
     """An operator wants a request to run again.
