Remove what nothing reads

Cause: board.AttemptView, ReplicaLoad.sent_since, Stage.RECORDING, Metrics.percentile_ms and Deployment.unlist_vm are named nowhere else, in the package, tools or tests; a newcomer would look for their meaning in vain. Run: make check, test_metrics, test_requests, test_pages.

--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -178,8 +178,6 @@
 
     Attributes:
         in_flight: This node's requests running on it.
-        sent_since: This node's requests sent to it, with the time of each,
-            for correcting reports that lag.
         first_byte_ms: Smoothed time to the first byte.
         ejected_until_ms: Until when it gets nothing for being slow.
         samples: How many times to the first byte were seen.
@@ -195,7 +193,6 @@
     """
 
     in_flight: int = 0
-    sent_since: list[int] = dataclasses.field(default_factory=list)
     first_byte_ms: float = 0.0
     ejected_until_ms: int = NEVER_MS
     samples: int = 0
@@ -237,23 +234,6 @@
                   requesting.Problem] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptView:
-    """An attempt, for explaining.
-
-    Attributes:
-        attempt_id: Which.
-        replica_id: Where it went.
-        reason: Why there.
-        outcome: How it ended, or empty.
-    """
-
-    attempt_id: str
-    replica_id: str
-    reason: str
-    outcome: str = ""
-
-
 @dataclasses.dataclass(slots=True)
 class RequestsSection:
     """Requests in this node. Writer: `requests`.
--- a/cardamommill/launching.py
+++ b/cardamommill/launching.py
@@ -308,10 +308,6 @@
         """Sets what the platform does wrong; nothing to make it well."""
         self.platform_call("PUT", "/faults", faults)
 
-    def unlist_vm(self, vm_id: str) -> None:
-        """Takes a VM off the platform's list."""
-        self.platform_call("DELETE", f"/vms/{vm_id}")
-
     def set_vm_state(self, vm_id: str, state: fleet.VmState) -> None:
         """Changes a VM's state on the platform's list."""
         self.platform_call("PUT", f"/vms/{vm_id}/state", state)
--- a/cardamommill/metrics.py
+++ b/cardamommill/metrics.py
@@ -80,16 +80,6 @@
         """Has figures read anew at each rendering."""
         self._collected.append(read)
 
-    def percentile_ms(self, name: str, quantile: float, **labels: str) -> float:
-        """Returns a latency's quantile; 0 where nothing was noted."""
-        series = (name, tuple(sorted(labels.items())))
-        with self._lock:
-            latency = self._latencies.get(series)
-            if latency is None:
-                return 0.0
-            value_us = latency.histogram.get_value_at_percentile(quantile * 100)
-            return float(value_us) / US_PER_MS
-
     def render(self) -> str:
         """Returns all figures in the text format of Prometheus."""
         lines: list[str] = []
--- a/cardamommill/requesting.py
+++ b/cardamommill/requesting.py
@@ -19,7 +19,6 @@
     CLAIMING = "claiming"
     QUEUED = "queued"
     RUNNING = "running"
-    RECORDING = "recording"
     DONE = "done"
 
 
