Test against one table in memory in place of three

Cause: tests/fake_table.py, tests/claimfleet.py and cardamommill/fakes.py each had conditional transactions over rows in memory, alike but for names. Change: fakes.FakeTable is the only one. tests/fake_table.py adds that it can be down and answers as the platform does. The bound on transactions that claims may need counts tried ones as before, conflicts included (FakeTable.asked). The suspects' table now honours a scan's prefix too. Run: the tests of claims, suspects, applying, counted, membership, configuration, fleet machine, planning; make check.

--- a/cardamommill/fakes.py
+++ b/cardamommill/fakes.py
@@ -1,5 +1,6 @@
 """Small fakes of what nodes talk to: a table, and runners."""
 
+from collections.abc import Iterable
 import dataclasses
 import itertools
 
@@ -13,12 +14,14 @@
         rows: Value and version by key.
         writes: Rows written so far.
         transactions: Transactions committed so far.
+        asked: Transactions tried so far, those that met a conflict included.
     """
 
     def __init__(self) -> None:
         self.rows: dict[store.Key, store.Row] = {}
         self.writes = 0
         self.transactions = 0
+        self.asked = 0
         self._versions = itertools.count(1)
 
     def read(self, key: store.Key) -> store.Row:
@@ -42,13 +45,19 @@
 
     def transact(self, wanted: actions.Transact) -> tuple[store.Row, ...]:
         """Commits, or returns the rows whose condition failed."""
+        return self.commit(wanted.conditions, wanted.writes)
+
+    def commit(self, conditions: Iterable[store.Condition],
+               writes: Iterable[store.Write]) -> tuple[store.Row, ...]:
+        """Writes all, or returns the rows whose condition failed."""
+        self.asked += 1
         failed = tuple(
             self.read(each.key)
-            for each in wanted.conditions
+            for each in conditions
             if self.read(each.key).version != each.version)
         if not failed:
             self.transactions += 1
-            for write in wanted.writes:
+            for write in writes:
                 self.put(write.key, write.value)
         return failed
 
--- a/tests/claimfleet.py
+++ b/tests/claimfleet.py
@@ -10,6 +10,7 @@
     controller,
     decisions,
     events,
+    fakes,
     fleet,
     periods,
     requesting,
@@ -21,33 +22,6 @@
 Ended = store.TransactOutcome
 
 
-class Table:
-    """The platform's rows, in memory."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.transactions = 0
-
-    def read(self, key):
-        return self.rows.get(key, store.Row(key))
-
-    def transact(self, action):
-        """Returns the rows whose condition failed, after doing it if none."""
-        self.transactions += 1
-        failed = tuple(
-            self.read(each.key)
-            for each in action.conditions
-            if self.read(each.key).version != each.version)
-        for write in () if failed else action.writes:
-            self.version += 1
-            self.rows.pop(write.key, None)
-            if write.value is not None:
-                self.rows[write.key] = store.Row(write.key, self.version,
-                                                 write.value)
-        return failed
-
-
 class Watcher(controller.Controller):
     """Takes what the claims tell the conductor."""
 
@@ -109,7 +83,7 @@
 
     def __init__(self, nodes=3):
         self.now_ms = 1000
-        self.table = Table()
+        self.table = fakes.FakeTable()
         self.objects = {}
         self.late = []
         self.runs = collections.Counter()
--- a/tests/fake_fleet.py
+++ b/tests/fake_fleet.py
@@ -198,17 +198,17 @@
                 self._from_table(
                     node, lambda up: events.RowsRead(
                         action.token,
-                        tuple(self.table.get(key) for key in action.keys)
+                        tuple(self.table.read(key) for key in action.keys)
                         if up else None))
             case actions.ScanRows():
                 self._from_table(
                     node, lambda up: events.RowsRead(
                         action.token,
-                        self.table.under(action.table, action.prefix)
+                        self.table.scan(action.table, action.prefix)
                         if up else None))
             case actions.Transact():
                 self._from_table(
-                    node, lambda up: dataclasses.replace(self.table.commit(
+                    node, lambda up: dataclasses.replace(self.table.answer(
                         action.conditions, action.writes),
                                                          token=action.token)
                     if up else events.TransactAnswered(
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -1,45 +1,27 @@
 """A table service in memory, with the faults that the real one has."""
 
-import dataclasses
 import random
 
-from cardamommill import events, exceptions, store
+from cardamommill import events, exceptions, fakes, store
 
 
-@dataclasses.dataclass
-class FakeTable:
-    """Rows with versions; conditional transactions over any of them."""
+class FakeTable(fakes.FakeTable):
+    """A table that can be down.
 
-    rows: dict[store.Key, store.Row] = dataclasses.field(default_factory=dict)
-    down: bool = False
-    version: int = 0
+    Attributes:
+        down: Whether it gives no answer.
+    """
 
-    def get(self, key: store.Key) -> store.Row:
-        return self.rows.get(key, store.Row(key))
+    def __init__(self, down: bool = False):
+        super().__init__()
+        self.down = down
 
-    def commit(self, conditions, writes) -> events.TransactAnswered:
-        token = events.Token("", 0)
-        failed = tuple(
-            self.get(each.key)
-            for each in conditions
-            if self.get(each.key).version != each.version)
-        if failed:
-            return events.TransactAnswered(token,
-                                           store.TransactOutcome.CONFLICT,
-                                           failed)
-        self.version += 1
-        for write in writes:
-            if write.value is None:
-                self.rows.pop(write.key, None)
-            else:
-                self.rows[write.key] = store.Row(write.key, self.version,
-                                                 write.value)
-        return events.TransactAnswered(token, store.TransactOutcome.COMMITTED)
-
-    def under(self, table: str, prefix: str) -> tuple[store.Row, ...]:
-        return tuple(row for key, row in sorted(self.rows.items(),
-                                                key=lambda item: str(item[0]))
-                     if key.table == table and key.row.startswith(prefix))
+    def answer(self, conditions, writes) -> events.TransactAnswered:
+        """Commits if the conditions hold; returns the answer to it."""
+        failed = self.commit(conditions, writes)
+        outcome = (store.TransactOutcome.CONFLICT
+                   if failed else store.TransactOutcome.COMMITTED)
+        return events.TransactAnswered(events.Token("", 0), outcome, failed)
 
 
 class SyncTable:
@@ -57,14 +39,14 @@
     def read(self, keys):
         if self.table.down or self._random.random() < self._lose:
             raise exceptions.StoreError("no answer", step="read")
-        return tuple(self.table.get(key) for key in keys)
+        return tuple(self.table.read(key) for key in keys)
 
     def scan(self, table, prefix):
-        return self.table.under(table, prefix)
+        return self.table.scan(table, prefix)
 
     def transact(self, conditions, writes):
         self.before_transact()
-        answer = self.table.commit if not self.table.down else None
+        answer = self.table.answer if not self.table.down else None
         unknown = events.TransactAnswered(events.Token("", 0),
                                           store.TransactOutcome.UNKNOWN)
         if answer is None:
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -27,7 +27,7 @@
 
 
 def in_force(table: fake_table.FakeTable) -> store.DocumentRow:
-    row = table.get(store.Key(store.DOCUMENTS, "desk"))
+    row = table.read(store.Key(store.DOCUMENTS, "desk"))
     return store.decode(store.DocumentRow, row.value)
 
 
@@ -113,7 +113,7 @@
     """
     table = fake_table.FakeTable()
     tables = fake_table.SyncTable(table)
-    commit = table.commit
+    commit = table.answer
     answers = []
 
     def lose_first(conditions, writes):
@@ -125,7 +125,7 @@
         return dataclasses.replace(answer,
                                    outcome=store.TransactOutcome.UNKNOWN)
 
-    table.commit = lose_first
+    table.answer = lose_first
     row = applying.apply(tables, change(1, "a", base=0)).unwrap()
     assert (row.revision, row.attempt) == (1, "a")
     assert in_force(table).revision == 2
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -57,14 +57,14 @@
     fleet.answer(first)
     fleet.run(first, request_id, Outcome.RAN)
     fleet.settle()
-    before = fleet.table.transactions
+    before = fleet.table.asked
     new = [fleet.want(second, key=f"new{index}") for index in range(2)]
     repeat = fleet.want(second, key="taken")
     new += [fleet.want(second, key=f"more{index}") for index in range(28)]
     fleet.settle()
     assert sorted(second.running) == sorted(new)
     assert fleet.refusals[repeat].answer
-    assert fleet.table.transactions - before <= 4
+    assert fleet.table.asked - before <= 4
 
 
 def test_lost_answer_is_read_back():
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -23,7 +23,7 @@
     assert counted.set_row(tables, KEY, "1", "fleet/dc") == result.Success(True)
     assert counted.set_row(tables, KEY, "1",
                            "fleet/dc") == result.Success(False)
-    assert store.decode(store.ChangeCount, table.get(INDEX).value).count == 2
+    assert store.decode(store.ChangeCount, table.read(INDEX).value).count == 2
 
 
 @pytest.mark.parametrize("seed", range(30))
@@ -37,8 +37,8 @@
     tables = fake_table.SyncTable(table, seed, lose=0.5)
     told = counted.set_row(tables, KEY, "1", "fleet/dc")
     tables.deliver_late()
-    there = table.get(KEY).version != store.ABSENT
-    assert there == (table.get(INDEX).version != store.ABSENT)
+    there = table.read(KEY).version != store.ABSENT
+    assert there == (table.read(INDEX).version != store.ABSENT)
     if isinstance(told, result.Success):
         assert there
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -388,11 +388,11 @@
     fleet_.advance(2000)
     fleet_.nodes["dc-a-2"].paused = True
     fleet_.advance(200_000)
-    rows = [row.key.row for row in fleet_.table.under(store.NODES, "")]
+    rows = [row.key.row for row in fleet_.table.scan(store.NODES, "")]
     assert rows == ["dc-a/dc-a-0", "dc-a/dc-a-1"]
     fleet_.nodes["dc-a-2"].paused = False
     fleet_.advance(40_000)
-    assert len(fleet_.table.under(store.NODES, "")) == 3
+    assert len(fleet_.table.scan(store.NODES, "")) == 3
 
 
 def test_memory_of_vms_is_bounded(monkeypatch):
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -169,8 +169,8 @@
         tables.deliver_late()
         index = store.decode(
             store.DocumentsIndex,
-            self.fleet.table.get(store.Key(store.INDEX,
-                                           store.DOCUMENTS_INDEX)).value)
+            self.fleet.table.read(store.Key(store.INDEX,
+                                            store.DOCUMENTS_INDEX)).value)
         revision = index.revisions.get(service, 0)
         if revision != self.accepted.get(service, 0):
             self.accepted[service] = revision
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,6 +11,7 @@
     board,
     decisions,
     events,
+    fakes,
     fleet,
     peering,
     periods,
@@ -30,7 +31,7 @@
 
     def __init__(self):
         self.now_ms = 1000
-        self.table = claimfleet.Table()
+        self.table = fakes.FakeTable()
         self.down = False
         self.nodes = {}
         for name, centre in (("a", "dc-1"), ("b", "dc-1"), ("c", "dc-2")):
@@ -60,8 +61,7 @@
             yield name, events.RowsRead(action.token,
                                         None if self.down else rows)
         elif isinstance(action, actions.ScanRows):
-            rows = tuple(row for key, row in self.table.rows.items()
-                         if key.table == action.table)
+            rows = self.table.scan(action.table, action.prefix)
             yield name, events.RowsRead(action.token, rows)
         elif isinstance(action, actions.Transact):
             failed = self.table.transact(action)
