Cut one node off from the platform alone, with real processes

Cause: a partition had been run in fakes only. Change: a relay that a test can cut, and a test in which the planner loses the table while the others keep it.

--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cardamommill import exceptions, fleet, launching, processes
+from tests import relay
 
 KEY = "clerk"
 NODES = ("entry-1", "entry-2", "entry-3")
@@ -189,6 +190,67 @@
     return json.loads(row["value"])
 
 
+class Relayed(launching.Deployment):
+    """A deployment in which one node has a line of its own to the platform."""
+
+    line = None
+
+    def node_settings(self, name):
+        settings = super().node_settings(name)
+        if name == NODES[0]:
+            if self.line is None:
+                self.line = self._stack.enter_context(
+                    relay.Relay(self.platform_address))
+            settings["platform"] = {"address": self.line.address}
+        return settings
+
+
+@pytest.mark.xdist_group("repairs-5")
+def test_planner_cut_off_from_the_table_alone():
+    """The planner can't reach the platform, while all others can.
+
+    Another node becomes the planner and repairs. The one that is cut off goes
+    on serving, sends work to what the new planner formed, and obeys a document
+    that was applied meanwhile, all from its peers; it says that it is cut off.
+    """
+    with Relayed(PLAN) as deployment:
+        world = Fleet(deployment).start(Document())
+        _make_planner(world, NODES[0])
+        (replica,) = world.serving(NODES[0]).values()
+        deployment.line.cut()
+        lost = replica["members"][1]
+        deployment.runners[lost].kill()
+        for name in NODES:
+            world.wait(lambda name=name: world.replaced(name, lost),
+                       "the replica serves with another member")
+            assert world.answered(name)
+        assert world.planner(NODES[1]) in NODES[1:]
+        deployment.apply(NODES[1], Document(spares=0).text())
+        world.wait(lambda: _revision(world, NODES[0]) == 2,
+                   "the node that is cut off obeys the document")
+        assert world.status(NODES[0])["node"]["cut_off"]
+        deployment.line.mend()
+        world.wait(lambda: not world.status(NODES[0])["node"]["cut_off"],
+                   "the table is read again")
+
+
+def _revision(world, name):
+    (service,) = world.status(name)["services"]
+    return service["revision"]
+
+
+def _make_planner(world, name):
+    """Stops the other nodes until the lease is a certain node's."""
+    others = [each for each in NODES if each != name]
+    for each in others:
+        world.deployment.nodes[each].pause()
+    world.wait(lambda: world.planner(name) == name, f"{name} plans")
+    for each in others:
+        world.deployment.nodes[each].resume()
+    world.wait(lambda: all(world.serving(each) for each in NODES),
+               "all nodes can send work again")
+
+
 @pytest.mark.xdist_group("repairs-4")
 def test_leaving_vm_is_replaced_and_callers_see_nothing(fleet_of):
     """The platform wants a VM back while callers keep calling.
