Write down what a peer told of a formation; release VMs nobody lists

Change: what peers told is compared with the table's row of the same version when the table is back; copies, which carry the last cause only, no longer replace the table's rows with all their causes. VMs that name a replica which does not list them are released. Ruled out: taking no copies while the table can't be read. A node that starts in an outage would then know no replicas at all. Without the comparison the new test finds no record of the formation in the row. Conclusion: the scenario stays as a test of its own.

--- a/cardamommill/assignments.py
+++ b/cardamommill/assignments.py
@@ -36,6 +36,7 @@
         self._sent_ms = 0
         self._index_version = store.ABSENT
         self._whole = False
+        self._copied: set[str] = set()
         self._waiting: set[events.Token] = set()
         self._scans: dict[str, tuple[store.Row, ...]] = {}
 
@@ -98,6 +99,7 @@
             section.replica_versions[replica_id] = copy.version
             # What was read last is no longer whole.
             self._whole = False
+            self._copied.add(replica_id)
         elif (copy.version == version and copy.row.formation > known.formation):
             self._take_formed(copy.row)
 
@@ -136,6 +138,7 @@
 
     def _take_scans(self) -> None:
         section = self.board.assignments
+        self._look_at_copied(section)
         former = section.replica_versions
         section.replicas, section.replica_versions = self._newer(
             fleet.ReplicaRow, self._scans[store.REPLICAS], section.replicas,
@@ -147,7 +150,8 @@
         # A row keeps what was formed without the table until it is written.
         section.formed_without_table = {
             replica_id for replica_id in section.formed_without_table
-            if section.replica_versions.get(replica_id) == former[replica_id]
+            if section.replica_versions.get(replica_id) == former.get(
+                replica_id, store.ABSENT)
         }
         section.drained = {
             _name(row) for row in self._scans[store.DRAINS] if row.version
@@ -159,6 +163,31 @@
         section.known = True
         self._whole = True
 
+    def _look_at_copied(self, section: board_lib.AssignmentsSection) -> None:
+        """Compares what peers told with the table's rows of that version.
+
+        A peer's copy has a part of the causes only, and may be of a formation
+        that the table doesn't know. Taken for the table's row, the members
+        that went would keep their VMs' rows for ever.
+        """
+        for row in self._scans[store.REPLICAS]:
+            replica_id = _name(row)
+            copied = section.replicas.get(replica_id)
+            if replica_id not in self._copied or copied is None or (
+                    row.version != section.replica_versions[replica_id]):
+                continue
+            if copied.formation > self._formation(row):
+                section.formed_without_table.add(replica_id)
+            else:
+                del section.replicas[replica_id]
+        self._copied.clear()
+
+    def _formation(self, row: store.Row) -> int:
+        try:
+            return store.decode(fleet.ReplicaRow, row.value).formation
+        except ValueError:
+            return 0
+
     def _newer(self, kind: type[T], rows: tuple[store.Row,
                                                 ...], known: dict[str, T],
                versions: dict[str, int]) -> tuple[dict[str, T], dict[str, int]]:
@@ -182,4 +211,4 @@
 
 
 def _unreadable(vm_id: str) -> fleet.VmRow:
-    return fleet.VmRow(vm_id, fleet.VmUse.MEMBER, "unreadable", 0, "")
+    return fleet.VmRow(vm_id, fleet.VmUse.MEMBER, fleet.UNREADABLE, 0, "")
--- a/cardamommill/fleet.py
+++ b/cardamommill/fleet.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# The replica of a VM whose row can't be read, as one of a newer version.
+UNREADABLE = "(unreadable)"
+
 
 class VmState(enum.StrEnum):
     """What the platform's list says of a VM."""
--- a/cardamommill/planning.py
+++ b/cardamommill/planning.py
@@ -53,8 +53,8 @@
     name = "planning"
     proposals: tuple[Proposal,
                      ...] = (bridging.caught_up, repair.repairs, sizing.surplus,
-                             releases, sizing.missing, sizing.outdated,
-                             sizing.united, sparing.spares)
+                             releases, releasing.strays, sizing.missing,
+                             sizing.outdated, sizing.united, sparing.spares)
     heeds_leaving = True
 
     def __init__(self, board: board_lib.Board, timing: periods.Timing,
--- a/cardamommill/releasing.py
+++ b/cardamommill/releasing.py
@@ -1,6 +1,6 @@
 """When a VM that belonged to a replica may be used again."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from cardamommill import changes, fleet
 from cardamommill import facts as facts_lib
@@ -38,6 +38,32 @@
         return idle
 
 
+def strays(facts: facts_lib.Facts) -> Iterator[changes.Change]:
+    """Yields the release of VMs whose replica does not list them.
+
+    Rows change together, so there should be none; one that there is would
+    keep its VM from use for ever. A replica whose row is there and can't be
+    read, as one of a newer version, may list it.
+
+    Args:
+        facts: What is known.
+    """
+    section = facts.board.assignments
+    for vm_id, vm in section.vms.items():
+        row = section.replicas.get(vm.replica_id)
+        unreadable = row is None and vm.replica_id in section.replica_versions
+        if (vm.use not in (fleet.VmUse.MEMBER, fleet.VmUse.SPARE) or
+                unreadable or vm.replica_id == fleet.UNREADABLE or
+                vm.replica_id in facts.locked or vm_id in facts.locked):
+            continue
+        if row is None or vm_id not in (*row.members, *row.spares):
+            yield changes.Change(
+                "stray-released",
+                f"{vm_id} names {vm.replica_id}, which does not list it",
+                vms=(changes.vm_row(vm_id, fleet.VmUse.RELEASING,
+                                    vm.replica_id),))
+
+
 def freed(facts: facts_lib.Facts) -> changes.Change | None:
     """Returns the change that frees all VMs whose wait is over.
 
--- a/tests/test_bridging.py
+++ b/tests/test_bridging.py
@@ -142,3 +142,35 @@
     assert allowed / 2 < world.table.writes - before <= allowed
     world.run(60_000)
     assert len(fleets.serving_now(world)) == 8
+
+
+def test_a_successor_that_learned_a_formation_from_a_peer_writes_it_down():
+    """The last planner forms a replica without the table, and starts again.
+
+    In its new life it has the formation from a peer only. Taken for the row
+    of the table, the member that went would stay its member in the table: its
+    VM could never be used again, and the replica never be removed.
+    """
+    world = settled()
+    (before,) = fleets.replicas(world)
+    holder = fleets.planner(world)
+    world.faults.table_down = True
+    world.run(15_000)
+    world.runners[before.members[1]].up = False
+    world.run(10_000)
+    assert len(fleets.serving_now(world, name=holder)) == 1
+    world.nodes[holder].alive = False
+    world.add_node(holder, fleets.node(holder, incarnation=2))
+    world.run(5_000)
+    for name, node in world.nodes.items():
+        node.alive = name == holder
+    world.faults.table_down = False
+    world.run(40_000)
+    (after,) = fleets.replicas(world)
+    assert before.members[1] not in after.members
+    assert "formed-without-table" in [cause.event for cause in after.causes]
+    assert len(fleets.serving_now(world, name=holder)) == 1
+    uses = {
+        row.vm_id: row.use for row in fleets.rows(world, fleet.VmRow, store.VMS)
+    }
+    assert uses[before.members[1]] is fleet.VmUse.RELEASING
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -19,7 +19,7 @@
 # After the last fault: a lease runs out and is taken, VMs are released and
 # idle, weights are loaded, a second replica waits for the first one's VMs.
 BOUND_MS = 180_000
-DOMAINS = {"d0": 6, "d1": 5}
+DOMAINS = {"d0": 7, "d1": 5}
 NODES = ("n0", "n1", "n2")
 
 
@@ -173,7 +173,7 @@
     def wait(self, for_ms):
         self.pass_time(for_ms)
 
-    @stateful.rule(vm=st.integers(0, 10),
+    @stateful.rule(vm=st.integers(0, 11),
                    how=st.sampled_from(("down", "restart", "pause", "resume")))
     def runner(self, vm, how):
         runner = list(self.world.runners.values())[vm]
@@ -190,7 +190,7 @@
             if runner.vm.fabric_domain == domain:
                 runner.paused = dark
 
-    @stateful.rule(vm=st.integers(0, 10), leaving=st.booleans())
+    @stateful.rule(vm=st.integers(0, 11), leaving=st.booleans())
     def leaving(self, vm, leaving):
         runner = list(self.world.runners.values())[vm]
         state = fleet.VmState.LEAVING if leaving else fleet.VmState.LIVE
@@ -225,6 +225,22 @@
         self.world.faults.table_down = down
         self.world.faults.table_delay_ms = delay_ms
 
+    @stateful.rule(member=st.integers(0, 2),
+                   connected=st.booleans(),
+                   back=st.booleans())
+    def loss_during_an_outage(self, member, connected, back):
+        if connected:
+            self.world.faults.cut.clear()
+            for name in NODES:
+                self.world.resume(name)
+        self.world.faults.table_down = True
+        self.pass_time(11_000)
+        for row in fleets.replicas(self.world):
+            if row.spares:
+                self.world.runners[row.members[member]].up = False
+        self.pass_time(7_000)
+        self.world.faults.table_down = not back
+
     @stateful.rule(lose=st.sampled_from((0.0, 0.5)),
                    late=st.sampled_from((0.0, 0.5)),
                    late_orders=st.sampled_from((0.0, 0.7)))
--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -87,3 +87,15 @@
         del world.runners[vm_id]
     world.run(15_000)
     assert not set(gone.members) & set(uses(world))
+
+
+def test_a_vm_that_its_replica_does_not_list_is_released():
+    world = fleets.world({"d0": 5}, fleets.document(replicas=1))
+    world.run(40_000)
+    (free,) = set(world.runners) - set(fleets.replicas(world)[0].members)
+    key = store.Key(store.VMS, f"{fleets.DC}/{free}")
+    row = fleet.VmRow(free, fleet.VmUse.MEMBER, "no-such-replica", 1, "")
+    world.table.put(key, store.encode(row))
+    world.table.put(store.Key(store.INDEX, store.fleet_index(fleets.DC)), "{}")
+    world.run(10_000)
+    assert uses(world)[free] is fleet.VmUse.FREE
