Take a newer formation from peers also where the table can be read

Change: of two rows of the same version the higher formation counts on every node; the planner then writes it down. Ruled out: dropping such formations when the table is back. The runners report them, and the replica would stop serving until it was formed again.

--- a/cardamommill/assignments.py
+++ b/cardamommill/assignments.py
@@ -81,26 +81,30 @@
 
     @step.register
     def _(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
-        if event.digest is None or self._readable(now_ms):
+        if event.digest is None:
             return ()
-        section = self.board.assignments
+        readable = self._readable(now_ms)
         for copy in event.digest.replicas:
             if copy.row.data_centre == self._data_centre:
-                self._take_copy(section, copy)
+                self._take_copy(copy, readable)
         return ()
 
-    def _take_copy(self, section: board_lib.AssignmentsSection,
-                   copy: peering.ReplicaCopy) -> None:
+    def _take_copy(self, copy: peering.ReplicaCopy, readable: bool) -> None:
+        section = self.board.assignments
         replica_id = copy.row.replica_id
         known = section.replicas.get(replica_id)
         version = section.replica_versions.get(replica_id, store.ABSENT)
-        if copy.version > version or known is None:
+        if copy.version > version and not readable:
             section.replicas[replica_id] = copy.row
             section.replica_versions[replica_id] = copy.version
             # What was read last is no longer whole.
             self._whole = False
             self._copied.add(replica_id)
-        elif (copy.version == version and copy.row.formation > known.formation):
+        elif copy.version == version and known is not None and (
+                copy.row.formation > known.formation):
+            # Formed without the table. Also a planner that reads the table
+            # must know: it would form the table's members again, and nodes
+            # that know better would never find them as they expect.
             self._take_formed(copy.row)
 
     @step.register
--- a/tests/test_bridging.py
+++ b/tests/test_bridging.py
@@ -174,3 +174,38 @@
         row.vm_id: row.use for row in fleets.rows(world, fleet.VmRow, store.VMS)
     }
     assert uses[before.members[1]] is fleet.VmUse.RELEASING
+
+
+def test_a_planner_that_reads_the_table_takes_a_newer_formation_from_peers():
+    """A node was away while a replica was formed without the table.
+
+    The table is back, and that node becomes the planner. By the table alone
+    it would form the old members again; the other nodes would expect the new
+    formation, find the old one, and send no work to the replica, for good.
+    """
+    world = settled()
+    (before,) = fleets.replicas(world)
+    holder = fleets.planner(world)
+    first, second = (name for name in world.nodes if name != holder)
+    world.faults.table_down = True
+    world.run(15_000)
+    world.runners[before.members[1]].up = False
+    world.run(10_000)
+    world.runners[before.members[1]].restart()
+    apart = {frozenset((second, each)) for each in (holder, first)}
+    world.faults.cut = apart
+    for name, incarnation in ((second, 2), (holder, 2)):
+        world.nodes[name].alive = False
+        world.add_node(name, fleets.node(name, incarnation=incarnation))
+    world.run(1_000)
+    world.pause(holder)
+    world.pause(first)
+    world.faults.table_down = False
+    world.run(14_000)
+    assert fleets.planner(world) == second
+    world.resume(holder)
+    world.resume(first)
+    world.faults.cut = set()
+    world.run(30_000)
+    for name in world.nodes:
+        assert len(fleets.serving_now(world, name=name)) == 1
