--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -341,6 +341,33 @@
     assert digest.replicas == (peering.ReplicaCopy(4, row),)
 
 
+def test_rows_are_asked_for_only_while_the_table_is_silent():
+    """Each change of the fleet is read from the table by every node.
+
+    Were rows sent by peers as well, each node would get all of them from each
+    peer that had read a moment earlier: four times the whole traffic.
+    """
+    fleet_ = fake_fleet.FakeFleet(nodes=2)
+    fleet_.advance(2000)
+    node = fleet_.nodes["dc-a-0"]
+    asked: list[int] = []
+    perform = fleet_._perform
+
+    def note(by, action):
+        if by is node and isinstance(action, actions.PullPeer):
+            asked.append(action.request.assignments_version)
+        perform(by, action)
+
+    fleet_._perform = note
+    section = node.board.assignments
+    section.index_version = 5
+    section.read_ms = fleet_.now_ms + node.offset_ms
+    fleet_.advance(1500)
+    assert set(asked) == {peering.NO_REPLICAS}
+    fleet_.advance(6000)
+    assert asked[-1] == 5
+
+
 def test_summaries_reach_every_node_of_other_data_centres():
     fleet_ = fake_fleet.FakeFleet(("dc-a", "dc-b"), 3)
     in_force = _document("desk", "dc-b")
