--- a/cardamommill/fakes.py
+++ b/cardamommill/fakes.py
@@ -1,5 +1,6 @@
 """Small fakes of what nodes talk to: a table, and runners."""
 
+from collections.abc import Iterable
 import dataclasses
 import itertools
 
@@ -13,12 +14,14 @@
         rows: Value and version by key.
         writes: Rows written so far.
         transactions: Transactions committed so far.
+        asked: Transactions tried so far, those that met a conflict included.
     """
 
     def __init__(self) -> None:
         self.rows: dict[store.Key, store.Row] = {}
         self.writes = 0
         self.transactions = 0
+        self.asked = 0
         self._versions = itertools.count(1)
 
     def read(self, key: store.Key) -> store.Row:
@@ -42,13 +45,19 @@
 
     def transact(self, wanted: actions.Transact) -> tuple[store.Row, ...]:
         """Commits, or returns the rows whose condition failed."""
+        return self.commit(wanted.conditions, wanted.writes)
+
+    def commit(self, conditions: Iterable[store.Condition],
+               writes: Iterable[store.Write]) -> tuple[store.Row, ...]:
+        """Writes all, or returns the rows whose condition failed."""
+        self.asked += 1
         failed = tuple(
             self.read(each.key)
-            for each in wanted.conditions
+            for each in conditions
             if self.read(each.key).version != each.version)
         if not failed:
             self.transactions += 1
-            for write in wanted.writes:
+            for write in writes:
                 self.put(write.key, write.value)
         return failed
 
@@ -72,6 +81,7 @@
         fence: The highest fencing number that it took.
         leaving: Whether it says that its VM will go.
         running: How many requests it says that it runs.
+        adapters: The adapters that it was ordered to load, in order.
     """
 
     vm: fleet.Vm
@@ -88,6 +98,7 @@
     fence: int = 0
     leaving: bool = False
     running: int = 0
+    adapters: list[str] = dataclasses.field(default_factory=list)
 
     def take(self, order: fleet.Order, now_ms: int) -> bool:
         """Tells whether it takes an order, and takes it."""
@@ -95,6 +106,7 @@
             return False
         self.fence = max(self.fence, order.fence)
         if order.kind is fleet.OrderKind.LOAD_ADAPTER:
+            self.adapters.append(order.adapter)
             return True
         if self._same(order):
             return True
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamommill import fleet, store
+from cardamommill import fleet, orders, store
 from tests import fleets
 
 LOAD_MS = 20_000
@@ -65,6 +65,24 @@
     assert len(fleets.serving_now(loose)) == 1
 
 
+def test_a_replica_that_spans_domains_is_united_once_there_is_room():
+    """A replica was made of two domains for want of room, and is slow.
+
+    When a domain has room, a new one is made there, and the slow one goes on
+    serving until that one does.
+    """
+    world = fleets.world({
+        "d0": 2,
+        "d1": 2
+    }, fleets.document(replicas=1, fabric="prefer"))
+    world.run(40_000)
+    assert len(fleets.serving_now(world)) == 1
+    world.add_vms(fleets.runners({"d2": 4}))
+    assert down_ms(world, 60_000) == 0
+    (row,) = fleets.replicas(world)
+    assert {vm_id[:2] for vm_id in row.members} == {"d2"}
+
+
 def test_a_plain_service_takes_the_same_path():
     plain = fleets.document(service="registry-portal",
                             kind="plain",
@@ -274,3 +292,94 @@
     assert len(fleets.serving_now(world)) == 2
     assert fewest >= 1
     assert lost_ms <= most_down_ms
+
+
+@pytest.mark.parametrize("checks", (True, False))
+def test_a_successor_waits_where_engines_take_any_order(checks):
+    """The planner is paused, another takes over, and a runner needs an order.
+
+    An order of the paused one may still be on its way. Engines that check
+    refuse it; with the others the successor first waits until it must have
+    arrived, or else it would undo what was ordered after it.
+    """
+    engine = {"checks_fencing": checks}
+    world = fleets.world({"d0": 4},
+                         fleets.document(replicas=1, engine=engine),
+                         checks_fencing=checks)
+    world.run(40_000)
+    first = fleets.planner(world)
+    (row,) = fleets.replicas(world)
+    world.pause(first)
+    world.run(5_000)
+    runner = world.runners[row.members[0]]
+    runner.restart()
+    (successor,) = set(world.nodes) - {first}
+    lease = fleets.board(world, successor).lease
+    while not lease.held:
+        world.run(100)
+    held_ms = world.now_ms
+    while runner.order is None:
+        world.run(100)
+    waited_ms = world.now_ms - held_ms
+    assert (waited_ms >= fleets.TIMING.order_max_age_ms - 200) is not checks
+
+
+def test_loads_at_once_are_limited_and_the_urgent_duty_goes_first():
+    """A large domain comes back with all its weights lost.
+
+    All VMs would load at once, and the rate-limited store would make none of
+    the replicas complete for long. The urgent duty's VMs load first.
+    """
+    high = fleets.document(service="high", priority=1, replicas=5)
+    low = fleets.document(service="low", priority=9, replicas=5)
+    world = fleets.world({"d0": 40}, high, low)
+    world.run(100_000)
+    assert len(fleets.serving_now(world, "low")) == 5
+    for runner in world.runners.values():
+        runner.restart()
+    most = 0
+    for _ in range(150):
+        world.run(200)
+        most = max(
+            most,
+            sum(world.now_ms < runner.loaded_ms
+                for runner in world.runners.values()))
+    assert 20 <= most <= orders.LOADS_AT_ONCE
+    assert len(fleets.serving_now(world, "high")) == 5
+    assert len(fleets.serving_now(world, "low")) < 5
+    world.run(30_000)
+    assert len(fleets.serving_now(world, "low")) == 5
+
+
+def test_a_planner_that_hears_no_runner_hands_over():
+    """The planner is cut off from runners and nodes, but reaches the table.
+
+    It would renew its lease for ever while every replica looks lost to it and
+    no VM usable. Another node that hears the runners repairs instead.
+    """
+    world = fleets.world({"d0": 5}, fleets.document(replicas=1, spares=1))
+    world.run(80_000)
+    first = fleets.planner(world)
+    (row,) = fleets.replicas(world)
+    world.faults.cut = {
+        frozenset((first, other))
+        for other in (*world.runners, *world.nodes)
+        if other != first
+    }
+    lose(world, row.members[1])
+    world.run(30_000)
+    (other,) = set(world.nodes) - {first}
+    assert fleets.planner(world) == other
+    assert len(fleets.serving_now(world, name=other)) == 1
+
+
+def test_adapters_are_loaded_at_each_head_once():
+    wanted = fleets.document(replicas=1, adapters=["legal", "short"])
+    world = fleets.world({"d0": 5}, wanted)
+    world.run(60_000)
+    (row,) = fleets.replicas(world)
+    assert world.runners[row.members[0]].adapters == ["legal", "short"]
+    lose(world, row.members[0])
+    world.run(60_000)
+    (row,) = fleets.replicas(world)
+    assert world.runners[row.members[0]].adapters == ["legal", "short"]
