Keep suspects of two nodes apart; bound what goes to another data centre

Two nodes had sent suspects to one replica: each took any replica when its own ones were lost, and the ranks came from a hash that could give a node none. All nodes of a full data centre also went by the same old summary of another one.

Change: replicas for suspects are dealt out by rank; where a node's are lost an idle one is taken, and after a second any other. A data centre is sent no more than its last summary had room for, split between the nodes. Handlers are looked up once for each type of event, and candidates are worked out every 200 ms (the one that is chosen is checked at its dispatch as before). A replica is on trial from the moment at which its ejection ends.

Ruled out: counting only crashes at which a suspect was alone. No node can know that at the time: the other one's request may be two milliseconds old.

--- a/cardamommill/bench_faults.py
+++ b/cardamommill/bench_faults.py
@@ -23,41 +23,47 @@
     """Sends requests that crash replicas, again and again, among others."""
     yield (f"{POISONS} requests that crash each replica that runs them, sent "
            f"{SENDINGS} times through all nodes, among others at load 0.3")
-    for name, kinds in benchload.POLICIES[:2]:
-        world = benchload.world(kinds, ["office"], nodes=3)
-        flow = benchload.Flow("office", 0.3 * _CAPACITY_PER_S)
-        chance = random.Random(17)
-        sent = 0
-
-        def send(flow: benchload.Flow,
-                 world: requestfakes.RequestWorld = world,
-                 chance: random.Random = chance) -> replicafakes.Call:
-            nonlocal sent
-            sent += 1
-            number, rest = divmod(sent, 10)
-            if not rest and number <= POISONS * SENDINGS:
-                return world.call(chance.choice(list(world.nodes)),
-                                  replicafakes.Work(poison=True),
-                                  _WITHIN_MS,
-                                  digest=f"poison-{number % POISONS}")
-            return world.call(chance.choice(list(world.nodes)),
+    for how in ("in turn", "together"):
+        for name, kinds in benchload.POLICIES[:2]:
+            yield f"  {name:13} {how:9} {_poisoned(kinds, how == 'in turn')}"
+
+
+def _poisoned(kinds: benchload.Kinds, in_turn: bool) -> str:
+    world = benchload.world(kinds, ["office"], nodes=3)
+    chance = random.Random(17)
+    sent = 0
+
+    def send(flow: benchload.Flow) -> replicafakes.Call:
+        nonlocal sent
+        sent += 1
+        number, rest = divmod(sent, 10)
+        node = chance.choice(list(world.nodes))
+        if rest or number > POISONS * SENDINGS:
+            return world.call(node,
                               benchload.WORK,
                               _WITHIN_MS,
                               account=flow.name)
-
-        benchload.drive(world, [flow], 90_000, send)
-        boots = sum(each.boots - 1 for each in world.replicas.values())
-        held = {
-            suspicion.digest
-            for node in world.nodes.values()
-            for suspicion in node.decisions.board.suspects.by_digest.values()
-            if suspicion.state is peering.SuspectState.QUARANTINED
-        }
-        innocent = sum(not each.startswith("poison") for each in held)
-        calls = [call for call in world.calls.values() if not call.work.poison]
-        yield (f"  {name:13} replicas lost a poison request: "
-               f"{boots / POISONS:.1f}   innocents quarantined: {innocent}   "
-               f"others in time: {benchload.in_time(calls):.1%}")
+        which = (number - 1) // SENDINGS if in_turn else number % POISONS
+        return world.call(node,
+                          replicafakes.Work(poison=True),
+                          _WITHIN_MS,
+                          digest=f"poison-{which}")
+
+    benchload.drive(world,
+                    [benchload.Flow("office", 0.3 * benchload.CAPACITY_PER_S)],
+                    90_000, send)
+    lost = sum(each.boots - 1 for each in world.replicas.values()) / POISONS
+    held = {
+        suspicion.digest
+        for node in world.nodes.values()
+        for suspicion in node.decisions.board.suspects.by_digest.values()
+        if suspicion.state is peering.SuspectState.QUARANTINED
+    }
+    innocent = sum(not each.startswith("poison") for each in held)
+    calls = [call for call in world.calls.values() if not call.work.poison]
+    return (f"replicas lost a poison request: {lost:.1f}   innocents "
+            f"quarantined: {innocent}   others in time: "
+            f"{benchload.in_time(calls):.1%}")
 
 
 KEYS = 10_000
--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -15,7 +15,7 @@
 AFFINITY_BOUND = 1.25
 # What is common to all candidates is worked out anew this often; the one that
 # is chosen is always checked against the evidence of this very moment.
-CANDIDATES_MS = 50
+CANDIDATES_MS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,8 +27,8 @@
         slots: Requests that it runs at once.
         share: Slots that this node may use whatever other nodes do.
         address: Of its head.
-        own_lane: Whether this node, of all in its data centre, sends
-            suspects there.
+        own_lane: Whether this node sends suspects there. No other of its data
+            centre does, unless there are fewer replicas than nodes.
     """
 
     replica_id: str
@@ -64,11 +64,13 @@
         tried: Replicas that it has been sent to before.
         alone: Whether it has crashed a replica and must not meet another
             such request.
+        patient: Whether it can wait for a place apart from others.
     """
 
     prefixes: tuple[str, ...] = ()
     tried: frozenset[str] = frozenset()
     alone: bool = False
+    patient: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,8 +126,14 @@
         name for name, peer in board.peers.by_node.items()
         if peer.ready and now_ms - peer.heard_ms <= timing.peer_timeout_ms
     ])
+    # By rank among all that are assigned, so that each node has some of them
+    # and keeps them when others are lost.
+    assigned = sorted(
+        replica_id for replica_id, row in board.assignments.replicas.items()
+        if row.service == service)
+    lanes = frozenset(assigned[nodes.index(me)::len(nodes)])
     each = tuple(
-        _candidate(replica, board, me, nodes)
+        _candidate(replica, board, me, nodes, lanes)
         for replica in serving.serving_replicas(board, service, timing, now_ms)
         if replica.row.members[0] in board.vms.listed)
     slots = sum(candidate.slots for candidate in each)
@@ -136,7 +144,7 @@
 
 
 def _candidate(replica: serving.ServingReplica, board: board_lib.Board, me: str,
-               nodes: Sequence[str]) -> Candidate:
+               nodes: Sequence[str], lanes: frozenset[str]) -> Candidate:
     replica_id = replica.row.replica_id
     slots = max(1, replica.head.report.slots)
     # The slots that don't divide evenly go to nodes that differ by replica.
@@ -144,8 +152,8 @@
     rank = (nodes.index(me) + start) % len(nodes)
     share = slots // len(nodes) + (rank < slots % len(nodes))
     address = board.vms.listed[replica.row.members[0]].address
-    return Candidate(replica_id, slots, share, address,
-                     nodes[start % len(nodes)] == me)
+    return Candidate(replica_id, slots, share, address, not lanes or
+                     replica_id in lanes)
 
 
 def choose(board: board_lib.Board, among: Candidates, want: Want,
@@ -164,7 +172,7 @@
     allowed = [each for each in among.each if each.replica_id not in want.tried]
     while allowed:
         if want.alone:
-            found = _alone(board, allowed, now_ms)
+            found = _alone(board, allowed, want.patient, now_ms)
         else:
             found = (_with_prefix(board, among, allowed, want.prefixes, now_ms)
                      or _better_of_two(board, allowed, chance, now_ms))
@@ -290,19 +298,29 @@
     return None
 
 
-def _alone(board: board_lib.Board, allowed: Sequence[Candidate],
+def _alone(board: board_lib.Board, allowed: Sequence[Candidate], patient: bool,
            now_ms: int) -> tuple[Candidate, str] | None:
     """Returns a replica on which no other suspect can be.
 
     Two suspects on one replica that crashes could not be told apart, and the
     innocent one would be quarantined with the other. Each node has replicas
-    of its own for them, so that not even two nodes let them meet.
+    of its own for them, so that not even two nodes let them meet; where those
+    are lost, an idle one will do, and after some time any other.
     """
-    lanes = [each for each in allowed if each.own_lane] or allowed
-    able = [
-        each for each in lanes if not load_of(board, each.replica_id).alone and
+    free = [
+        each for each in allowed
+        if not load_of(board, each.replica_id).alone and
         expected(load_of(board, each.replica_id), now_ms) < each.slots
     ]
-    if not able:
-        return None
-    return _least(board, able, now_ms), "apart from other suspects"
+    own = [each for each in free if each.own_lane]
+    if own:
+        return _least(board, own, now_ms), "apart from other suspects"
+    idle = [
+        each for each in free
+        if expected(load_of(board, each.replica_id), now_ms) < 0.5
+    ]
+    if idle:
+        return _least(board, idle, now_ms), "idle, so apart from others"
+    if free and not patient:
+        return _least(board, free, now_ms), "no place apart came free"
+    return None
--- a/cardamommill/decisions.py
+++ b/cardamommill/decisions.py
@@ -11,6 +11,9 @@
 """
 
 import collections
+from collections.abc import Callable
+import functools
+import inspect
 
 from cardamommill import (
     actions,
@@ -35,6 +38,8 @@
 # A chain of notices that is longer than this never ends.
 MAX_NOTICES = 10_000
 
+_Handler = Callable[[events.Event, int], actions.Actions]
+
 
 class Decisions:
     """All controllers of one node around one blackboard.
@@ -63,6 +68,7 @@
         self.timing = timing
         self._controllers = tuple(
             kind(self.board, timing, seed) for kind in kinds or node_kinds())
+        self._handlers: dict[type[events.Event], tuple[_Handler, ...]] = {}
 
     def step(self, event: events.Event, now_ms: int) -> actions.Actions:
         """Returns what the shell has to do about an event.
@@ -77,14 +83,35 @@
             if not pending:
                 break
             current = pending.popleft()
-            for each in self._controllers:
-                for action in each.step(current, now_ms):
+            for handle in self._handlers_of(type(current)):
+                for action in handle(current, now_ms):
                     if isinstance(action, actions.Notify):
                         pending.append(action.event)
                     else:
                         wanted.append(action)
         return tuple(wanted)
 
+    def _handlers_of(self, kind: type[events.Event]) -> tuple[_Handler, ...]:
+        """Returns what each controller does about a type of event, in order."""
+        handlers = self._handlers.get(kind)
+        if handlers is None:
+            handlers = self._handlers[kind] = tuple(
+                _handler(each, kind) for each in self._controllers)
+        return handlers
+
+
+def _handler(each: controller.Controller, kind: type[events.Event]) -> _Handler:
+    """Returns a controller's step for a type of event.
+
+    A `functools.singledispatchmethod` makes a new function for each call,
+    which took a third of the decisions' processor time; so the choice is
+    made once for each type.
+    """
+    step = inspect.getattr_static(each, "step")
+    if isinstance(step, functools.singledispatchmethod):
+        return functools.partial(step.dispatcher.dispatch(kind), each)
+    return each.step
+
 
 def node_kinds() -> tuple[type[controller.Controller], ...]:
     """Returns the controllers of a node, in the order in which they act."""
--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -21,6 +21,8 @@
 
 # Waiting requests that are looked at when the first can't be placed.
 SCAN = 8
+# A suspect waits so long for a place apart from other suspects.
+SUSPECT_WAIT_MS = 1000
 
 _InProgress = inprogress.InProgress
 _Stage = requesting.Stage
@@ -35,6 +37,7 @@
         self._board = board
         self._timing = timing
         self._random = chance
+        self._spill = spill.Spill()
 
     def why_not(self, request: _InProgress,
                 now_ms: int) -> requesting.Problem | None:
@@ -68,15 +71,16 @@
         """
         service = request.head.service
         work = self._ends.work[service]
-        self.wait(request)
+        self.wait(request, now_ms)
         wanted = self.drain(service, now_ms)
         document = self._ends.document(service)
         if len(work.queue) > document.limits.queue_length:
             wanted += self._crowd_out(work, document, now_ms)
         return wanted
 
-    def wait(self, request: _InProgress) -> None:
+    def wait(self, request: _InProgress, now_ms: int) -> None:
         """Lets a request wait for a replica."""
+        request.queued_ms = now_ms
         self._ends.work[request.head.service].wait(request.head)
         self._ends.register.enter(request, _Stage.QUEUED)
 
@@ -142,8 +146,8 @@
         # could tell its claim from a caller's word that there is one. Its
         # caller is told at once that it did not run, and asks elsewhere.
         if head.repeatable and not refusals.suspicion(self._board, head.digest):
-            found = spill.choose(self._board, head, request.tried, self._timing,
-                                 self._random, now_ms)
+            found = self._spill.choose(self._board, head, request.tried,
+                                       self._timing, self._random, now_ms)
         if found is None:
             return self._ends.refuse(request, problem)
         return self._send(request, found, False, now_ms)
@@ -190,7 +194,9 @@
                      among: choice.Candidates, now_ms: int) -> actions.Actions:
         head = request.head
         alone = refusals.suspicion(self._board, head.digest) is not None
-        want = choice.Want(head.prefixes, frozenset(request.tried), alone)
+        patient = now_ms - request.queued_ms < SUSPECT_WAIT_MS
+        want = choice.Want(head.prefixes, frozenset(request.tried), alone,
+                           patient)
         found = choice.choose(self._board, among, want, self._timing,
                               self._random, now_ms)
         if found is None:
--- a/cardamommill/inprogress.py
+++ b/cardamommill/inprogress.py
@@ -33,6 +33,7 @@
         boot_id: The life of the runner there.
         sent_ms: When it was sent.
         gone: Whether the caller has gone.
+        queued_ms: Since when it waits.
     """
 
     head: requesting.RequestHead
@@ -49,6 +50,7 @@
     boot_id: str = ""
     sent_ms: int = 0
     gone: bool = False
+    queued_ms: int = 0
 
     @property
     def progress(self) -> retries.Progress:
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -171,7 +171,7 @@
         why_not = ("its caller has gone" if request.gone else retries.why_not(
             ended, work.budget))
         if why_not is None:
-            self._dispatching.wait(request)
+            self._dispatching.wait(request, now_ms)
             return ()
         late = now_ms >= head.deadline_ms
         peer = request.target.address if request.target else ""
--- a/cardamommill/spill.py
+++ b/cardamommill/spill.py
@@ -7,41 +7,77 @@
 from cardamommill import choice, peering, periods, requesting
 
 
-def choose(board: board_lib.Board, head: requesting.RequestHead,
-           tried: abc.Set[str], timing: periods.Timing, chance: random.Random,
-           now_ms: int) -> choice.Choice | None:
-    """Returns a node of a data centre that has room, or None.
-
-    One hop at most: data centres that are all full would else pass a request
-    round until its deadline.
-
-    Args:
-        board: What the node knows.
-        head: The request.
-        tried: Nodes and replicas that it was sent to before.
-        timing: The periods in force.
-        chance: Spreads requests over data centres and their nodes.
-        now_ms: The local monotonic time.
+class Spill:
+    """Sends no more to a data centre than its last summary had room for.
+
+    A summary is seconds old. All that a full data centre refuses in that time
+    would else go to the same few free slots, and be refused there again.
     """
-    if head.hop:
-        return None
-    able = []
-    for key, summary in board.peers.summaries.items():
+
+    def __init__(self) -> None:
+        self._sent: dict[tuple[str, str], tuple[int, int]] = {}
+
+    def choose(self, board: board_lib.Board, head: requesting.RequestHead,
+               tried: abc.Set[str], timing: periods.Timing,
+               chance: random.Random, now_ms: int) -> choice.Choice | None:
+        """Returns a node of a data centre that has room, or None.
+
+        One hop at most: data centres that are all full would else pass a
+        request round until its deadline. What is returned counts as sent.
+
+        Args:
+            board: What the node knows.
+            head: The request.
+            tried: Nodes and replicas that it was sent to before.
+            timing: The periods in force.
+            chance: Spreads requests over data centres and their nodes.
+            now_ms: The local monotonic time.
+        """
+        if head.hop:
+            return None
+        able: list[peering.ServiceSummary] = []
+        weights: list[int] = []
+        for key, summary in board.peers.summaries.items():
+            room = self._room(board, key, summary)
+            if room > 0 and _is_able(board, summary, head, timing, now_ms):
+                able.append(summary)
+                weights.append(room)
+        if not able:
+            return None
+        summary = chance.choices(able, weights)[0]
+        entries = [
+            each for each in summary.entry_addresses if each not in tried
+        ]
+        if not entries:
+            return None
+        key = (summary.data_centre, summary.service)
+        seen_ms = board.peers.summaries_ms[key]
+        self._sent[key] = (seen_ms, self._sent_since(key, seen_ms) + 1)
+        return _choice(summary, chance.choice(entries),
+                       seen_ms + timing.summary_max_age_ms)
+
+    def _room(self, board: board_lib.Board, key: tuple[str, str],
+              summary: peering.ServiceSummary) -> int:
+        # The other nodes of this data centre read the same summary.
+        nodes = len(board.peers.by_node) + 1
         seen_ms = board.peers.summaries_ms.get(key, board_lib.NEVER_MS)
-        if (summary.service == head.service and summary.free_slots > 0 and
-                summary.data_centre != board.identity.data_centre and
-                now_ms - seen_ms < timing.summary_max_age_ms and
-                now_ms + summary.wait_ms < head.deadline_ms):
-            able.append((summary, seen_ms))
-    if not able:
-        return None
-    weights = [summary.free_slots for summary, _ in able]
-    summary, seen_ms = chance.choices(able, weights)[0]
-    addresses = [each for each in summary.entry_addresses if each not in tried]
-    if not addresses:
-        return None
-    return _choice(summary, chance.choice(addresses),
-                   seen_ms + timing.summary_max_age_ms)
+        part = -(-summary.free_slots // nodes)
+        return part - self._sent_since(key, seen_ms)
+
+    def _sent_since(self, key: tuple[str, str], seen_ms: int) -> int:
+        counted_ms, count = self._sent.get(key, (seen_ms, 0))
+        return count if counted_ms == seen_ms else 0
+
+
+def _is_able(board: board_lib.Board, summary: peering.ServiceSummary,
+             head: requesting.RequestHead, timing: periods.Timing,
+             now_ms: int) -> bool:
+    key = (summary.data_centre, summary.service)
+    seen_ms = board.peers.summaries_ms.get(key, board_lib.NEVER_MS)
+    return (summary.service == head.service and
+            summary.data_centre != board.identity.data_centre and
+            now_ms - seen_ms < timing.summary_max_age_ms and
+            now_ms + summary.wait_ms < head.deadline_ms)
 
 
 def _choice(summary: peering.ServiceSummary, address: str,
--- a/cardamommill/stragglers.py
+++ b/cardamommill/stragglers.py
@@ -74,8 +74,6 @@
     for replica_id, load in loads.items():
         if load.ejected_until_ms > now_ms:
             continue
-        if load.ejections and not load.probing and load.samples == 0:
-            load.probing = True
         if load.samples >= (1 if load.probing else LEAST_SAMPLES):
             load.slowness = max(1.0, load.first_byte_ms / median_ms)
             if load.slowness < EJECT_SLOWNESS:
@@ -97,7 +95,9 @@
               f"nothing is sent for {for_ms} ms")
     load.ejected_until_ms = now_ms + for_ms
     load.ejections += 1
-    load.probing = False
+    # When that time is over it gets one request at a time until it has shown
+    # that it is fast again.
+    load.probing = True
     # Its old times say nothing about how it will be when it comes back.
     load.samples = 0
     load.slowness = 1.0
--- a/cardamommill/workload.py
+++ b/cardamommill/workload.py
@@ -42,7 +42,8 @@
                    now_ms: int) -> choice.Candidates:
         """Returns the service's replicas, at most `CANDIDATES_MS` old."""
         known = self._candidates
-        if known is None or now_ms - known.made_ms >= choice.CANDIDATES_MS:
+        if (known is None or not known.each or
+                now_ms - known.made_ms >= choice.CANDIDATES_MS):
             known = choice.candidates(board, self.service, timing, now_ms)
             self._candidates = known
         return known
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,6 +10,7 @@
     choice,
     events,
     fleet,
+    peering,
     requesting,
     routing,
     stragglers,
@@ -250,6 +251,44 @@
     assert "r0" not in {place(node, f"more{n}") for n in range(20)}
 
 
+def suspected(node: requestnode.Node, name: str) -> str:
+    node.board.suspects.by_digest[f"digest-{name}"] = peering.Suspicion(
+        f"digest-{name}", peering.SuspectState.SUSPECT, ("crash",))
+    done = node.arrive(name)
+    return done[0].target.replica_id if done else ""
+
+
+def test_suspects_of_two_nodes_never_meet():
+    """Two nodes place suspects at one moment, each without the other's word.
+
+    Two on one replica that crashes would both be quarantined, though only
+    one of them did it.
+    """
+    places = []
+    for name, other in (("node-1", "node-2"), ("node-2", "node-1")):
+        node = requestnode.Node(replicas=5, name=name)
+        node.peer(other)
+        node.peer("node-3")
+        places.append({suspected(node, str(n)) for n in range(2)} - {""})
+        idle = {suspected(node, str(n)) for n in range(2, 9)} - {""}
+        assert len(idle) == 5 - len(places[-1])
+    assert places[0] and places[1] and not places[0] & places[1]
+
+
+def test_suspect_waits_for_a_place_apart_but_not_for_long():
+    node = requestnode.Node(replicas=2, slots=8)
+    node.peer("node-2")
+    node.tick(0)
+    busy = [place(node, str(number)) for number in range(8)]
+    assert set(busy) == {"r0", "r1"}
+    own = suspected(node, "a")
+    assert own
+    assert suspected(node, "b") == ""
+    node.tick(500)
+    assert requestnode.only(node.tick(600),
+                            actions.Dispatch).target.replica_id != own
+
+
 def test_spilled_requests_count_on_no_replica():
     node = requestnode.Node(replicas=0)
     node.summary()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -301,6 +301,23 @@
     assert refused(node.ended(dispatch, NOT_RUN, whole=False)).status == 503
 
 
+def test_no_more_goes_to_another_data_centre_than_it_had_room_for():
+    """A data centre has lost its replicas; another had four free slots.
+
+    Its summary is seconds old. Each of two nodes may count on half of them
+    until the next one comes; the rest is refused here at once.
+    """
+    node = requestnode.Node(replicas=0)
+    node.peer("node-2")
+    node.summary(free_slots=4)
+    ends = [requestnode.kinds(node.arrive(f"a{n}"))[0] for n in range(4)]
+    assert ends == ["Dispatch", "Dispatch", "Refuse", "Refuse"]
+    node.now_ms += 100
+    node.summary(free_slots=1)
+    ends = [requestnode.kinds(node.arrive(f"b{n}"))[0] for n in range(2)]
+    assert ends == ["Dispatch", "Refuse"]
+
+
 @pytest.mark.parametrize("hop", [0, 1])
 def test_non_repeatable_never_goes_to_another_data_centre(hop):
     """All replicas of the data centre are lost; another one has room.
