Wire a node's edge for tests and benches in one place

Cause: tests/edge.py and bench_edge.py each built decisions around one document and wired control, replicas, requests and callers. Change: edgefakes.Edge does it for both; what callers see is unchanged.

--- a/cardamommill/bench_edge.py
+++ b/cardamommill/bench_edge.py
@@ -26,20 +26,12 @@
     connection,
     controller,
     curlloop,
-    decisions,
-    documents,
+    edgefakes,
     events,
-    exchange,
     fleet,
-    frontend,
-    loop,
-    periods,
     requesting,
     settings,
-    store,
-    upstream,
 )
-from cardamommill import board as board_lib
 
 KEY = "bench"
 STREAMS = 100
@@ -168,24 +160,11 @@
     _MODES[mode]()
     _Conductor.address = runner
     identity = fleet.NodeIdentity("bench", "dc", "r", 1, "", "")
-    decided = decisions.Decisions(identity, periods.Timing(), 1, (_Conductor,))
-    document = documents.parse(_DOCUMENT, "bench")
-    row = store.DocumentRow("bench", 1, "", "", "", _DOCUMENT)
-    decided.board.documents.in_force["bench"] = board_lib.DocumentInForce(
-        document, row, 0)
-    decided.board.documents.complete = True
-    decided.board.life.phase = board_lib.NodePhase.SERVING
-    performing: list[exchange.Exchange] = []
-    control = loop.ControlLoop(decided,
-                               lambda action: performing[0].perform(action))
-    replicas = upstream.Upstream(control.post)
-    performing.append(exchange.Exchange(control.post, replicas))
-    callers = frontend.Frontend(settings.CallerSide(address="127.0.0.1:0"),
-                                control, performing[0], str)
-    with control, replicas, callers:
-        while not control.view().ready:
+    callers = settings.CallerSide(address="127.0.0.1:0")
+    with edgefakes.Edge(identity, _Conductor, _DOCUMENT, callers) as edge:
+        while not edge.control.view().ready:
             time.sleep(0.01)
-        print(callers.address, flush=True)
+        print(edge.frontend.address, flush=True)
         sys.stdin.read()
 
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -11,20 +11,12 @@
 
 from cardamommill import (
     actions,
-    board,
     controller,
-    decisions,
-    documents,
+    edgefakes,
     events,
-    exchange,
     fleet,
-    frontend,
-    loop,
-    periods,
     requesting,
     settings,
-    store,
-    upstream,
 )
 
 KEY = "a-key-of-a-client-account"
@@ -241,7 +233,7 @@
                           valid_until_ms, remote), **(values | more))
 
 
-class Node(contextlib.ExitStack):
+class Node(edgefakes.Edge):
     """The edge of a node around a conductor.
 
     Attributes:
@@ -254,8 +246,6 @@
                  document=DOCUMENT,
                  valid_ms=5000,
                  **limits):
-        super().__init__()
-        parsed = documents.parse(document, "test")
         self.seen = []
         self.kind = type(
             "ThisConductor", (Conductor,), {
@@ -264,29 +254,15 @@
                 "seen": self.seen,
                 "valid_ms": valid_ms,
             })
-        self.decisions = decisions.Decisions(IDENTITY, periods.Timing(), 1,
-                                             (self.kind,))
-        row = store.DocumentRow(parsed.service, 1, "a", "r", "", document)
-        section = self.decisions.board.documents
-        section.in_force[parsed.service] = board.DocumentInForce(parsed, row, 0)
-        section.complete = True
-        self.decisions.board.life.phase = board.NodePhase.SERVING
-        self.limits = settings.CallerSide(address="127.0.0.1:0", **limits)
+        callers = settings.CallerSide(address="127.0.0.1:0", **limits)
+        super().__init__(IDENTITY, self.kind, document, callers,
+                         lambda: "metric 1\n")
 
     def __enter__(self):
-        self.control = loop.ControlLoop(self.decisions, self._perform)
-        self.upstream = upstream.Upstream(self.control.post)
-        self.exchange = exchange.Exchange(self.control.post, self.upstream)
-        self.frontend = frontend.Frontend(self.limits, self.control,
-                                          self.exchange, lambda: "metric 1\n")
-        for part in (self.control, self.upstream, self.frontend):
-            self.enter_context(part)
+        super().__enter__()
         wait_for(lambda: self.control.view().ready)
         return self
 
-    def _perform(self, action):
-        self.exchange.perform(action)
-
     def connect(self):
         """Returns a new connection to it."""
         host, port = self.frontend.address.split(":")
