Let 'cardamommill bench' run the bench of the edge

Cause: bench_edge.main took its options from the process's command line, so that 'cardamommill bench' and 'cardamommill bench edge' ended in a usage message: unrecognized arguments: bench edge. Change: main takes its arguments; only the module run by itself passes them.

--- a/cardamommill/bench_edge.py
+++ b/cardamommill/bench_edge.py
@@ -8,7 +8,7 @@
 
 import argparse
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 import contextlib
 import dataclasses
 import functools
@@ -320,13 +320,18 @@
                         _at(lags_ms, 0.5), _at(lags_ms, 0.99))
 
 
-def main() -> None:
-    """Measures and prints; also the entry of the processes that it starts."""
+def main(arguments: Sequence[str] = ()) -> None:
+    """Measures and prints; also the entry of the processes that it starts.
+
+    Args:
+        arguments: Of its own command line. `cardamommill bench` gives none,
+            and has a command line that is not this one's.
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--runner", action="store_true")
     parser.add_argument("--node", default="")
     parser.add_argument("--mode", choices=MODES)
-    asked = parser.parse_args()
+    asked = parser.parse_args(arguments)
     if asked.runner:
         asyncio.run(_run_runner())
     elif asked.node:
@@ -355,4 +360,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(sys.argv[1:])
