--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,8 +13,6 @@
 EXAMPLES = sorted(ROOT.glob("examples/*/*.yaml"))
 TEST_NAME = re.compile(r"(tests/\w+\.py)(?:::(\w+))?(?:::(\w+))?")
 LINK = re.compile(r"\[[^\]]+\]\(([\w./-]+)(?:#[^)]*)?\)")
-# Pages that are still to be written.
-PENDING: set[str] = set()
 MODULE = re.compile(r"`(\w+)\.py`")
 
 
@@ -31,7 +29,7 @@
 @named(PAGES)
 def test_links_lead_somewhere(path):
     for target in LINK.findall(path.read_text("utf-8")):
-        assert (path.parent / target).exists() or target in PENDING, target
+        assert (path.parent / target).exists(), target
 
 
 @named(PAGES)
