--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -152,6 +152,11 @@
 
 
 def test_table_that_says_nothing_is_waited_for_within_a_limit():
+    """A booking's claim is written, and the table gives no answer.
+
+    The caller is refused in time, as not run. The write may still take effect;
+    the claim is then given back, so that the key is free for its next try.
+    """
     fleet = claimfleet.Fleet()
     request_id = fleet.want(fleet.lives[0])
     fleet.tick(claimfleet.TIMING.store_timeout_ms)
@@ -187,6 +192,10 @@
 
 
 def test_same_key_at_one_node_and_at_two_at_the_same_moment():
+    """An impatient caller sends one booking four times, to three nodes.
+
+    One runs; the others are told that it is under way.
+    """
     fleet = claimfleet.Fleet()
     ids = [fleet.want(life) for life in (*fleet.lives, fleet.lives[0])]
     fleet.settle()
@@ -222,6 +231,11 @@
 
 
 def test_memory_stays_bounded_while_the_table_is_away():
+    """Bookings run and the table takes none of their answers.
+
+    What waits to be recorded is bounded in number and bytes, so that a long
+    outage does not end the node.
+    """
     fleet = claimfleet.Fleet()
     life = fleet.lives[0]
     body = "x" * 10_000
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -93,6 +93,11 @@
 
 
 def test_only_a_higher_revision_is_fetched_and_taken():
+    """Revisions come by the table and from peers, in any order.
+
+    A node that took a late copy of an older one would serve by a document that
+    its team has replaced: an accepted one must not revert.
+    """
     node = Node()
     assert not node.documents.complete
     fetch, = node.index(node.ask(), 3)
@@ -162,6 +167,11 @@
 
 
 def test_unreadable_index_is_an_alarm_and_no_completeness():
+    """The index row of the documents can't be read, twice.
+
+    A node that took it for an empty one would serve without knowing of most
+    services, and refuse their callers. It stays not ready and tells it once.
+    """
     node = Node()
     key = store.Key(store.INDEX, store.DOCUMENTS_INDEX)
     for _ in range(2):
@@ -189,6 +199,11 @@
 
 
 def test_revision_that_a_peer_only_names_is_waited_for():
+    """A node starts while the table is down, with one peer.
+
+    The peer names revision 5 but hands on its copy of 4. Ready with that, the
+    node would serve by a document that was replaced before it started.
+    """
     node = Node()
     node.ask()
     node.hear(copies=(4,), revisions=(5,))
@@ -201,6 +216,11 @@
 
 
 def test_incomplete_peer_is_not_enough():
+    """A node starts while the table is down, with one peer that just started.
+
+    That peer doesn't know all documents itself; a node that was ready after
+    hearing it would refuse callers of the services that neither knows.
+    """
     node = Node()
     node.ask()
     node.hear(copies=(4,), revisions=(4,), complete=False)
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -11,6 +11,11 @@
 
 
 def test_every_change_is_counted_even_where_others_count_too():
+    """Another operator drains a VM between our read and our write.
+
+    Nodes read only the count. Were the second change written with the first
+    one's count, nodes that had read that would never look for it.
+    """
     table = fake_table.FakeTable()
     tables = fake_table.SyncTable(table)
 
@@ -44,6 +49,11 @@
 
 
 def test_a_table_that_is_down_is_told():
+    """An operator drains a VM while the table gives no answer.
+
+    The write may have taken effect; an operator who was told "failed" would
+    think that the VM is still in use.
+    """
     table = fake_table.FakeTable(down=True)
     told = counted.set_row(fake_table.SyncTable(table), KEY, "1", "fleet/dc")
     assert "not known whether" in told.failure().message
--- a/tests/test_httpcalls.py
+++ b/tests/test_httpcalls.py
@@ -63,6 +63,11 @@
 
 
 def test_refused_connection_was_not_sent(calls):
+    """Nobody listens at a runner's port.
+
+    Only here it is certain that nothing was sent, so that an order or a request
+    may go elsewhere at once without being done twice.
+    """
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
     failure = _make(
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -37,6 +37,11 @@
 
 
 def test_evidence_from_before_a_pause_is_not_used(node):
+    """A node's VM stands still for five seconds and goes on, unaware.
+
+    Its evidence looks young only because its clock of decisions stood still
+    too; meanwhile the VMs may have been given to another replica.
+    """
     node.step(events.Paused(5000), 9000)
     assert node.board.life.not_before_ms == 9000
 
@@ -71,6 +76,11 @@
 ])
 def test_second_signal_or_limit_ends_it_and_says_what_was_cut(
         node, event, at_ms):
+    """A node is told to end while a request runs that does not end.
+
+    At the limit, or when told again, the process ends; the journal names the
+    request that was cut off, which nobody could tell otherwise.
+    """
     node.board.requests.stages["r"] = requesting.Stage.RUNNING
     node.step(events.ShutdownAsked(), 1000)
     node.step(events.Tick(), 1000 + TIMING.balancer_ms)
@@ -80,6 +90,11 @@
 
 
 def test_asked_to_end_before_it_served():
+    """A node is told to end while it still waits for its documents.
+
+    It has no requests; it must end all the same, and not wait to become
+    ready first.
+    """
     made = decisions.Decisions(edge.IDENTITY, TIMING, 1, (lifecycle.Lifecycle,))
     made.step(events.ShutdownAsked(), 0)
     made.step(events.Tick(), TIMING.balancer_ms)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -73,6 +73,11 @@
 
 
 def test_fault_in_a_question_does_not_end_the_loop():
+    """An operator's question fails on the control thread.
+
+    The operator gets the error; all callers' requests depend on that thread,
+    so the next question must be answered as if nothing had been.
+    """
     with _loop(lambda action: None) as control:
         broken = control.ask(lambda decided, now_ms: 1 // 0)
         assert isinstance(broken.exception(WAIT_S), ZeroDivisionError)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -44,6 +44,11 @@
 
 
 def test_node_that_starts_in_an_outage_learns_vms_and_documents_from_peers():
+    """A node is replaced while the platform is down.
+
+    It can't read a row or list a VM, and would refuse all callers; its peers
+    hand on the VMs and the evidence on them that they had before.
+    """
     fleet_ = fake_fleet.FakeFleet(nodes=2)
     fleet_.advance(3000)
     fleet_.table.down = True
@@ -162,6 +167,11 @@
 
 
 def test_crash_of_a_head_is_told_to_peers_at_once():
+    """A head dies; one node sees its connection break.
+
+    Until the next pull the others would go on sending requests into it. The
+    notice reaches them within the time of one message.
+    """
     fleet_ = fake_fleet.FakeFleet(nodes=3)
     fleet_.advance(3000)
     node = fleet_.nodes["dc-a-0"]
@@ -211,6 +221,11 @@
 
 
 def test_second_node_of_the_same_name_is_told_once():
+    """Two nodes were given settings with the same name.
+
+    Their peers take the one for a later life of the other; operators see one
+    line of it, and not one for each pull.
+    """
     fleet_ = fake_fleet.FakeFleet(nodes=2)
     fleet_.advance(2000)
     node = fleet_.nodes["dc-a-0"]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -229,6 +229,11 @@
 
 
 def test_a_table_that_is_down_is_told_as_such(port, command, document):
+    """An operator applies a document and drains a VM during an outage.
+
+    The command ends with exit code 1 and a clear line, the port answers 503:
+    neither waits for the table, nor says that anything was done.
+    """
     webclient.call("PUT",
                    f"http://{port.platform}/faults",
                    body=b'{"down": true}')
--- a/tests/test_peerdatagram.py
+++ b/tests/test_peerdatagram.py
@@ -122,6 +122,11 @@
     garbage=strategies.lists(strategies.binary(max_size=60), max_size=20))
 @hypothesis.settings(max_examples=10)
 def test_garbage_stops_nothing(garbage):
+    """A stranger sends datagrams to the peers' port, some like real questions.
+
+    Each is refused and counted; the next node's pull is answered as if nothing
+    had been.
+    """
     with link(DIGEST) as (running, address, _, _), link() as (asker, _, posted,
                                                               _):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -97,6 +97,11 @@
 
 
 def test_absent_peer_ends_the_pull_without_an_answer():
+    """A peer's process is gone.
+
+    The pull ends as one without an answer, which is how the node learns that
+    its evidence from there grows old.
+    """
     pulled, _ = pull(side().address)
     assert pulled.digest is None
 
@@ -144,6 +149,10 @@
                peer_pb2.Digest(version=1, drained=["x" * 100] * 50)),
     ids=("other-version", "no-sender", "too-big"))
 def test_bad_answer_counts_as_none(answer):
+    """A process of another version answers a pull, or answers too much.
+
+    What it says reaches no decision; to the node it is a peer that is away.
+    """
     limits = side()
     with peerlink.futures.ThreadPoolExecutor(1) as pool:
         odd = grpc.server(pool)
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -148,6 +148,11 @@
 
 
 def test_a_member_that_is_back_before_the_spare_is_loaded_is_kept():
+    """A member stands still, a spare starts to load, and the member comes back.
+
+    Changing members now would cost another load; callers are served soonest by
+    the old set.
+    """
     world = fleets.world({"d0": 5}, fleets.document(replicas=1))
     world.run(40_000)
     (before,) = fleets.replicas(world)
@@ -162,6 +167,11 @@
 
 
 def test_a_restarted_member_without_a_spare_loads_in_its_place():
+    """A member's runner restarts and there is no other VM for its replica.
+
+    It has lost its weights; ordered again, it loads, and the same replica
+    serves.
+    """
     world = fleets.world({"d0": 4}, fleets.document(replicas=1))
     world.run(40_000)
     (before,) = fleets.replicas(world)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -88,6 +88,11 @@
 ])
 def test_a_node_that_is_cut_off_says_how_old_its_knowledge_is(
         answered_ms, said):
+    """An operator asks a node that has not reached the table for some time.
+
+    Its rows may have changed since; without the line the operator would take
+    them for what is so now.
+    """
 
     def cut_off(board):
         board.store.answered_ms = answered_ms
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -155,6 +155,11 @@
 
 
 def test_a_lost_answer_has_taken_effect(platform):
+    """The platform writes, and the connection breaks before its answer.
+
+    Nodes must be tested against a write that is there although it failed; when
+    the platform is down, nothing is written.
+    """
     call(platform, "PUT", "/faults", {"lose_answers": 1.0})
     with pytest.raises(OSError):
         call(platform, "PUT", "/objects/a/b", "body")
@@ -190,6 +195,11 @@
 
 @pytest.mark.parametrize("checks", [True, False])
 def test_only_an_engine_that_checks_refuses(start, checks):
+    """An order with an old fencing number and a request for another formation.
+
+    An engine that checks refuses both; one that doesn't obeys the one and
+    answers the other, which the node's own safeguards have to stand.
+    """
     runner = start("v1", checks_fencing=checks, checks_dispatch=checks)
     form([runner], fence=5)
     wait_until(lambda: ready(runner))
@@ -202,6 +212,11 @@
 
 
 def test_a_head_that_loses_a_member_breaks_its_streams(start):
+    """A member dies while its head streams an answer.
+
+    The stream breaks instead of ending as if it were whole, the head is no
+    longer ready, and it refuses the next request as not run.
+    """
     runners = [start("v1", token_ms=50), start("v2")]
     form(runners)
     wait_until(lambda: ready(runners[0]))
@@ -278,6 +293,11 @@
 
 
 def test_a_crash_breaks_the_connection_and_leaves_nothing(start):
+    """A request crashes the runner that runs it.
+
+    The caller's connection breaks without an answer and nobody listens on the
+    port any more, as when a process dies.
+    """
     runner = start("v1")
     form([runner])
     wait_until(lambda: ready(runner))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -121,12 +121,21 @@
 
 
 def test_one_crash_seen_by_two_nodes_counts_once(nodes):
+    """A runner dies; two nodes tell that the same request ran on it.
+
+    Counted twice, a single crash would put a harmless request in quarantine.
+    """
     nodes.crash("a", "r1", "d")
     nodes.crash("b", "r1", "d")
     assert nodes.states("d")["a"] is State.SUSPECT
 
 
 def test_innocent_neighbour_is_cleared_by_its_run(nodes):
+    """A harmless request runs beside a poisonous one in both its crashes.
+
+    It ran whole in between, which clears it of the first crash; only the
+    poisonous one is refused from then on.
+    """
     nodes.crash("a", "r1", "poison", "innocent")
     nodes.tick()
     nodes.ran("b", "innocent")
@@ -182,6 +191,11 @@
 
 
 def test_quarantine_is_written_once_the_table_is_back(nodes):
+    """A request crashes two runners while the table is down.
+
+    The nodes know of it by notices; a node that starts later learns of it from
+    the table alone, so the row must be written when the table is back.
+    """
     nodes.down = True
     nodes.crash("a", "r1", "d")
     nodes.crash("b", "r2", "d")
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -72,6 +72,10 @@
 
 
 def test_an_absent_collector_costs_spans_only():
+    """The collector of spans is down.
+
+    Requests don't wait for it; the lost spans are counted.
+    """
     to = settings.Tracing(otlp_address="127.0.0.1:1")
     with tracing.Tracer(to, "n1") as tracer:
         note(tracer)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -69,6 +69,11 @@
 
 
 def test_refusal_by_another_replica_means_not_run():
+    """The head was given to another replica before the request arrived.
+
+    It refuses in its own name, and says that it did not run the request; its
+    word counts although replica and epoch are not those that were asked.
+    """
     script = edge.json_answer(b'{"ran": false}',
                               "421 Misdirected Request",
                               replica="other",
@@ -79,6 +84,10 @@
 
 
 def test_refusal_that_speaks_of_another_request_proves_nothing():
+    """A late refusal of a former request comes on a kept connection.
+
+    Taken for this one's, it would say "not run" of a request that runs.
+    """
     script = edge.json_answer(b'{"ran": false}',
                               "503 Service Unavailable",
                               request="other")
@@ -136,6 +145,10 @@
 
 
 def test_stream_whose_last_event_came_is_whole():
+    """The head's connection breaks after the stream's last event.
+
+    The caller has everything; told otherwise, it would send its request again.
+    """
 
     def script(received, send):
         send(edge.stream_head(received) + edge.chunk(EVENTS[0] + DONE))
@@ -147,6 +160,11 @@
 
 
 def test_connection_refused_means_not_run():
+    """Nobody listens at the replica's head.
+
+    No byte was sent, so the caller is told that its request was not run, and
+    the node may send it elsewhere.
+    """
     with edge.Node("127.0.0.1:1") as node:
         assert node.call().status == 503
         assert ended(node).outcome is Outcome.NOT_RUN
@@ -183,6 +201,11 @@
 
 
 def test_silent_runner_is_given_up_and_told_so():
+    """A head takes a request and says nothing until its deadline.
+
+    The caller gets its final answer then, with an outcome that is not known,
+    and the engine is told to stop working on it.
+    """
     with edge.Runner(lambda received, send: time.sleep(1)) as runner, edge.Node(
             runner.address) as node:
         reply = node.call(Cardamommill_Deadline_Ms="50")
