Document the arguments of what operators and trials call

Cause: functions of three and more arguments said nothing of them; a trial kept what mends a fault as bare tuples. Change: Args and Raises where there is something to say, a dataclass for the tuples, a type for explainers.

--- a/cardamommill/applying.py
+++ b/cardamommill/applying.py
@@ -219,7 +219,14 @@
 
 
 def unified(old: str, new: str, old_name: str, new_name: str) -> str:
-    """Returns the lines in which two texts differ, as a unified diff."""
+    """Returns the lines in which two texts differ, as a unified diff.
+
+    Args:
+        old: The former text.
+        new: The later one.
+        old_name: What the diff's first line calls the former.
+        new_name: What its second line calls the later.
+    """
     return "\n".join(
         difflib.unified_diff(old.splitlines(),
                              new.splitlines(),
--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -256,6 +256,9 @@
 
         Args:
             *names: Some of edge, requests and fleet; all of them if empty.
+
+        Raises:
+            CommandError: There is no bench of such a name.
         """
         unknown = sorted(set(names) - set(BENCHES))
         if unknown:
--- a/cardamommill/explaining.py
+++ b/cardamommill/explaining.py
@@ -1,5 +1,10 @@
-"""Why a replica, a VM or a request is as it is; pure, as `report`."""
+"""Why a replica, a VM or a request is as it is; pure, as `report`.
 
+Each explainer takes the subject's id, the node's decisions and the local
+monotonic time, and `explain` chooses one by the subject's kind.
+"""
+
+from collections.abc import Callable
 import dataclasses
 
 from cardamommill import decisions as decisions_lib
@@ -145,7 +150,9 @@
     return Explanation(f"service/{service}", True, tuple(now))
 
 
-EXPLAINERS = {
+Explainer = Callable[[str, decisions_lib.Decisions, int], Explanation]
+
+EXPLAINERS: dict[str, Explainer] = {
     "replica": explain_replica,
     "vm": explain_vm,
     "request": explain_request,
--- a/cardamommill/launching.py
+++ b/cardamommill/launching.py
@@ -283,7 +283,16 @@
         return done.stdout
 
     def apply(self, node: str, document: str, reason: str = "trial") -> str:
-        """Applies a document, given as YAML, through a node."""
+        """Applies a document through a node; returns what the command says.
+
+        Args:
+            node: The node's name.
+            document: The document, as YAML.
+            reason: Kept with the revision.
+
+        Raises:
+            CommandError: It was refused.
+        """
         path = self.directory / f"{sha256(document)[:8]}.yaml"
         path.write_text(document, "utf-8")
         return self.command(node, "service", "apply", str(path),
@@ -298,7 +307,16 @@
     # --- What the outside systems do ---
 
     def platform_call(self, method: str, path: str, body: object = None) -> Any:
-        """Calls the platform's stand-in; returns its JSON answer, if any."""
+        """Calls the platform's stand-in; returns its JSON answer, if any.
+
+        Args:
+            method: The HTTP method.
+            path: Such as ``/counters``.
+            body: Sent as JSON.
+
+        Raises:
+            CommandError: No whole answer came.
+        """
         answer = webclient.call(method,
                                 f"http://{self.platform_address}{path}",
                                 body=json.dumps(body).encode())
@@ -317,7 +335,17 @@
                     path: str,
                     body: object = None,
                     method: str = "GET") -> Any:
-        """Calls a runner directly; returns its JSON answer, if any."""
+        """Calls a runner directly; returns its JSON answer, if any.
+
+        Args:
+            vm_id: Its VM.
+            path: Such as ``/runs``.
+            body: Sent as JSON; nothing for None.
+            method: The HTTP method.
+
+        Raises:
+            CommandError: No whole answer came.
+        """
         text = b"" if body is None else json.dumps(body).encode()
         answer = webclient.call(method,
                                 f"http://{self.runner_addresses[vm_id]}{path}",
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -166,12 +166,25 @@
 
     def apply(self, body: str, base_revision: int | None,
               wish: Wish) -> applying.Applied:
-        """Makes a document the accepted one of its service."""
+        """Makes a document the accepted one of its service.
+
+        Args:
+            body: Its text.
+            base_revision: The revision that it was made from; None for
+                whichever is accepted at this moment.
+            wish: Who wants it, and why.
+        """
         return applying.apply(self._tables, _change(body, base_revision, wish))
 
     def roll_back(self, service: str, revision: int,
                   wish: Wish) -> applying.Applied:
-        """Makes an old document a new revision."""
+        """Makes an old document a new revision.
+
+        Args:
+            service: Whose.
+            revision: The old one's.
+            wish: Who wants it, and why.
+        """
         return applying.roll_back(self._tables, service, revision,
                                   _change("", None, wish))
 
@@ -191,7 +204,13 @@
 
     def diff(self, service: str, old: int,
              new: int) -> result.Result[str, Failure]:
-        """Returns how two revisions differ, 0 for the accepted one."""
+        """Returns how two revisions differ, as a unified diff.
+
+        Args:
+            service: Whose.
+            old: The former; 0 for the accepted one.
+            new: The later; 0 for the accepted one.
+        """
         return applying.diff(self._tables, service, old, new)
 
     # --- VMs and requests ---
--- a/cardamommill/report.py
+++ b/cardamommill/report.py
@@ -284,7 +284,15 @@
 
 def member_fault(board: board_lib.Board, row: fleet.ReplicaRow, vm_id: str,
                  timing: periods.Timing, now_ms: int) -> str:
-    """Returns what keeps a member from counting as present, or nothing."""
+    """Returns what keeps a member from counting as present, or "".
+
+    Args:
+        board: What the node knows.
+        row: The replica's row.
+        vm_id: The member.
+        timing: The periods in force.
+        now_ms: The local monotonic time.
+    """
     evidence = board.evidence.by_vm.get(vm_id)
     if evidence is None:
         return "has not been heard"
--- a/cardamommill/serving.py
+++ b/cardamommill/serving.py
@@ -65,7 +65,14 @@
 def serving_replicas(board: board_lib.Board, service: str,
                      timing: periods.Timing,
                      now_ms: int) -> tuple[ServingReplica, ...]:
-    """Returns the replicas of a service that may be sent work now."""
+    """Returns the replicas of a service that may be sent work now.
+
+    Args:
+        board: What the node knows.
+        service: Whose.
+        timing: The periods in force.
+        now_ms: The local monotonic time.
+    """
     found = (serving_replica(board, row, timing, now_ms)
              for row in board.assignments.replicas.values()
              if row.service == service)
--- a/cardamommill/trial.py
+++ b/cardamommill/trial.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from concurrent import futures
 import contextlib
+import dataclasses
 import json
 import random
 import threading
@@ -72,6 +73,14 @@
                                {"kind": "plain"})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Healing:
+    """What mends a fault, and when."""
+
+    due_s: float
+    heal: Callable[[], None]
+
+
 class Trial:
     """Runs one seed."""
 
@@ -87,7 +96,7 @@
         self._oracle = trialoracle.Oracle()
         self._lock = threading.Lock()
         self._stop = threading.Event()
-        self._healing: list[tuple[float, Callable[[], None]]] = []
+        self._healing: list[_Healing] = []
         self.faults: list[str] = []
 
     def run(self) -> trialoracle.Tally:
@@ -177,15 +186,15 @@
         self._heal(float("inf"))
 
     def _heal(self, until_s: float) -> None:
-        for due in list(self._healing):
-            if due[0] <= until_s:
-                self._healing.remove(due)
-                due[1]()
+        for repair in list(self._healing):
+            if repair.due_s <= until_s:
+                self._healing.remove(repair)
+                repair.heal()
 
     def _later(self, what: str, after_s: float, heal: Callable[[],
                                                                None]) -> None:
         self.faults.append(f"{what} for {after_s} s")
-        self._healing.append((time.monotonic() + after_s, heal))
+        self._healing.append(_Healing(time.monotonic() + after_s, heal))
 
     def _some_vm(self, pool: str) -> launching.VmPlan | None:
         running = [
