Reserve the ports of test deployments until the process ends

Cause: test_peerdatagram failed once with 'address already in use': two test processes chose the same port between the look and the bind, or UDP alone used it. Ruled out: a port that a former test had not given back (each test chooses anew). Change: a port must be free for TCP and UDP, and a socket on 127.0.0.2 keeps it for the choosing process.

--- a/cardamommill/processes.py
+++ b/cardamommill/processes.py
@@ -17,6 +17,7 @@
 READY_TIMEOUT_S = 20.0
 # Below the range that outgoing connections get their ports from, so that no
 # connection takes a port between its choice and its use.
+RESERVING_HOST = "127.0.0.2"
 PORTS = range(20_000, 32_000)
 
 
@@ -154,16 +155,38 @@
     chance = random.SystemRandom()
     while True:
         port = chance.choice(PORTS)
-        if port in taken or not _is_free(port):
+        if port in taken or not _is_free(port) or not _reserve(port):
             continue
         taken.add(port)
         return f"127.0.0.1:{port}"
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as trial:
-        try:
-            trial.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    """Tells whether neither TCP nor UDP uses a port; nodes want both."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as trial:
+            try:
+                trial.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+def _reserve(port: int) -> bool:
+    """Keeps other test processes from choosing a port, until this one ends.
+
+    A node binds its port half a second after it was found free. Two processes
+    that chose the same one in between failed one of their tests, by chance.
+    The same port of another loopback address stands for the choice.
+    """
+    reservation = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        reservation.bind((RESERVING_HOST, port))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
     return True
+
+
+_reservations: list[socket.socket] = []
