Send each attempt at a replica on a connection of its own

Cause: a trial of a poison request took three replicas: on a kept connection curl reported 'could not connect' after the runner had died on the request, so the crash was not held against it. Taken as a crash, the same error came from runners that had died before, so requests that met two dead runners would have been quarantined though innocent. Ruled out: telling the two apart by time. Change: attempts at replicas use no kept connection, so a dead runner refuses and the request is known not to have run; nodes of other data centres keep theirs, and there a refused reconnect after sending counts as a lost one.

--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -96,8 +96,10 @@
         headers: Headers of the caller and of this node.
         body: The whole body.
         deadline_ms: Local monotonic time at which it is given up.
-        once: Whether it must go out on a connection of its own, so that a
-            kept one that the server just closed can't leave it unknown.
+        once: Whether it goes out on a connection of its own. On a kept one
+            a runner that died before could not be told from one that crashed
+            on this request: a fabric domain that goes dark would quarantine
+            innocent requests, and what was never run would be unknown.
         resume_from: Stream events that the caller already has.
     """
 
@@ -141,8 +143,17 @@
 # Statuses of answers that may say that the request was not run.
 _MAY_REFUSE = frozenset((409, 421, 422, 429, 500, 502, 503, 504))
 
-_CONNECTION_LOST = frozenset((pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR,
-                              pycurl.E_SEND_ERROR, pycurl.E_PARTIAL_FILE))
+# After sending, a connection that is refused means that curl found the one
+# that it had used broken and the runner gone: a crash. Taken for a mere failure
+# to connect, it would not be held against the request, which would go on to
+# crash one replica more.
+_CONNECTION_LOST = frozenset((
+    pycurl.E_GOT_NOTHING,
+    pycurl.E_RECV_ERROR,
+    pycurl.E_SEND_ERROR,
+    pycurl.E_PARTIAL_FILE,
+    pycurl.E_COULDNT_CONNECT,
+))
 
 
 class Transfer:
--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -230,7 +230,7 @@
                             tuple(passed_on + own),
                             live.body,
                             action.deadline_ms,
-                            once=not head.repeatable,
+                            once=not target.remote_node,
                             resume_from=action.resume_from)
 
 
--- a/cardamommill/upstream.py
+++ b/cardamommill/upstream.py
@@ -161,6 +161,7 @@
                 [line.encode("latin-1") for line in _NOT_BY_CURL + lines])
     curl.setopt(pycurl.TIMEOUT_MS, left_ms)
     curl.setopt(pycurl.FRESH_CONNECT, int(attempt.once))
+    curl.setopt(pycurl.FORBID_REUSE, int(attempt.once))
     curl.setopt(pycurl.PREREQFUNCTION, transfer.before_sending)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -126,6 +126,10 @@
         self.callback(self._server.shutdown)
         return self
 
+    def stop_listening(self):
+        """Refuses new connections, as after a crash."""
+        self._server.socket.shutdown(socket.SHUT_RDWR)
+
     @property
     def work(self):
         """The requests that were not cancellations."""
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -161,8 +161,9 @@
         assert not runner.received
 
 
-def test_kept_connection_that_breaks_sends_nothing_twice():
-    """The runner takes a request on a kept connection and dies.
+@pytest.mark.parametrize("listens", [True, False])
+def test_kept_connection_that_breaks_sends_nothing_twice(listens):
+    """Another node takes a request on a kept connection and dies.
 
     curl sends such a request again by itself. A booking would be made twice,
     and the request that crashed one runner would crash the next.
@@ -170,10 +171,16 @@
 
     def script(received, send):
         if len(runner.work) > 1:
+            if not listens:
+                runner.stop_listening()
             return False
-        return edge.json_answer()(received, send)
+        attempt = received.headers["cardamommill-attempt"]
+        send(
+            (f"HTTP/1.1 200 OK\r\nCardamommill-Attempt: {attempt}\r\n"
+             "Cardamommill-Outcome: ran\r\nContent-Length: 0\r\n\r\n").encode())
 
     with edge.Runner(script) as runner, edge.Node(runner.address) as node:
+        node.kind.remote = True
         assert node.call().status == 200
         assert node.call().status == 503
         second = edge.wait_for(lambda: node.of(events.AttemptEnded)[1:])[0]
@@ -182,6 +189,25 @@
         assert len(runner.work) == 2
 
 
+def test_runner_that_had_died_before_has_run_nothing():
+    """A runner answers, is killed, and gets the next request.
+
+    It can't have crashed on that; it must be told `not-run`, and not be held
+    against the request, also if connections to the runner had been kept.
+    """
+
+    def script(received, send):
+        edge.json_answer()(received, send)
+        runner.stop_listening()
+
+    with edge.Runner(script) as runner, edge.Node(runner.address) as node:
+        assert node.call().status == 200
+        assert node.call().status == 503
+        second = edge.wait_for(lambda: node.of(events.AttemptEnded)[1:])[0]
+        assert (second.outcome, second.connection_lost) == (Outcome.NOT_RUN,
+                                                            False)
+
+
 def test_silent_runner_is_given_up_and_told_so():
     with edge.Runner(lambda received, send: time.sleep(1)) as runner, edge.Node(
             runner.address) as node:
