--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -11,6 +11,11 @@
 
 
 def test_every_change_is_counted_even_where_others_count_too():
+    """Another operator drains a VM between our read and our write.
+
+    Nodes read only the count. Were the second change written with the first
+    one's count, nodes that had read that would never look for it.
+    """
     table = fake_table.FakeTable()
     tables = fake_table.SyncTable(table)
 
@@ -23,7 +28,7 @@
     assert counted.set_row(tables, KEY, "1", "fleet/dc") == result.Success(True)
     assert counted.set_row(tables, KEY, "1",
                            "fleet/dc") == result.Success(False)
-    assert store.decode(store.ChangeCount, table.get(INDEX).value).count == 2
+    assert store.decode(store.ChangeCount, table.read(INDEX).value).count == 2
 
 
 @pytest.mark.parametrize("seed", range(30))
@@ -37,13 +42,18 @@
     tables = fake_table.SyncTable(table, seed, lose=0.5)
     told = counted.set_row(tables, KEY, "1", "fleet/dc")
     tables.deliver_late()
-    there = table.get(KEY).version != store.ABSENT
-    assert there == (table.get(INDEX).version != store.ABSENT)
+    there = table.read(KEY).version != store.ABSENT
+    assert there == (table.read(INDEX).version != store.ABSENT)
     if isinstance(told, result.Success):
         assert there
 
 
 def test_a_table_that_is_down_is_told():
+    """An operator drains a VM while the table gives no answer.
+
+    The write may have taken effect; an operator who was told "failed" would
+    think that the VM is still in use.
+    """
     table = fake_table.FakeTable(down=True)
     told = counted.set_row(fake_table.SyncTable(table), KEY, "1", "fleet/dc")
     assert "not known whether" in told.failure().message
