Split what claims and attempts keep from what they do

Change: the types of claims under way and the head of an answer are modules of their own; no behaviour changed.

--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -7,7 +7,7 @@
 
 import pycurl
 
-from cardamommill import events, loop, requesting
+from cardamommill import answerhead, events, loop, requesting
 
 MAX_REFUSAL_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -20,34 +20,6 @@
 _STOP = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """The head of a replica's answer.
-
-    Attributes:
-        status: The HTTP status.
-        headers: All headers, with names in lower case.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def get(self, name: str) -> str:
-        """Returns a header, or empty text.
-
-        Args:
-            name: Its name in lower case.
-        """
-        return next((value for key, value in self.headers if key == name), "")
-
-    @property
-    def framed(self) -> bool:
-        """Whether the end of the body can be told from a cut."""
-        return bool(
-            self.get("content-length") or self.get("transfer-encoding") or
-            self.status in (204, 304))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivery:
     """What became of an answer on its way to the caller.
@@ -66,7 +38,7 @@
 class Sink(Protocol):
     """Takes the bytes of one attempt; called on the upstream thread."""
 
-    def begin(self, head: AnswerHead) -> bool:
+    def begin(self, head: answerhead.AnswerHead) -> bool:
         """Takes the head; returns False to give the attempt up."""
 
     def take(self, data: bytes) -> bool:
@@ -175,7 +147,7 @@
         self._sent = False
         self._lost = False
         self._stopped = ""
-        self._head: AnswerHead | None = None
+        self._head: answerhead.AnswerHead | None = None
         self._lines: list[bytes] = []
         self._header_bytes = 0
         # Holds the body of what may be a refusal until it is known.
@@ -230,7 +202,7 @@
         if self._head:
             return None  # These are trailers.
         self._first_byte_ms = max(1, loop.now_ms() - self._started_ms)
-        self._head = _parse_head(self._lines)
+        self._head = answerhead.parse(self._lines)
         status = self._head.status
         remote = self.attempt.target.remote_node
         if status in _MAY_REFUSE or (remote and status >= 400):
@@ -238,7 +210,7 @@
             return None
         return self._begin(self._head)
 
-    def _begin(self, head: AnswerHead) -> int | None:
+    def _begin(self, head: answerhead.AnswerHead) -> int | None:
         # Compared before any byte goes to the caller: an answer of another
         # request, or of a replica as it was before its VMs changed, would
         # otherwise reach this caller as its own.
@@ -351,15 +323,7 @@
                 (error == pycurl.E_OPERATION_TIMEDOUT or bool(self._stopped)))
 
 
-def _parse_head(lines: list[bytes]) -> AnswerHead:
-    headers = []
-    for line in lines[1:]:
-        name, _, value = line.decode("latin-1").partition(":")
-        headers.append((name.strip().lower(), value.strip()))
-    return AnswerHead(int(lines[0].split()[1]), tuple(headers))
-
-
-def _foreign(attempt: Attempt, head: AnswerHead) -> str:
+def _foreign(attempt: Attempt, head: answerhead.AnswerHead) -> str:
     """Returns how an answer shows that it is not this attempt's, or ""."""
     target = attempt.target
     if target.remote_node:
--- a/cardamommill/claims.py
+++ b/cardamommill/claims.py
@@ -7,6 +7,7 @@
 
 from cardamommill import (
     actions,
+    claiming,
     claimproblems,
     claimrecords,
     controller,
@@ -21,42 +22,11 @@
 # Each takes the claims that came while the others were under way.
 MAX_TRANSACTIONS = 2
 
-
-@dataclasses.dataclass(slots=True)
-class _Claim:
-    """A claim that is not decided.
-
-    Attributes:
-        request_id: The request.
-        key: Its row.
-        row: What is written there.
-        until_ms: When the caller is told that there is no table.
-        version: The version that the row must have.
-        doubtful: Whether a write of it may have taken effect unseen.
-        refused: Whether the caller has been told that it did not run.
-    """
-
-    request_id: str
-    key: store.Key
-    row: store.ClaimRow
-    until_ms: int
-    version: int = store.ABSENT
-    doubtful: bool = False
-    refused: bool = False
-
-
+_Claim = claiming.Claim
+_Fetch = claiming.Fetch
 _Batch = tuple[_Claim, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Fetch:
-    """A recorded answer that is on its way from the object store."""
-
-    request_id: str
-    row: store.ClaimRow
-    answer: requesting.RecordedAnswer
-
-
 class Claims(controller.Controller):
     """Claims keys in the table before their requests run.
 
--- a/cardamommill/sinks.py
+++ b/cardamommill/sinks.py
@@ -4,7 +4,13 @@
 import dataclasses
 import threading
 
-from cardamommill import answering, attempts, eventstream, requesting
+from cardamommill import (
+    answerhead,
+    answering,
+    attempts,
+    eventstream,
+    requesting,
+)
 
 MAX_EVENT_BYTES = 1_048_576
 ERROR_EVENT = b"event: error"
@@ -66,12 +72,12 @@
         self._answer_bytes = answer_bytes
         self._keep = keep
         self._ended = ended
-        self._head: attempts.AnswerHead | None = None
+        self._head: answerhead.AnswerHead | None = None
         self._held = bytearray()
         self._splitter: eventstream.EventSplitter | None = None
         self._remote_error = False
 
-    def begin(self, head: attempts.AnswerHead) -> bool:
+    def begin(self, head: answerhead.AnswerHead) -> bool:
         """Takes the head; returns False to give the attempt up."""
         self._head = head
         streams = (self._live.head.streaming and head.status == 200 and
@@ -160,7 +166,7 @@
                                          self._held.decode("latin-1"))
 
 
-def _passed_on(head: attempts.AnswerHead) -> list[tuple[str, str]]:
+def _passed_on(head: answerhead.AnswerHead) -> list[tuple[str, str]]:
     return [
         (name, value)
         for name, value in head.headers
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -11,8 +11,8 @@
 
 from cardamommill import (
     actions,
+    answerhead,
     answering,
-    attempts,
     events,
     eventstream,
     hops,
@@ -189,7 +189,7 @@
     live = sinks.Live(head, (), b"", answer, attempt_id="r-1")
     sink = sinks.AnswerSink(live, "r-1", 1000, False, lambda live: None)
     assert sink.begin(
-        attempts.AnswerHead(200, (("content-type", "text/event-stream"),)))
+        answerhead.AnswerHead(200, (("content-type", "text/event-stream"),)))
     return live, sink
 
 
