Say that a change is not known when its answers were lost

Cause: counted.set_row tries eight times; when the answers of the last tries were lost, or a refusal followed a lost answer, operators read 'the table refused it; nothing was changed', although a write might still take effect. Change: after any lost answer it says that nothing is known. The table of tables names operators and other nodes where they write, too. Run: tests/test_counted.py (the new test is red before: 'the table refused it; nothing was changed'), test_operators, test_launching, make check.

--- a/cardamommill/counted.py
+++ b/cardamommill/counted.py
@@ -26,6 +26,7 @@
         Whether anything had to be changed; or `StoreError`.
     """
     index_key = store.Key(store.INDEX, index_row)
+    doubtful = False
     try:
         for _ in range(ATTEMPTS):
             row, index = tables.read((key, index_key))
@@ -42,15 +43,20 @@
             # After a lost answer the next round reads what is there; should
             # the write still be on its way, the conditions of the repeated
             # one let only one of the two through.
+            doubtful |= answer.outcome is store.TransactOutcome.UNKNOWN
     except (exceptions.StoreError, ValueError) as error:
-        return result.Failure(
-            exceptions.StoreError(f"not known whether it was changed: {error}",
-                                  step="change",
-                                  peer=str(key)))
+        return _failed(key, f"not known whether it was changed: {error}")
+    if doubtful:
+        # A write whose answer was lost may still take effect.
+        return _failed(
+            key, "not known whether it was changed: answers of the "
+            "table were lost")
+    return _failed(key, "the table refused it; nothing was changed")
+
+
+def _failed(key: store.Key, message: str) -> Changed:
     return result.Failure(
-        exceptions.StoreError("the table refused it; nothing was changed",
-                              step="change",
-                              peer=str(key)))
+        exceptions.StoreError(message, step="change", peer=str(key)))
 
 
 def _raised(index: store.Row) -> str:
--- a/cardamommill/processes.py
+++ b/cardamommill/processes.py
@@ -137,6 +137,12 @@
                every_s: float = 0.02) -> float:
     """Waits until a condition holds, and returns for how long, in seconds.
 
+    Args:
+        condition: What is waited for.
+        what: The same in words, for the error.
+        timeout_s: After which it has not come true.
+        every_s: How long to rest between two looks.
+
     Raises:
         CommandError: It did not hold in time.
     """
--- a/cardamommill/store.py
+++ b/cardamommill/store.py
@@ -8,15 +8,18 @@
 documents      service                operators' ``service apply``
 history        service/revision       operators' ``service apply``
 index          documents              ``service apply``: revision a service
-index          fleet/DC               the planner of DC: a count of changes
-index          quarantine             whoever quarantines: a count
-nodes          DC/node                that node, once a start
+index          fleet/DC               the planner of DC and operators'
+                                      ``drain``: a count of changes
+index          quarantine             whoever quarantines or lifts: a count
+nodes          DC/node                that node, once a start; others delete
+                                      it when it has long been dead
 leases         DC                     the planner of DC
 vms            DC/vm                  the planner of DC
 replicas       DC/replica             the planner of DC
-drains         DC/vm                  operators' ``drain``
+drains         DC/vm                  operators' ``drain``, ``undrain``
 claims         service/account/key    the node that runs the request
-quarantine     digest                 a node that saw the second crash
+quarantine     digest                 a node that saw the second crash, or
+                                      that an operator told to lift it
 =============  =====================  ====================================
 """
 
--- a/tests/test_counted.py
+++ b/tests/test_counted.py
@@ -3,7 +3,7 @@
 import pytest
 from returns import result
 
-from cardamommill import counted, store
+from cardamommill import counted, events, store
 from tests import fake_table
 
 KEY = store.Key(store.DRAINS, "dc/v1")
@@ -48,6 +48,21 @@
         assert there
 
 
+def test_lost_answers_are_not_told_as_nothing_changed():
+    """An operator drains a VM; each answer of the table gets lost.
+
+    One of the writes comes later and drains the VM, so an operator who was
+    told that nothing was changed would find it emptied.
+    """
+    table = fake_table.FakeTable()
+    tables = fake_table.SyncTable(table)
+    unknown = events.TransactAnswered(events.Token("", 0),
+                                      store.TransactOutcome.UNKNOWN)
+    tables.transact = lambda conditions, writes: unknown
+    told = counted.set_row(tables, KEY, "1", "fleet/dc")
+    assert "not known whether" in told.failure().message
+
+
 def test_a_table_that_is_down_is_told():
     """An operator drains a VM while the table gives no answer.
 
