--- a/cardamommill/assignments.py
+++ b/cardamommill/assignments.py
@@ -36,6 +36,7 @@
         self._sent_ms = 0
         self._index_version = store.ABSENT
         self._whole = False
+        self._copied: set[str] = set()
         self._waiting: set[events.Token] = set()
         self._scans: dict[str, tuple[store.Row, ...]] = {}
 
@@ -80,25 +81,30 @@
 
     @step.register
     def _(self, event: events.PeerPulled, now_ms: int) -> actions.Actions:
-        if event.digest is None or self._readable(now_ms):
+        if event.digest is None:
             return ()
-        section = self.board.assignments
+        readable = self._readable(now_ms)
         for copy in event.digest.replicas:
             if copy.row.data_centre == self._data_centre:
-                self._take_copy(section, copy)
+                self._take_copy(copy, readable)
         return ()
 
-    def _take_copy(self, section: board_lib.AssignmentsSection,
-                   copy: peering.ReplicaCopy) -> None:
+    def _take_copy(self, copy: peering.ReplicaCopy, readable: bool) -> None:
+        section = self.board.assignments
         replica_id = copy.row.replica_id
         known = section.replicas.get(replica_id)
         version = section.replica_versions.get(replica_id, store.ABSENT)
-        if copy.version > version or known is None:
+        if copy.version > version and not readable:
             section.replicas[replica_id] = copy.row
             section.replica_versions[replica_id] = copy.version
             # What was read last is no longer whole.
             self._whole = False
-        elif (copy.version == version and copy.row.formation > known.formation):
+            self._copied.add(replica_id)
+        elif copy.version == version and known is not None and (
+                copy.row.formation > known.formation):
+            # Formed without the table. Also a planner that reads the table
+            # must know: it would form the table's members again, and nodes
+            # that know better would never find them as they expect.
             self._take_formed(copy.row)
 
     @step.register
@@ -136,6 +142,7 @@
 
     def _take_scans(self) -> None:
         section = self.board.assignments
+        self._look_at_copied(section)
         former = section.replica_versions
         section.replicas, section.replica_versions = self._newer(
             fleet.ReplicaRow, self._scans[store.REPLICAS], section.replicas,
@@ -147,7 +154,8 @@
         # A row keeps what was formed without the table until it is written.
         section.formed_without_table = {
             replica_id for replica_id in section.formed_without_table
-            if section.replica_versions.get(replica_id) == former[replica_id]
+            if section.replica_versions.get(replica_id) == former.get(
+                replica_id, store.ABSENT)
         }
         section.drained = {
             _name(row) for row in self._scans[store.DRAINS] if row.version
@@ -159,6 +167,31 @@
         section.known = True
         self._whole = True
 
+    def _look_at_copied(self, section: board_lib.AssignmentsSection) -> None:
+        """Compares what peers told with the table's rows of that version.
+
+        A peer's copy has a part of the causes only, and may be of a formation
+        that the table doesn't know. Taken for the table's row, the members
+        that went would keep their VMs' rows for ever.
+        """
+        for row in self._scans[store.REPLICAS]:
+            replica_id = _name(row)
+            copied = section.replicas.get(replica_id)
+            if replica_id not in self._copied or copied is None or (
+                    row.version != section.replica_versions[replica_id]):
+                continue
+            if copied.formation > self._formation(row):
+                section.formed_without_table.add(replica_id)
+            else:
+                del section.replicas[replica_id]
+        self._copied.clear()
+
+    def _formation(self, row: store.Row) -> int:
+        try:
+            return store.decode(fleet.ReplicaRow, row.value).formation
+        except ValueError:
+            return 0
+
     def _newer(self, kind: type[T], rows: tuple[store.Row,
                                                 ...], known: dict[str, T],
                versions: dict[str, int]) -> tuple[dict[str, T], dict[str, int]]:
@@ -182,4 +215,4 @@
 
 
 def _unreadable(vm_id: str) -> fleet.VmRow:
-    return fleet.VmRow(vm_id, fleet.VmUse.MEMBER, "unreadable", 0, "")
+    return fleet.VmRow(vm_id, fleet.VmUse.MEMBER, fleet.UNREADABLE, 0, "")
