--- a/cardamommill/fleet.py
+++ b/cardamommill/fleet.py
@@ -202,7 +202,7 @@
     """An order to a runner; it always carries a fencing number.
 
     Attributes:
-        order_id: Unique, for the journal.
+        order_id: Unique, for whoever reads a runner's log.
         kind: What to do.
         vm_id: The runner's VM.
         fence: The lease epoch of the planner that gives the order.
