Show a node that was asked to end as not ready

Cause: whether the balancer is to send requests was decided in loop and again in report, which left out that the node was asked to end: for balancer_ms status and the figure 'ready' said yes while /readyz said no. Change: Board.ready is the one place.

--- a/cardamommill/board.py
+++ b/cardamommill/board.py
@@ -330,3 +330,8 @@
         default_factory=SuspectsSection)
     claims: ClaimsSection = dataclasses.field(default_factory=ClaimsSection)
     life: LifeSection = dataclasses.field(default_factory=LifeSection)
+
+    def ready(self) -> bool:
+        """Tells whether the balancer is to send requests to this node."""
+        return (self.life.phase is NodePhase.SERVING and
+                not self.life.leaving and self.documents.complete)
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -156,8 +156,7 @@
 
     def _publish(self) -> None:
         board = self._decisions.board
-        ready = (board.life.phase is board_lib.NodePhase.SERVING and
-                 not board.life.leaving and board.documents.complete)
+        ready = board.ready()
         seen = self._view
         if (seen.phase, seen.ready) == (board.life.phase, ready) and all(
                 seen.documents.get(service) is in_force
--- a/cardamommill/report.py
+++ b/cardamommill/report.py
@@ -199,12 +199,10 @@
     age_ms = _age_ms(board.store.answered_ms, now_ms)
     silent_ms = SILENT_READS * timing.index_read_ms
     lease = board.lease.row
-    return NodePart(
-        board.identity.node_id, board.identity.data_centre, board.life.phase,
-        board.life.phase is board_lib.NodePhase.SERVING and
-        board.documents.complete, age_ms, age_ms == UNKNOWN_AGE or
-        age_ms > silent_ms, lease.holder if lease else "",
-        lease.epoch if lease else 0)
+    return NodePart(board.identity.node_id, board.identity.data_centre,
+                    board.life.phase, board.ready(), age_ms,
+                    age_ms == UNKNOWN_AGE or age_ms > silent_ms,
+                    lease.holder if lease else "", lease.epoch if lease else 0)
 
 
 def _service(board: board_lib.Board, service: str,
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -164,3 +164,17 @@
         "Revision 1 of its document, from eva (first), has been in force on "
         "n1 for 5 s.", "It wants 2 replicas and 1 spares in praha-a.",
         "r1 serves.")
+
+
+def test_a_node_that_was_asked_to_end_is_not_ready():
+    """A node is told to end; its requests may still finish for some seconds.
+
+    The balancer hears at once that it is not ready. Status and the figure
+    ``ready`` must say the same, or operators look for a fault elsewhere.
+    """
+
+    def leave(board):
+        board.life.leaving = True
+
+    assert report.status(boards.decided(), boards.NOW_MS).node.ready
+    assert not report.status(boards.decided(leave), boards.NOW_MS).node.ready
