--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 	$(BIN)/python tests/prove.py --seeds $(SEEDS) --examples $(EXAMPLES) \
 	  --steps $(STEPS)
 
+bench: $(STAMP)
+	$(BIN)/python -m cardamommill bench
+
 capacity: $(STAMP)
 	$(BIN)/python -m tests.capacity
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -14,6 +14,7 @@
 TEST_NAME = re.compile(r"(tests/\w+\.py)(?:::(\w+))?(?:::(\w+))?")
 LINK = re.compile(r"\[[^\]]+\]\(([\w./-]+)(?:#[^)]*)?\)")
 MODULE = re.compile(r"`(\w+)\.py`")
+TARGET = re.compile(r"`make (\w+)")
 
 
 def named(paths):
@@ -47,6 +48,13 @@
         assert found, f"{name}.py"
 
 
+@named(PAGES)
+def test_targets_of_make_that_are_named_exist(path):
+    rules = (ROOT / "Makefile").read_text("utf-8")
+    for name in TARGET.findall(path.read_text("utf-8")):
+        assert re.search(rf"^{name}:", rules, re.M), f"make {name}"
+
+
 @named(EXAMPLES)
 def test_an_example_has_no_fault(path):
     if path.name.endswith(".settings.yaml"):
