Read the board for operators in one place

Cause: operations asked the control thread in seven places, each with its own timeout; commands chose between text and JSON twice. Change: Operations._ask and _read, Commands._shown. Run: test_operators, test_operating, test_report, make check.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -203,9 +203,7 @@
         Args:
             json: Whether to print JSON.
         """
-        client = self._client()
-        return _dumped(client.json("GET",
-                                   "status")) if json else client.text("status")
+        return self._shown(("status",), json)
 
     def explain(self, kind: str, name: str, json: bool = False) -> str:
         """Prints how something is, and how it came to be so.
@@ -215,10 +213,13 @@
             name: Its id.
             json: Whether to print JSON.
         """
+        return self._shown(("explain", kind, name), json)
+
+    def _shown(self, path: tuple[str, ...], as_json: bool) -> str:
         client = self._client()
-        path = ("explain", kind, name)
-        return _dumped(client.json("GET", *path)) if json else client.text(
-            *path)
+        if as_json:
+            return _dumped(client.json("GET", *path))
+        return client.text(*path)
 
     def drain(self, vm: str, author: str = "", reason: str = "") -> str:
         """Has a VM emptied: no new work, its replica goes elsewhere.
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -1,11 +1,13 @@
 """What operators may ask of a node and have done by it."""
 
+from collections.abc import Callable
 from concurrent import futures
 import dataclasses
 import os
 import pathlib
 import platform
 import threading
+from typing import TypeVar
 import uuid
 
 from returns import result
@@ -14,6 +16,7 @@
     applying,
     asking,
     counted,
+    decisions,
     events,
     exceptions,
     explaining,
@@ -25,8 +28,11 @@
     store,
     walltime,
 )
+from cardamommill import board as board_lib
 from cardamommill import journal as journal_lib
 
+T = TypeVar("T")
+
 ASK_TIMEOUT_S = 5.0
 MAX_MENTIONS = 50
 
@@ -91,7 +97,7 @@
 
     def status(self) -> report.Status:
         """Returns what this node knows."""
-        return self._control.ask(report.status).result(ASK_TIMEOUT_S)
+        return self._ask(report.status)
 
     def samples(self) -> tuple[metrics.Sample, ...]:
         """Returns the status as figures; none if it takes too long."""
@@ -108,19 +114,19 @@
             name: Its id.
         """
         own = self.explain_alone(kind, name)
-        addresses = self._control.ask(
-            lambda decided, now_ms: {
+        addresses = self._read(
+            lambda board: {
                 node: peer.identity.peer_address
-                for node, peer in decided.board.peers.by_node.items()
-            }).result(ASK_TIMEOUT_S)
+                for node, peer in board.peers.by_node.items()
+            })
         question = asking.Question(kind=kind, name=name)
         return asking.merged(own, self._peers.ask(addresses, question))
 
     def explain_alone(self, kind: str, name: str) -> explaining.Explanation:
         """Returns what this node alone knows of a subject."""
-        own = self._control.ask(lambda decided, now_ms: explaining.explain(
-            kind, name, decided, now_ms)).result(ASK_TIMEOUT_S)
-        node = self._node()
+        own = self._ask(lambda decided, now_ms: explaining.explain(
+            kind, name, decided, now_ms))
+        node = self._read(lambda board: board.identity.node_id)
         about = self._journal.about(own.subject)
         told = {(entry.event, entry.detail) for entry in about}
         lines = [
@@ -154,13 +160,11 @@
                        self._control.cpu_ns // loop.NS_PER_MS,
                        self._control.events, len(self._journal))
 
-    def _node(self) -> str:
-        return self._control.ask(lambda decided, now_ms: decided.board.identity.
-                                 node_id).result(ASK_TIMEOUT_S)
+    def _read(self, value: Callable[[board_lib.Board], T]) -> T:
+        return self._ask(lambda decided, now_ms: value(decided.board))
 
-    def _data_centre(self) -> str:
-        return self._control.ask(lambda decided, now_ms: decided.board.identity.
-                                 data_centre).result(ASK_TIMEOUT_S)
+    def _ask(self, question: Callable[[decisions.Decisions, int], T]) -> T:
+        return self._control.ask(question).result(ASK_TIMEOUT_S)
 
     # --- Documents ---
 
@@ -225,10 +229,9 @@
         return self._set_drain(vm_id, None)
 
     def _set_drain(self, vm_id: str, value: str | None) -> counted.Changed:
-        data_centre = self._data_centre()
-        known = self._control.ask(
-            lambda decided, now_ms: vm_id in decided.board.vms.listed or vm_id
-            in decided.board.assignments.vms).result(ASK_TIMEOUT_S)
+        data_centre = self._read(lambda board: board.identity.data_centre)
+        known = self._read(lambda board: vm_id in board.vms.listed or vm_id in
+                           board.assignments.vms)
         if value is not None and not known:
             return result.Failure(
                 exceptions.CommandError(
@@ -244,8 +247,7 @@
 
         The node tells its peers and the table, which may be down just now.
         """
-        held = self._control.ask(lambda decided, now_ms: decided.board.suspects.
-                                 by_digest.get(digest)).result(ASK_TIMEOUT_S)
+        held = self._read(lambda board: board.suspects.by_digest.get(digest))
         if held is None or held.state is peering.SuspectState.CLEARED:
             return False
         by = f"{wish.author}: {wish.reason}" if wish.reason else wish.author
