Name the factors between units of time once

Cause: MS_PER_S stood in five modules, NS_PER_MS in three, and a bare 1000 in a dozen places; three modules called their logger LOG, seven log. Change: units has the factors; all loggers are log.

--- a/cardamommill/answers.py
+++ b/cardamommill/answers.py
@@ -4,9 +4,8 @@
 import enum
 import random
 
-from cardamommill import requesting
+from cardamommill import requesting, units
 
-MS_PER_S = 1000
 # No advice is longer: by then the fleet looks different.
 MAX_RETRY_AFTER_S = 300
 
@@ -87,5 +86,5 @@
         wait_ms: After which there should be room.
         chance: Where the spread comes from.
     """
-    least_s = max(1, round(wait_ms / MS_PER_S))
+    least_s = max(1, round(wait_ms / units.MS_PER_S))
     return min(MAX_RETRY_AFTER_S, least_s + chance.randint(0, least_s + 1))
--- a/cardamommill/connection.py
+++ b/cardamommill/connection.py
@@ -8,10 +8,9 @@
 import time
 from typing import Protocol
 
-from cardamommill import http1, settings
+from cardamommill import http1, settings, units
 
 RECEIVE_BYTES = 65_536
-MS_PER_S = 1000
 
 # What a socket raises that can't go on now but may later.
 WAITS = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
@@ -19,7 +18,7 @@
 
 def now_ms() -> int:
     """Returns the local monotonic time."""
-    return int(time.monotonic() * MS_PER_S)
+    return int(time.monotonic() * units.MS_PER_S)
 
 
 class Owner(Protocol):
--- a/cardamommill/connections.py
+++ b/cardamommill/connections.py
@@ -19,9 +19,9 @@
 import logbook
 
 from cardamommill import connection as connection_lib
-from cardamommill import exceptions, http1, settings
+from cardamommill import exceptions, http1, settings, units
 
-LOG = logbook.Logger("connections")
+log = logbook.Logger("connections")
 
 ACCEPTS_PER_TURN = 64
 RECEIVE_BYTES = 65_536
@@ -34,7 +34,6 @@
 
 Connection = connection_lib.Connection
 RECEIVE_BYTES = connection_lib.RECEIVE_BYTES
-MS_PER_S = connection_lib.MS_PER_S
 _Phase = connection_lib.Phase
 _now_ms = connection_lib.now_ms
 
@@ -138,7 +137,7 @@
             for action in calls:
                 action()
             if _now_ms() >= next_look_ms:
-                next_look_ms = _now_ms() + int(TURN_S * MS_PER_S)
+                next_look_ms = _now_ms() + int(TURN_S * units.MS_PER_S)
                 self._expire()
 
     def _ready(self, key: selectors.SelectorKey, mask: int) -> None:
@@ -150,7 +149,7 @@
             try:
                 self._serve(key.data, mask)
             except Exception:
-                LOG.exception("event=connection-failed peer={}", key.data.peer)
+                log.exception("event=connection-failed peer={}", key.data.peer)
                 self.drop(key.data)
 
     def _accept(self) -> None:
@@ -265,7 +264,7 @@
         try:
             self._handler.answer(request, connection)
         except Exception:
-            LOG.exception("event=answer-failed peer={}", connection.peer)
+            log.exception("event=answer-failed peer={}", connection.peer)
             self._handler.refuse(
                 http1.refusal("this node failed before it ran the request",
                               500), connection)
--- a/cardamommill/costs.py
+++ b/cardamommill/costs.py
@@ -6,9 +6,7 @@
 buying skis).
 """
 
-from cardamommill import documents
-
-MS_PER_S = 1000
+from cardamommill import documents, units
 
 
 def preload_after_ms(document: documents.Document) -> int:
@@ -34,4 +32,4 @@
     # While a member is missing, the others are stranded too.
     waiting = costs.downtime + costs.stranded * (document.replica_vms - 1)
     loading = costs.stranded * costs.load_s * vms
-    return round(MS_PER_S * loading / waiting) if waiting else 0
+    return round(units.MS_PER_S * loading / waiting) if waiting else 0
--- a/cardamommill/curlloop.py
+++ b/cardamommill/curlloop.py
@@ -12,6 +12,8 @@
 import logbook
 import pycurl
 
+from cardamommill import units
+
 log = logbook.Logger("curlloop")
 
 # How long the loop sleeps at most; libcurl asks for less where it must.
@@ -161,4 +163,4 @@
 
     def _set_timer(self, timeout_ms: int) -> None:
         self._due_at_s = (None if timeout_ms < 0 else time.monotonic() +
-                          timeout_ms / 1000)
+                          timeout_ms / units.MS_PER_S)
--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -18,7 +18,7 @@
     upstream,
 )
 
-LOG = logbook.Logger("exchange")
+log = logbook.Logger("exchange")
 
 DEFAULT_ANSWER_BYTES = 8_388_608
 
@@ -168,7 +168,7 @@
     def _(self, action: actions.Finish) -> None:
         live = self._forget(action.request_id)
         if live is not None and not live.answer.done and not live.gone:
-            LOG.error("event=finished-without-answer request={}",
+            log.error("event=finished-without-answer request={}",
                       action.request_id)
             live.answer.problem(_NO_ANSWER, action.attempts)
 
--- a/cardamommill/explaining.py
+++ b/cardamommill/explaining.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from cardamommill import decisions as decisions_lib
-from cardamommill import fleet, report, requesting
+from cardamommill import fleet, report, requesting, units
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,12 +91,12 @@
     ]
     if evidence:
         said = evidence.report
-        now.append(
-            f"{(now_ms - evidence.seen_ms) / 1000:.1f} s ago its runner said "
-            f"to {evidence.watcher} that it is {said.role} of "
-            f"{said.replica_id or 'no replica'}, "
-            f"{'ready' if said.ready else 'not ready'}, with "
-            f"{said.running} of {said.slots} slots taken.")
+        age_s = (now_ms - evidence.seen_ms) / units.MS_PER_S
+        now.append(f"{age_s:.1f} s ago its runner said "
+                   f"to {evidence.watcher} that it is {said.role} of "
+                   f"{said.replica_id or 'no replica'}, "
+                   f"{'ready' if said.ready else 'not ready'}, with "
+                   f"{said.running} of {said.slots} slots taken.")
     else:
         now.append("Its runner has not been heard.")
     if vm_id in board.assignments.drained:
@@ -133,10 +133,11 @@
     if in_force is None:
         return Explanation(f"service/{service}", False)
     row = in_force.row
+    in_force_s = (now_ms - in_force.since_ms) // units.MS_PER_S
     now = [
         f"Revision {row.revision} of its document, from {row.author}"
         f"{f' ({row.reason})' if row.reason else ''}, has been in force on "
-        f"{board.identity.node_id} for {(now_ms - in_force.since_ms) // 1000} "
+        f"{board.identity.node_id} for {in_force_s} "
         "s.",
     ]
     for centre, wanted in sorted(in_force.document.capacity.items()):
--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -8,19 +8,18 @@
 import types
 from typing import Any, Self, TypeVar
 
-from cardamommill import actions, events, exceptions, walltime
+from cardamommill import actions, events, exceptions, units, walltime
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
 
 T = TypeVar("T")
 
 MAX_BACKLOG = 100_000
-NS_PER_MS = 1_000_000
 
 
 def now_ms() -> int:
     """Returns the local monotonic time that all decisions are made by."""
-    return time.monotonic_ns() // NS_PER_MS
+    return time.monotonic_ns() // units.NS_PER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +120,7 @@
         while True:
             wait_ms = max(0, last_tick_ms + tick_ms - now_ms())
             try:
-                item = self._inbox.get(timeout=wait_ms / 1000)
+                item = self._inbox.get(timeout=wait_ms / units.MS_PER_S)
             except queue.Empty:
                 item = events.Tick(walltime.now())
             if item is None:
--- a/cardamommill/metrics.py
+++ b/cardamommill/metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh import histogram
 
+from cardamommill import units
+
 PREFIX = "cardamommill"
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 600_000_000
@@ -15,8 +17,6 @@
 # whatever the documents hold: a latency takes some 24 KB, a counter 200 bytes.
 MAX_COUNTERS = 2000
 MAX_LATENCIES = 200
-US_PER_MS = 1000
-US_PER_S = 1_000_000
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -61,7 +61,7 @@
 
     def observe_ms(self, name: str, value_ms: float, **labels: str) -> None:
         """Notes a latency, such as ``first_byte`` (rendered in seconds)."""
-        value_us = min(max(int(value_ms * US_PER_MS), MIN_LATENCY_US),
+        value_us = min(max(int(value_ms * units.US_PER_MS), MIN_LATENCY_US),
                        MAX_LATENCY_US)
         series = (name, tuple(sorted(labels.items())))
         with self._lock:
@@ -114,10 +114,10 @@
         value_us = latency.histogram.get_value_at_percentile(quantile * 100)
         with_quantile = (*labels, ("quantile", f"{quantile:g}"))
         lines.append(f"{name}{_braces(with_quantile)} "
-                     f"{value_us / US_PER_S:.6f}")
+                     f"{value_us / units.US_PER_S:.6f}")
     return [
         *lines,
-        f"{name}_sum{_braces(labels)} {latency.sum_us / US_PER_S:.6f}",
+        f"{name}_sum{_braces(labels)} {latency.sum_us / units.US_PER_S:.6f}",
         f"{name}_count{_braces(labels)} {latency.count}",
     ]
 
--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -30,6 +30,7 @@
     platformlink,
     runnerlink,
     tracing,
+    units,
     upstream,
 )
 from cardamommill import settings as settings_lib
@@ -38,7 +39,6 @@
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SIGNAL_POLL_S = 0.2
-NS_PER_MS = 1_000_000
 # Seconds for the last bytes of answers to leave after the last decision.
 FLUSH_S = 0.2
 
@@ -65,7 +65,7 @@
         self._timing = settings.timing_in_force()
         # Only ever compared with other lives of this same node. The table's
         # row of the node catches a wall clock that went back in between.
-        identity = settings.identity(time.time_ns() // NS_PER_MS)
+        identity = settings.identity(time.time_ns() // units.NS_PER_MS)
         self.journal = journal.Journal()
         self.metrics = metrics.Metrics()
         self._tracer = tracing.Tracer(settings.tracing, settings.node)
--- a/cardamommill/observing.py
+++ b/cardamommill/observing.py
@@ -11,10 +11,10 @@
     metrics,
     requesting,
     tracing,
+    units,
 )
 
 MAX_UNDER_WAY = 100_000
-NS_PER_MS = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
                                   request.head.trace_id,
                                   answering.span_id(event.attempt_id)),
                               parent_id=answering.span_id(event.request_id),
-                              took_ns=event.took_ms * NS_PER_MS,
+                              took_ns=event.took_ms * units.NS_PER_MS,
                               outcome=event.outcome.value,
                               status=event.status)
 
@@ -94,7 +94,7 @@
             return
         took_ns = tracing.wall_ns() - request.started_ns
         self._figures.observe_ms("request",
-                                 took_ns / NS_PER_MS,
+                                 took_ns / units.NS_PER_MS,
                                  service=request.head.service,
                                  end=how)
         self._tracer.note("request",
--- a/cardamommill/operations.py
+++ b/cardamommill/operations.py
@@ -26,6 +26,7 @@
     report,
     statusfigures,
     store,
+    units,
     walltime,
 )
 from cardamommill import board as board_lib
@@ -157,7 +158,7 @@
         return Figures(platform.python_version(), os.getpid(),
                        _resident_bytes(),
                        tuple(sorted(t.name for t in threading.enumerate())),
-                       self._control.cpu_ns // loop.NS_PER_MS,
+                       self._control.cpu_ns // units.NS_PER_MS,
                        self._control.events, len(self._journal))
 
     def _read(self, value: Callable[[board_lib.Board], T]) -> T:
--- a/cardamommill/peerdatagram.py
+++ b/cardamommill/peerdatagram.py
@@ -27,6 +27,7 @@
     peering,
     peerwire,
     settings,
+    units,
 )
 
 OWNER = "peerdatagram"
@@ -192,8 +193,8 @@
         if oldest is None:
             # A question asked meanwhile is looked at after this at most; its
             # answer wakes the thread before.
-            return self._timeout_ms / 1000
-        wait_s = (oldest.deadline_ms - self._now_ms()) / 1000
+            return self._timeout_ms / units.MS_PER_S
+        wait_s = (oldest.deadline_ms - self._now_ms()) / units.MS_PER_S
         return min(max(wait_s, 0.0), MAX_SLEEP_S)
 
     def _receive(self) -> None:
--- a/cardamommill/peerlink.py
+++ b/cardamommill/peerlink.py
@@ -17,6 +17,7 @@
     peering,
     peerwire,
     settings,
+    units,
 )
 
 SERVICE = "cardamommill.Peer"
@@ -159,7 +160,7 @@
             self._waiting[token.serial] = waiting
         try:
             self._post(events.PeerAsked(token, request))
-            digest = waiting.result(self._timeout_ms / 1000)
+            digest = waiting.result(self._timeout_ms / units.MS_PER_S)
         except futures.TimeoutError:
             context.abort(grpc.StatusCode.UNAVAILABLE, "busy")
         finally:
@@ -273,7 +274,8 @@
     def _call(self, address: str, method: str, data: bytes) -> bytes | None:
         try:
             call = self._channel(address).unary_unary(f"/{SERVICE}/{method}")
-            answer: bytes = call(data, timeout=self._timeout_ms / 1000)
+            answer: bytes = call(data,
+                                 timeout=self._timeout_ms / units.MS_PER_S)
         except (grpc.RpcError, ValueError) as error:
             # ValueError: the connection was closed to make room for others.
             log.debug("event=peer-silent step={} peer={} detail={!r}", method,
--- a/cardamommill/periods.py
+++ b/cardamommill/periods.py
@@ -1,7 +1,7 @@
 """The periods and limits that the promises rest on, and their inequalities.
 
 All times are milliseconds of the local monotonic clock. No promise compares
-the wall clocks of two machines.
+the wall clocks of two VMs.
 """
 
 from collections.abc import Iterator
--- a/cardamommill/planning.py
+++ b/cardamommill/planning.py
@@ -18,6 +18,7 @@
     repair,
     sizing,
     sparing,
+    units,
 )
 from cardamommill import board as board_lib
 from cardamommill import facts as facts_lib
@@ -145,7 +146,7 @@
                 self.board.assignments.known and self.board.documents.complete)
 
     def _refill(self, now_ms: int) -> None:
-        passed_s = (now_ms - self._refilled_ms) / 1000
+        passed_s = (now_ms - self._refilled_ms) / units.MS_PER_S
         self._refilled_ms = now_ms
         self._writes_left = min(WRITE_BURST,
                                 self._writes_left + WRITES_PER_S * passed_s)
--- a/cardamommill/report.py
+++ b/cardamommill/report.py
@@ -8,7 +8,7 @@
 
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
-from cardamommill import fleet, periods, serving
+from cardamommill import fleet, periods, serving, units
 
 # A table that was silent for so many reads counts as out of reach.
 SILENT_READS = 5
@@ -300,7 +300,7 @@
         (board.evidence.lost_boots.get(vm_id) == report.boot_id,
          "broke its connection"),
         (age_ms >= timing.evidence_max_age_ms,
-         f"was last heard {age_ms / 1000:.1f} s ago"),
+         f"was last heard {age_ms / units.MS_PER_S:.1f} s ago"),
         (evidence.seen_ms < board.life.not_before_ms,
          "was not heard since this node stood still"),
         (report.leaving or vm_id in board.vms.leaving, "is leaving"),
--- a/cardamommill/reporttext.py
+++ b/cardamommill/reporttext.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from cardamommill import explaining, report
-
-MS_PER_S = 1000
+from cardamommill import explaining, report, units
 
 
 def status(value: report.Status) -> str:
@@ -70,7 +68,7 @@
 
 
 def _age(age_ms: int) -> str:
-    return f"{age_ms / MS_PER_S:.1f} s"
+    return f"{age_ms / units.MS_PER_S:.1f} s"
 
 
 def _table(head: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
--- a/cardamommill/standin_engine.py
+++ b/cardamommill/standin_engine.py
@@ -10,7 +10,7 @@
 import time
 import uuid
 
-from cardamommill import fleet
+from cardamommill import fleet, units
 
 RECENT_CACHE_EVENTS = 512
 
@@ -154,7 +154,7 @@
 
     def load(self, weights: str) -> None:
         """Starts to load weights, unless they are there."""
-        done_s = time.monotonic() + self.options.load_ms / 1000
+        done_s = time.monotonic() + self.options.load_ms / units.MS_PER_S
         if weights:
             self._loaded_at_s.setdefault(weights, done_s)
 
@@ -200,7 +200,7 @@
     def _lagging_load(self) -> tuple[int, int]:
         now_s = time.monotonic()
         taken_s, running, queued = self._load_shown
-        if now_s - taken_s >= self.options.report_lag_ms / 1000:
+        if now_s - taken_s >= self.options.report_lag_ms / units.MS_PER_S:
             running, queued = self.slots.load()
             self._load_shown = (now_s, running, queued)
         return running, queued
@@ -326,7 +326,8 @@
     def _tell(self, prefix: str, *, stored: bool) -> None:
         self.sequence += 1
         if self._random.random() >= self._options.cache_gap:
-            at_s = time.monotonic() + self._options.cache_lag_ms / 1000
+            lag_s = self._options.cache_lag_ms / units.MS_PER_S
+            at_s = time.monotonic() + lag_s
             self._events.append(CacheEvent(self.sequence, at_s, prefix, stored))
 
 
--- a/cardamommill/statusfigures.py
+++ b/cardamommill/statusfigures.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Iterator
 
-from cardamommill import metrics, report
-
-MS_PER_S = 1000
+from cardamommill import metrics, report, units
 
 
 def samples(status: report.Status) -> Iterator[metrics.Sample]:
@@ -16,7 +14,8 @@
     node, vms = status.node, status.vms
     yield metrics.Sample("ready", node.ready)
     yield metrics.Sample("cut_off", node.cut_off)
-    yield metrics.Sample("table_age_seconds", node.table_age_ms / MS_PER_S)
+    yield metrics.Sample("table_age_seconds",
+                         node.table_age_ms / units.MS_PER_S)
     yield metrics.Sample("planner_known", bool(node.planner))
     yield metrics.Sample("peers_heard", len(status.peers))
     yield metrics.Sample("suspects", len(status.suspects))
--- a/cardamommill/upstream.py
+++ b/cardamommill/upstream.py
@@ -8,7 +8,7 @@
 
 from cardamommill import attempts, curlloop, events, loop
 
-LOG = logbook.Logger("upstream")
+log = logbook.Logger("upstream")
 
 CONNECT_TIMEOUT_MS = 1000
 CANCEL_TIMEOUT_MS = 2000
@@ -95,7 +95,7 @@
             ended = transfer.finish(number, message)
         except Exception:
             # Whatever is wrong here, the request must get its end.
-            LOG.exception("event=attempt-failed attempt={}",
+            log.exception("event=attempt-failed attempt={}",
                           transfer.attempt.attempt_id)
             ended = transfer.broken_off()
         if transfer.cancelled or transfer.goes_on_at_engine(number):
