--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -7,7 +7,7 @@
 
 import pycurl
 
-from cardamommill import events, loop, requesting
+from cardamommill import answerhead, events, loop, requesting
 
 MAX_REFUSAL_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -20,34 +20,6 @@
 _STOP = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """The head of a replica's answer.
-
-    Attributes:
-        status: The HTTP status.
-        headers: All headers, with names in lower case.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def get(self, name: str) -> str:
-        """Returns a header, or empty text.
-
-        Args:
-            name: Its name in lower case.
-        """
-        return next((value for key, value in self.headers if key == name), "")
-
-    @property
-    def framed(self) -> bool:
-        """Whether the end of the body can be told from a cut."""
-        return bool(
-            self.get("content-length") or self.get("transfer-encoding") or
-            self.status in (204, 304))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivery:
     """What became of an answer on its way to the caller.
@@ -66,7 +38,7 @@
 class Sink(Protocol):
     """Takes the bytes of one attempt; called on the upstream thread."""
 
-    def begin(self, head: AnswerHead) -> bool:
+    def begin(self, head: answerhead.AnswerHead) -> bool:
         """Takes the head; returns False to give the attempt up."""
 
     def take(self, data: bytes) -> bool:
@@ -96,8 +68,10 @@
         headers: Headers of the caller and of this node.
         body: The whole body.
         deadline_ms: Local monotonic time at which it is given up.
-        once: Whether it must go out on a connection of its own, so that a
-            kept one that the server just closed can't leave it unknown.
+        once: Whether it goes out on a connection of its own. On a kept one
+            a runner that died before could not be told from one that crashed
+            on this request: a fabric domain that goes dark would quarantine
+            innocent requests, and what was never run would be unknown.
         resume_from: Stream events that the caller already has.
     """
 
@@ -141,8 +115,17 @@
 # Statuses of answers that may say that the request was not run.
 _MAY_REFUSE = frozenset((409, 421, 422, 429, 500, 502, 503, 504))
 
-_CONNECTION_LOST = frozenset((pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR,
-                              pycurl.E_SEND_ERROR, pycurl.E_PARTIAL_FILE))
+# After sending, a connection that is refused means that curl found the one
+# that it had used broken and the runner gone: a crash. Taken for a mere failure
+# to connect, it would not be held against the request, which would go on to
+# crash one replica more.
+_CONNECTION_LOST = frozenset((
+    pycurl.E_GOT_NOTHING,
+    pycurl.E_RECV_ERROR,
+    pycurl.E_SEND_ERROR,
+    pycurl.E_PARTIAL_FILE,
+    pycurl.E_COULDNT_CONNECT,
+))
 
 
 class Transfer:
@@ -164,7 +147,7 @@
         self._sent = False
         self._lost = False
         self._stopped = ""
-        self._head: AnswerHead | None = None
+        self._head: answerhead.AnswerHead | None = None
         self._lines: list[bytes] = []
         self._header_bytes = 0
         # Holds the body of what may be a refusal until it is known.
@@ -219,7 +202,7 @@
         if self._head:
             return None  # These are trailers.
         self._first_byte_ms = max(1, loop.now_ms() - self._started_ms)
-        self._head = _parse_head(self._lines)
+        self._head = answerhead.parse(self._lines)
         status = self._head.status
         remote = self.attempt.target.remote_node
         if status in _MAY_REFUSE or (remote and status >= 400):
@@ -227,7 +210,7 @@
             return None
         return self._begin(self._head)
 
-    def _begin(self, head: AnswerHead) -> int | None:
+    def _begin(self, head: answerhead.AnswerHead) -> int | None:
         # Compared before any byte goes to the caller: an answer of another
         # request, or of a replica as it was before its VMs changed, would
         # otherwise reach this caller as its own.
@@ -340,15 +323,7 @@
                 (error == pycurl.E_OPERATION_TIMEDOUT or bool(self._stopped)))
 
 
-def _parse_head(lines: list[bytes]) -> AnswerHead:
-    headers = []
-    for line in lines[1:]:
-        name, _, value = line.decode("latin-1").partition(":")
-        headers.append((name.strip().lower(), value.strip()))
-    return AnswerHead(int(lines[0].split()[1]), tuple(headers))
-
-
-def _foreign(attempt: Attempt, head: AnswerHead) -> str:
+def _foreign(attempt: Attempt, head: answerhead.AnswerHead) -> str:
     """Returns how an answer shows that it is not this attempt's, or ""."""
     target = attempt.target
     if target.remote_node:
