Look at the lease every 1.5 s where it is somebody else's

Ruled out: letting only some nodes watch it (they would have to agree who). Change: who does not hold the lease looks every 1.5 s in place of 0.5 s; a takeover comes up to 1 s later and never earlier.

--- a/cardamommill/leases.py
+++ b/cardamommill/leases.py
@@ -7,6 +7,10 @@
 from cardamommill import board as board_lib
 
 RETRY_MS = 500
+# Who does not hold the lease looks at it this often. These are the most of all
+# reads of the table, and a successor's wait is counted from what it sees, so
+# looking less often makes it later and never earlier.
+LOOK_MS = 1500
 # Nodes that see a lease end at the same time try at different moments.
 MAX_JITTER_MS = 400
 
@@ -159,6 +163,7 @@
         if self._mine():
             return self._found_mine(now_ms)
         lease.held = False
+        self._next_ms = now_ms + LOOK_MS
         if self._seen != (row.version, renewal.version):
             # Counted from the answer, which came after the renewal that it
             # shows was sent: the holder's own reckoning ends earlier.
