Say that claims stay; tell attempts apart over all nodes

Cause: claim_retention_ms was read by nothing, and pages said that claims end; a transaction's attempt was the same for two nodes and lives; a node that was asked to end still told its peers that it was ready; trials ignored their seed in part; 'threads' named requests in progress. Ruled out: deleting claims by the wall clock in this change (a promise must not rest on comparing clocks; a counter that advances by observed time is the way, and needs scans in pages).

--- a/cardamommill/claims.py
+++ b/cardamommill/claims.py
@@ -31,7 +31,7 @@
     """Claims keys in the table before their requests run.
 
     The row of a key is written only on the condition that it has the version
-    that was last seen, and once it exists it stays until its retention ends.
+    that was last seen, and once it exists it stays.
     So of two nodes one wins, and a write whose answer was lost and that takes
     effect hours later meets another version. Who won is told by the attempt
     token in the row, never by the answer to the write.
--- a/cardamommill/digests.py
+++ b/cardamommill/digests.py
@@ -107,8 +107,7 @@
             version=peering.PROTOCOL_VERSION,
             sender=board.identity,
             sequence=self._counter.value,
-            ready=(board.life.phase is board_lib.NodePhase.SERVING and
-                   board.documents.complete),
+            ready=board.ready(),
             after_sequence=after,
             documents_hash=documents_hash(board),
             documents_complete=board.documents.complete,
--- a/cardamommill/frontend.py
+++ b/cardamommill/frontend.py
@@ -129,7 +129,7 @@
             if not start.target.startswith(SERVICES):
                 self._answer_page(start, answer)
                 return
-            if self._requests.count >= self._limits.threads:
+            if self._requests.count >= self._limits.requests_in_progress:
                 raise callerrequests.refusal(503, "admit",
                                              "too many requests in progress")
             document, path = self._addressed(start)
--- a/cardamommill/periods.py
+++ b/cardamommill/periods.py
@@ -64,8 +64,6 @@
         "pause_ms", 1500, "ticks further apart mean that the node stood "
         "still and its evidence is not to be used"),
     Period("member_grace_ms", 4000, "a member silent for so long is lost"),
-    Period("claim_retention_ms", 86_400_000,
-           "a recorded answer is kept for repeats for this long"),
     Period("balancer_ms", 2000,
            "the balancer sees a failing readiness in this time"),
     Period("shutdown_ms", 60_000, "streams may finish in this time"),
@@ -98,7 +96,6 @@
     peer_timeout_ms: int = 3500
     pause_ms: int = 1500
     member_grace_ms: int = 4000
-    claim_retention_ms: int = 86_400_000
     balancer_ms: int = 2000
     shutdown_ms: int = 60_000
 
--- a/cardamommill/platformlink.py
+++ b/cardamommill/platformlink.py
@@ -4,7 +4,9 @@
 from concurrent import futures
 import functools
 import http
+import itertools
 import json
+import secrets
 from typing import Any, Literal
 import urllib.parse
 
@@ -75,6 +77,10 @@
         self._base = f"http://{address}"
         self._data_centre = data_centre
         self._timeout_ms = timeout_ms
+        # Attempts are told apart over all nodes and all their lives: a
+        # platform that drops repeats must not take one's write for another's.
+        self._life = secrets.token_hex(8)
+        self._serials = itertools.count(1)
 
     @functools.singledispatchmethod
     def perform(self, action: actions.Action, post: Callable[[events.Event],
@@ -92,7 +98,7 @@
                                                          None]) -> None:
         body = {
             "attempt":
-                f"{action.token.owner}/{action.token.serial}",
+                f"{self._life}/{next(self._serials)}",
             "conditions": [{
                 "table": each.key.table,
                 "row": each.key.row,
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -21,7 +21,7 @@
 
     Attributes:
         address: Where callers are answered.
-        threads: Requests in progress at once.
+        requests_in_progress: How many at once.
         header_bytes: The largest request head.
         body_bytes: The largest request body, whatever a document allows.
         read_timeout_ms: How long a request may take to arrive whole.
@@ -37,7 +37,7 @@
     """
 
     address: Address
-    threads: Annotated[int, pydantic.Field(ge=1, le=4096)] = 256
+    requests_in_progress: Annotated[int, pydantic.Field(ge=1, le=4096)] = 256
     header_bytes: Annotated[int, pydantic.Field(ge=256)] = 16_384
     body_bytes: Annotated[int, pydantic.Field(ge=1)] = 8_388_608
     read_timeout_ms: Annotated[int, pydantic.Field(ge=1)] = 10_000
--- a/cardamommill/trial.py
+++ b/cardamommill/trial.py
@@ -91,6 +91,7 @@
             seed: For all chance in it.
             seconds: For how long callers call and things fail.
         """
+        self._seed = seed
         self._random = random.Random(seed)
         self._seconds = seconds
         self._oracle = trialoracle.Oracle()
@@ -115,7 +116,7 @@
             self._wait_serving()
             with futures.ThreadPoolExecutor(CALLERS) as pool:
                 calling = [
-                    pool.submit(self._call, random.Random(f"{n}"))
+                    pool.submit(self._call, random.Random(f"{self._seed}/{n}"))
                     for n in range(CALLERS)
                 ]
                 self._fail()
@@ -243,7 +244,7 @@
         self._later("platform down", 8, self._deployment.platform_faults)
 
     def _lose_answers(self) -> None:
-        self._deployment.platform_faults(lose_answers=0.3, seed=1)
+        self._deployment.platform_faults(lose_answers=0.3, seed=self._seed)
         self._later("platform loses answers", 8,
                     self._deployment.platform_faults)
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -276,8 +276,8 @@
         going_on.wait(5)
         return edge.json_answer()(received, send)
 
-    with edge.Runner(script) as slow, edge.Node(slow.address,
-                                                threads=2) as small:
+    with edge.Runner(script) as slow, edge.Node(
+            slow.address, requests_in_progress=2) as small:
         waiting = [small.connect() for _ in range(2)]
         for sock in waiting:
             sock.sendall(edge.request())
