Name the lost VMs of a notice; remove what nobody handles

Cause: Notice.lost_vms was a tuple of tuples with two special cases in peerwire; DocumentAccepted was sent and handled by nobody; the planner's cost by runners was measured by a function that nothing called.

--- a/cardamommill/bench_fleet.py
+++ b/cardamommill/bench_fleet.py
@@ -155,6 +155,10 @@
             f"{1000 * result.total('cpu_s') / result.total('steps'):7.2f}")
 
 
+# Runners of a data centre for which a look of the planner is timed.
+COST_SIZES = (27, 81, 162, 324)
+
+
 def step_cost_ms(runners: int) -> float:
     """Returns the planner's processor time for one look at a data centre.
 
@@ -183,6 +187,9 @@
     today += run(seeds, workers, bench_failures.SIZES[:1], CURVE)
     print("trade-off by the number of spares, of 7 VMs that no replica needs")
     print(report(today))
+    costs = ", ".join(f"{step_cost_ms(runners):.2f} ms at {runners}"
+                      for runners in COST_SIZES)
+    print(f"one look of the planner by the number of runners: {costs}")
 
 
 if __name__ == "__main__":
--- a/cardamommill/configuration.py
+++ b/cardamommill/configuration.py
@@ -170,13 +170,9 @@
                                 str(error)[:500]),)
         self.board.documents.in_force[service] = board_lib.DocumentInForce(
             document, row, now_ms)
-        return (
-            actions.Record(
-                f"service/{service}", "document-in-force",
-                f"revision {row.revision} from {row.author}: "
-                f"{row.reason}"),
-            actions.Notify(events.DocumentAccepted(service, row.revision)),
-        )
+        return (actions.Record(
+            f"service/{service}", "document-in-force",
+            f"revision {row.revision} from {row.author}: {row.reason}"),)
 
     def _has(self, service: str, revision: int) -> bool:
         """Tells whether a revision is in force, replaced or unusable here."""
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -28,7 +28,6 @@
 RunnerCrashed = internalevents.RunnerCrashed
 AttemptSent = internalevents.AttemptSent
 AttemptClosed = internalevents.AttemptClosed
-DocumentAccepted = internalevents.DocumentAccepted
 CrashNews = internalevents.CrashNews
 QuarantineLifted = internalevents.QuarantineLifted
 FleetChanged = internalevents.FleetChanged
--- a/cardamommill/internalevents.py
+++ b/cardamommill/internalevents.py
@@ -124,14 +124,6 @@
     took_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentAccepted(eventbase.Event):
-    """A higher revision of a document is now in force on this node."""
-
-    service: str
-    revision: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashNews(eventbase.Event):
     """News of crashes that nodes of other data centres must hear at once.
--- a/cardamommill/membership.py
+++ b/cardamommill/membership.py
@@ -170,7 +170,8 @@
         self._polls.ask_at_once(head, now_ms)
         notice = peering.Notice(peering.PROTOCOL_VERSION,
                                 self.board.identity,
-                                lost_vms=((head, known.report.boot_id),))
+                                lost_vms=(peering.LostVm(
+                                    head, known.report.boot_id),))
         return (actions.Record(f"vm/{head}", "connection-lost",
                                f"the head of {event.replica_id} broke off"),
                 *(actions.NotifyPeer(peer.identity.peer_address, notice)
@@ -194,9 +195,9 @@
         if (notice.version != peering.PROTOCOL_VERSION or
                 self._contacts.is_former(notice.sender)):
             return ()
-        for vm_id, boot_id in notice.lost_vms[:MAX_LOST_VMS]:
-            if self._book.accuse(vm_id, boot_id, now_ms):
-                self._polls.ask_at_once(vm_id, now_ms)
+        for lost in notice.lost_vms[:MAX_LOST_VMS]:
+            if self._book.accuse(lost.vm_id, lost.boot_id, now_ms):
+                self._polls.ask_at_once(lost.vm_id, now_ms)
         return ()
 
     # --- Peers ---
--- a/cardamommill/peering.py
+++ b/cardamommill/peering.py
@@ -245,6 +245,19 @@
     store_age_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostVm:
+    """A life of a runner that has ended, as somebody saw.
+
+    Attributes:
+        vm_id: Its VM.
+        boot_id: Which life.
+    """
+
+    vm_id: str
+    boot_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notice:
     """News that takes trust away and so may come late, twice or never.
@@ -253,10 +266,10 @@
         version: The protocol's version.
         sender: Who says so.
         suspicions: Requests that crashed a runner.
-        lost_vms: VMs whose connection broke, with the boot that was lost.
+        lost_vms: VMs whose connection broke.
     """
 
     version: int
     sender: fleet.NodeIdentity
     suspicions: tuple[Suspicion, ...] = ()
-    lost_vms: tuple[tuple[str, str], ...] = ()
+    lost_vms: tuple[LostVm, ...] = ()
--- a/cardamommill/peerwire.py
+++ b/cardamommill/peerwire.py
@@ -118,10 +118,7 @@
 
 
 def _items_reader(name: str, item: Any) -> _Decode:
-    if typing.get_origin(item) is tuple:
-        read_item: _Decode = _lost_vm
-    else:
-        read_item = _reader(name, item)
+    read_item = _reader(name, item)
 
     def read(items: Any) -> Any:
         if len(items) > MAX_ITEMS:
@@ -131,10 +128,6 @@
     return read
 
 
-def _lost_vm(item: Any) -> tuple[str, str]:
-    return _text(item.vm_id), _text(item.boot_id)
-
-
 def _text(value: str) -> str:
     if len(value) > MAX_TEXT:
         raise ValueError(f"a text of {len(value)} characters")
@@ -231,8 +224,6 @@
         return _write_message
     if typing.get_origin(hint) is tuple:
         item = typing.get_args(hint)[0]
-        if typing.get_origin(item) is tuple:
-            return _write_lost_vms
         return (_write_messages
                 if dataclasses.is_dataclass(item) else _write_scalars)
     return setattr
@@ -252,11 +243,5 @@
         _fill(items.add(), value)
 
 
-def _write_lost_vms(message: Any, name: str, values: Any) -> None:
-    items = getattr(message, name)
-    for vm_id, boot_id in values:
-        items.add(vm_id=vm_id, boot_id=boot_id)
-
-
 def _write_scalars(message: Any, name: str, values: Any) -> None:
     getattr(message, name).extend(values)
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -140,7 +140,7 @@
         sender = self.fleet.nodes[NODES[0]].identity
         notice = peering.Notice(peering.PROTOCOL_VERSION,
                                 sender,
-                                lost_vms=((vm_id, boot_id),))
+                                lost_vms=(peering.LostVm(vm_id, boot_id),))
         self.fleet._hand(self.fleet.nodes[node], events.PeerNotified(notice))
 
     @stateful.rule(service=strategies.sampled_from(SERVICES),
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -77,7 +77,7 @@
 def test_notice_arrives():
     notice = peering.Notice(peering.PROTOCOL_VERSION,
                             ASKER,
-                            lost_vms=(("vm", "boot"),))
+                            lost_vms=(peering.LostVm("vm", "boot"),))
     with server() as (running, posted):
         with peerlink.PeerClient(side(), lambda event: None, TIMEOUT_MS,
                                  loop.now_ms) as client:
--- a/tests/test_peerwire.py
+++ b/tests/test_peerwire.py
@@ -53,7 +53,7 @@
           version=_version,
           sender=_identities,
           suspicions=few(_suspicions),
-          lost_vms=few(strategies.tuples(_texts, _texts))),
+          lost_vms=few(built(peering.LostVm))),
     built(peering.Digest,
           version=_version,
           sender=_identities,
