Never renew a lease that was given up

Ruled out: the wait of the taker (a free row needs none) and the renewal (its condition, the holder's row, had not changed). Change: a lease that was given up is not renewed even while the row names this node; the give-up is sent again until it shows. The wait before the first order counts from each new epoch, also where the answer to taking it was lost.

--- a/cardamommill/leases.py
+++ b/cardamommill/leases.py
@@ -51,6 +51,7 @@
         self._seen = (-1, -1)
         self._seen_ms = 0
         self._jitter_ms = 0
+        self._given_up_epoch = 0
 
     @functools.singledispatchmethod
     def step(self, event: events.Event, now_ms: int) -> actions.Actions:
@@ -123,10 +124,21 @@
         return call
 
     def _mine(self) -> bool:
+        """Tells whether this node may renew the lease.
+
+        A lease that was given up is never renewed, even while its row still
+        names this node: the write that gives it up may have lost its answer
+        and take effect late, and a successor then takes the lease at once,
+        beside a holder that had thought better of it.
+        """
         row = self.board.lease.row
+        return (row is not None and self._names_me(row) and
+                row.epoch > self._given_up_epoch)
+
+    def _names_me(self, row: store.LeaseRow) -> bool:
         identity = self.board.identity
-        return (row is not None and (row.holder, row.incarnation)
-                == (identity.node_id, identity.incarnation))
+        return ((row.holder, row.incarnation) == (identity.node_id,
+                                                  identity.incarnation))
 
     def _look(self, now_ms: int) -> None:
         board = self.board
@@ -163,6 +175,8 @@
         if self._mine():
             return self._found_mine(now_ms)
         lease.held = False
+        if lease.row is not None and self._names_me(lease.row):
+            return self._give_up(now_ms)
         self._next_ms = now_ms + LOOK_MS
         if self._seen != (row.version, renewal.version):
             # Counted from the answer, which came after the renewal that it
@@ -180,10 +194,12 @@
     def _found_mine(self, now_ms: int) -> actions.Actions:
         lease = self.board.lease
         assert lease.row is not None
+        if lease.epoch != lease.row.epoch:
+            # Also where the write that took it was taken for lost.
+            lease.first_order_ms = now_ms + self.timing.order_max_age_ms
         lease.epoch = lease.row.epoch
         self._next_ms = now_ms
         if self._taken and self._taken.attempt == lease.row.attempt:
-            lease.first_order_ms = now_ms + self.timing.order_max_age_ms
             self._hold_from(self._taken.sent_ms, now_ms)
             self._taken = None
             return (actions.Record(
@@ -240,6 +256,7 @@
         assert lease.row is not None
         lease.held = False
         lease.valid_until_ms = board_lib.NEVER_MS
+        self._given_up_epoch = lease.row.epoch
         self._call = _Call(self.token(GIVE_UP), now_ms)
         row = dataclasses.replace(lease.row, holder="")
         lease.row = None
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -120,3 +120,12 @@
     """Returns the name of the node that holds the lease."""
     return next(name for name, each in made.nodes.items()
                 if each.decisions.board.lease.held)
+
+
+def holders(made):
+    """Returns the names of nodes that take themselves for the planner."""
+    return [
+        name for name, each in made.nodes.items()
+        if each.alive and not each.paused and
+        leases.may_order(each.decisions.board.lease, made.local_ms(name))
+    ]
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -12,7 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from cardamommill import actions, fakeworld, fleet, leases, serving, store
+from cardamommill import actions, fakeworld, fleet, serving, store
 from tests import fleets
 
 STEP_MS = 100
@@ -101,11 +101,7 @@
                                         row.replica_id) == row.replica_id
 
     def _one_planner(self):
-        holders = [
-            name for name, node in self.world.nodes.items()
-            if node.alive and not node.paused and leases.may_order(
-                node.decisions.board.lease, self.world.local_ms(name))
-        ]
+        holders = fleets.holders(self.world)
         assert len(holders) <= 1, holders
 
 
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -383,6 +383,32 @@
     assert len(fleets.serving_now(world, name=other)) == 1
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_lease_that_was_given_up_late_is_never_renewed(seed):
+    """All runners are silent for a lease; the planner gives the lease up.
+
+    The answer is lost and the write takes effect seconds later. Meanwhile the
+    runners are back. A planner that renewed then would plan beside the node
+    that finds the lease free: both could order the same VMs about.
+    """
+    world = fleets.world({"d0": 5},
+                         fleets.document(replicas=1, spares=1),
+                         seed=seed)
+    world.run(60_000)
+    for runner in world.runners.values():
+        runner.paused = True
+    world.run(fleets.TIMING.lease_ms - 1_000)
+    world.faults.late_transactions = 1.0
+    world.run(3_500)
+    world.faults.late_transactions = 0.0
+    for runner in world.runners.values():
+        runner.paused = False
+    for _ in range(300):
+        world.run(100)
+        assert len(fleets.holders(world)) <= 1
+    assert fleets.holders(world)
+
+
 def test_adapters_are_loaded_at_each_head_once():
     wanted = fleets.document(replicas=1, adapters=["legal", "short"])
     world = fleets.world({"d0": 5}, wanted)
