Let a request keep its name in another data centre

Ruled out: another caller's bytes (all events were of one request, from 0 to the end). The request had been passed on to another data centre, whose node gave it a name of its own; the engine wrote that into the answer, and the caller knew another one. Change: the node that takes a request over a hop with a proof calls it by the name in the proven attempt's id, unless a former attempt at it is still there. Measured: the new test of the border and the strengthened check in test_all_runners_of_a_data_centre_lost (events must name the caller's request) fail without it and pass with it; seven tests with real processes pass.

--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -64,6 +64,10 @@
         """How many requests are in progress."""
         return len(self._live)
 
+    def is_live(self, request_id: str) -> bool:
+        """Tells whether a request of this name is in progress."""
+        return request_id in self._live
+
     def admit(self, live: sinks.Live) -> None:
         """Takes a request in and tells the decisions; from any thread."""
         with self._lock:
--- a/cardamommill/frontend.py
+++ b/cardamommill/frontend.py
@@ -1,6 +1,7 @@
 """The caller side: who calls, what for, and within which limits."""
 
 from collections.abc import Callable
+import dataclasses
 import random
 import secrets
 from typing import Self
@@ -15,6 +16,7 @@
     documents,
     exceptions,
     exchange,
+    hops,
     http1,
     loop,
     requesting,
@@ -136,6 +138,8 @@
             head = callerrequests.read_head(request, document, path,
                                             answer.request_id, answer.trace,
                                             self._hop_secret)
+            head = self._named(head, start.headers)
+            answer.request_id = head.request_id
         except exceptions.RequestError as error:
             answer.problem(_problem(error))
             return
@@ -143,6 +147,20 @@
         self._requests.admit(
             sinks.Live(head, tuple(start.headers), request.body, answer))
 
+    def _named(self, head: requesting.RequestHead,
+               headers: datastructures.Headers) -> requesting.RequestHead:
+        """Returns the head under the name that the first node gave it.
+
+        Engines write a request's name into its answer. Under another name the
+        caller, who has been told the first one, would take its own answer for
+        a foreign one. Only where a former attempt at the same request is still
+        here does it keep a name of its own.
+        """
+        passed = hops.request_id(headers.get("Cardamommill-Attempt", ""))
+        if not head.hop or not passed or self._requests.is_live(passed):
+            return head
+        return dataclasses.replace(head, request_id=passed)
+
     def refuse(self, error: exceptions.RequestError,
                connection: connection_lib.Connection) -> None:
         """Answers a request that is not whole, and closes.
--- a/cardamommill/hops.py
+++ b/cardamommill/hops.py
@@ -11,6 +11,15 @@
 PROOF_HEADER = "Cardamommill-Hop-Proof"
 
 
+def request_id(attempt_id: str) -> str:
+    """Returns the request that an attempt belongs to, or empty text.
+
+    Args:
+        attempt_id: As the node that passes a request on named it.
+    """
+    return attempt_id.rpartition(".")[0]
+
+
 def proof(secret: bytes, attempt_id: str, digest: str) -> str:
     """Returns the proof for one attempt at one request.
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -202,6 +202,25 @@
     assert node.of(events.RequestArrived)[-1].head.hop == 1
 
 
+def test_request_that_was_passed_on_keeps_its_name(node, runner):
+    """A request comes from a node of another data centre.
+
+    Its caller knows it by the name that the first node gave it, and the
+    engine's answer must speak of that one: a trial found answers that named
+    another request, and their callers took them for foreign.
+    """
+    name = "0123456789abcdef"
+    digest = hashlib.sha256(b"POST /v1/completions\n{}").hexdigest()
+    attempt_id = f"{name}.2"
+    reply = node.call(Cardamommill_Hop="1",
+                      Cardamommill_Attempt=attempt_id,
+                      Cardamommill_Hop_Proof=hops.proof(b"", attempt_id,
+                                                        digest))
+    assert reply.status == 200
+    assert reply.headers["cardamommill-request"] == name
+    assert runner.work[-1].headers["cardamommill-request"] == name
+
+
 def test_connection_is_kept_and_requests_may_follow_one_another(node):
     sock = node.connect()
     sock.sendall(edge.request() * 3 + edge.request("GET", "/healthz", b""))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -172,7 +172,8 @@
     ]
     assert lines[-1] == "[DONE]", answer.text()[-200:]
     events = [json.loads(line) for line in lines[:-1]]
-    assert len({event["request"] for event in events}) == 1
+    named = {event["request"] for event in events}
+    assert named == {answer.headers["cardamommill-request"]}
     return [event["index"] for event in events]
 
 
