Wait until a node has seen who holds the lease, in tests of repairs

Cause: a whole run in a fresh clone failed once (670 of 671 passed): test_planner_cut_off_from_the_table_alone read the planner's name once, from a node that looks at somebody else's lease every 1.5 s. Change: both tests that read it once wait until it is so; the demand is the same.

--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -151,7 +151,8 @@
     assert (seen["members"], seen["formation"]) == (repaired["members"],
                                                     repaired["formation"])
     assert [_fence(world, vm_id) for vm_id in repaired["members"]] == fences
-    assert world.planner(planner) != planner
+    world.wait(lambda: world.planner(planner) != planner,
+               "the former planner sees that it is not")
 
 
 def _fence(world, vm_id):
@@ -227,7 +228,8 @@
             world.wait(lambda name=name: world.replaced(name, lost),
                        "the replica serves with another member")
             assert world.answered(name)
-        assert world.planner(NODES[1]) in NODES[1:]
+        world.wait(lambda: world.planner(NODES[1]) in NODES[1:],
+                   "the lease is seen to be another node's")
         deployment.apply(NODES[1], Document(spares=0).text())
         world.wait(lambda: _revision(world, NODES[0]) == 2,
                    "the node that is cut off obeys the document")
