--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -197,6 +197,20 @@
         with node_lib.Node(checked) as node:
             node.run()
 
+    def entry(self, settings: str) -> None:
+        """Runs an entry VM on a platform that keeps the runners' list.
+
+        Args:
+            settings: Its settings, a YAML file.
+        """
+        settings_lib = importlib.import_module(
+            "cardamommill.gateway.entrysettings")
+        path = pathlib.Path(settings)
+        checked = settings_lib.load(path)
+        node_lib = importlib.import_module("cardamommill.gateway.entrynode")
+        with node_lib.EntryNode(checked, path) as node:
+            node.run()
+
     def status(self, json: bool = False) -> str:
         """Prints what a node knows of its data centre.
 
--- /dev/null
+++ b/cardamommill/gateway/fleetview.py
@@ -0,0 +1,239 @@
+"""What is believed of runners and groups, from the list and from reports."""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+
+from cardamommill.gateway import model
+
+# A report tells what happened within some hundred ms; the list comes through
+# the store. At the same count of orders the report is newer for this long.
+REPORT_PREFERRED_MS = 1500
+# A runner that left the list is remembered for as long as it may still be
+# asked whether it lives: its group may go on serving.
+REMEMBERED_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """One runner, with the age of each piece of evidence.
+
+    Attributes:
+        runner: As the list told it last.
+        listed: Whether the newest list names it.
+        listed_ms: The time of the newest list that named it.
+        standing: The newest that is known of its orders and group.
+        report_ms: When the newest report was asked for.
+        down_ms: When it was found not to answer; 0 while it is not.
+        leaving_ms: When it was first seen to leave; 0 while it is not.
+        last_model: The model of its last group, for which joining is quick.
+        pace: Of its newest report; over 1 is slow.
+        order_ms: When it last accepted an order of this node.
+    """
+
+    runner: model.Runner
+    listed: bool
+    listed_ms: float
+    standing: model.Standing
+    report_ms: float = 0.0
+    down_ms: float = 0.0
+    leaving_ms: float = 0.0
+    last_model: str = ""
+    pace: float = 1.0
+    order_ms: float = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may be ordered to work."""
+        return self.listed and not self.down_ms and not self.runner.leaving
+
+    @property
+    def membership(self) -> model.Membership | None:
+        """Its place in a group."""
+        return self.standing.membership
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A formation as its members tell of it.
+
+    Attributes:
+        key: Its name and epoch.
+        model: What it serves; empty while nobody said so.
+        members: By rank, as far as known.
+    """
+
+    key: model.GroupKey
+    model: str
+    members: dict[int, Known]
+
+    @property
+    def head(self) -> Known | None:
+        """The member that takes requests."""
+        return self.members.get(0)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its head says that it serves."""
+        head = self.head
+        return (head is not None and head.membership is not None and
+                head.membership.state is model.MemberState.OPEN)
+
+
+class FleetView:
+    """All runners; the one place where evidence is joined."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, Known] = {}
+        # Counts all changes, for whoever keeps what he made of the view.
+        self.version = 0
+        self.list_as_of_ms = float("-inf")
+
+    def take_list(self, runners: Iterable[model.Runner],
+                  as_of_ms: float) -> list[tuple[str, str]]:
+        """Takes a newer list of all runners.
+
+        Args:
+            runners: All that the list names.
+            as_of_ms: When it was true; an older one than the last is left.
+
+        Returns:
+            Pairs of a runner's id and what changed about it.
+        """
+        if as_of_ms <= self.list_as_of_ms:
+            return []
+        self.list_as_of_ms = as_of_ms
+        self.version += 1
+        changes: list[tuple[str, str]] = []
+        named = set()
+        for runner in runners:
+            named.add(runner.id)
+            changes += self._take_entry(runner, as_of_ms)
+        for runner_id, known in list(self.known.items()):
+            if runner_id in named:
+                continue
+            if known.listed:
+                known.listed = False
+                changes.append((runner_id, "left the list"))
+            if as_of_ms - known.listed_ms > REMEMBERED_MS:
+                del self.known[runner_id]
+        return changes
+
+    def _take_entry(self, runner: model.Runner,
+                    as_of_ms: float) -> Iterator[tuple[str, str]]:
+        known = self.known.get(runner.id)
+        if known is None:
+            known = Known(runner, True, as_of_ms, runner.standing)
+            self.known[runner.id] = known
+            self._note_model(known)
+            yield runner.id, "listed"
+        if not known.listed:
+            yield runner.id, "listed again"
+        known.runner = runner
+        known.listed = True
+        known.listed_ms = as_of_ms
+        if runner.leaving and not known.leaving_ms:
+            known.leaving_ms = as_of_ms
+            yield runner.id, "leaving"
+        if not runner.leaving:
+            known.leaving_ms = 0.0
+        newest_ms = max(known.report_ms, known.order_ms)
+        self._join(known, runner.standing, as_of_ms - newest_ms
+                   > REPORT_PREFERRED_MS)
+
+    def take_report(self, runner_id: str, report: model.Report,
+                    asked_ms: float) -> None:
+        """Takes a runner's own report: it lives."""
+        known = self.known.get(runner_id)
+        if known is None or asked_ms < known.report_ms:
+            return
+        if asked_ms < known.order_ms:
+            # It may have been written before the order came.
+            return
+        known.report_ms = asked_ms
+        known.down_ms = 0.0
+        known.pace = report.pace
+        known.standing = report.standing
+        self._note_model(known)
+        self.version += 1
+
+    def take_silence(self, runner_id: str, asked_ms: float) -> bool:
+        """Notes that a runner did not answer; True where that is news."""
+        known = self.known.get(runner_id)
+        if known is None or known.down_ms or asked_ms < known.report_ms:
+            return False
+        known.down_ms = asked_ms
+        self.version += 1
+        return True
+
+    def take_order(self, runner_id: str, seq: int,
+                   membership: model.Membership | None, now_ms: float) -> None:
+        """Notes what an accepted order made of a runner."""
+        known = self.known.get(runner_id)
+        if known is None:
+            return
+        known.order_ms = now_ms
+        self.version += 1
+        known.standing = dataclasses.replace(known.standing,
+                                             seq=seq,
+                                             membership=membership)
+
+    def take_open(self, head_id: str, key: model.GroupKey,
+                  model_name: str) -> bool:
+        """Takes the word of a planner that a group serves; True for news."""
+        known = self.known.get(head_id)
+        if known is None or known.down_ms:
+            return False
+        membership = known.membership
+        if membership is not None:
+            if membership.key == key:
+                if membership.state in (model.MemberState.OPEN,
+                                        model.MemberState.BROKEN):
+                    return False
+            elif membership.epoch >= key.epoch:
+                return False
+        known.standing = dataclasses.replace(known.standing,
+                                             models=(model_name,),
+                                             membership=model.Membership(
+                                                 key.name, key.epoch, 0,
+                                                 model.MemberState.OPEN))
+        known.report_ms = max(known.report_ms, known.listed_ms)
+        self.version += 1
+        return True
+
+    def _join(self, known: Known, standing: model.Standing,
+              newer: bool) -> None:
+        if standing.seq <= known.standing.seq and not newer:
+            # A row written before an order or a report.
+            return
+        known.standing = standing
+        self._note_model(known)
+
+    def _note_model(self, known: Known) -> None:
+        if known.membership is not None and known.standing.models:
+            known.last_model = known.standing.models[0]
+
+    def groups(self, service: str) -> dict[model.GroupKey, Group]:
+        """Returns the formations of a service, of runners listed or not."""
+        found: dict[model.GroupKey, Group] = {}
+        names: dict[model.GroupKey, str] = {}
+        for known in self.known.values():
+            membership = known.membership
+            if membership is None or known.runner.service != service:
+                continue
+            key = membership.key
+            if key not in found:
+                found[key] = Group(key, "", {})
+            found[key].members[membership.rank] = known
+            if known.standing.models:
+                names[key] = known.standing.models[0]
+        return {
+            key: dataclasses.replace(group, model=names.get(key, ""))
+            for key, group in found.items()
+        }
+
+    def of_service(self, service: str) -> list[Known]:
+        """Returns a service's listed runners."""
+        return [
+            each for each in self.known.values()
+            if each.listed and each.runner.service == service
+        ]
--- /dev/null
+++ b/cardamommill/gateway/groupkeeper.py
@@ -0,0 +1,136 @@
+"""Carries out a planner's orders and questions, and tells it the replies."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import logbook
+
+from cardamommill import exceptions, logs
+from cardamommill.gateway import (
+    clock,
+    fleetview,
+    model,
+    orders,
+    planner,
+    upstream,
+)
+from cardamommill.platform import ordercalls
+
+# How long a missing group is said to take where nothing better is known.
+USUAL_REPAIR_MS = 700.0
+
+_LOG = logbook.Logger("groups")
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class GroupKeeper:
+    """The shell around `planner.Planner`."""
+
+    def __init__(self, view: fleetview.FleetView, pool: upstream.Pool,
+                 name: str, on_opened: Callable[[model.GroupKey, str, str],
+                                                None], spawn: Spawn) -> None:
+        self._view = view
+        self._pool = pool
+        self._on_opened = on_opened
+        self._spawn = spawn
+        self.planner = planner.Planner(view, name)
+
+    @property
+    def expected_ms(self) -> float:
+        """When a group that is missing should stand again."""
+        now_ms = clock.now_ms()
+        due = [
+            each.due_ms - now_ms for each in self.planner.formations.values()
+        ]
+        return max(min(due, default=USUAL_REPAIR_MS), 100.0) + 300.0
+
+    def plan(self, configuration: model.Configuration,
+             data_centres: frozenset[str], count: int, in_lead: bool,
+             in_flight: dict[model.GroupKey, int], now_ms: float) -> None:
+        """Decides and begins to act."""
+        scope = planner.Scope(data_centres, count, in_lead, in_flight)
+        for service in configuration.services.values():
+            for action in self.planner.step(service, scope, now_ms):
+                self._act(action)
+
+    def _act(self, action: planner.Action) -> None:
+        if isinstance(action, orders.Order):
+            self.planner.sent(action.runner)
+            self._spawn(self._order(action))
+        elif isinstance(action, planner.Probe):
+            self._spawn(self._probe(action))
+        else:
+            _LOG.info(
+                logs.line("group-open",
+                          group=action.key,
+                          model=action.model,
+                          head=action.head,
+                          took_ms=int(action.took_ms)))
+            self._on_opened(action.key, action.model, action.head)
+
+    async def _order(self, order: orders.Order) -> None:
+        known = self._view.known.get(order.runner)
+        if known is None:
+            self.planner.replied(order, False, clock.now_ms())
+            return
+        reply, detail = await ordercalls.send_order(self._pool, known.runner,
+                                                    order)
+        accepted = reply in (ordercalls.Reply.BEGUN, ordercalls.Reply.DONE)
+        now_ms = clock.now_ms()
+        if accepted:
+            self._take_accepted(order, known, reply, now_ms)
+        self.planner.replied(order, accepted, now_ms)
+        _LOG.info(
+            logs.line("order",
+                      runner=order.runner,
+                      operation=order.operation.value,
+                      group=order.group,
+                      model=order.model,
+                      expected=order.expected_seq,
+                      reason=order.reason,
+                      reply=reply.value,
+                      detail="" if accepted else detail))
+        if not accepted:
+            await self.ask(order.runner, "order not accepted")
+
+    def _take_accepted(self, order: orders.Order, known: fleetview.Known,
+                       reply: ordercalls.Reply, now_ms: float) -> None:
+        seq = known.standing.seq + (reply is ordercalls.Reply.BEGUN)
+        membership = known.membership
+        if order.operation is orders.Operation.JOIN and order.group:
+            membership = model.Membership(order.group.name, order.group.epoch,
+                                          order.members.index(order.runner),
+                                          model.MemberState.JOINING)
+        elif order.operation is orders.Operation.LEAVE:
+            membership = None
+        self._view.take_order(order.runner, seq, membership, now_ms)
+
+    async def _probe(self, probe: planner.Probe) -> None:
+        await self.ask(probe.runner, probe.reason)
+
+    async def ask(self, runner_id: str, reason: str) -> bool:
+        """Asks a runner for its report; True where it answered."""
+        known = self._view.known.get(runner_id)
+        if known is None:
+            return False
+        for _ in range(2):
+            asked_ms = clock.now_ms()
+            try:
+                report = await ordercalls.ask_report(self._pool, known.runner)
+            except exceptions.BadPeerMessage as error:
+                _LOG.warning(
+                    logs.line("report-refused",
+                              runner=runner_id,
+                              reason=str(error)))
+                return False
+            if report is not None:
+                was_down = bool(known.down_ms)
+                self._view.take_report(runner_id, report, asked_ms)
+                if was_down:
+                    _LOG.info(logs.line("runner-answers", runner=runner_id))
+                return True
+        if self._view.take_silence(runner_id, asked_ms):
+            _LOG.warning(
+                logs.line("runner-down", runner=runner_id, reason=reason))
+        return False
--- /dev/null
+++ b/cardamommill/gateway/peermessage.py
@@ -0,0 +1,123 @@
+"""What nodes tell each other in datagrams."""
+
+import dataclasses
+from typing import Any
+
+import msgpack
+
+from cardamommill import exceptions
+from cardamommill.gateway import model
+
+FORMAT = 1
+# Larger datagrams are cut into fragments, and one lost loses all.
+MAX_BYTES = 1400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alarm:
+    """A group that a node found silent, or down, a while ago."""
+
+    key: model.GroupKey
+    age_ms: float
+    confirmed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenedGroup:
+    """A group that its planner has seen open."""
+
+    key: model.GroupKey
+    model: str
+    head: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """One datagram.
+
+    Attributes:
+        node: Who sends.
+        incarnation: The life of its process.
+        data_centre: Where it stands.
+        sent_ms: The sender's clock.
+        echo_ms: The newest `sent_ms` of the receiver that the sender has; 0
+            for none.
+        config_version: The configuration that is in force at the sender.
+        confirmed_age_ms: For how long it has not been known as the newest.
+        in_flight: Requests of the sender at each group.
+        reading_tokens: Prompt tokens of those that have no event yet.
+        alarms: Groups found silent of late.
+        opened: Groups opened of late.
+        requests_seen: Whether any caller's request has come.
+        stopping: Whether the sender is about to end.
+    """
+
+    node: str
+    incarnation: int
+    data_centre: str
+    sent_ms: float
+    echo_ms: float
+    config_version: int
+    confirmed_age_ms: float
+    in_flight: dict[model.GroupKey, tuple[int, int]]
+    alarms: tuple[Alarm, ...]
+    opened: tuple[OpenedGroup, ...]
+    requests_seen: bool
+    stopping: bool
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Returns the datagram of a message; what does not fit is left out."""
+    in_flight = [[key.name, key.epoch, count, tokens]
+                 for key, (count, tokens) in message.in_flight.items()]
+    while True:
+        data = _packed(message, in_flight)
+        if len(data) <= MAX_BYTES or not in_flight:
+            return data
+        in_flight = in_flight[:len(in_flight) * 3 // 4]
+
+
+def _packed(message: PeerMessage, in_flight: list[list[Any]]) -> bytes:
+    packed: bytes = msgpack.packb([
+        FORMAT, message.node, message.incarnation, message.data_centre,
+        message.sent_ms, message.echo_ms, message.config_version,
+        int(min(message.confirmed_age_ms, 1e9)), in_flight,
+        [[each.key.name, each.key.epoch,
+          int(each.age_ms), each.confirmed] for each in message.alarms],
+        [[each.key.name, each.key.epoch, each.model, each.head]
+         for each in message.opened], message.requests_seen, message.stopping
+    ])
+    return packed
+
+
+def decode(data: bytes, peer: str) -> PeerMessage:
+    """Returns the message of a datagram.
+
+    Raises:
+        BadPeerMessage: It is none that this version takes.
+    """
+    try:
+        (form, node, incarnation, data_centre, sent_ms, echo_ms, version, age,
+         in_flight, alarms, opened, requests_seen,
+         stopping) = msgpack.unpackb(data)
+        if form != FORMAT:
+            raise ValueError(f"format {form}")
+        return PeerMessage(
+            str(node), int(incarnation), str(data_centre), float(sent_ms),
+            float(echo_ms), int(version), float(age), {
+                model.GroupKey(str(name), int(epoch)): (int(count), int(tokens))
+                for name, epoch, count, tokens in in_flight
+            },
+            tuple(
+                Alarm(model.GroupKey(str(name), int(epoch)), float(age_ms),
+                      bool(confirmed))
+                for name, epoch, age_ms, confirmed in alarms),
+            tuple(
+                OpenedGroup(model.GroupKey(str(name), int(epoch)), str(served),
+                            str(head)) for name, epoch, served, head in opened),
+            bool(requests_seen), bool(stopping))
+    except (ValueError, TypeError, msgpack.exceptions.UnpackException,
+            msgpack.exceptions.ExtraData) as error:
+        raise exceptions.BadPeerMessage(f"no message: {error!r}",
+                                        step="peer datagram",
+                                        peer=peer) from None
--- /dev/null
+++ b/cardamommill/gateway/planner.py
@@ -0,0 +1,568 @@
+"""Keeps groups standing in the data centres that this node plans for.
+
+Two planners may act at once (a cut, a node that is thought dead): each join
+names the count of orders that its runner must have, so the second one is
+refused, and names of groups are never used twice. No lease is needed.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import math
+
+from cardamommill.gateway import fleetview, model, orders
+
+# A join of the model that the runner's last group had.
+REJOIN_MS = 200.0
+# Between two questions to a member that should be ready by now.
+PROBE_INTERVAL_MS = 120.0
+# A formation that takes this many times what it should is given up.
+PATIENCE = 3.0
+PATIENCE_FLOOR_MS = 3000.0
+# Another planner's formation is left alone for this long.
+FOREIGN_GRACE_MS = 2500.0
+# A group with a leaving member serves on until its requests are done, but
+# ends well within the drain bound of 2 s.
+RETIRE_MS = 1100.0
+# A runner that doesn't answer is asked again this often while it is listed.
+DOWN_RETRY_MS = 1200.0
+# A member that left the list may be cut from the store alone.
+ABSENT_RETRY_MS = 1500.0
+# Part of a domain that is kept as spares when groups are first formed: two
+# runners of nine cover the loss of one member in each of two groups.
+SPARE_SHARE = 0.15
+# Part of the permitted rate of loads that the planners use together, so that
+# a second planner after a change of hands stays within the bound.
+LOAD_SHARE = 0.7
+LOAD_WINDOW_MS = 5000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a runner for its report."""
+
+    runner: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """Tells all nodes that a group serves."""
+
+    key: model.GroupKey
+    service: str
+    model: str
+    head: str
+    took_ms: float
+
+
+Action = orders.Order | Probe | Opened
+
+
+@dataclasses.dataclass(slots=True)
+class Formation:
+    """A group on its way to serving."""
+
+    key: model.GroupKey
+    service: str
+    model: model.ServedModel
+    members: tuple[str, ...]
+    begun_ms: float
+    due_ms: float
+    loads: int = 0
+    probe_ms: float = 0.0
+    open_sent_ms: float = 0.0
+    open_tries: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """For whom a planner plans at this moment.
+
+    Attributes:
+        data_centres: Those whose runners it orders.
+        count: How many data centres there are; they share limits.
+        in_lead: Whether no request has come yet: loads are cheap then.
+        in_flight: Requests of all nodes per group.
+    """
+
+    data_centres: frozenset[str]
+    count: int
+    in_lead: bool
+    in_flight: dict[model.GroupKey, int]
+
+
+class Planner:
+    """Decides orders; pure but for its own memory of what it began."""
+
+    def __init__(self, view: fleetview.FleetView, name: str) -> None:
+        """Makes it.
+
+        Args:
+            view: What is believed; the shell updates it.
+            name: Unique to this life of this node; begins all group names.
+        """
+        self._view = view
+        self._name = name
+        self._count = 0
+        self.formations: dict[model.GroupKey, Formation] = {}
+        self._pending: set[str] = set()
+        self._staging: dict[str, tuple[str, float]] = {}
+        self._asked_ms: dict[str, float] = {}
+        self._foreign_ms: dict[model.GroupKey, float] = {}
+        self._loads_ms: list[float] = []
+        self._epoch = 0
+
+    def step(self, service: model.Service, scope: Scope,
+             now_ms: float) -> list[Action]:
+        """Returns what to do now for one service."""
+        engine = service.engine
+        if engine is None:
+            return []
+        groups = self._view.groups(service.name)
+        for key in groups:
+            self._epoch = max(self._epoch, key.epoch)
+        actions: list[Action] = []
+        actions += self._advance(service.name, engine, now_ms)
+        for group in groups.values():
+            if group.key not in self.formations:
+                actions += self._tend(group, service.name, engine, scope,
+                                      now_ms)
+        actions += self._ask_the_silent(service.name, scope, now_ms)
+        actions += self._form_and_stage(service.name, engine, scope, now_ms)
+        return actions
+
+    # What the shell tells.
+
+    def sent(self, runner: str) -> None:
+        """Notes that an order to a runner is under way."""
+        self._pending.add(runner)
+
+    def replied(self, order: orders.Order, accepted: bool,
+                now_ms: float) -> None:
+        """Notes the reply to an order."""
+        self._pending.discard(order.runner)
+        if not accepted and order.operation is orders.Operation.STAGE:
+            self._staging.pop(order.runner, None)
+        if not accepted and order.operation is orders.Operation.JOIN:
+            formation = self.formations.get(order.group or
+                                            model.GroupKey("", 0))
+            if formation is not None:
+                formation.probe_ms = now_ms
+                formation.due_ms = min(formation.due_ms, now_ms)
+
+    # Formations.
+
+    def _advance(self, service: str, engine: model.Engine,
+                 now_ms: float) -> Iterator[Action]:
+        for formation in list(self.formations.values()):
+            if formation.service == service:
+                yield from self._advance_one(formation, engine, now_ms)
+
+    def _advance_one(self, formation: Formation, engine: model.Engine,
+                     now_ms: float) -> Iterator[Action]:
+        members = [self._view.known.get(each) for each in formation.members]
+        fault = self._fault(formation, members, now_ms)
+        if fault:
+            del self.formations[formation.key]
+            yield from self._leave(formation.key, members, fault)
+            return
+        unready = [
+            each for each in members
+            if each is not None and not _is_ready(each, formation.key)
+        ]
+        head = members[0]
+        assert head is not None and head.membership is not None or unready
+        if unready:
+            if now_ms >= max(formation.due_ms, formation.probe_ms):
+                formation.probe_ms = now_ms + PROBE_INTERVAL_MS
+                for each in unready:
+                    yield Probe(each.runner.id, "should be ready")
+            return
+        assert head is not None and head.membership is not None
+        if head.membership.state is model.MemberState.OPEN:
+            del self.formations[formation.key]
+            yield Opened(formation.key, formation.service, formation.model.name,
+                         head.runner.id, now_ms - formation.begun_ms)
+            return
+        if not formation.open_sent_ms:
+            formation.open_sent_ms = now_ms
+            formation.open_tries += 1
+            formation.probe_ms = now_ms + engine.form_ms + 20
+            yield orders.Order(head.runner.id,
+                               orders.Operation.OPEN,
+                               formation.key,
+                               expected_seq=head.standing.seq,
+                               reason="all members ready")
+        elif now_ms >= formation.probe_ms:
+            formation.probe_ms = now_ms + PROBE_INTERVAL_MS
+            if now_ms - formation.open_sent_ms > 3 * engine.form_ms + 500:
+                formation.open_sent_ms = 0.0
+            yield Probe(head.runner.id, "should be open")
+
+    def _fault(self, formation: Formation,
+               members: list[fleetview.Known | None], now_ms: float) -> str:
+        for runner_id, known in zip(formation.members, members, strict=True):
+            if known is None or not known.usable:
+                return f"{runner_id} is gone, down or leaving"
+            membership = known.membership
+            elsewhere = (membership is not None and
+                         membership.key != formation.key)
+            if elsewhere and runner_id not in self._pending:
+                return f"{runner_id} is in another group"
+            if (membership is not None and membership.key == formation.key and
+                    membership.state is model.MemberState.BROKEN):
+                return "broken"
+            if (membership is None and runner_id not in self._pending and
+                    now_ms > formation.due_ms and
+                    known.report_ms > formation.begun_ms):
+                return f"{runner_id} did not join"
+        took_ms = now_ms - formation.begun_ms
+        planned_ms = formation.due_ms - formation.begun_ms
+        if took_ms > max(PATIENCE_FLOOR_MS, PATIENCE * planned_ms):
+            return f"not ready after {took_ms:.0f} ms"
+        if formation.open_tries > 4:
+            return "head does not open"
+        return ""
+
+    # Groups that stand, or did.
+
+    def _tend(self, group: fleetview.Group, service: str, engine: model.Engine,
+              scope: Scope, now_ms: float) -> Iterator[Action]:
+        if not self._is_ours(group, scope):
+            return
+        served = engine.model(group.model)
+        members = list(group.members.values())
+        reason = self._end_reason(group, served, scope, now_ms)
+        if reason:
+            yield from self._leave(group.key, members, reason)
+            return
+        if served is None:
+            return
+        complete = len(group.members) == served.size
+        if complete and not group.is_open:
+            first_ms = self._foreign_ms.setdefault(group.key, now_ms)
+            if now_ms - first_ms > FOREIGN_GRACE_MS:
+                self._adopt(group, service, served, now_ms)
+            return
+        if group.is_open:
+            self._foreign_ms.pop(group.key, None)
+            yield from self._ask_absent(group, now_ms)
+
+    def _end_reason(self, group: fleetview.Group,
+                    served: model.ServedModel | None, scope: Scope,
+                    now_ms: float) -> str:
+        head = group.head
+        states = {
+            each.membership.state
+            for each in group.members.values()
+            if each.membership is not None
+        }
+        down = [
+            each.runner.id for each in group.members.values() if each.down_ms
+        ]
+        if model.MemberState.BROKEN in states:
+            return "broken"
+        if down:
+            return f"{down[0]} does not answer"
+        if head is not None and not head.listed:
+            return "its head left the list"
+        leaving = [
+            each for each in group.members.values() if each.runner.leaving
+        ]
+        if leaving:
+            since_ms = min(each.leaving_ms for each in leaving)
+            idle = not scope.in_flight.get(group.key)
+            if idle or now_ms - since_ms > RETIRE_MS:
+                return f"{leaving[0].runner.id} is leaving"
+            return ""
+        if served is not None and len(group.members) == served.size:
+            return ""
+        if group.is_open and served is not None:
+            # A member never named itself here; the head serves all the same
+            # while it answers, so somebody must have seen it ready.
+            return self._overdue(group.key, now_ms, "a member is missing")
+        return self._overdue(group.key, now_ms, "never whole")
+
+    def _overdue(self, key: model.GroupKey, now_ms: float, reason: str) -> str:
+        first_ms = self._foreign_ms.setdefault(key, now_ms)
+        return reason if now_ms - first_ms > FOREIGN_GRACE_MS else ""
+
+    def _adopt(self, group: fleetview.Group, service: str,
+               served: model.ServedModel, now_ms: float) -> None:
+        members = tuple(
+            group.members[rank].runner.id for rank in sorted(group.members))
+        if sorted(group.members) != list(range(served.size)):
+            return
+        self.formations[group.key] = Formation(group.key, service, served,
+                                               members, now_ms,
+                                               now_ms + served.warm_ms)
+
+    def _ask_absent(self, group: fleetview.Group,
+                    now_ms: float) -> Iterator[Action]:
+        for known in group.members.values():
+            if known.listed or known.down_ms:
+                continue
+            if self._may_ask(known.runner.id, ABSENT_RETRY_MS, now_ms):
+                yield Probe(known.runner.id, "left the list")
+
+    def _ask_the_silent(self, service: str, scope: Scope,
+                        now_ms: float) -> Iterator[Action]:
+        for known in self._view.of_service(service):
+            if not known.down_ms or known.runner.leaving:
+                continue
+            if known.runner.data_centre not in scope.data_centres:
+                continue
+            if self._may_ask(known.runner.id, DOWN_RETRY_MS, now_ms):
+                yield Probe(known.runner.id, "did not answer")
+
+    def _may_ask(self, runner: str, interval_ms: float, now_ms: float) -> bool:
+        if now_ms - self._asked_ms.get(runner, float("-inf")) < interval_ms:
+            return False
+        self._asked_ms[runner] = now_ms
+        return True
+
+    def _is_ours(self, group: fleetview.Group, scope: Scope) -> bool:
+        # The lowest rank decides, so that a group over two data centres has
+        # one planner.
+        first = group.members[min(group.members)]
+        return first.runner.data_centre in scope.data_centres
+
+    def _leave(self, key: model.GroupKey,
+               members: list[fleetview.Known] | list[fleetview.Known | None],
+               reason: str) -> Iterator[Action]:
+        # A member leaves itself before it joins anything else: its old head
+        # may still be open and out of reach.
+        for known in members:
+            if known is None or known.runner.id in self._pending:
+                continue
+            if known.down_ms or not known.listed:
+                continue
+            membership = known.membership
+            if membership is None or membership.key != key:
+                continue
+            yield orders.Order(known.runner.id,
+                               orders.Operation.LEAVE,
+                               key,
+                               reason=reason)
+
+    # New groups and spares.
+
+    def _form_and_stage(self, service: str, engine: model.Engine, scope: Scope,
+                        now_ms: float) -> Iterator[Action]:
+        domains: dict[tuple[str, str], list[fleetview.Known]] = {}
+        for known in self._view.of_service(service):
+            runner = known.runner
+            if runner.data_centre in scope.data_centres:
+                domains.setdefault((runner.data_centre, known.standing.domain),
+                                   []).append(known)
+        for domain in sorted(domains):
+            runners = domains[domain]
+            free = [each for each in runners if self._is_free(each, now_ms)]
+            while free:
+                formation = self._next_formation(service, engine, scope,
+                                                 runners, free, now_ms)
+                if formation is None:
+                    break
+                self.formations[formation.key] = formation
+                taken = set(formation.members)
+                free = [each for each in free if each.runner.id not in taken]
+                yield from self._joins(formation)
+            yield from self._stage(engine, scope, runners, free, now_ms)
+
+    def _is_free(self, known: fleetview.Known, now_ms: float) -> bool:
+        del now_ms
+        runner_id = known.runner.id
+        if not known.usable or known.membership is not None:
+            return False
+        return runner_id not in self._pending and not any(
+            runner_id in each.members for each in self.formations.values())
+
+    def _next_formation(self, service: str, engine: model.Engine, scope: Scope,
+                        runners: list[fleetview.Known],
+                        free: list[fleetview.Known],
+                        now_ms: float) -> Formation | None:
+        for served in self._by_need(service, engine, runners):
+            picked = self._pick(engine, served, scope, runners, free, now_ms)
+            if picked is None:
+                continue
+            self._count += 1
+            self._epoch += 1
+            key = model.GroupKey(f"{self._name}-{self._count}", self._epoch)
+            cold = sum(
+                _join_ms(each, served) > served.warm_ms for each in picked)
+            # All planners load at the same time.
+            at_once = cold * scope.count / max(1, len(scope.data_centres))
+            slowed = max(1.0, at_once / engine.loads_at_once)
+            longest_ms = max(_join_ms(each, served) for each in picked)
+            if scope.in_lead and cold:
+                longest_ms *= slowed / 10
+            self._loads_ms += [now_ms] * (0 if scope.in_lead else cold)
+            members = tuple(each.runner.id for each in picked)
+            return Formation(key, service, served, members, now_ms,
+                             now_ms + longest_ms + 20, cold)
+        return None
+
+    def _by_need(self, service: str, engine: model.Engine,
+                 runners: list[fleetview.Known]) -> list[model.ServedModel]:
+        # The model with the fewest runners for its share of the work first,
+        # in the domain and then over all.
+        in_domain = {each.runner.id for each in runners}
+        here: dict[str, int] = {}
+        overall: dict[str, int] = {}
+        for group in self._view.groups(service).values():
+            for known in group.members.values():
+                overall[group.model] = overall.get(group.model, 0) + 1
+                if known.runner.id in in_domain:
+                    here[group.model] = here.get(group.model, 0) + 1
+        for formation in self.formations.values():
+            name = formation.model.name
+            for member in formation.members:
+                joined = self._view.known.get(member)
+                if joined is None or joined.membership is not None:
+                    continue
+                overall[name] = overall.get(name, 0) + 1
+                if member in in_domain:
+                    here[name] = here.get(name, 0) + 1
+
+        def need(served: model.ServedModel) -> tuple[float, float]:
+            share = max(served.share, 1e-6)
+            return (overall.get(served.name, 0) / share,
+                    here.get(served.name, 0) / share)
+
+        return sorted(engine.models, key=need)
+
+    def _pick(self, engine: model.Engine, served: model.ServedModel,
+              scope: Scope, runners: list[fleetview.Known],
+              free: list[fleetview.Known],
+              now_ms: float) -> list[fleetview.Known] | None:
+        if len(free) < served.size:
+            return None
+        ranked = sorted(free, key=lambda each: _join_ms(each, served))
+        picked = ranked[:served.size]
+        cold = sum(_join_ms(each, served) > served.warm_ms for each in picked)
+        if not any(each.last_model for each in picked):
+            reserve = round(SPARE_SHARE * len(runners))
+            if len(free) - served.size < reserve:
+                return None
+        if cold and not scope.in_lead:
+            # Loading takes some ten times as long as all else: spares are
+            # staged, and the group is formed once its members are warm.
+            return None
+        if cold and not self._may_load_in_lead(engine, scope, now_ms):
+            return None
+        return picked
+
+    def _may_load_in_lead(self, engine: model.Engine, scope: Scope,
+                          now_ms: float) -> bool:
+        # Loads share the store's bandwidth: beyond `loads_at_once` each takes
+        # longer, and all groups would be ready only at the very end.
+        loading = sum(each.loads
+                      for each in self.formations.values()
+                      if each.loads and now_ms < each.due_ms)
+        share = engine.loads_at_once * len(scope.data_centres) / scope.count
+        return loading < max(1.0, share)
+
+    def _joins(self, formation: Formation) -> Iterator[Action]:
+        for member in formation.members:
+            known = self._view.known[member]
+            yield orders.Order(member,
+                               orders.Operation.JOIN,
+                               formation.key,
+                               formation.model.name,
+                               formation.members,
+                               expected_seq=known.standing.seq,
+                               reason="new group")
+
+    def _stage(self, engine: model.Engine, scope: Scope,
+               runners: list[fleetview.Known], free: list[fleetview.Known],
+               now_ms: float) -> Iterator[Action]:
+        self._forget_staged(now_ms)
+        loading = any(each.loads for each in self.formations.values())
+        if scope.in_lead and loading:
+            return
+        held: dict[str, int] = {each.name: 0 for each in engine.models}
+        for known in free:
+            name = self._warm_model(known)
+            if name in held:
+                held[name] += 1
+        blank = [
+            each for each in free
+            if not self._warm_model(each) and not each.last_model
+        ]
+        for known in blank:
+            if not self._may_load(engine, scope, now_ms):
+                return
+            served = self._wanted(engine, held, runners)
+            held[served.name] += 1
+            self._staging[known.runner.id] = (served.name,
+                                              now_ms + 2 * served.load_ms)
+            self._loads_ms.append(now_ms)
+            yield orders.Order(known.runner.id,
+                               orders.Operation.STAGE,
+                               model=served.name,
+                               expected_seq=known.standing.seq,
+                               reason=f"spares held: {held}")
+
+    def _wanted(self, engine: model.Engine, held: dict[str, int],
+                runners: list[fleetview.Known]) -> model.ServedModel:
+        # What lacks one runner to a whole group comes first, then the model
+        # with the fewest spares for its part of the domain.
+        survivors: dict[str, int] = {}
+        for known in runners:
+            if known.usable and known.membership is None and known.last_model:
+                name = known.last_model
+                survivors[name] = survivors.get(name, 0) + 1
+
+        def missing(served: model.ServedModel) -> float:
+            count = survivors.get(served.name, 0)
+            held_now = held[served.name] + (count
+                                            if not held[served.name] else 0)
+            if count and held_now < served.size:
+                return served.size - held_now
+            return math.inf
+
+        def spares(served: model.ServedModel) -> float:
+            return held[served.name] / max(served.share, 1e-6)
+
+        return min(engine.models,
+                   key=lambda each: (missing(each), spares(each)))
+
+    def _warm_model(self, known: fleetview.Known) -> str:
+        if known.runner.id in self._staging:
+            return self._staging[known.runner.id][0]
+        if known.standing.staged:
+            return known.standing.staged[0]
+        return ""
+
+    def _forget_staged(self, now_ms: float) -> None:
+        for runner_id, (name, until_ms) in list(self._staging.items()):
+            known = self._view.known.get(runner_id)
+            done = known is not None and name in known.standing.staged
+            if known is None or done or now_ms > until_ms:
+                del self._staging[runner_id]
+
+    def _may_load(self, engine: model.Engine, scope: Scope,
+                  now_ms: float) -> bool:
+        if scope.in_lead:
+            return True
+        self._loads_ms = [
+            each for each in self._loads_ms if now_ms - each < LOAD_WINDOW_MS
+        ]
+        limit = (LOAD_SHARE * engine.loads_per_s * LOAD_WINDOW_MS / 1000 *
+                 len(scope.data_centres) / scope.count)
+        return len(self._loads_ms) + 1 <= limit
+
+
+def _is_ready(known: fleetview.Known, key: model.GroupKey) -> bool:
+    membership = known.membership
+    return (membership is not None and membership.key == key and
+            membership.state
+            in (model.MemberState.READY, model.MemberState.OPEN))
+
+
+def _join_ms(known: fleetview.Known, served: model.ServedModel) -> float:
+    if known.last_model == served.name:
+        return REJOIN_MS
+    if served.name in known.standing.staged:
+        return served.warm_ms
+    return served.load_ms
--- /dev/null
+++ b/cardamommill/gateway/platformreader.py
@@ -0,0 +1,136 @@
+"""Follows the configuration and the list of runners in the platform's store."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from cardamommill import exceptions, logs
+from cardamommill.gateway import clock, fleetview, freshness, model, routetable
+from cardamommill.platform import configurations, entries, storecalls, words
+
+# A feed that is asked to wait longer confirms the configuration too seldom:
+# keys must be known to hold every few seconds.
+FEED_WAIT_MS = 1500
+# The list must be younger than the drain bound of 2 s, with one call lost.
+LIST_INTERVAL_MS = 800.0
+# After a call that failed.
+RETRY_MS = 250.0
+
+_LOG = logbook.Logger("platform")
+
+
+class PlatformReader:
+    """Reads what the platform says, and says what changed."""
+
+    def __init__(self, store: storecalls.Store, view: fleetview.FleetView,
+                 fresh: freshness.Freshness,
+                 on_table: Callable[[routetable.RouteTable], None]) -> None:
+        self.store = store
+        self.table: routetable.RouteTable | None = None
+        self._view = view
+        self._fresh = fresh
+        self._on_table = on_table
+        self._refused: set[tuple[str, bytes]] = set()
+        self._lost: set[str] = set()
+
+    async def follow_configuration(self) -> None:
+        """Keeps the configuration; ends only with the node."""
+        version = 0
+        while True:
+            try:
+                if not version:
+                    rows = await self.store.table(words.OPERATOR_TABLE)
+                else:
+                    rows = await self.store.feed(words.OPERATOR_TABLE, version,
+                                                 FEED_WAIT_MS)
+            except storecalls.HistoryLost:
+                _LOG.info(logs.line("history-lost", table="op"))
+                version = 0
+                continue
+            except exceptions.StoreError as error:
+                self._lose("configuration", error)
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            self._regain("configuration")
+            version = rows.version
+            self._take_rows(rows)
+            if self.table is None:
+                await asyncio.sleep(RETRY_MS / 1000)
+
+    def _take_rows(self, rows: storecalls.Rows) -> None:
+        sound = True
+        for row in rows.rows:
+            if row.key == words.CONFIGURATION_KEY and not row.deleted:
+                sound = self._take_configuration(row.value) and sound
+        if sound and self.table is not None:
+            self._fresh.confirm(rows.as_of_ms)
+
+    def _take_configuration(self, value: bytes) -> bool:
+        try:
+            configuration = configurations.decode(value)
+        except exceptions.BadPeerMessage as error:
+            # A version that can't be read may take keys away: the one in
+            # force is no longer known to be the newest.
+            _LOG.error(logs.line("configuration-refused", reason=str(error)))
+            return False
+        before = self.table.configuration.version if self.table else 0
+        if configuration.version <= before:
+            return True
+        self.table = routetable.RouteTable(configuration)
+        self._on_table(self.table)
+        _LOG.info(
+            logs.line("configuration",
+                      version=configuration.version,
+                      before=before,
+                      routes=len(configuration.routes),
+                      tenants=len(configuration.tenants)))
+        return True
+
+    async def follow_list(self) -> None:
+        """Keeps the list of runners; ends only with the node."""
+        while True:
+            began_ms = clock.now_ms()
+            try:
+                rows = await self.store.table(words.SERVERS_TABLE)
+            except exceptions.StoreError as error:
+                self._lose("list", error)
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            self._regain("list")
+            self._take_list(rows)
+            took_ms = clock.now_ms() - began_ms
+            await asyncio.sleep(max(50.0, LIST_INTERVAL_MS - took_ms) / 1000)
+
+    def _take_list(self, rows: storecalls.Rows) -> None:
+        runners: list[model.Runner] = []
+        for row in rows.rows:
+            try:
+                runners.append(entries.decode_entry(row.key, row.value))
+            except exceptions.BadPeerMessage as error:
+                self._refuse_entry(row, error)
+        for runner_id, change in self._view.take_list(runners, rows.as_of_ms):
+            _LOG.info(
+                logs.line("runner",
+                          runner=runner_id,
+                          change=change,
+                          list_version=rows.version))
+
+    def _refuse_entry(self, row: storecalls.Row,
+                      error: exceptions.BadPeerMessage) -> None:
+        # Once for each text: the list is read again each second.
+        mark = (row.key, row.value)
+        if mark not in self._refused and len(self._refused) < 1000:
+            self._refused.add(mark)
+            _LOG.warning(
+                logs.line("entry-refused", runner=row.key, reason=str(error)))
+
+    def _lose(self, what: str, error: exceptions.StoreError) -> None:
+        if what not in self._lost:
+            self._lost.add(what)
+            _LOG.warning(logs.line("store-lost", what=what, reason=str(error)))
+
+    def _regain(self, what: str) -> None:
+        if what in self._lost:
+            self._lost.discard(what)
+            _LOG.info(logs.line("store-regained", what=what))
--- /dev/null
+++ b/cardamommill/gateway/relay.py
@@ -0,0 +1,431 @@
+"""A caller's request on its way: admitted, placed, tried, answered."""
+
+import asyncio
+import dataclasses
+import math
+from typing import Protocol
+
+from cardamommill.gateway import (
+    attempts,
+    callers,
+    clock,
+    endings,
+    eventcutter,
+    fleetview,
+    model,
+    placing,
+    routetable,
+    upstream,
+)
+from cardamommill.platform import configurations, words
+
+# Tries at runners that refuse or can't be reached; a refusal costs a caller
+# some ms, and the budget bounds their sum.
+MAX_TRIES = 4
+# An answer that is not a stream is tried elsewhere only with this much left.
+MIN_LEFT_MS = 20.0
+# Before a try that ends at the caller's time the runner is told less, so that
+# its own answer is back in time.
+DEADLINE_MARGIN_MS = 5.0
+# How long a stream that has begun waits for a group to go on at: callers
+# leave after a pause of two seconds.
+RESUME_PATIENCE_MS = 1500.0
+RESUME_LOOK_MS = 40.0
+# A first event later than this many times its goal is of little use, and the
+# place is better given to a request that can be in time.
+USEFUL_GOALS = 4.0
+DEFAULT_RETRY_AFTER_MS = 250.0
+# A key or route that this node doesn't know may be in a newer configuration.
+UNKNOWN_TRUST_MS = 2500.0
+
+_HOP_HEADERS = frozenset({
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+    "content-length", "expect"
+})
+_OWN_HEADERS = frozenset(
+    each.lower()
+    for each in ("Authorization", words.DEADLINE_MS, words.EXPECT_INSTANCE,
+                 words.TENANT, words.REQUEST_PRIORITY, words.LAST_EVENT_ID))
+_STATUS_TEXT = {
+    endings.Next.SAY_NOT_RUN: "not run",
+    endings.Next.SAY_UNKNOWN: "may have run; no answer came",
+    endings.Next.SAY_TIMED_OUT: "no answer in time",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A runner to try, and its group if it has one."""
+
+    known: fleetview.Known
+    key: model.GroupKey | None = None
+    placed: placing.Placed | None = None
+
+    @property
+    def name(self) -> str:
+        """For the log."""
+        return str(self.key) if self.key else self.known.runner.id
+
+
+class Surroundings(Protocol):
+    """What a relay needs of its node."""
+
+    pool: upstream.Pool
+
+    def table(self) -> routetable.RouteTable | None:
+        """Returns the configuration in force."""
+
+    def config_age_ms(self) -> float:
+        """Returns for how long a newer one may have been accepted."""
+
+    def keys_may_be_trusted(self) -> bool:
+        """Whether no key can have been taken away for too long."""
+
+    def find_target(self, relay: "Relay") -> Target | placing.Refused:
+        """Returns where a request goes next."""
+
+    def may_repeat(self, service: str) -> bool:
+        """Whether the retry budget allows one more."""
+
+    def attempt_begins(self, relay: "Relay", target: Target,
+                       attempt: attempts.Attempt, repeat: bool) -> None:
+        """Notes a try."""
+
+    def attempt_ends(self, relay: "Relay", target: Target,
+                     outcome: attempts.Outcome) -> None:
+        """Notes the end of a try."""
+
+    def event_came(self, relay: "Relay", target: Target, first: bool) -> None:
+        """Notes an event of a stream."""
+
+    def ended(self, relay: "Relay", status: int, reason: str) -> None:
+        """Notes the end of a request."""
+
+
+class Relay:
+    """One request of a caller."""
+
+    def __init__(self, node: Surroundings, request: callers.CallerRequest,
+                 reply: callers.Reply) -> None:
+        self._node = node
+        self.request = request
+        self.reply = reply
+        self.attempt_id = request.get(words.ATTEMPT_ID) or ""
+        self.route: model.Route | None = None
+        self.tenant: model.Tenant | None = None
+        self.service = ""
+        self.work = _work(request)
+        self.model_name = request.get(words.MODEL) or ""
+        self.tried: list[Target] = []
+        self.ran_at: list[Target] = []
+        self.end_ms = math.inf
+        self.last_event_id: int | None = _number(
+            request.get(words.LAST_EVENT_ID))
+        self.first_event_ms = 0.0
+        self.events = 0
+        self._attempt: attempts.Attempt | None = None
+        self._target: Target | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.left = False
+
+    # Admission.
+
+    def begin(self) -> bool:
+        """Admits the request or answers it; True where it goes on."""
+        table = self._node.table()
+        if table is None:
+            return self._refuse(503, "no configuration yet",
+                                DEFAULT_RETRY_AFTER_MS)
+        route = table.route(self.request.get("host") or "", self.request.target)
+        stale = self._node.config_age_ms() > UNKNOWN_TRUST_MS
+        if route is None:
+            if stale:
+                return self._refuse(503, "no such route in an old view",
+                                    DEFAULT_RETRY_AFTER_MS)
+            return self._refuse(404, "no such route")
+        self.route = route
+        self._set_end(route)
+        if not self.attempt_id:
+            return self._refuse(400, "no attempt id")
+        if table.needs_keys and not route.public:
+            return self._admit_key(table, stale)
+        return True
+
+    def _set_end(self, route: model.Route) -> None:
+        given_ms = _number(self.request.get(words.DEADLINE_MS))
+        limit_ms = min(given_ms if given_ms is not None else math.inf,
+                       route.timeout_ms)
+        self.end_ms = self.request.arrived_ms + limit_ms
+
+    def _admit_key(self, table: routetable.RouteTable, stale: bool) -> bool:
+        scheme, _, key = (self.request.get("authorization") or
+                          "").partition(" ")
+        if scheme.lower() != "bearer" or not key.strip():
+            return self._refuse(401, "no key")
+        if not self._node.keys_may_be_trusted():
+            return self._refuse(503, "keys not confirmed for too long",
+                                DEFAULT_RETRY_AFTER_MS)
+        tenant = table.tenant(configurations.key_digest(key.strip()))
+        if tenant is None:
+            if stale:
+                return self._refuse(503, "unknown key in an old view",
+                                    DEFAULT_RETRY_AFTER_MS)
+            return self._refuse(401, "unknown key")
+        self.tenant = tenant
+        return True
+
+    def key_still_holds(self) -> bool:
+        """Whether the key may be used at this moment."""
+        if self.tenant is None:
+            return True
+        table = self._node.table()
+        if table is None or not self._node.keys_may_be_trusted():
+            return False
+        _, _, key = (self.request.get("authorization") or "").partition(" ")
+        return table.tenant(configurations.key_digest(key.strip())) is not None
+
+    @property
+    def ran_maybe(self) -> bool:
+        """Whether any try may have run it."""
+        return bool(self.ran_at)
+
+    @property
+    def priority(self) -> int:
+        """The rank for the runner's queue: 0 is first."""
+        rank = None if self.tenant is None else self.tenant.priority
+        if rank is None:
+            rank = self.route.priority if self.route else 5
+        return min(9, max(0, rank))
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the answer is a series of events."""
+        return (self.route is not None and
+                self.route.kind is model.RouteKind.STREAMING)
+
+    @property
+    def useful_ms(self) -> float:
+        """How long the first event may still take to be of use."""
+        left_ms = self.end_ms - clock.now_ms()
+        if self.reply.started or self.route is None or not self.route.goal_ms:
+            return left_ms
+        return min(left_ms, USEFUL_GOALS * self.route.goal_ms)
+
+    # The way.
+
+    def start(self) -> None:
+        """Serves the request in a task of its own."""
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._serve())
+
+    def caller_left(self) -> None:
+        """Gives up at once: a runner that works on takes others' places."""
+        self.left = True
+        if self._attempt is not None:
+            self._attempt.give_up(attempts.Result.ABANDONED, "caller left")
+
+    def divert(self, reason: str) -> None:
+        """Leaves the group that it is at, for another where it may."""
+        if self._attempt is None or self.route is None:
+            return
+        if not self.route.repeatable or not self._may_go_elsewhere():
+            return
+        self._attempt.give_up(attempts.Result.DIVERTED, reason)
+
+    @property
+    def group(self) -> model.GroupKey | None:
+        """The group that it is at."""
+        return self._target.key if self._target is not None else None
+
+    async def _serve(self) -> None:
+        while True:
+            target = await self._next_target()
+            if isinstance(target, placing.Refused):
+                self._end_refused(target)
+                return
+            if target is None:
+                self._node.ended(self, 0, "caller left")
+                return
+            outcome = await self._try(target)
+            state = endings.State(
+                self.route is not None and self.route.repeatable,
+                self.ran_maybe, self._may_go_elsewhere())
+            step = endings.after(outcome.result, state)
+            if step is not endings.Next.ELSEWHERE:
+                self._finish(step, outcome)
+                return
+
+    async def _next_target(self) -> Target | placing.Refused | None:
+        waited_from_ms = clock.now_ms()
+        while True:
+            if self.left:
+                return None
+            if not self.key_still_holds():
+                return placing.Refused("key not confirmed",
+                                       DEFAULT_RETRY_AFTER_MS)
+            found = self._node.find_target(self)
+            if isinstance(found, Target) or not self.reply.started:
+                return found
+            now_ms = clock.now_ms()
+            if (now_ms - waited_from_ms > RESUME_PATIENCE_MS or
+                    now_ms > self.end_ms):
+                return found
+            await asyncio.sleep(RESUME_LOOK_MS / 1000)
+
+    async def _try(self, target: Target) -> attempts.Outcome:
+        attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
+        self._attempt = attempt
+        self._target = target
+        self._node.attempt_begins(self, target, attempt, bool(self.tried))
+        self.tried.append(target)
+        runner = target.known.runner
+        now_ms = clock.now_ms()
+        repeatable = self.route is not None and self.route.repeatable
+        attempt.exchange = self._node.pool.send((runner.host, runner.port),
+                                                self._bytes(target, now_ms),
+                                                attempt,
+                                                fresh=not repeatable)
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, self.end_ms - now_ms) / 1000, attempt.give_up,
+            attempts.Result.TIMED_OUT, "out of time")
+        try:
+            outcome = await attempt.done
+        finally:
+            timer.cancel()
+            self._attempt = None
+        if endings.may_have_run(outcome.result):
+            self.ran_at.append(target)
+        self._node.attempt_ends(self, target, outcome)
+        return outcome
+
+    def _may_go_elsewhere(self) -> bool:
+        if self.route is None or len(self.tried) >= MAX_TRIES:
+            return False
+        if self.end_ms - clock.now_ms() < MIN_LEFT_MS:
+            return False
+        # A runner that ended meanwhile does not count.
+        counted = sum(not each.known.down_ms for each in self.ran_at)
+        if counted >= self.route.max_attempts:
+            return False
+        return self._node.may_repeat(self.service)
+
+    def _bytes(self, target: Target, now_ms: float) -> bytes:
+        dropped = set(_HOP_HEADERS)
+        for name, value in self.request.headers:
+            if name.lower() == "connection":
+                dropped |= {each.strip().lower() for each in value.split(",")}
+        headers = [
+            (name, value)
+            for name, value in self.request.headers
+            if name.lower() not in dropped and name.lower() not in _OWN_HEADERS
+        ]
+        left_ms = max(1, int(self.end_ms - now_ms - DEADLINE_MARGIN_MS))
+        headers += [(words.DEADLINE_MS, str(left_ms)),
+                    (words.EXPECT_INSTANCE, target.known.runner.id)]
+        if self.tenant is not None:
+            headers.append((words.TENANT, self.tenant.name))
+        if target.key is not None:
+            headers.append((words.REQUEST_PRIORITY, str(self.priority)))
+        if self.last_event_id is not None:
+            headers.append((words.LAST_EVENT_ID, str(self.last_event_id)))
+        return upstream.request_bytes(self.request.method, self.request.target,
+                                      headers, self.request.body)
+
+    # Events.
+
+    def on_event(self, head: upstream.Head, event: eventcutter.Event) -> bool:
+        """Passes an event on, if it is the next one."""
+        assert self._target is not None
+        self._node.event_came(self, self._target, not self.events)
+        if event.id is not None:
+            if self.last_event_id is not None:
+                if event.id <= self.last_event_id:
+                    # A runner that begins anew: the caller has this one.
+                    return True
+                if event.id > self.last_event_id + 1:
+                    return False
+            self.last_event_id = event.id
+        if not self.reply.started:
+            self.first_event_ms = clock.now_ms()
+            self.reply.start(head.status, _answer_headers(head))
+        self.events += 1
+        self.reply.piece(event.data)
+        return True
+
+    # Ends.
+
+    def _finish(self, step: endings.Next, outcome: attempts.Outcome) -> None:
+        if step is endings.Next.NOTHING or self.left:
+            self._node.ended(self, 0, "caller left")
+            return
+        if step is endings.Next.PASS_ON:
+            self._pass_on(outcome)
+            return
+        reason = f"{_STATUS_TEXT[step]}: {outcome.reason}"
+        if self.reply.started:
+            self.reply.break_off()
+            self._node.ended(self, 0, f"broken off: {reason}")
+            return
+        if step is endings.Next.SAY_NOT_RUN:
+            self._refuse(503, reason, DEFAULT_RETRY_AFTER_MS)
+        elif step is endings.Next.SAY_UNKNOWN:
+            self._refuse(502, reason)
+        else:
+            self._refuse(504, reason)
+
+    def _pass_on(self, outcome: attempts.Outcome) -> None:
+        if outcome.result is attempts.Result.STREAMED:
+            if not self.reply.started:
+                self.reply.start(outcome.head.status,
+                                 _answer_headers(outcome.head))
+            self.reply.end()
+            self._node.ended(self, outcome.head.status, "")
+            return
+        status = outcome.head.status
+        if status in (408, 429, 503):
+            # To a caller these say that the request has not run, and the
+            # runner did not say that.
+            self._refuse(502, f"runner said {status} without a promise")
+            return
+        self.reply.whole(status, _answer_headers(outcome.head), outcome.body)
+        self._node.ended(self, status, "")
+
+    def _end_refused(self, refused: placing.Refused) -> None:
+        if self.reply.started:
+            self.reply.break_off()
+            self._node.ended(self, 0, f"broken off: {refused.reason}")
+        elif self.ran_maybe:
+            self._refuse(502, refused.reason)
+        else:
+            self._refuse(503, refused.reason, refused.retry_after_ms)
+
+    def _refuse(self,
+                status: int,
+                reason: str,
+                retry_after_ms: float = 0.0) -> bool:
+        headers = [("Content-Type", "text/plain; charset=utf-8")]
+        if retry_after_ms:
+            headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
+        self.reply.whole(status, headers, f"{reason}\n".encode())
+        self._node.ended(self, status, reason)
+        return False
+
+
+def _answer_headers(head: upstream.Head) -> list[tuple[str, str]]:
+    return [(name, value)
+            for name, value in head.headers
+            if name.lower() not in _HOP_HEADERS]
+
+
+def _number(text: str | None) -> int | None:
+    return int(text) if text is not None and text.strip().isdigit() else None
+
+
+def _work(request: callers.CallerRequest) -> placing.Work:
+    counts = (request.get(words.TOKEN_COUNTS) or "").split(",")
+    numbers = [int(each) for each in counts if each.strip().isdigit()]
+    hint = _number(request.get(words.LENGTH_HINT))
+    if len(numbers) != 2:
+        return placing.Work(0, hint or 0)
+    return placing.Work(numbers[0], min(hint or numbers[1], numbers[1]))
--- /dev/null
+++ b/cardamommill/gateway/routetable.py
@@ -0,0 +1,65 @@
+"""Finds the route of a request, and the client account of its key."""
+
+import random
+
+from cardamommill.gateway import model
+
+
+class RouteTable:
+    """One configuration, laid out for looking up."""
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, dict[str, model.Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+        self._tenants: dict[bytes, model.Tenant] = {
+            digest: tenant for tenant in configuration.tenants
+            for digest in tenant.key_digests
+        }
+
+    def route(self, host: str, target: str) -> model.Route | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        Args:
+            host: The Host header, with or without a port.
+            target: Path and query.
+        """
+        routes = self._by_host.get(host.partition(":")[0].lower())
+        if not routes:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            found = routes.get(path[:end + 1])
+            if found is not None:
+                return found
+            end = path.rfind("/", 0, end)
+        return None
+
+    def tenant(self, digest: bytes) -> model.Tenant | None:
+        """Returns the client account that holds a key."""
+        return self._tenants.get(digest)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests carry keys at all."""
+        return bool(self.configuration.tenants)
+
+
+def backends_in_order(route: model.Route, chance: random.Random) -> list[str]:
+    """Returns the services of a route, one drawn by weight first."""
+    left = list(route.backends)
+    order = []
+    while left:
+        total = sum(max(0.0, weight) for _, weight in left)
+        if total <= 0:
+            break
+        drawn = chance.random() * total
+        for each in left:
+            drawn -= max(0.0, each[1])
+            if drawn <= 0:
+                break
+        order.append(each[0])
+        left.remove(each)
+    return order
--- /dev/null
+++ b/cardamommill/gateway/standing.py
@@ -0,0 +1,77 @@
+"""Which groups take requests, kept until the belief about them changes."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from cardamommill.gateway import fleetview, model
+
+# An alarm of a peer that nobody confirmed is heeded for this long; one that
+# its planner confirmed, until the list had time to tell.
+ALARM_MS = 1000.0
+CONFIRMED_ALARM_MS = 4500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """A group that takes requests."""
+
+    key: model.GroupKey
+    model: str
+    head: fleetview.Known
+    pace: float
+    retiring: bool
+
+
+class StandingGroups:
+    """The groups of each service that serve."""
+
+    def __init__(self, view: fleetview.FleetView) -> None:
+        self._view = view
+        self._version = -1
+        self._by_service: dict[str, list[Standing]] = {}
+        self._avoid_until_ms: dict[model.GroupKey, float] = {}
+
+    def of_model(self, service: str, model_name: str) -> Iterable[Standing]:
+        """Returns the standing groups of a model."""
+        if self._version != self._view.version:
+            self._version = self._view.version
+            self._by_service = {}
+        if service not in self._by_service:
+            self._by_service[service] = [
+                standing for group in self._view.groups(service).values()
+                if (standing := _standing(group)) is not None
+            ]
+        return [
+            each for each in self._by_service[service]
+            if each.model == model_name
+        ]
+
+    def avoid(self, key: model.GroupKey, until_ms: float) -> None:
+        """Has a group used only where no other stands."""
+        self._avoid_until_ms[key] = max(until_ms,
+                                        self._avoid_until_ms.get(key, 0.0))
+
+    def trust(self, key: model.GroupKey) -> None:
+        """Takes an alarm back."""
+        self._avoid_until_ms.pop(key, None)
+
+    def is_avoided(self, key: model.GroupKey, now_ms: float) -> bool:
+        """Whether an alarm is still heeded."""
+        until_ms = self._avoid_until_ms.get(key)
+        if until_ms is None:
+            return False
+        if now_ms < until_ms:
+            return True
+        del self._avoid_until_ms[key]
+        return False
+
+
+def _standing(group: fleetview.Group) -> Standing | None:
+    head = group.head
+    if not group.is_open or head is None or not head.usable:
+        return None
+    if any(each.down_ms for each in group.members.values()):
+        return None
+    return Standing(group.key, group.model, head,
+                    max(each.pace for each in group.members.values()),
+                    any(each.runner.leaving for each in group.members.values()))
--- /dev/null
+++ b/cardamommill/gateway/upstream.py
@@ -0,0 +1,415 @@
+"""Connections to runners and to the platform: one answer at a time on each."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+import socket
+from typing import Any, Protocol
+
+import httptools
+
+from cardamommill.gateway import clock
+
+# A connection that answers within a data centre or two answers in a few ms;
+# an opening packet that was dropped is sent again after 1 s.
+CONNECT_TIMEOUT_MS = 400
+# Unanswered bytes on a connection: a peer without power is found by this even
+# where nobody waits for an answer.
+USER_TIMEOUT_MS = 2500
+# Idle connections go this long before the peer's own time-out, so that a
+# request rarely crosses the peer's close.
+KEEP_ALIVE_MARGIN_MS = 700
+# For peers that name no time-out.
+DEFAULT_KEEP_ALIVE_MS = 3000
+READ_BYTES_LIMIT = 1 << 16
+
+
+class Ending(enum.Enum):
+    """How an exchange ended, as far as the connection can tell."""
+
+    COMPLETE = "complete"
+    # Nothing left this node: the peer can't have run it.
+    NOT_SENT = "not-sent"
+    # The peer closed or reset, or sent what is no HTTP.
+    BROKEN = "broken"
+    # This side gave up.
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(slots=True)
+class Head:
+    """An answer's status and headers, names as sent."""
+
+    status: int = 0
+    headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+
+    def get(self, name: str) -> str | None:
+        """Returns the first header of a name, whatever its case."""
+        wanted = name.lower()
+        return next(
+            (value for key, value in self.headers if key.lower() == wanted),
+            None)
+
+
+class Receiver(Protocol):
+    """Who takes an answer as it arrives."""
+
+    def on_head(self, head: Head) -> bool:
+        """Takes a head; False skips this answer as nobody's."""
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+
+    def on_end(self, ending: Ending, reason: str) -> None:
+        """Takes the end; called once."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection; httptools calls its ``on_...`` methods.
+
+    Bytes after a complete answer belong to no request: the connection is
+    closed, or else a later request would get them as its answer.
+    """
+
+    def __init__(self, on_idle: Callable[["Connection"], None]) -> None:
+        self._on_idle = on_idle
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = None
+        self._receiver: Receiver | None = None
+        self._head = Head()
+        self._skipping = False
+        self._has_head = False
+        self._framed = False
+        self._tainted = False
+        self._informational = False
+        self.idle_until_ms = 0.0
+        self.idle_since_ms = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        return (self._transport is not None and
+                not self._transport.is_closing() and self._receiver is None and
+                clock.now_ms() < self.idle_until_ms)
+
+    def send(self, request: bytes, receiver: Receiver) -> None:
+        """Sends a request; the receiver gets its answer."""
+        assert self._transport is not None
+        self._receiver = receiver
+        self._parser = httptools.HttpResponseParser(self)
+        self._has_head = False
+        self._tainted = False
+        self._transport.write(request)
+
+    def close(self) -> None:
+        """Ends the exchange, if one is under way, and the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._finish(Ending.CANCELLED, "cancelled")
+
+    # asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes the transport; see asyncio.Protocol."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
+                           USER_TIMEOUT_MS)
+        self.idle_until_ms = clock.now_ms() + DEFAULT_KEEP_ALIVE_MS
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what arrived; see asyncio.Protocol."""
+        if self._receiver is None:
+            # Nobody waits: an answer too many.
+            self._drop()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError,
+                httptools.HttpParserUpgrade) as error:
+            self._drop()
+            self._finish(Ending.BROKEN, f"no HTTP: {type(error).__name__}")
+            return
+        if self._receiver is None and self._tainted:
+            self._drop()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the exchange; see asyncio.Protocol."""
+        self._transport = None
+        # An answer without a length ends with its connection, but one that
+        # was reset on the way is not complete.
+        if exc is None and self._has_head and not self._framed:
+            self._finish(Ending.COMPLETE, "")
+        else:
+            self._finish(Ending.BROKEN, f"closed: {exc or 'end of stream'}")
+
+    # httptools.
+
+    def on_message_begin(self) -> None:
+        """Begins an answer; see httptools."""
+        if self._receiver is None:
+            self._tainted = True
+        self._head = Head()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header; see httptools."""
+        self._head.headers.append(
+            (name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Hands over the head; see httptools."""
+        if self._receiver is None:
+            return
+        self._head.status = self._parser.get_status_code()
+        self._informational = self._head.status < 200
+        if self._informational:
+            return
+        self._framed = (self._head.get("content-length") is not None or
+                        "chunked" in (self._head.get("transfer-encoding") or
+                                      "").lower())
+        self._skipping = not self._receiver.on_head(self._head)
+        self._has_head = not self._skipping
+        self._tainted = self._tainted or self._skipping
+
+    def on_body(self, data: bytes) -> None:
+        """Hands over a piece; see httptools."""
+        if self._receiver is not None and self._has_head:
+            self._receiver.on_body(data)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer; see httptools."""
+        if self._receiver is None or self._informational:
+            return
+        if self._skipping:
+            self._skipping = False
+            return
+        self._settle_reuse()
+        self._finish(Ending.COMPLETE, "")
+
+    def _settle_reuse(self) -> None:
+        transport = self._transport
+        # A request that is still being sent while its answer is complete: the
+        # peer reads on, and other bytes would be taken for the body's rest.
+        unsent = transport is None or transport.get_write_buffer_size() > 0
+        if unsent or not self._parser.should_keep_alive():
+            self._tainted = True
+        timeout = _keep_alive_ms(self._head)
+        now_ms = clock.now_ms()
+        self.idle_since_ms = now_ms
+        self.idle_until_ms = now_ms + timeout - KEEP_ALIVE_MARGIN_MS
+
+    def _finish(self, ending: Ending, reason: str) -> None:
+        receiver, self._receiver = self._receiver, None
+        if receiver is None:
+            return
+        receiver.on_end(ending, reason)
+        if ending is Ending.COMPLETE and not self._tainted:
+            self._on_idle(self)
+        elif ending is not Ending.CANCELLED:
+            asyncio.get_running_loop().call_soon(self._drop_if_tainted)
+
+    def _drop_if_tainted(self) -> None:
+        if self._receiver is None and self._tainted:
+            self._drop()
+
+    def _drop(self) -> None:
+        self._tainted = True
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _keep_alive_ms(head: Head) -> float:
+    for part in (head.get("keep-alive") or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value) * 1000.0
+    return DEFAULT_KEEP_ALIVE_MS
+
+
+Address = tuple[str, int]
+
+
+class Pool:
+    """Kept connections to peers; a context manager that closes them all."""
+
+    def __init__(self) -> None:
+        self._idle: dict[Address, list[Connection]] = {}
+        self._opening: set[asyncio.Task[None]] = set()
+        self.opened = 0
+
+    def __enter__(self) -> "Pool":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        for task in self._opening:
+            task.cancel()
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._idle.clear()
+
+    def send(self,
+             address: Address,
+             request: bytes,
+             receiver: Receiver,
+             fresh: bool = False) -> "Exchange":
+        """Sends a request; returns what can cancel it.
+
+        Args:
+            address: The peer.
+            request: Head and body.
+            receiver: Who takes the answer.
+            fresh: Whether a kept connection won't do.
+        """
+        exchange = Exchange()
+        connection = None if fresh else self._take(address)
+        if connection is not None:
+            exchange.connection = connection
+            connection.send(request, receiver)
+            return exchange
+        task = asyncio.get_running_loop().create_task(
+            self._open_and_send(address, request, receiver, exchange))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        exchange.opening = task
+        return exchange
+
+    def forget(self, address: Address) -> None:
+        """Closes the idle connections to a peer."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
+    def idle_count(self) -> int:
+        """Returns how many connections stand idle."""
+        return sum(map(len, self._idle.values()))
+
+    def trim(self) -> None:
+        """Closes what has been idle for too long."""
+        for address, connections in list(self._idle.items()):
+            kept = [each for each in connections if each.usable]
+            for connection in connections:
+                if connection not in kept:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def _take(self, address: Address) -> Connection | None:
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return None
+
+    async def _open_and_send(self, address: Address, request: bytes,
+                             receiver: Receiver, exchange: "Exchange") -> None:
+        loop = asyncio.get_running_loop()
+
+        def keep(connection: Connection) -> None:
+            self._idle.setdefault(address, []).append(connection)
+
+        try:
+            _, connection = await asyncio.wait_for(
+                loop.create_connection(lambda: Connection(keep), *address),
+                CONNECT_TIMEOUT_MS / 1000)
+        except (OSError, TimeoutError) as error:
+            if not exchange.cancelled:
+                receiver.on_end(Ending.NOT_SENT,
+                                f"connect: {error or 'timed out'}")
+            return
+        self.opened += 1
+        if exchange.cancelled:
+            connection.close()
+            return
+        exchange.connection = connection
+        connection.send(request, receiver)
+
+
+class Exchange:
+    """A request that is under way."""
+
+    def __init__(self) -> None:
+        self.connection: Connection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.cancelled = False
+
+    @property
+    def sent(self) -> bool:
+        """Whether bytes of it left this node."""
+        return self.connection is not None
+
+    def cancel(self) -> None:
+        """Gives up; the receiver hears nothing if nothing was sent."""
+        self.cancelled = True
+        if self.connection is not None:
+            self.connection.close()
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """A whole answer, or why there is none (status 0)."""
+
+    ending: Ending
+    head: Head
+    body: bytes
+    reason: str
+
+
+class _Collector:
+    """Collects one small answer."""
+
+    def __init__(self) -> None:
+        self.future: asyncio.Future[Answer] = (
+            asyncio.get_running_loop().create_future())
+        self._head = Head()
+        self._body = bytearray()
+
+    def on_head(self, head: Head) -> bool:
+        self._head = head
+        return True
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+
+    def on_end(self, ending: Ending, reason: str) -> None:
+        if not self.future.done():
+            self.future.set_result(
+                Answer(ending, self._head, bytes(self._body), reason))
+
+
+async def fetch(pool: Pool,
+                address: Address,
+                request: bytes,
+                timeout_ms: float,
+                fresh: bool = False) -> Answer:
+    """Returns the whole answer to a small request of this node's own."""
+    collector = _Collector()
+    exchange = pool.send(address, request, collector, fresh)
+    try:
+        return await asyncio.wait_for(collector.future, timeout_ms / 1000)
+    except TimeoutError:
+        was_sent = exchange.sent
+        return Answer(Ending.BROKEN if was_sent else Ending.NOT_SENT, Head(),
+                      b"", "timed out")
+    finally:
+        if not collector.future.done() or collector.future.cancelled():
+            exchange.cancel()
+
+
+def request_bytes(method: str,
+                  target: str,
+                  headers: list[tuple[str, str]],
+                  body: bytes = b"") -> bytes:
+    """Returns a request's bytes; a body gets its length."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/cardamommill/logs.py
+++ b/cardamommill/logs.py
@@ -92,7 +92,7 @@
 
     def __enter__(self) -> Self:
         self._output: TextIO = (open(self._settings.file, "a", encoding="utf-8")
-                                if self._settings.file else sys.stderr)
+                                if self._settings.file else sys.stdout)
         self._writing = self._pool.submit(self._write)
         self.push_application()
         return self
@@ -101,7 +101,7 @@
         self.pop_application()
         self._backlog.put(None)
         self._pool.shutdown()
-        if self._output is not sys.stderr:
+        if self._output is not sys.stdout:
             self._output.close()
 
     def emit(self, record: Any) -> None:
--- /dev/null
+++ b/cardamommill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/cardamommill/platform/entries.py
@@ -0,0 +1,171 @@
+"""Decodes what runners say of themselves, in the store or by report."""
+
+import json
+from typing import Annotated, Any, TypeVar
+
+import pydantic
+
+from cardamommill import exceptions
+from cardamommill.gateway import model
+from cardamommill.platform import words
+
+_STATES = {each.value: each for each in model.MemberState}
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+_T = TypeVar("_T", bound=_Wire)
+
+
+class _WireModel(_Wire):
+    name: str
+
+
+class _WireGroup(_Wire):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _WireStanding(_Wire):
+    """What an entry and a report share.
+
+    Attributes:
+        seq: Counts the orders that began something in this life of the
+            runner; it is not the version of the row.
+        domain: The fabric domain; missing where a service has no groups.
+        staged: Models on the runner's host: names, or objects with a name.
+    """
+
+    seq: int = 0
+    domain: str | int = ""
+    staged: tuple[str | _WireModel, ...] = ()
+    models: tuple[_WireModel, ...] = ()
+    group: _WireGroup | None = None
+
+    @pydantic.field_validator("group", mode="before")
+    @classmethod
+    def _no_group(cls, value: Any) -> Any:
+        return value or None
+
+
+class _WireEntry(_WireStanding):
+    service: str
+    address: Annotated[str,
+                       pydantic.StringConstraints(pattern=r"^[\d.]+:\d{1,5}$")]
+    zone: str
+    slots: int = 1
+    state: str
+
+
+class _WireReport(_WireStanding):
+    busy: bool = False
+    queued: int = 0
+    active: int = 0
+    pace: float = 1.0
+
+
+def decode_entry(runner: str, value: bytes) -> model.Runner:
+    """Returns the runner that a row of the list of runners describes.
+
+    Args:
+        runner: The row's key, the id of this life of the runner.
+        value: The row's value, JSON.
+
+    Raises:
+        BadPeerMessage: The row is no entry of a runner, or its state is none
+            that this version knows: it names no runner.
+    """
+    entry = _parsed(_WireEntry, value, runner)
+    if entry.state not in (words.READY, words.DRAINING):
+        raise exceptions.BadPeerMessage(f"unknown state {entry.state!r}",
+                                        step="decode entry",
+                                        peer=runner)
+    host, _, port = entry.address.rpartition(":")
+    return model.Runner(id=runner,
+                        service=entry.service,
+                        host=host,
+                        port=int(port),
+                        data_centre=entry.zone,
+                        leaving=entry.state == words.DRAINING,
+                        slots=max(1, entry.slots),
+                        standing=_standing(entry, runner))
+
+
+def decode_report(runner: str, body: bytes) -> model.Report:
+    """Returns a runner's own report.
+
+    Args:
+        runner: Who was asked.
+        body: The answer's body, JSON.
+
+    Raises:
+        BadPeerMessage: The body is no report.
+    """
+    report = _parsed(_WireReport, body, runner)
+    return model.Report(standing=_standing(report, runner),
+                        busy=report.busy,
+                        waiting=report.queued,
+                        running=report.active,
+                        pace=max(0.05, report.pace))
+
+
+def _parsed(kind: type[_T], value: bytes, peer: str) -> _T:
+    try:
+        return kind.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        raise exceptions.BadPeerMessage(
+            f"{'.'.join(map(str, first['loc']))}: {first['msg']}",
+            step=f"decode {kind.__name__.lower().removeprefix('_wire')}",
+            peer=peer) from None
+
+
+def _standing(wire: _WireStanding, peer: str) -> model.Standing:
+    return model.Standing(seq=wire.seq,
+                          domain=str(wire.domain),
+                          staged=tuple(
+                              each if isinstance(each, str) else each.name
+                              for each in wire.staged),
+                          models=tuple(each.name for each in wire.models),
+                          membership=_membership(wire.group, peer))
+
+
+def _membership(group: _WireGroup | None, peer: str) -> model.Membership | None:
+    if group is None or not group.name:
+        return None
+    if group.state not in _STATES:
+        raise exceptions.BadPeerMessage(
+            f"unknown state of a member: {group.state!r}",
+            step="decode group",
+            peer=peer)
+    return model.Membership(group.name, group.epoch, group.rank,
+                            _STATES[group.state])
+
+
+def server_load(text: str) -> tuple[int, int] | None:
+    """Returns the running and waiting requests that an answer's head tells."""
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return int(parts[0]), int(parts[1])
+
+
+def json_body(body: bytes, step: str, peer: str) -> dict[str, Any]:
+    """Returns a JSON object.
+
+    Raises:
+        BadPeerMessage: The body is no JSON object.
+    """
+    try:
+        value = json.loads(body)
+    except ValueError as error:
+        raise exceptions.BadPeerMessage(f"no JSON: {error}",
+                                        step=step,
+                                        peer=peer) from None
+    if not isinstance(value, dict):
+        raise exceptions.BadPeerMessage("no JSON object", step=step, peer=peer)
+    return value
--- /dev/null
+++ b/cardamommill/platform/storecalls.py
@@ -0,0 +1,171 @@
+"""Calls to the platform's store."""
+
+import base64
+import binascii
+import dataclasses
+import json
+from typing import Any
+from urllib import parse
+
+from cardamommill import exceptions
+from cardamommill.gateway import clock, upstream
+from cardamommill.platform import entries, words
+
+# More than the slowest call of a slow store that is still of use: the list is
+# read each second and must be younger than the drain bound.
+READ_TIMEOUT_MS = 1500
+# What a feed's answer may take beyond the time that it was asked to wait.
+FEED_MARGIN_MS = 1200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One row; `deleted` rows have no value."""
+
+    key: str
+    value: bytes
+    version: int
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """An answer about rows.
+
+    Attributes:
+        rows: What was read.
+        version: The store's newest version then.
+        as_of_ms: A time on this node's clock, not later than that at which
+            the store answered.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    as_of_ms: float
+
+
+class HistoryLost(exceptions.StoreError):
+    """The feed's history is gone; the whole table must be read."""
+
+
+class Store:
+    """The store as one node sees it."""
+
+    def __init__(self, pool: upstream.Pool, address: upstream.Address) -> None:
+        self._pool = pool
+        self._address = address
+        self._peer = f"{address[0]}:{address[1]}"
+        # This node's clock less the store's, never more than it is: a call
+        # was answered after it was sent.
+        self._offset_ms = float("-inf")
+        self.calls = 0
+
+    async def table(self, table: str, part: str = "") -> Rows:
+        """Returns all rows of a part of a table.
+
+        Raises:
+            StoreError: No answer that can be used.
+        """
+        found: list[Row] = []
+        after = ""
+        while True:
+            query = {
+                "table": table,
+                "part": part
+            } | ({
+                "from": after
+            } if after else {})
+            answer, sent_ms = await self._get(words.ROWS_GET_PATH, query,
+                                              READ_TIMEOUT_MS)
+            rows = self._rows(answer, sent_ms)
+            found += rows.rows
+            if not answer.get("hasMore") or not rows.rows:
+                return Rows(tuple(found), rows.version, rows.as_of_ms)
+            after = rows.rows[-1].key + "\0"
+
+    async def feed(self, table: str, after: int, wait_ms: int) -> Rows:
+        """Returns what changed in a table, when something has.
+
+        Raises:
+            HistoryLost: The table must be read whole.
+            StoreError: No answer that can be used.
+        """
+        query = {"table": table, "sinceRev": after, "waitMs": wait_ms}
+        answer, sent_ms = await self._get(words.ROWS_FEED_PATH, query,
+                                          wait_ms + FEED_MARGIN_MS)
+        return self._rows(answer, sent_ms)
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row, whatever it was.
+
+        Raises:
+            StoreError: It may not have been written.
+        """
+        body = json.dumps({
+            "expected": [],
+            "put": [{
+                "table": table,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode()
+            }],
+            "remove": []
+        }).encode()
+        request = upstream.request_bytes("POST", words.ROWS_TX_PATH,
+                                         [("Host", self._peer),
+                                          ("Content-Type", "application/json")],
+                                         body)
+        await self._call(request, READ_TIMEOUT_MS, words.ROWS_TX_PATH)
+
+    async def _get(self, path: str, query: dict[str, Any],
+                   timeout_ms: float) -> tuple[dict[str, Any], float]:
+        request = upstream.request_bytes("GET",
+                                         f"{path}?{parse.urlencode(query)}",
+                                         [("Host", self._peer)])
+        sent_ms = clock.now_ms()
+        answer = await self._call(request, timeout_ms, path)
+        return answer, sent_ms
+
+    async def _call(self, request: bytes, timeout_ms: float,
+                    step: str) -> dict[str, Any]:
+        self.calls += 1
+        answer = await upstream.fetch(self._pool, self._address, request,
+                                      timeout_ms)
+        if answer.ending is not upstream.Ending.COMPLETE:
+            raise exceptions.StoreError(answer.reason,
+                                        step=step,
+                                        peer=self._peer)
+        if answer.head.status == 410:
+            raise HistoryLost("history gone", step=step, peer=self._peer)
+        if answer.head.status != 200:
+            raise exceptions.StoreError(f"status {answer.head.status}",
+                                        step=step,
+                                        peer=self._peer)
+        try:
+            return entries.json_body(answer.body, step, self._peer)
+        except exceptions.BadPeerMessage as error:
+            raise exceptions.StoreError(error.message,
+                                        step=step,
+                                        peer=self._peer) from error
+
+    def _rows(self, answer: dict[str, Any], sent_ms: float) -> Rows:
+        try:
+            rows = tuple(map(_row, answer.get("rows") or ()))
+            version = int(answer["schemaVersion"])
+            store_ms = float(answer["nowMs"])
+        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+            raise exceptions.StoreError(f"malformed rows: {error!r}",
+                                        step="rows",
+                                        peer=self._peer) from error
+        self._offset_ms = max(self._offset_ms, sent_ms - store_ms)
+        as_of_ms = min(self._offset_ms + store_ms, clock.now_ms())
+        return Rows(rows, version, max(as_of_ms, sent_ms))
+
+
+def _row(wire: dict[str, Any]) -> Row:
+    deleted = bool(wire.get("deleted"))
+    return Row(key=str(wire["key"]),
+               value=b"" if deleted else base64.b64decode(wire["value"],
+                                                          validate=True),
+               version=int(wire.get("schemaVersion", 0)),
+               deleted=deleted)
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -111,7 +111,7 @@
 
     Attributes:
         level: The least severe level that is written.
-        file: A file to append to; empty for standard error.
+        file: A file to append to; empty for standard output.
     """
 
     level: Annotated[
