Expect a runner's count of orders, and let the list tell readiness

Cause: the list's 'seq' counts heartbeats, so half of all orders were refused (457 of 868); reports are 200 ms old, so planners acted on the state before their own orders. Ruled out: processor time (5 % of a core).

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -99,7 +99,7 @@
         self._keeper = groupkeeper.GroupKeeper(
             self.view, self.pool,
             f"{settings.node[:24]}-{self._incarnation % 36**5:x}",
-            self._on_opened, self.spawn)
+            self._on_opened, self._reader.read_list_now, self.spawn)
         self._ticks = 0
         self._done: asyncio.Event
 
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -12,6 +12,14 @@
 # asked whether it lives: its group may go on serving.
 REMEMBERED_MS = 30_000
 
+_ORDER = {
+    model.MemberState.JOINING: 0,
+    model.MemberState.READY: 1,
+    model.MemberState.OPEN: 2,
+    model.MemberState.CLOSING: 3,
+    model.MemberState.BROKEN: 4,
+}
+
 
 @dataclasses.dataclass(slots=True)
 class Known:
@@ -27,7 +35,10 @@
         leaving_ms: When it was first seen to leave; 0 while it is not.
         last_model: The model of its last group, for which joining is quick.
         pace: Of its newest report; over 1 is slow.
-        order_ms: When it last accepted an order of this node.
+        order_ms: When it last answered an order of this node.
+        list_ms: When the list last told something new of its group.
+        orders_begun: Its count of orders, as far as this node knows; a wrong
+            guess is refused by the runner and then asked for.
     """
 
     runner: model.Runner
@@ -40,6 +51,8 @@
     last_model: str = ""
     pace: float = 1.0
     order_ms: float = 0.0
+    list_ms: float = 0.0
+    orders_begun: int = 0
 
     @property
     def usable(self) -> bool:
@@ -136,23 +149,31 @@
             yield runner.id, "leaving"
         if not runner.leaving:
             known.leaving_ms = 0.0
-        newest_ms = max(known.report_ms, known.order_ms)
-        self._join(known, runner.standing, as_of_ms - newest_ms
-                   > REPORT_PREFERRED_MS)
+        self._join(known, runner.standing, as_of_ms)
 
-    def take_report(self, runner_id: str, report: model.Report,
-                    asked_ms: float) -> None:
-        """Takes a runner's own report: it lives."""
+    def take_report(self, runner_id: str, report: model.Report, asked_ms: float,
+                    lag_ms: float) -> None:
+        """Takes a runner's own report: it lives.
+
+        Args:
+            runner_id: Who answered.
+            report: The answer.
+            asked_ms: When it was asked.
+            lag_ms: What it tells may be this much older.
+        """
         known = self.known.get(runner_id)
         if known is None or asked_ms < known.report_ms:
             return
-        if asked_ms < known.order_ms:
-            # It may have been written before the order came.
-            return
-        known.report_ms = asked_ms
-        known.down_ms = 0.0
+        if known.down_ms:
+            known.down_ms = 0.0
+            self.version += 1
         known.pace = report.pace
+        known.report_ms = asked_ms
+        if asked_ms - lag_ms < max(known.order_ms, known.list_ms):
+            # An order or a row of the list is newer than what it tells.
+            return
         known.standing = report.standing
+        known.orders_begun = report.orders_begun
         self._note_model(known)
         self.version += 1
 
@@ -165,18 +186,25 @@
         self.version += 1
         return True
 
-    def take_order(self, runner_id: str, seq: int,
+    def take_order(self, runner_id: str, orders_begun: int,
                    membership: model.Membership | None, now_ms: float) -> None:
         """Notes what an accepted order made of a runner."""
         known = self.known.get(runner_id)
         if known is None:
             return
         known.order_ms = now_ms
+        self._note_model(known)
         self.version += 1
+        known.orders_begun = orders_begun
         known.standing = dataclasses.replace(known.standing,
-                                             seq=seq,
                                              membership=membership)
 
+    def take_refusal(self, runner_id: str, now_ms: float) -> None:
+        """Notes that an order was answered, but not accepted."""
+        known = self.known.get(runner_id)
+        if known is not None:
+            known.order_ms = now_ms
+
     def take_open(self, head_id: str, key: model.GroupKey,
                   model_name: str) -> bool:
         """Takes the word of a planner that a group serves; True for news."""
@@ -201,10 +229,14 @@
         return True
 
     def _join(self, known: Known, standing: model.Standing,
-              newer: bool) -> None:
-        if standing.seq <= known.standing.seq and not newer:
-            # A row written before an order or a report.
+              as_of_ms: float) -> None:
+        newest_ms = max(known.report_ms, known.order_ms)
+        newer = as_of_ms - newest_ms > REPORT_PREFERRED_MS
+        if not newer and not _goes_on(known.membership, standing.membership):
+            # Perhaps written before an order or a report.
             return
+        if standing != known.standing:
+            known.list_ms = as_of_ms
         known.standing = standing
         self._note_model(known)
 
@@ -237,3 +269,11 @@
             each for each in self.known.values()
             if each.listed and each.runner.service == service
         ]
+
+
+def _goes_on(before: model.Membership | None,
+             after: model.Membership | None) -> bool:
+    """Whether a place in a group is the same one, later."""
+    if before is None or after is None or before.key != after.key:
+        return False
+    return _ORDER[after.state] >= _ORDER[before.state]
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -1,5 +1,6 @@
 """Carries out a planner's orders and questions, and tells it the replies."""
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -18,6 +19,8 @@
 
 # How long a missing group is said to take where nothing better is known.
 USUAL_REPAIR_MS = 700.0
+# Beyond the lag of reports, before one tells what an order made.
+LAG_MARGIN_MS = 30.0
 
 _LOG = logbook.Logger("groups")
 
@@ -29,11 +32,14 @@
 
     def __init__(self, view: fleetview.FleetView, pool: upstream.Pool,
                  name: str, on_opened: Callable[[model.GroupKey, str, str],
-                                                None], spawn: Spawn) -> None:
+                                                None],
+                 read_list: Callable[[], None], spawn: Spawn) -> None:
         self._view = view
         self._pool = pool
         self._on_opened = on_opened
+        self._read_list = read_list
         self._spawn = spawn
+        self._lag_ms = 0.0
         self.planner = planner.Planner(view, name)
 
     @property
@@ -51,6 +57,8 @@
         """Decides and begins to act."""
         scope = planner.Scope(data_centres, count, in_lead, in_flight)
         for service in configuration.services.values():
+            if service.engine is not None:
+                self._lag_ms = max(self._lag_ms, service.engine.report_lag_ms)
             for action in self.planner.step(service, scope, now_ms):
                 self._act(action)
 
@@ -60,6 +68,8 @@
             self._spawn(self._order(action))
         elif isinstance(action, planner.Probe):
             self._spawn(self._probe(action))
+        elif isinstance(action, planner.ReadList):
+            self._read_list()
         else:
             _LOG.info(
                 logs.line("group-open",
@@ -72,7 +82,8 @@
     async def _order(self, order: orders.Order) -> None:
         known = self._view.known.get(order.runner)
         if known is None:
-            self.planner.replied(order, False, clock.now_ms())
+            self.planner.refused(order, "unknown runner")
+            self.planner.settled(order)
             return
         reply, detail = await ordercalls.send_order(self._pool, known.runner,
                                                     order)
@@ -80,7 +91,10 @@
         now_ms = clock.now_ms()
         if accepted:
             self._take_accepted(order, known, reply, now_ms)
-        self.planner.replied(order, accepted, now_ms)
+            self.planner.accepted(order, now_ms)
+        else:
+            self._view.take_refusal(order.runner, now_ms)
+            self.planner.refused(order, reply.value)
         _LOG.info(
             logs.line("order",
                       runner=order.runner,
@@ -92,19 +106,24 @@
                       reply=reply.value,
                       detail="" if accepted else detail))
         if not accepted:
+            # A report tells what was true some time ago.
+            await asyncio.sleep((self._lag_ms + LAG_MARGIN_MS) / 1000)
             await self.ask(order.runner, "order not accepted")
+            self.planner.settled(order)
 
     def _take_accepted(self, order: orders.Order, known: fleetview.Known,
                        reply: ordercalls.Reply, now_ms: float) -> None:
-        seq = known.standing.seq + (reply is ordercalls.Reply.BEGUN)
+        left = order.operation is orders.Operation.LEAVE
+        # Leaving is done at once, and counts as an order that began.
+        begun = known.orders_begun + (reply is ordercalls.Reply.BEGUN or left)
         membership = known.membership
         if order.operation is orders.Operation.JOIN and order.group:
             membership = model.Membership(order.group.name, order.group.epoch,
                                           order.members.index(order.runner),
                                           model.MemberState.JOINING)
-        elif order.operation is orders.Operation.LEAVE:
+        elif left:
             membership = None
-        self._view.take_order(order.runner, seq, membership, now_ms)
+        self._view.take_order(order.runner, begun, membership, now_ms)
 
     async def _probe(self, probe: planner.Probe) -> None:
         await self.ask(probe.runner, probe.reason)
@@ -126,7 +145,8 @@
                 return False
             if report is not None:
                 was_down = bool(known.down_ms)
-                self._view.take_report(runner_id, report, asked_ms)
+                self._view.take_report(runner_id, report, asked_ms,
+                                       self._lag_ms)
                 if was_down:
                     _LOG.info(logs.line("runner-answers", runner=runner_id))
                 return True
--- a/cardamommill/gateway/model.py
+++ b/cardamommill/gateway/model.py
@@ -45,14 +45,12 @@
     """What a runner says of itself, by whichever way.
 
     Attributes:
-        seq: Orders that began something, in this life.
         domain: Its fabric domain.
         staged: Models on its host.
         models: Models that it runs.
         membership: Its place in a group.
     """
 
-    seq: int = 0
     domain: str = ""
     staged: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
@@ -61,9 +59,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """A runner's own answer about itself; pace over 1 means slow."""
+    """A runner's own answer about itself.
+
+    Attributes:
+        standing: What the list tells too, later.
+        orders_begun: Orders that began something, in this life.
+        busy: Whether one is under way.
+        waiting: Requests in its queue.
+        running: Requests that it runs.
+        pace: Over 1 means slow.
+    """
 
     standing: Standing
+    orders_begun: int
     busy: bool
     waiting: int
     running: int
@@ -107,7 +115,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
-    """The published arithmetic of a service's engine; times in ms."""
+    """The published arithmetic of a service's engine.
+
+    Attributes:
+        report_lag_ms: A report tells what was true this long ago.
+    """
 
     slots: int
     kv_tokens: int
@@ -121,6 +133,7 @@
     loads_per_s: float
     loads_at_once: int
     form_ms: float
+    report_lag_ms: float
     usual_prompt_tokens: float
     usual_answer_tokens: float
     models: tuple[ServedModel, ...]
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -44,6 +44,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadList:
+    """Reads the list of runners now: a report would be older."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opened:
     """Tells all nodes that a group serves."""
@@ -55,7 +60,7 @@
     took_ms: float
 
 
-Action = orders.Order | Probe | Opened
+Action = orders.Order | Probe | ReadList | Opened
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,7 +76,9 @@
     loads: int = 0
     probe_ms: float = 0.0
     open_sent_ms: float = 0.0
+    open_accepted_ms: float = 0.0
     open_tries: int = 0
+    refused: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,18 +144,28 @@
         """Notes that an order to a runner is under way."""
         self._pending.add(runner)
 
-    def replied(self, order: orders.Order, accepted: bool,
-                now_ms: float) -> None:
-        """Notes the reply to an order."""
+    def accepted(self, order: orders.Order, now_ms: float) -> None:
+        """Notes that an order was accepted."""
         self._pending.discard(order.runner)
-        if not accepted and order.operation is orders.Operation.STAGE:
+        formation = self.formations.get(order.group) if order.group else None
+        if formation is not None and order.operation is orders.Operation.OPEN:
+            formation.open_accepted_ms = now_ms
+
+    def refused(self, order: orders.Order, reason: str) -> None:
+        """Notes that an order was not accepted, or perhaps not.
+
+        The runner gets no other order until `settled`: what is believed of it
+        is wrong, and its report tells only later what is true.
+        """
+        if order.operation is orders.Operation.STAGE:
             self._staging.pop(order.runner, None)
-        if not accepted and order.operation is orders.Operation.JOIN:
-            formation = self.formations.get(order.group or
-                                            model.GroupKey("", 0))
-            if formation is not None:
-                formation.probe_ms = now_ms
-                formation.due_ms = min(formation.due_ms, now_ms)
+        formation = self.formations.get(order.group) if order.group else None
+        if formation is not None and order.operation is orders.Operation.JOIN:
+            formation.refused = f"{order.runner} refused: {reason}"
+
+    def settled(self, order: orders.Order) -> None:
+        """Notes that a runner was asked after an order that it refused."""
+        self._pending.discard(order.runner)
 
     # Formations.
 
@@ -175,8 +192,7 @@
         if unready:
             if now_ms >= max(formation.due_ms, formation.probe_ms):
                 formation.probe_ms = now_ms + PROBE_INTERVAL_MS
-                for each in unready:
-                    yield Probe(each.runner.id, "should be ready")
+                yield ReadList()
             return
         assert head is not None and head.membership is not None
         if head.membership.state is model.MemberState.OPEN:
@@ -191,16 +207,22 @@
             yield orders.Order(head.runner.id,
                                orders.Operation.OPEN,
                                formation.key,
-                               expected_seq=head.standing.seq,
+                               expected_seq=head.orders_begun,
                                reason="all members ready")
-        elif now_ms >= formation.probe_ms:
-            formation.probe_ms = now_ms + PROBE_INTERVAL_MS
-            if now_ms - formation.open_sent_ms > 3 * engine.form_ms + 500:
-                formation.open_sent_ms = 0.0
-            yield Probe(head.runner.id, "should be open")
+        elif formation.open_accepted_ms:
+            # The head serves this long after it accepted; were it not so, it
+            # would refuse what is sent, as not run.
+            if now_ms >= formation.open_accepted_ms + engine.form_ms + 10:
+                self._view.take_open(head.runner.id, formation.key,
+                                     formation.model.name)
+        elif head.runner.id not in self._pending:
+            formation.open_sent_ms = 0.0
+            yield ReadList()
 
     def _fault(self, formation: Formation,
                members: list[fleetview.Known | None], now_ms: float) -> str:
+        if formation.refused:
+            return formation.refused
         for runner_id, known in zip(formation.members, members, strict=True):
             if known is None or not known.usable:
                 return f"{runner_id} is gone, down or leaving"
@@ -470,7 +492,7 @@
                                formation.key,
                                formation.model.name,
                                formation.members,
-                               expected_seq=known.standing.seq,
+                               expected_seq=known.orders_begun,
                                reason="new group")
 
     def _stage(self, engine: model.Engine, scope: Scope,
@@ -500,7 +522,7 @@
             yield orders.Order(known.runner.id,
                                orders.Operation.STAGE,
                                model=served.name,
-                               expected_seq=known.standing.seq,
+                               expected_seq=known.orders_begun,
                                reason=f"spares held: {held}")
 
     def _wanted(self, engine: model.Engine, held: dict[str, int],
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -14,6 +14,7 @@
 FEED_WAIT_MS = 1500
 # The list must be younger than the drain bound of 2 s, with one call lost.
 LIST_INTERVAL_MS = 800.0
+MIN_LIST_MS = 50.0
 # After a call that failed.
 RETRY_MS = 250.0
 
@@ -33,6 +34,7 @@
         self._on_table = on_table
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
+        self._wanted = asyncio.Event()
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
@@ -54,7 +56,10 @@
                 continue
             self._regain("configuration")
             version = rows.version
-            self._take_rows(rows)
+            try:
+                self._take_rows(rows)
+            except Exception:
+                _LOG.exception(logs.line("configuration-failed"))
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
@@ -98,9 +103,26 @@
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._regain("list")
-            self._take_list(rows)
+            try:
+                self._take_list(rows)
+            except Exception:
+                # One row that this version can't take must not end the
+                # reading of all later lists.
+                _LOG.exception(logs.line("list-failed"))
             took_ms = clock.now_ms() - began_ms
-            await asyncio.sleep(max(50.0, LIST_INTERVAL_MS - took_ms) / 1000)
+            await self._wait(max(MIN_LIST_MS, LIST_INTERVAL_MS - took_ms))
+
+    def read_list_now(self) -> None:
+        """Has the list read sooner than it would be."""
+        self._wanted.set()
+
+    async def _wait(self, interval_ms: float) -> None:
+        try:
+            await asyncio.wait_for(self._wanted.wait(), interval_ms / 1000)
+        except TimeoutError:
+            return
+        finally:
+            self._wanted.clear()
 
     def _take_list(self, rows: storecalls.Rows) -> None:
         runners: list[model.Runner] = []
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -77,6 +77,7 @@
     loads_at_once: int = 1
     usual: _Usual = _Usual()
     formMs: float = 0.0  # noqa: N815
+    report_lag_ms: float = 0.0
 
 
 class _Service(_Wire):
@@ -184,6 +185,7 @@
                         loads_per_s=wire.loadsPerS,
                         loads_at_once=max(1, wire.loads_at_once),
                         form_ms=wire.formMs,
+                        report_lag_ms=wire.report_lag_ms,
                         usual_prompt_tokens=wire.usual.prompt,
                         usual_answer_tokens=wire.usual.answer,
                         models=tuple(_model(each) for each in wire.models))
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -34,13 +34,10 @@
     """What an entry and a report share.
 
     Attributes:
-        seq: Counts the orders that began something in this life of the
-            runner; it is not the version of the row.
         domain: The fabric domain; missing where a service has no groups.
         staged: Models on the runner's host: names, or objects with a name.
     """
 
-    seq: int = 0
     domain: str | int = ""
     staged: tuple[str | _WireModel, ...] = ()
     models: tuple[_WireModel, ...] = ()
@@ -53,6 +50,8 @@
 
 
 class _WireEntry(_WireStanding):
+    """A row of the list; its `seq` counts heartbeats, not orders."""
+
     service: str
     address: Annotated[str,
                        pydantic.StringConstraints(pattern=r"^[\d.]+:\d{1,5}$")]
@@ -62,6 +61,9 @@
 
 
 class _WireReport(_WireStanding):
+    """A report; its `seq` counts the orders that began something."""
+
+    seq: int
     busy: bool = False
     queued: int = 0
     active: int = 0
@@ -107,6 +109,7 @@
     """
     report = _parsed(_WireReport, body, runner)
     return model.Report(standing=_standing(report, runner),
+                        orders_begun=report.seq,
                         busy=report.busy,
                         waiting=report.queued,
                         running=report.active,
@@ -125,8 +128,7 @@
 
 
 def _standing(wire: _WireStanding, peer: str) -> model.Standing:
-    return model.Standing(seq=wire.seq,
-                          domain=str(wire.domain),
+    return model.Standing(domain=str(wire.domain),
                           staged=tuple(
                               each if isinstance(each, str) else each.name
                               for each in wire.staged),
