Form groups over domains where a model is short, and restage stuck spares

Cause: after 20 s free runners of one model lay in two domains of a data centre (5 and 4 of them) and no group formed; a node that came back took planning over and knew nothing of what was begun.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -249,7 +249,9 @@
                     head=each.head.runner.id,
                     in_flight=len(self._relays.get(each.key, ())) + peer_count,
                     places=engine.slots,
-                    pace=served.pace * max(1.0, each.pace),
+                    pace=served.pace *
+                    max(1.0, each.pace,
+                        engine.far_factor if each.is_far else 1.0),
                     away=(each.head.runner.data_centre
                           != self._settings.data_centre),
                     avoided=(each.retiring or
@@ -529,7 +531,8 @@
                 peer.last.sent_ms if peer.last else 0.0,
                 table.configuration.version if table else 0,
                 self._freshness.age_ms(now_ms), in_flight, alarms, opened,
-                self._requests_seen, bool(self._stopping_ms))
+                self._requests_seen, bool(self._stopping_ms),
+                self._peers.plans_ms(now_ms))
             udp.sendto(peermessage.encode(message), peer.address)
 
     async def _find_nodes(self) -> None:
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -19,6 +19,8 @@
 
 # How long a missing group is said to take where nothing better is known.
 USUAL_REPAIR_MS = 700.0
+# Between two lines about all runners of a planner.
+SUMMARY_INTERVAL_MS = 1000.0
 # Beyond the lag of reports, before one tells what an order made.
 LAG_MARGIN_MS = 30.0
 
@@ -40,6 +42,7 @@
         self._read_list = read_list
         self._spawn = spawn
         self._lag_ms = 0.0
+        self._told_ms = float("-inf")
         self.planner = planner.Planner(view, name)
 
     @property
@@ -61,6 +64,19 @@
                 self._lag_ms = max(self._lag_ms, service.engine.report_lag_ms)
             for action in self.planner.step(service, scope, now_ms):
                 self._act(action)
+            if service.engine is not None:
+                self._tell(service.name, scope, now_ms)
+
+    def _tell(self, service: str, scope: planner.Scope, now_ms: float) -> None:
+        if now_ms - self._told_ms < SUMMARY_INTERVAL_MS:
+            return
+        self._told_ms = now_ms
+        _LOG.info(
+            logs.line("fleet",
+                      data_centres=",".join(sorted(scope.data_centres)),
+                      lead=scope.in_lead,
+                      list_age_ms=int(now_ms - self._view.list_as_of_ms),
+                      **self.planner.summary(service, scope, now_ms)))
 
     def _act(self, action: planner.Action) -> None:
         if isinstance(action, orders.Order):
--- a/cardamommill/gateway/model.py
+++ b/cardamommill/gateway/model.py
@@ -119,6 +119,8 @@
 
     Attributes:
         report_lag_ms: A report tells what was true this long ago.
+        far_factor: On all times of a group whose members are in more than
+            one domain.
     """
 
     slots: int
@@ -134,6 +136,7 @@
     loads_at_once: int
     form_ms: float
     report_lag_ms: float
+    far_factor: float
     usual_prompt_tokens: float
     usual_answer_tokens: float
     models: tuple[ServedModel, ...]
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/peermessage.py
@@ -50,6 +50,7 @@
         opened: Groups opened of late.
         requests_seen: Whether any caller's request has come.
         stopping: Whether the sender is about to end.
+        plans_ms: For how long it has planned for which data centres.
     """
 
     node: str
@@ -64,6 +65,7 @@
     opened: tuple[OpenedGroup, ...]
     requests_seen: bool
     stopping: bool
+    plans_ms: dict[str, float]
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -85,7 +87,9 @@
         [[each.key.name, each.key.epoch,
           int(each.age_ms), each.confirmed] for each in message.alarms],
         [[each.key.name, each.key.epoch, each.model, each.head]
-         for each in message.opened], message.requests_seen, message.stopping
+         for each in message.opened], message.requests_seen, message.stopping, {
+             name: int(age) for name, age in message.plans_ms.items()
+         }
     ])
     return packed
 
@@ -98,8 +102,8 @@
     """
     try:
         (form, node, incarnation, data_centre, sent_ms, echo_ms, version, age,
-         in_flight, alarms, opened, requests_seen,
-         stopping) = msgpack.unpackb(data)
+         in_flight, alarms, opened, requests_seen, stopping,
+         plans) = msgpack.unpackb(data)
         if form != FORMAT:
             raise ValueError(f"format {form}")
         return PeerMessage(
@@ -115,8 +119,11 @@
             tuple(
                 OpenedGroup(model.GroupKey(str(name), int(epoch)), str(served),
                             str(head)) for name, epoch, served, head in opened),
-            bool(requests_seen), bool(stopping))
-    except (ValueError, TypeError, msgpack.exceptions.UnpackException,
+            bool(requests_seen), bool(stopping), {
+                str(name): float(age) for name, age in plans.items()
+            })
+    except (ValueError, TypeError, AttributeError,
+            msgpack.exceptions.UnpackException,
             msgpack.exceptions.ExtraData) as error:
         raise exceptions.BadPeerMessage(f"no message: {error!r}",
                                         step="peer datagram",
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -14,6 +14,8 @@
 SEED_INTERVAL_MS = 1000.0
 # Nothing is planned before the other nodes had time to be heard.
 SETTLE_MS = 500.0
+# Two that began to plan within this did not hear of each other in time.
+TOGETHER_MS = 500.0
 # What in-flight counts of a peer are worth.
 LOAD_AGE_MS = 1500.0
 
@@ -39,6 +41,7 @@
         self._address = address
         self._started_ms = now_ms
         self._most_alive = 1
+        self._plans_since_ms: dict[str, float] = {}
         self.peers: dict[Address, Peer] = {}
 
     def learn(self, address: Address) -> bool:
@@ -102,24 +105,47 @@
                              now_ms: float) -> frozenset[str]:
         """Returns the data centres whose runners this node orders.
 
-        Each is planned for by its own first living node, or else by the first
-        living node of all; first is the lowest name.
+        Whoever plans for one goes on while it lives: a node that comes back
+        does not know what was begun. Where nobody plans, the first living
+        node of the data centre does, or else the first of all; first is the
+        lowest name.
         """
         if now_ms - self._started_ms < SETTLE_MS:
             return frozenset()
-        alive = [(self._data_centre, self._node)
-                ] + [(each.last.data_centre, each.last.node)
-                     for each in self.alive(now_ms)
-                     if each.last is not None]
-        ours = set()
+        alive = [each.last for each in self.alive(now_ms) if each.last]
         for data_centre in data_centres:
-            local = sorted(
-                name for place, name in alive if place == data_centre)
-            others = sorted(name for _, name in alive)
-            first = local[0] if local else others[0]
-            if first == self._node:
-                ours.add(data_centre)
-        return frozenset(ours)
+            if self._should_plan(data_centre, alive, now_ms):
+                self._plans_since_ms.setdefault(data_centre, now_ms)
+            else:
+                self._plans_since_ms.pop(data_centre, None)
+        return frozenset(self._plans_since_ms)
+
+    def _should_plan(self, data_centre: str,
+                     alive: list[peermessage.PeerMessage],
+                     now_ms: float) -> bool:
+        since_ms = self._plans_since_ms.get(data_centre)
+        others = [(each.plans_ms[data_centre], each.node)
+                  for each in alive
+                  if data_centre in each.plans_ms]
+        if since_ms is not None:
+            # The longest plans on; of two that began together, the lowest.
+            age_ms = now_ms - since_ms
+            return all(age_ms > other_ms + TOGETHER_MS or
+                       (age_ms > other_ms - TOGETHER_MS and self._node < name)
+                       for other_ms, name in others)
+        if others:
+            return False
+        nodes = [(self._data_centre, self._node)]
+        nodes += [(each.data_centre, each.node) for each in alive]
+        local = sorted(name for place, name in nodes if place == data_centre)
+        return self._node == (local or sorted(name for _, name in nodes))[0]
+
+    def plans_ms(self, now_ms: float) -> dict[str, float]:
+        """Returns for how long this node has planned for whom."""
+        return {
+            name: now_ms - since_ms
+            for name, since_ms in self._plans_since_ms.items()
+        }
 
     def in_flight(self, now_ms: float) -> dict[model.GroupKey, tuple[int, int]]:
         """Returns what the peers have at each group: requests and tokens."""
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -17,6 +17,10 @@
 PROBE_INTERVAL_MS = 120.0
 # A formation that takes this many times what it should is given up.
 PATIENCE = 3.0
+# Loads take this part of their time before the first request.
+LEAD_LOAD_FACTOR = 0.1
+# From the end of a join to its word in the list.
+DUE_MARGIN_MS = 20.0
 PATIENCE_FLOOR_MS = 3000.0
 # Another planner's formation is left alone for this long.
 FOREIGN_GRACE_MS = 2500.0
@@ -167,6 +171,39 @@
         """Notes that a runner was asked after an order that it refused."""
         self._pending.discard(order.runner)
 
+    def summary(self, service: str, scope: Scope,
+                now_ms: float) -> dict[str, str]:
+        """Returns how the runners of this planner are used, for the log."""
+        counts: dict[str, dict[str, int]] = {}
+
+        def add(kind: str, name: str) -> None:
+            of_kind = counts.setdefault(kind, {})
+            of_kind[name] = of_kind.get(name, 0) + 1
+
+        for group in self._view.groups(service).values():
+            if group.is_open and self._is_ours(group, scope):
+                add("open", group.model)
+        for formation in self.formations.values():
+            if formation.service == service:
+                add("forming", formation.model.name)
+        for known in self._view.of_service(service):
+            if known.runner.data_centre not in scope.data_centres:
+                continue
+            if known.down_ms:
+                add("down", "runners")
+            elif known.runner.leaving:
+                add("leaving", "runners")
+            elif self._is_free(known):
+                staging = known.runner.id in self._staging
+                name = self._warm_model(known) or known.last_model or "blank"
+                add("staging" if staging else "free", name)
+        return {
+            kind:
+                ",".join(f"{name}:{count}"
+                         for name, count in sorted(names.items()))
+            for kind, names in counts.items()
+        }
+
     # Formations.
 
     def _advance(self, service: str, engine: model.Engine,
@@ -371,59 +408,98 @@
 
     def _form_and_stage(self, service: str, engine: model.Engine, scope: Scope,
                         now_ms: float) -> Iterator[Action]:
-        domains: dict[tuple[str, str], list[fleetview.Known]] = {}
+        self._forget_staged(now_ms)
+        places: dict[str, dict[str, list[fleetview.Known]]] = {}
         for known in self._view.of_service(service):
-            runner = known.runner
-            if runner.data_centre in scope.data_centres:
-                domains.setdefault((runner.data_centre, known.standing.domain),
-                                   []).append(known)
-        for domain in sorted(domains):
-            runners = domains[domain]
-            free = [each for each in runners if self._is_free(each, now_ms)]
-            while free:
-                formation = self._next_formation(service, engine, scope,
-                                                 runners, free, now_ms)
-                if formation is None:
+            place = known.runner.data_centre
+            if place in scope.data_centres:
+                places.setdefault(place, {}).setdefault(known.standing.domain,
+                                                        []).append(known)
+        for place in sorted(places):
+            domains = places[place]
+            for domain in sorted(domains):
+                yield from self._form(service, engine, scope, domains[domain],
+                                      now_ms)
+            whole = [each for runners in domains.values() for each in runners]
+            if len(domains) > 1 and not scope.in_lead:
+                yield from self._form_far(service, engine, scope, whole, now_ms)
+            for domain in sorted(domains):
+                yield from self._stage(engine, scope, domains[domain], now_ms)
+
+    def _form(self, service: str, engine: model.Engine, scope: Scope,
+              runners: list[fleetview.Known],
+              now_ms: float) -> Iterator[Action]:
+        while True:
+            free = [each for each in runners if self._is_free(each)]
+            for served in self._by_need(service, engine, runners):
+                picked = self._pick(engine, served, scope, runners, free,
+                                    now_ms)
+                if picked is not None:
                     break
-                self.formations[formation.key] = formation
-                taken = set(formation.members)
-                free = [each for each in free if each.runner.id not in taken]
-                yield from self._joins(formation)
-            yield from self._stage(engine, scope, runners, free, now_ms)
-
-    def _is_free(self, known: fleetview.Known, now_ms: float) -> bool:
-        del now_ms
+            else:
+                return
+            yield from self._begin(service, engine, served, scope, picked,
+                                   now_ms)
+
+    def _form_far(self, service: str, engine: model.Engine, scope: Scope,
+                  runners: list[fleetview.Known],
+                  now_ms: float) -> Iterator[Action]:
+        # A group over two domains is slower, but it serves; it may use up
+        # spares only while its model has fewer groups than its share.
+        for served in self._by_need(service, engine, runners):
+            if not self._is_short(service, served, runners):
+                continue
+            warm = [
+                each for each in runners if self._is_free(each) and
+                _join_ms(each, served) <= served.warm_ms
+            ]
+            if len(warm) < served.size:
+                continue
+            warm.sort(key=lambda each: _join_ms(each, served))
+            yield from self._begin(service, engine, served, scope,
+                                   warm[:served.size], now_ms)
+
+    def _is_short(self, service: str, served: model.ServedModel,
+                  runners: list[fleetview.Known]) -> bool:
+        usable = sum(each.usable for each in runners)
+        ids = {each.runner.id for each in runners}
+        wanted = math.floor(served.share * usable * (1 - SPARE_SHARE) /
+                            served.size)
+        standing = sum(group.model == served.name and group.is_open and
+                       group.head is not None and group.head.runner.id in ids
+                       for group in self._view.groups(service).values())
+        forming = sum(each.model.name == served.name and each.members[0] in ids
+                      for each in self.formations.values())
+        return standing + forming < wanted
+
+    def _begin(self, service: str, engine: model.Engine,
+               served: model.ServedModel, scope: Scope,
+               picked: list[fleetview.Known],
+               now_ms: float) -> Iterator[Action]:
+        self._count += 1
+        self._epoch += 1
+        key = model.GroupKey(f"{self._name}-{self._count}", self._epoch)
+        cold = sum(_join_ms(each, served) > served.warm_ms for each in picked)
+        # All planners load at the same time.
+        at_once = cold * scope.count / max(1, len(scope.data_centres))
+        slowed = max(1.0, at_once / engine.loads_at_once)
+        longest_ms = max(_join_ms(each, served) for each in picked)
+        if scope.in_lead and cold:
+            longest_ms *= slowed * LEAD_LOAD_FACTOR
+        self._loads_ms += [now_ms] * (0 if scope.in_lead else cold)
+        members = tuple(each.runner.id for each in picked)
+        formation = Formation(key, service, served, members, now_ms,
+                              now_ms + longest_ms + DUE_MARGIN_MS, cold)
+        self.formations[key] = formation
+        yield from self._joins(formation)
+
+    def _is_free(self, known: fleetview.Known) -> bool:
         runner_id = known.runner.id
         if not known.usable or known.membership is not None:
             return False
         return runner_id not in self._pending and not any(
             runner_id in each.members for each in self.formations.values())
 
-    def _next_formation(self, service: str, engine: model.Engine, scope: Scope,
-                        runners: list[fleetview.Known],
-                        free: list[fleetview.Known],
-                        now_ms: float) -> Formation | None:
-        for served in self._by_need(service, engine, runners):
-            picked = self._pick(engine, served, scope, runners, free, now_ms)
-            if picked is None:
-                continue
-            self._count += 1
-            self._epoch += 1
-            key = model.GroupKey(f"{self._name}-{self._count}", self._epoch)
-            cold = sum(
-                _join_ms(each, served) > served.warm_ms for each in picked)
-            # All planners load at the same time.
-            at_once = cold * scope.count / max(1, len(scope.data_centres))
-            slowed = max(1.0, at_once / engine.loads_at_once)
-            longest_ms = max(_join_ms(each, served) for each in picked)
-            if scope.in_lead and cold:
-                longest_ms *= slowed / 10
-            self._loads_ms += [now_ms] * (0 if scope.in_lead else cold)
-            members = tuple(each.runner.id for each in picked)
-            return Formation(key, service, served, members, now_ms,
-                             now_ms + longest_ms + 20, cold)
-        return None
-
     def _by_need(self, service: str, engine: model.Engine,
                  runners: list[fleetview.Known]) -> list[model.ServedModel]:
         # The model with the fewest runners for its share of the work first,
@@ -448,8 +524,8 @@
 
         def need(served: model.ServedModel) -> tuple[float, float]:
             share = max(served.share, 1e-6)
-            return (overall.get(served.name, 0) / share,
-                    here.get(served.name, 0) / share)
+            return (here.get(served.name, 0) / share,
+                    overall.get(served.name, 0) / share)
 
         return sorted(engine.models, key=need)
 
@@ -496,25 +572,26 @@
                                reason="new group")
 
     def _stage(self, engine: model.Engine, scope: Scope,
-               runners: list[fleetview.Known], free: list[fleetview.Known],
+               runners: list[fleetview.Known],
                now_ms: float) -> Iterator[Action]:
-        self._forget_staged(now_ms)
-        loading = any(each.loads for each in self.formations.values())
-        if scope.in_lead and loading:
+        if scope.in_lead and any(
+                each.loads for each in self.formations.values()):
             return
+        free = [each for each in runners if self._is_free(each)]
         held: dict[str, int] = {each.name: 0 for each in engine.models}
         for known in free:
             name = self._warm_model(known)
             if name in held:
                 held[name] += 1
-        blank = [
-            each for each in free
-            if not self._warm_model(each) and not each.last_model
-        ]
-        for known in blank:
+        for known in self._idle(engine, free, held):
             if not self._may_load(engine, scope, now_ms):
                 return
-            served = self._wanted(engine, held, runners)
+            before = self._warm_model(known)
+            served = self._wanted(engine, held, len(free))
+            if served.name == before:
+                continue
+            if before in held:
+                held[before] -= 1
             held[served.name] += 1
             self._staging[known.runner.id] = (served.name,
                                               now_ms + 2 * served.load_ms)
@@ -523,38 +600,47 @@
                                orders.Operation.STAGE,
                                model=served.name,
                                expected_seq=known.orders_begun,
-                               reason=f"spares held: {held}")
+                               reason=f"held in the domain: {held}")
+
+    def _idle(self, engine: model.Engine, free: list[fleetview.Known],
+              held: dict[str, int]) -> list[fleetview.Known]:
+        """Returns runners whose host may load something else, blank ones first.
+
+        One that holds a model may load another only where enough runners are
+        free for a group of either and no whole group can be made: it would
+        wait for ever for partners.
+        """
+        blank = [each for each in free if not self._warm_model(each)]
+        sizes = {each.name: each.size for each in engine.models}
+        stuck = len(free) >= min(sizes.values()) and all(
+            count < sizes[name] for name, count in held.items())
+        if blank or not stuck or any(
+                each.runner.id in self._staging for each in free):
+            return blank
+        best = max(held, key=lambda name: (held[name] / sizes[name], name))
+        missing = sizes[best] - held[best]
+        others = [each for each in free if self._warm_model(each) != best]
+        return others[:missing] if len(others) >= missing else []
 
     def _wanted(self, engine: model.Engine, held: dict[str, int],
-                runners: list[fleetview.Known]) -> model.ServedModel:
-        # What lacks one runner to a whole group comes first, then the model
-        # with the fewest spares for its part of the domain.
-        survivors: dict[str, int] = {}
-        for known in runners:
-            if known.usable and known.membership is None and known.last_model:
-                name = known.last_model
-                survivors[name] = survivors.get(name, 0) + 1
-
-        def missing(served: model.ServedModel) -> float:
-            count = survivors.get(served.name, 0)
-            held_now = held[served.name] + (count
-                                            if not held[served.name] else 0)
-            if count and held_now < served.size:
-                return served.size - held_now
-            return math.inf
-
-        def spares(served: model.ServedModel) -> float:
-            return held[served.name] / max(served.share, 1e-6)
-
-        return min(engine.models,
-                   key=lambda each: (missing(each), spares(each)))
+                free: int) -> model.ServedModel:
+        # What lacks the fewest runners to a whole group comes first, where
+        # there are enough of them; else the model with the fewest spares.
+        def key(served: model.ServedModel) -> tuple[float, float]:
+            count = held[served.name]
+            missing = served.size - count
+            reachable = 0 < missing < served.size and free >= served.size
+            return (missing if reachable else math.inf,
+                    count / max(served.share, 1e-6))
+
+        return min(engine.models, key=key)
 
     def _warm_model(self, known: fleetview.Known) -> str:
         if known.runner.id in self._staging:
             return self._staging[known.runner.id][0]
         if known.standing.staged:
-            return known.standing.staged[0]
-        return ""
+            return known.standing.staged[-1]
+        return known.last_model
 
     def _forget_staged(self, now_ms: float) -> None:
         for runner_id, (name, until_ms) in list(self._staging.items()):
--- a/cardamommill/gateway/standing.py
+++ b/cardamommill/gateway/standing.py
@@ -19,6 +19,7 @@
     model: str
     head: fleetview.Known
     pace: float
+    is_far: bool
     retiring: bool
 
 
@@ -72,6 +73,8 @@
         return None
     if any(each.down_ms for each in group.members.values()):
         return None
-    return Standing(group.key, group.model, head,
-                    max(each.pace for each in group.members.values()),
-                    any(each.runner.leaving for each in group.members.values()))
+    return Standing(
+        group.key, group.model, head,
+        max(each.pace for each in group.members.values()),
+        len({each.standing.domain for each in group.members.values()}) > 1,
+        any(each.runner.leaving for each in group.members.values()))
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -78,6 +78,7 @@
     usual: _Usual = _Usual()
     formMs: float = 0.0  # noqa: N815
     report_lag_ms: float = 0.0
+    far_x: float = 1.0
 
 
 class _Service(_Wire):
@@ -186,6 +187,7 @@
                         loads_at_once=max(1, wire.loads_at_once),
                         form_ms=wire.formMs,
                         report_lag_ms=wire.report_lag_ms,
+                        far_factor=max(1.0, wire.far_x),
                         usual_prompt_tokens=wire.usual.prompt,
                         usual_answer_tokens=wire.usual.answer,
                         models=tuple(_model(each) for each in wire.models))
