Form the first group of any domain; tests of evidence and planning

Cause: a reserve of spares kept a domain no larger than a group from ever forming one, and a model larger than a domain had none before the first request. Found by a test with four runners. The planners' state machine (two planners, lost, late and unanswered orders, old rows) found nothing.

--- a/cardamommill/experiment/virtualloop.py
+++ b/cardamommill/experiment/virtualloop.py
@@ -65,7 +65,7 @@
         self.hosts: dict[str, Host] = {}
         self.listeners: dict[Address, Callable[[], asyncio.Protocol]] = {}
         self.datagrams: dict[Address, asyncio.DatagramProtocol] = {}
-        self.transports: set[FakeTransport] = set()
+        self.transports: dict[FakeTransport, None] = {}
         self.in_place_ms = 0.2
         self.between_places_ms = 1.4
         self.loss = 0.0
@@ -129,7 +129,7 @@
         self._paused = False
         self._held: list[bytes] = []
         self._last_s = 0.0
-        loop.network.transports.add(self)
+        loop.network.transports[self] = None
 
     def join(self, peer: "FakeTransport") -> None:
         """Names the other end."""
@@ -185,13 +185,13 @@
         if reset:
             self._pass(self._lose_peer, ConnectionResetError("reset by peer"))
         self._closing = True
-        self._loop.network.transports.discard(self)
+        self._loop.network.transports.pop(self, None)
 
     def _end(self, error: Exception | None) -> None:
         if self._closing:
             return
         self._closing = True
-        self._loop.network.transports.discard(self)
+        self._loop.network.transports.pop(self, None)
         self._pass(self._lose_peer, error)
         self._loop.call_soon(self._protocol.connection_lost, None)
 
@@ -245,7 +245,7 @@
             if error is None and isinstance(self._protocol, asyncio.Protocol):
                 self._protocol.eof_received()
             self._closing = True
-            self._loop.network.transports.discard(self)
+            self._loop.network.transports.pop(self, None)
             self._protocol.connection_lost(error)
         finally:
             HOST.reset(token)
@@ -382,8 +382,8 @@
         self.network.listeners[address] = protocol_factory
         return _FakeServer(self.network, address)
 
-    async def create_datagram_endpoint(
-            self,  # type: ignore[override]
+    async def create_datagram_endpoint(  # type: ignore[override]
+            self,
             protocol_factory: Any,
             local_addr: Any = None,
             **options: Any) -> Any:
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -131,7 +131,7 @@
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._server.connections.add(self)
+        self._server.connections[self] = None
 
     def data_received(self, data: bytes) -> None:
         """Parses what arrived; see asyncio.Protocol."""
@@ -165,7 +165,7 @@
         """Tells whoever answers; see asyncio.Protocol."""
         del exc
         self._transport = None
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
         serving, self._serving = self._serving, None
         self._waiting.clear()
         if serving is not None:
@@ -308,7 +308,8 @@
         self.handler = handler
         self.on_refused = on_refused
         self.limits = DEFAULT_LIMITS
-        self.connections: set[CallerConnection] = set()
+        # In order of arrival, so that a run in simulated time repeats.
+        self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
         self._servers: list[asyncio.Server] = []
 
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -77,7 +77,7 @@
                                   self._incarnation,
                                   (settings.ip, settings.peer_port), now_ms)
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
-        self._relays: dict[model.GroupKey, set[relay.Relay]] = {}
+        self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
         self._unread: dict[model.GroupKey, dict[str, int]] = {}
         self._peer_load: dict[model.GroupKey, tuple[int, int]] = {}
         self._own_runners: dict[str, int] = {}
@@ -315,7 +315,7 @@
         self._own_runners[runner_id] = self._own_runners.get(runner_id, 0) + 1
         if target.key is None or target.placed is None:
             return
-        self._relays.setdefault(target.key, set()).add(one)
+        self._relays.setdefault(target.key, {})[one] = None
         self._unread.setdefault(target.key,
                                 {})[one.attempt_id] = one.work.prompt_tokens
         placed = target.placed
@@ -344,8 +344,8 @@
                            service=one.service,
                            result=outcome.result.value)
         if target.key is not None:
-            relays = self._relays.get(target.key, set())
-            relays.discard(one)
+            relays = self._relays.get(target.key, {})
+            relays.pop(one, None)
             if not relays:
                 self._relays.pop(target.key, None)
             unread = self._unread.get(target.key, {})
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -422,8 +422,10 @@
                 yield from self._form(service, engine, scope, domains[domain],
                                       now_ms)
             whole = [each for runners in domains.values() for each in runners]
-            if len(domains) > 1 and not scope.in_lead:
-                yield from self._form_far(service, engine, scope, whole, now_ms)
+            if len(domains) > 1:
+                largest = max(map(len, domains.values()))
+                yield from self._form_far(service, engine, scope, whole,
+                                          largest, now_ms)
             for domain in sorted(domains):
                 yield from self._stage(engine, scope, domains[domain], now_ms)
 
@@ -443,16 +445,19 @@
                                    now_ms)
 
     def _form_far(self, service: str, engine: model.Engine, scope: Scope,
-                  runners: list[fleetview.Known],
+                  runners: list[fleetview.Known], largest_domain: int,
                   now_ms: float) -> Iterator[Action]:
         # A group over two domains is slower, but it serves; it may use up
         # spares only while its model has fewer groups than its share.
         for served in self._by_need(service, engine, runners):
             if not self._is_short(service, served, runners):
                 continue
+            fits = served.size <= largest_domain
+            if fits and scope.in_lead:
+                continue
             warm = [
                 each for each in runners if self._is_free(each) and
-                _join_ms(each, served) <= served.warm_ms
+                (not fits or _join_ms(each, served) <= served.warm_ms)
             ]
             if len(warm) < served.size:
                 continue
@@ -464,8 +469,9 @@
                   runners: list[fleetview.Known]) -> bool:
         usable = sum(each.usable for each in runners)
         ids = {each.runner.id for each in runners}
-        wanted = math.floor(served.share * usable * (1 - SPARE_SHARE) /
-                            served.size)
+        wanted = max(
+            1,
+            math.floor(served.share * usable * (1 - SPARE_SHARE) / served.size))
         standing = sum(group.model == served.name and group.is_open and
                        group.head is not None and group.head.runner.id in ids
                        for group in self._view.groups(service).values())
@@ -539,7 +545,9 @@
         ranked = sorted(free, key=lambda each: _join_ms(each, served))
         picked = ranked[:served.size]
         cold = sum(_join_ms(each, served) > served.warm_ms for each in picked)
-        if not any(each.last_model for each in picked):
+        has_group = any(
+            not self._is_free(each) and each.usable for each in runners)
+        if has_group and not any(each.last_model for each in picked):
             reserve = round(SPARE_SHARE * len(runners))
             if len(free) - served.size < reserve:
                 return None
--- /dev/null
+++ b/tests/gateway/test_fleetview.py
@@ -0,0 +1,88 @@
+"""Tests of how evidence about runners is joined."""
+
+from cardamommill.gateway import model
+from tests.gateway import builders
+
+KEY = model.GroupKey("g", 3)
+JOINING = builders.member(KEY, 0, model.MemberState.JOINING)
+READY = builders.member(KEY, 0, model.MemberState.READY)
+OPEN = builders.member(KEY, 0, model.MemberState.OPEN)
+
+
+def test_row_that_did_not_change_is_no_news_after_an_outage():
+    # While the store is away a runner joins a group; another planner learns
+    # it by report. Then the first list comes, with the row from before. Were
+    # it believed because it was read later, the runner would be joined to a
+    # second group while the first one is open.
+    view = builders.view(builders.runner(1, row_version=5), at_ms=1000)
+    view.take_report("i-1", builders.report(2, OPEN, "large"), 9000, 200)
+    view.take_list([builders.runner(1, row_version=5)], 12_000)
+    assert view.known["i-1"].membership == OPEN
+    assert view.known["i-1"].orders_begun == 2
+
+
+def test_row_written_before_an_order_does_not_undo_it():
+    # A member is broken, its row says so; it is told to leave, and the list
+    # that was read just after still has the row from before.
+    broken = builders.member(KEY, 0, model.MemberState.BROKEN)
+    view = builders.view(builders.runner(1, 5, membership=OPEN), at_ms=1000)
+    view.take_order("i-1", 3, None, 1500)
+    view.take_list([builders.runner(1, 6, membership=broken)], 1600)
+    assert view.known["i-1"].membership is None
+
+
+def test_row_that_changed_after_the_order_is_believed():
+    view = builders.view(builders.runner(1, 5), at_ms=1000)
+    view.take_order("i-1", 1, JOINING, 1500)
+    view.take_list([builders.runner(1, 5)], 1600)
+    view.take_list([builders.runner(1, 6)], 2400)
+    assert view.known["i-1"].membership is None
+
+
+def test_same_group_goes_on_by_the_list():
+    view = builders.view(builders.runner(1, 5), at_ms=1000)
+    view.take_order("i-1", 1, JOINING, 1500)
+    view.take_list([builders.runner(1, 6, membership=READY)], 1510)
+    assert view.known["i-1"].membership == READY
+
+
+def test_report_from_before_an_order_tells_only_that_the_runner_lives():
+    # A report tells what was true 200 ms ago.
+    view = builders.view(builders.runner(1, 5), at_ms=1000)
+    view.take_silence("i-1", 1400)
+    view.take_order("i-1", 1, JOINING, 1500)
+    view.take_report("i-1", builders.report(0), 1600, 200)
+    known = view.known["i-1"]
+    assert known.down_ms == 0
+    assert known.membership == JOINING
+    assert known.orders_begun == 1
+
+
+def test_older_list_is_left():
+    view = builders.view(builders.runner(1), at_ms=1000)
+    assert not view.take_list([], 900)
+    assert view.known["i-1"].listed
+
+
+def test_runner_that_left_the_list_is_remembered_for_a_while():
+    view = builders.view(builders.runner(1), at_ms=1000)
+    assert view.take_list([], 2000) == [("i-1", "left the list")]
+    assert not view.known["i-1"].usable
+    view.take_list([], 50_000)
+    assert "i-1" not in view.known
+
+
+def test_word_of_a_planner_opens_a_group_once():
+    view = builders.view(builders.runner(1, 5, membership=READY,
+                                         served="large"))
+    assert view.take_open("i-1", KEY, "large")
+    assert not view.take_open("i-1", KEY, "large")
+    group = view.groups("llm")[KEY]
+    assert group.is_open and group.model == "large"
+
+
+def test_word_of_a_planner_does_not_undo_a_later_group():
+    later = model.GroupKey("h", 9)
+    place = builders.member(later, 0, model.MemberState.JOINING)
+    view = builders.view(builders.runner(1, 5, membership=place))
+    assert not view.take_open("i-1", KEY, "large")
--- /dev/null
+++ b/tests/gateway/test_planner.py
@@ -0,0 +1,286 @@
+"""Tests of how groups are kept standing."""
+
+import collections
+
+from cardamommill.gateway import model, orders, planner
+from tests.gateway import builders
+
+SCOPE = planner.Scope(frozenset({"a"}), 1, False, {})
+LEAD = planner.Scope(frozenset({"a"}), 1, True, {})
+STATE = model.MemberState
+
+
+def ordered(actions, operation):
+    return [
+        each for each in actions
+        if isinstance(each, orders.Order) and each.operation is operation
+    ]
+
+
+class Bench:
+    """A planner with its view, and runners that obey at once."""
+
+    def __init__(self, runners, scope=SCOPE):
+        self.view = builders.view(*runners)
+        self.planner = planner.Planner(self.view, "n")
+        self.scope = scope
+        self.service = builders.service()
+        self.now_ms = 1000.0
+
+    def step(self, after_ms=60.0):
+        self.now_ms += after_ms
+        return self.planner.step(self.service, self.scope, self.now_ms)
+
+    def accept(self, order, state=None):
+        known = self.view.known[order.runner]
+        place = known.membership
+        if order.operation is orders.Operation.JOIN:
+            place = builders.member(order.group,
+                                    order.members.index(order.runner), state or
+                                    STATE.JOINING)
+        elif order.operation is orders.Operation.LEAVE:
+            place = None
+        self.planner.sent(order.runner)
+        self.view.take_order(order.runner, known.orders_begun + 1, place,
+                             self.now_ms)
+        self.planner.accepted(order, self.now_ms)
+
+    def become(self, order, state):
+        known = self.view.known[order.runner]
+        place = builders.member(order.group, order.members.index(order.runner),
+                                state)
+        self.view.take_order(order.runner, known.orders_begun, place,
+                             self.now_ms)
+
+
+def warm(count, name="large", start=1, domain="d0"):
+    return [
+        builders.runner(number, domain=domain, staged=(name,))
+        for number in range(start, start + count)
+    ]
+
+
+def test_head_is_opened_only_when_all_members_were_seen_ready():
+    # Were the head opened earlier, requests would begin to run in a group
+    # that is not whole; nobody but the planner looks at the other members.
+    bench = Bench(warm(5))
+    joins = ordered(bench.step(), orders.Operation.JOIN)
+    assert len(joins) == 4
+    for order in joins:
+        bench.accept(order)
+    for order in joins[:3]:
+        bench.become(order, STATE.READY)
+    assert not ordered(bench.step(3000), orders.Operation.OPEN)
+    bench.become(joins[3], STATE.READY)
+    opens = ordered(bench.step(), orders.Operation.OPEN)
+    assert [each.runner for each in opens] == [joins[0].runner]
+
+
+def test_every_join_names_the_count_of_orders():
+    bench = Bench(warm(5))
+    for number in range(1, 6):
+        bench.view.known[f"i-{number}"].orders_begun = 10 + number
+    for order in ordered(bench.step(), orders.Operation.JOIN):
+        assert order.expected_seq == 10 + int(order.runner[2:])
+
+
+def test_names_of_groups_are_never_used_twice():
+    bench = Bench(warm(9))
+    keys = {each.group for each in ordered(bench.step(), orders.Operation.JOIN)}
+    assert len({each.name for each in keys}) == len(keys) == 2
+    assert len({each.epoch for each in keys}) == 2
+
+
+def standing(bench, number_of_members=4):
+    joins = ordered(bench.step(), orders.Operation.JOIN)[:number_of_members]
+    for order in joins:
+        bench.accept(order, STATE.READY)
+    for order in ordered(bench.step(), orders.Operation.OPEN):
+        bench.accept(order)
+    bench.step(400)
+    bench.step()
+    return joins
+
+
+def test_group_is_announced_when_its_head_serves():
+    bench = Bench(warm(5))
+    standing(bench)
+    (group,) = bench.view.groups("llm").values()
+    assert group.is_open
+    assert not bench.planner.formations
+
+
+def test_members_leave_before_they_join_again():
+    # A member dies; the head goes on accepting and stands still. Each living
+    # member must leave by its own word before it joins another group, or it
+    # would be in two.
+    bench = Bench(warm(5))
+    joins = standing(bench)
+    bench.view.take_silence(joins[2].runner, bench.now_ms)
+    leaves = ordered(bench.step(), orders.Operation.LEAVE)
+    assert {each.runner for each in leaves
+           } == {each.runner for each in joins} - {joins[2].runner}
+    assert not ordered(bench.step(), orders.Operation.JOIN)
+    for order in leaves:
+        bench.accept(order)
+    again = ordered(bench.step(), orders.Operation.JOIN)
+    assert len(again) == 4
+    assert joins[2].runner not in {each.runner for each in again}
+    assert all(each.group.epoch > joins[0].group.epoch for each in again)
+
+
+def test_member_that_left_only_the_list_does_not_end_its_group():
+    # It may be cut from the store alone; its group serves on.
+    bench = Bench(warm(5))
+    joins = standing(bench)
+    gone = joins[2].runner
+    left = [each for each in warm(5) if each.id != gone]
+    bench.view.take_list(left, bench.now_ms + 10)
+    actions = bench.step()
+    assert not ordered(actions, orders.Operation.LEAVE)
+    assert planner.Probe(gone, "left the list") in actions
+
+
+def test_group_with_a_leaving_member_ends_when_it_is_empty():
+    bench = Bench(warm(5))
+    joins = standing(bench)
+    leaving = [
+        builders.runner(int(each.id[2:]),
+                        2,
+                        leaving=each.id == joins[1].runner,
+                        staged=("large",)) for each in warm(5)
+    ]
+    bench.view.take_list(leaving, bench.now_ms + 10)
+    bench.scope = planner.Scope(frozenset({"a"}), 1, False, {joins[0].group: 3})
+    assert not ordered(bench.step(1500), orders.Operation.LEAVE)
+    bench.scope = SCOPE
+    assert ordered(bench.step(), orders.Operation.LEAVE)
+
+
+def test_refused_join_ends_the_formation_and_holds_the_runner_back():
+    # What is believed of the runner is wrong, and its report tells only some
+    # hundred ms later what is true: asked at once, it was ordered forty times.
+    bench = Bench(warm(4))
+    joins = ordered(bench.step(), orders.Operation.JOIN)
+    for order in joins[1:]:
+        bench.accept(order)
+    bench.planner.sent(joins[0].runner)
+    bench.planner.refused(joins[0], "unfit")
+    actions = bench.step()
+    assert len(ordered(actions, orders.Operation.LEAVE)) == 3
+    assert not bench.planner.formations
+    for order in ordered(actions, orders.Operation.LEAVE):
+        bench.accept(order)
+    assert not ordered(bench.step(), orders.Operation.JOIN)
+    bench.planner.settled(joins[0])
+    assert len(ordered(bench.step(), orders.Operation.JOIN)) == 4
+
+
+def test_domain_as_large_as_a_group_forms_one():
+    bench = Bench([builders.runner(number) for number in range(4)], LEAD)
+    assert len(ordered(bench.step(), orders.Operation.JOIN)) == 4
+
+
+def test_model_that_fits_in_no_domain_is_formed_over_two():
+    runners = [
+        builders.runner(number, domain=f"d{number % 2}") for number in range(4)
+    ]
+    bench = Bench(runners, LEAD)
+    assert len(ordered(bench.step(), orders.Operation.JOIN)) == 4
+
+
+def test_spares_are_kept_when_groups_are_first_formed():
+    blank = [builders.runner(number) for number in range(1, 10)]
+    bench = Bench(blank, LEAD)
+    formed = 0
+    for _ in range(200):
+        for order in ordered(bench.step(500), orders.Operation.JOIN):
+            bench.accept(order, STATE.READY)
+            formed += 1
+    assert formed == 7
+
+
+def test_each_model_gets_a_group_of_a_domain():
+    blank = [builders.runner(number) for number in range(1, 10)]
+    bench = Bench(blank, LEAD)
+    names = collections.Counter()
+    for _ in range(200):
+        for order in ordered(bench.step(500), orders.Operation.JOIN):
+            bench.accept(order, STATE.READY)
+            names[order.model] += 1
+    assert names == {"large": 4, "small": 3}
+
+
+def test_cold_runners_are_staged_and_not_joined_after_the_lead():
+    # A join that has to load holds all other members up for 16 s.
+    bench = Bench(warm(3) + [builders.runner(9)])
+    actions = bench.step()
+    assert not ordered(actions, orders.Operation.JOIN)
+    (stage,) = ordered(actions, orders.Operation.STAGE)
+    assert (stage.runner, stage.model) == ("i-9", "large")
+
+
+def test_loads_keep_to_their_rate():
+    blank = [builders.runner(number) for number in range(1, 60)]
+    bench = Bench(blank)
+    times = []
+    for _ in range(300):
+        for order in ordered(bench.step(), orders.Operation.STAGE):
+            times.append(bench.now_ms)
+            bench.accept(order)
+    limit = builders.engine().loads_per_s * 5
+    for start in times:
+        assert sum(start <= each < start + 5000 for each in times) <= limit
+
+
+def test_survivors_in_two_domains_make_a_slow_group_where_none_stands():
+    blank = [builders.runner(number) for number in range(20, 25)]
+    bench = Bench(warm(2) + warm(2, start=11, domain="d1") + blank)
+    joins = ordered(bench.step(), orders.Operation.JOIN)
+    assert len(joins) == 4
+
+
+def test_hosts_whose_model_finds_no_partner_load_another():
+    # Two hosts of each model in one domain would wait for ever.
+    stuck = warm(2) + warm(2, "small", start=11)
+    bench = Bench(stuck)
+    actions = bench.step()
+    assert ordered(actions, orders.Operation.STAGE)
+
+
+def test_formation_of_a_dead_planner_is_adopted():
+    key = model.GroupKey("other-1", 5)
+    members = [
+        builders.runner(number + 1,
+                        membership=builders.member(key, number, STATE.READY),
+                        served="large",
+                        staged=("large",)) for number in range(4)
+    ]
+    bench = Bench(members)
+    bench.step()
+    assert not ordered(bench.step(1000), orders.Operation.OPEN)
+    bench.step(3000)
+    (opened,) = ordered(bench.step(), orders.Operation.OPEN)
+    assert opened.runner == "i-1" and opened.group == key
+
+
+def test_open_group_of_a_dead_planner_is_left_alone():
+    key = model.GroupKey("other-1", 5)
+    states = [STATE.OPEN] + [STATE.READY] * 3
+    members = [
+        builders.runner(number + 1,
+                        membership=builders.member(key, number, state),
+                        served="large",
+                        staged=("large",))
+        for number, state in enumerate(states)
+    ]
+    bench = Bench(members)
+    for _ in range(100):
+        assert not [
+            each for each in bench.step() if isinstance(each, orders.Order)
+        ]
+
+
+def test_runners_elsewhere_are_not_ordered():
+    bench = Bench([builders.runner(number, place="b") for number in range(9)])
+    assert not bench.step()
--- /dev/null
+++ b/tests/gateway/test_planner_machine.py
@@ -0,0 +1,222 @@
+"""Two planners that don't know of each other, against a model of runners.
+
+Orders are lost, late and answered late; views are old. Whatever happens, no
+request may begin in a group that was never whole, and no runner may be in two.
+"""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from cardamommill.gateway import fleetview, model, orders, planner
+from tests.gateway import builders
+
+STATE = model.MemberState
+COUNT = 6
+
+
+@dataclasses.dataclass
+class Runner:
+    number: int
+    begun: int = 0
+    place: model.Membership | None = None
+    members: tuple[str, ...] = ()
+    epoch: int = 0
+    served: str = ""
+    row_version: int = 1
+    row: tuple = (None, "")
+
+    @property
+    def id(self):
+        return f"i-{self.number}"
+
+    def write(self):
+        self.row = (self.place, self.served)
+        self.row_version += 1
+
+
+class Planners(stateful.RuleBasedStateMachine):
+    """Both plan for the same data centre, each by its own view."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 1000.0
+        self.store_up = True
+        self.runners = {
+            each.id: each
+            for each in (Runner(number) for number in range(COUNT))
+        }
+        self.views = [fleetview.FleetView(), fleetview.FleetView()]
+        self.planners = [
+            planner.Planner(view, f"p{number}")
+            for number, view in enumerate(self.views)
+        ]
+        self.ready = set()
+        self.late = []
+        self.read_lists()
+
+    def read_lists(self):
+        for which in (0, 1):
+            self.read_list(which)
+
+    @stateful.rule(which=strategies.integers(0, 1))
+    def read_list(self, which):
+        self.now_ms += 1
+        if not self.store_up:
+            return
+        rows = [
+            builders.runner(each.number,
+                            each.row_version,
+                            membership=each.row[0],
+                            served=each.row[1],
+                            staged=("small",))
+            for each in self.runners.values()
+        ]
+        self.views[which].take_list(rows, self.now_ms)
+
+    @stateful.rule()
+    def store_fails_or_returns(self):
+        self.store_up = not self.store_up
+        if self.store_up:
+            self.read_lists()
+            for each in self.runners.values():
+                each.write()
+
+    @stateful.rule(wait_ms=strategies.sampled_from([20, 300, 1500, 4000]))
+    def time_passes(self, wait_ms):
+        self.now_ms += wait_ms
+        for each in self.runners.values():
+            if each.place and each.place.state is STATE.JOINING:
+                each.place = dataclasses.replace(each.place, state=STATE.READY)
+                self.ready.add((each.id, each.place.key, each.members))
+                self.changed(each)
+
+    @stateful.rule(which=strategies.integers(0, 1),
+                   fate=strategies.lists(strategies.sampled_from(
+                       ["done", "done", "done", "lost", "unanswered", "late"]),
+                                         min_size=8,
+                                         max_size=8))
+    def plan(self, which, fate):
+        self.now_ms += 60
+        scope = planner.Scope(frozenset({"a"}), 1, False, {})
+        actions = self.planners[which].step(builders.service(), scope,
+                                            self.now_ms)
+        for number, action in enumerate(actions):
+            if isinstance(action, planner.Probe):
+                self.report(which, action.runner)
+            elif isinstance(action, planner.ReadList):
+                self.read_list(which)
+            elif isinstance(action, orders.Order):
+                self.order(which, action, fate[number % len(fate)])
+
+    def order(self, which, order, fate):
+        self.planners[which].sent(order.runner)
+        if fate == "late":
+            self.late.append(order)
+        status = self.carry_out(order) if fate in ("done", "unanswered") else 0
+        view = self.views[which]
+        if fate != "done" or status not in (200, 202):
+            view.take_refusal(order.runner, self.now_ms)
+            self.planners[which].refused(order, "no")
+            self.now_ms += 230
+            self.report(which, order.runner)
+            self.planners[which].settled(order)
+            return
+        known = view.known[order.runner]
+        left = order.operation is orders.Operation.LEAVE
+        place = known.membership
+        if order.operation is orders.Operation.JOIN:
+            place = builders.member(order.group,
+                                    order.members.index(order.runner),
+                                    STATE.JOINING)
+        view.take_order(order.runner,
+                        known.orders_begun + (status == 202 or left),
+                        None if left else place, self.now_ms)
+        self.planners[which].accepted(order, self.now_ms)
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def late_order_arrives(self):
+        self.carry_out(self.late.pop(0))
+
+    @stateful.rule(which=strategies.integers(0, 1),
+                   number=strategies.integers(0, COUNT - 1))
+    def ask(self, which, number):
+        self.report(which, f"i-{number}")
+
+    @stateful.rule(which=strategies.integers(0, 1),
+                   number=strategies.integers(0, COUNT - 1))
+    def false_alarm(self, which, number):
+        self.views[which].take_silence(f"i-{number}", self.now_ms)
+
+    def report(self, which, runner_id):
+        runner = self.runners[runner_id]
+        self.views[which].take_report(
+            runner_id, builders.report(runner.begun, runner.place,
+                                       runner.served), self.now_ms, 200.0)
+
+    def changed(self, runner):
+        if self.store_up:
+            runner.write()
+
+    def carry_out(self, order):
+        runner = self.runners[order.runner]
+        if order.expected_seq is not None and (order.expected_seq
+                                               != runner.begun):
+            return 409
+        return getattr(self, order.operation.value)(runner, order)
+
+    def join(self, runner, order):
+        key = order.group
+        if key.epoch < runner.epoch:
+            return 412
+        if runner.place is not None and runner.place.key == key:
+            return 200
+        if runner.place is not None:
+            head = next(
+                (each for each in self.runners.values() if each.place and
+                 each.place.key == runner.place.key and not each.place.rank),
+                None)
+            assert head is None or head.place.state is not STATE.OPEN, (
+                f"{runner.id} joined {key} while {runner.place.key} was open")
+        runner.epoch = key.epoch
+        runner.begun += 1
+        runner.served = order.model
+        runner.members = order.members
+        runner.place = builders.member(key, order.members.index(runner.id),
+                                       STATE.JOINING)
+        self.changed(runner)
+        return 202
+
+    def open(self, runner, order):
+        place = runner.place
+        if place is None or place.key != order.group or place.rank:
+            return 409
+        if place.state is not STATE.READY:
+            return 409
+        runner.begun += 1
+        runner.place = dataclasses.replace(place, state=STATE.OPEN)
+        for member in runner.members:
+            assert (member, place.key, runner.members) in self.ready, (
+                f"{place.key} opened before {member} was ready")
+        self.changed(runner)
+        return 202
+
+    def leave(self, runner, order):
+        if runner.place is not None and runner.place.key == order.group:
+            runner.place = None
+            runner.begun += 1
+            self.changed(runner)
+        return 200
+
+    def stage(self, runner, order):
+        del order
+        runner.begun += 1
+        return 202
+
+
+TestPlanners = Planners.TestCase
+TestPlanners.settings = hypothesis.settings(max_examples=60,
+                                            stateful_step_count=40,
+                                            deadline=None)
