--- a/tests/gateway/test_planner_machine.py
+++ b/tests/gateway/test_planner_machine.py
@@ -18,6 +18,8 @@
 
 @dataclasses.dataclass
 class Runner:
+    """What a runner truly is, whatever planners believe."""
+
     number: int
     begun: int = 0
     place: model.Membership | None = None
@@ -58,10 +60,13 @@
 
     def read_lists(self):
         for which in (0, 1):
-            self.read_list(which)
+            self.take_rows(which)
 
     @stateful.rule(which=strategies.integers(0, 1))
     def read_list(self, which):
+        self.take_rows(which)
+
+    def take_rows(self, which):
         self.now_ms += 1
         if not self.store_up:
             return
@@ -85,6 +90,9 @@
 
     @stateful.rule(wait_ms=strategies.sampled_from([20, 300, 1500, 4000]))
     def time_passes(self, wait_ms):
+        self.pass_time(wait_ms)
+
+    def pass_time(self, wait_ms):
         self.now_ms += wait_ms
         for each in self.runners.values():
             if each.place and each.place.state is STATE.JOINING:
@@ -93,11 +101,15 @@
                 self.changed(each)
 
     @stateful.rule(which=strategies.integers(0, 1),
-                   fate=strategies.lists(strategies.sampled_from(
-                       ["done", "done", "done", "lost", "unanswered", "late"]),
-                                         min_size=8,
-                                         max_size=8))
+                   fate=strategies.lists(
+                       strategies.sampled_from(["done"] * 9 +
+                                               ["lost", "unanswered", "late"]),
+                       min_size=8,
+                       max_size=8))
     def plan(self, which, fate):
+        self.plan_once(which, fate)
+
+    def plan_once(self, which, fate):
         self.now_ms += 60
         scope = planner.Scope(frozenset({"a"}), 1, False, {})
         actions = self.planners[which].step(builders.service(), scope,
@@ -106,7 +118,7 @@
             if isinstance(action, planner.Probe):
                 self.report(which, action.runner)
             elif isinstance(action, planner.ReadList):
-                self.read_list(which)
+                self.take_rows(which)
             elif isinstance(action, orders.Order):
                 self.order(which, action, fate[number % len(fate)])
 
@@ -135,10 +147,20 @@
                         None if left else place, self.now_ms)
         self.planners[which].accepted(order, self.now_ms)
 
-    @stateful.precondition(lambda self: self.late)
     @stateful.rule()
     def late_order_arrives(self):
-        self.carry_out(self.late.pop(0))
+        if self.late:
+            self.carry_out(self.late.pop(0))
+
+    @stateful.rule(which=strategies.integers(0, 1),
+                   rounds=strategies.integers(1, 5))
+    def work_undisturbed(self, which, rounds):
+        for _ in range(rounds):
+            self.plan_once(which, ["done"])
+            self.pass_time(1500)
+            self.take_rows(which)
+            for number in range(COUNT):
+                self.report(which, f"i-{number}")
 
     @stateful.rule(which=strategies.integers(0, 1),
                    number=strategies.integers(0, COUNT - 1))
@@ -217,6 +239,6 @@
 
 
 TestPlanners = Planners.TestCase
-TestPlanners.settings = hypothesis.settings(max_examples=60,
-                                            stateful_step_count=40,
+TestPlanners.settings = hypothesis.settings(max_examples=150,
+                                            stateful_step_count=50,
                                             deadline=None)
