--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -118,7 +118,7 @@
         """Makes them.
 
         Args:
-            world: Gives `nodes_for(place)`, `keys` and `engines`.
+            world: Gives `node_for(place)`, `all_keys` and `stride`.
             place: Their data centre.
             judge: Who is told what was sent and received.
             seed: For all chance.
@@ -150,7 +150,8 @@
         prompt = min(prompt, int(4 * kind.prompt_tokens) or 8)
         answer = max(1, int(self._chance.expovariate(1) * kind.answer_tokens))
         answer = min(answer, int(3 * kind.answer_tokens) or 1)
-        tenant, key = self._chance.choice(self._world.keys)
+        # Some go on with a key that was taken away; they are owed nothing.
+        tenant, key = self._chance.choice(self._world.all_keys)
         owed = kind.worth
         result = Result(kind.name,
                         self._place,
@@ -170,7 +171,8 @@
             if again_ms is None:
                 break
             await asyncio.sleep(min(again_ms, left_ms / 3) / 1000)
-        self.results.append(result)
+        if key not in self._judge.revoked_ms:
+            self.results.append(result)
 
     async def _attempt(self, kind: Kind, target: str, prompt: int, answer: int,
                        tenant: str, key: str, began_ms: float, left_ms: float,
--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -32,7 +32,7 @@
         self.history_from = 0
         self.calls = 0
         # How it fails: "", "silent", "busy" or "reset".
-        self.fault = ""
+        self.fault: str = ""
         self.slow_factor = 1.0
         self._changed = asyncio.Event()
         self._server = callers.CallerServer(self._on_request, lambda _: None)
@@ -93,6 +93,8 @@
             reply.whole(404, [], b"")
             return
         status, body = await call(query, request.body)
+        if self.fault == "silent":
+            return
         reply.whole(status, [("Content-Type", "application/json")],
                     json.dumps(body).encode())
 
--- a/cardamommill/experiment/virtualloop.py
+++ b/cardamommill/experiment/virtualloop.py
@@ -100,6 +100,13 @@
         """Whether a datagram is lost."""
         return self._chance.random() < self.loss
 
+    def reset_connections(self, name: str) -> None:
+        """Resets all connections of a host, which listens on."""
+        for transport in [
+                each for each in self.transports if each.host == name
+        ]:
+            transport.abort()
+
     def end_processes(self, name: str) -> None:
         """Ends all that a host has open; peers see resets unless it is dark."""
         host = self.host(name)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -100,6 +100,7 @@
         self.judge = oracle.Oracle(oracle.Limits(deployment.engine.loads_per_s))
         self.keys = [(f"tenant{number % deployment.tenants}", f"key{number}")
                      for number in range(2 * deployment.tenants)]
+        self.all_keys = list(self.keys)
         self.version = 7
         first = configurations.decode(self._configuration_bytes())
         engines = {
@@ -458,6 +459,13 @@
             self._publish()
             self.judge.revoked_ms[gone[1]] = clock.now_ms()
 
+    async def _plain_cut(self, trouble: deployments.Trouble) -> None:
+        del trouble
+        # Runners lose the connections of requests that they run.
+        for runner in self.fleet.runners.values():
+            if runner.service == "plain":
+                self.loop.network.reset_connections(runner.host)
+
     async def _burst(self, trouble: deployments.Trouble) -> None:
         for each in self.clients.values():
             each.factor = trouble.factor
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -134,8 +134,12 @@
             self._drop()
             self._finish(Ending.BROKEN, f"no HTTP: {type(error).__name__}")
             return
-        if self._receiver is None and self._tainted:
-            self._drop()
+        if self._receiver is None:
+            # Only now is it known that no bytes came after the answer.
+            if self._tainted:
+                self._drop()
+            else:
+                self._on_idle(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the exchange; see asyncio.Protocol."""
@@ -207,14 +211,6 @@
         if receiver is None:
             return
         receiver.on_end(ending, reason)
-        if ending is Ending.COMPLETE and not self._tainted:
-            self._on_idle(self)
-        elif ending is not Ending.CANCELLED:
-            asyncio.get_running_loop().call_soon(self._drop_if_tainted)
-
-    def _drop_if_tainted(self) -> None:
-        if self._receiver is None and self._tainted:
-            self._drop()
 
     def _drop(self) -> None:
         self._tainted = True
--- /dev/null
+++ b/tests/experiment/test_world.py
@@ -0,0 +1,152 @@
+"""Plays whole nodes against the model of the platform, and checks all rules.
+
+Each test takes some seconds: what happens in them in simulated time is what
+happens on an ordinary bad day, at a small size.
+"""
+
+import pathlib
+
+import pytest
+
+from cardamommill import exceptions
+from cardamommill.experiment import deployments, world
+from cardamommill.gateway import freshness, relay
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
+MODELS = (deployments.ModelSpec(name="large", size=4, share=0.57),
+          deployments.ModelSpec(name="small",
+                                size=3,
+                                share=0.43,
+                                pace=0.6,
+                                load_s=12,
+                                warm_s=1.1))
+KINDS = (deployments.KindSpec(name="draft",
+                              per_s=8,
+                              model="large",
+                              prompt_tokens=1400,
+                              answer_tokens=175,
+                              goal_ms=300,
+                              deadline_ms=8000),
+         deployments.KindSpec(name="answer",
+                              per_s=14,
+                              model="small",
+                              prompt_tokens=700,
+                              answer_tokens=220),
+         deployments.KindSpec(name="record",
+                              per_s=6,
+                              type="non_idempotent",
+                              deadline_ms=1500),
+         deployments.KindSpec(name="status",
+                              per_s=3,
+                              type="idempotent",
+                              deadline_ms=1500))
+
+
+def play(*troubles, seed=1, length_s=8.0):
+    deployment = deployments.Deployment(
+        name="test",
+        lead_s=9,
+        length_s=length_s,
+        places={
+            "a": 2,
+            "b": 1
+        },
+        models=MODELS,
+        kinds=KINDS,
+        troubles=[deployments.Trouble(**each) for each in troubles])
+    return world.play(deployment, seed)
+
+
+def trouble(kind, at_s=2.0, **fields):
+    return {"kind": kind, "at_s": at_s, **fields}
+
+
+def test_calm_time_serves_nearly_all_in_time():
+    outcome = play()
+    assert not outcome.violations
+    assert outcome.share("in-aim") > 0.97
+
+
+def test_same_seed_gives_the_same_run():
+    first, second = play(seed=3), play(seed=3)
+    assert [each.first_ms for each in first.results
+           ] == [each.first_ms for each in second.results]
+
+
+@pytest.mark.parametrize("troubles,least", [
+    ([trouble("runners_dark", count=2)], 0.8),
+    ([trouble("domain_dark", for_s=3)], 0.6),
+    ([trouble("runners_crash", count=2)], 0.8),
+    ([trouble("runners_drain", count=2)], 0.8),
+    ([trouble("runners_cut", count=3, for_s=5)], 0.7),
+    ([trouble("runners_slow", count=2, for_s=4, factor=6)], 0.6),
+    ([trouble("node_kill", place="a")], 0.8),
+    ([trouble("node_stop")], 0.8),
+    ([trouble("store_silent", for_s=3),
+      trouble("runners_dark", 2.5, count=2)], 0.6),
+    ([trouble("store_busy", for_s=3)], 0.8),
+    ([trouble("store_slow", for_s=4, factor=50)], 0.8),
+    ([trouble("store_compact"),
+      trouble("configuration", 2.1)], 0.9),
+    ([trouble("configuration", 1.0 + 0.2 * number) for number in range(10)
+     ], 0.9),
+    ([trouble("place_cut", place="b", for_s=3)], 0.5),
+    ([
+        trouble("late_orders", 1.5, for_s=4, factor=0.5),
+        trouble("runners_dark", 2, count=2)
+    ], 0.5),
+    ([trouble("all_nodes_kill", 3)], 0.4),
+    ([trouble("burst", for_s=3, factor=4)], 0.3),
+    ([
+        trouble("new_runners", 1, count=4),
+        trouble("runners_dark", 2, count=3),
+        trouble("node_kill", 2.2)
+    ], 0.5),
+])
+def test_no_rule_is_broken_whatever_happens(troubles, least):
+    outcome = play(*troubles)
+    assert not outcome.violations
+    assert outcome.earned > least
+
+
+def test_keys_taken_away_while_the_store_is_silent_stop_working():
+    # The operator takes keys away just before no node can read the store any
+    # more. Each node must stop trusting keys in time by itself.
+    outcome = play(trouble("revoke", 1.99, count=3),
+                   trouble("store_silent", 2.0, for_s=9),
+                   length_s=10)
+    assert not outcome.violations
+
+
+def test_key_check_is_what_keeps_revoked_keys_out(monkeypatch):
+    monkeypatch.setattr(freshness.Freshness, "keys_may_be_trusted",
+                        lambda self, now_ms: True)
+    outcome = play(trouble("store_silent", 1.98, for_s=9),
+                   trouble("revoke", 1.99, count=3),
+                   length_s=10)
+    assert {each.rule for each in outcome.violations} == {"CONFIG"}
+
+
+def test_limit_of_tries_is_what_keeps_requests_from_running_twice(monkeypatch):
+    monkeypatch.setattr(relay.endings, "may_have_run", lambda result: False)
+    monkeypatch.setattr(
+        relay.endings, "after",
+        lambda result, state: relay.endings.Next.ELSEWHERE
+        if result.value == "broken" else relay.endings._FINAL.get(
+            result, relay.endings.Next.SAY_NOT_RUN))
+    outcome = play(
+        trouble("burst", 0.5, for_s=7, factor=3),
+        *(trouble("plain_cut", 1 + 0.5 * number) for number in range(10)))
+    assert {"TWICE", "REFUSED"} & {each.rule for each in outcome.violations}
+
+
+def test_examples_are_experiments():
+    for path in EXAMPLES.glob("*.yaml"):
+        assert deployments.load(path).kinds
+
+
+def test_fault_in_an_experiment_is_named(tmp_path):
+    path = tmp_path / "bad.yaml"
+    path.write_text("name: x\nmodels: []\nkinds: []\nunheard: 1\n")
+    with pytest.raises(exceptions.SettingsError, match="unheard"):
+        deployments.load(path)
--- /dev/null
+++ b/tests/gateway/test_attempts.py
@@ -0,0 +1,127 @@
+"""Tests of what answers of runners are taken for."""
+
+import asyncio
+
+import pytest
+
+from cardamommill.gateway import attempts
+from cardamommill.platform import words
+from tests.gateway import exchanges
+
+OWN = f"{words.ATTEMPT_ID}: a1\r\n{words.SEAL}: s\r\n"
+OTHER = f"{words.ATTEMPT_ID}: zz\r\n{words.SEAL}: s\r\n"
+
+
+def answer(status="200 OK", headers=OWN, body="yes"):
+    return (f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n"
+            f"\r\n{body}").encode()
+
+
+def stream(*events, end=True, headers=OWN):
+    text = f"HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n"
+    for event in events:
+        text += f"{len(event):x}\r\n{event}\r\n"
+    return (text + ("0\r\n\r\n" if end else "")).encode()
+
+
+class Sink:
+    """Keeps the ids of events."""
+
+    def __init__(self):
+        self.events = []
+
+    def on_event(self, head, event):
+        del head
+        self.events.append(event.id)
+        return True
+
+
+def attempt(*answers, streaming=False, then="", give_up_ms=1000):
+    sink = Sink()
+
+    async def work(pool):
+        one = attempts.Attempt("a1", streaming, sink)
+        one.exchange = pool.send(exchanges.ADDRESS, b"GET / HTTP/1.1\r\n\r\n",
+                                 one)
+        asyncio.get_running_loop().call_later(give_up_ms / 1000, one.give_up,
+                                              attempts.Result.TIMED_OUT, "late")
+        outcome = await one.done
+        await asyncio.sleep(0.01)
+        return outcome, pool.idle_count()
+
+    (outcome, idle), _ = exchanges.run(work, answers, then)
+    return outcome, idle, sink.events
+
+
+def test_whole_answer_is_passed_on_and_its_connection_kept():
+    outcome, idle, _ = attempt(answer())
+    assert outcome.result is attempts.Result.ANSWERED
+    assert outcome.body == b"yes" and idle == 1
+
+
+def test_answer_of_another_request_is_skipped():
+    # A runner gives an answer twice; the second one arrives where the next
+    # is due. Its id tells whose it is.
+    outcome, idle, _ = attempt(answer(headers=OTHER, body="no") + answer())
+    assert outcome.body == b"yes"
+    assert idle == 0
+
+
+def test_bytes_after_the_answer_end_the_connection():
+    outcome, idle, _ = attempt(answer() + answer(headers=OTHER, body="no"))
+    assert outcome.body == b"yes"
+    assert idle == 0
+
+
+@pytest.mark.parametrize("text", [
+    b"\x00\x01garbage",
+    answer(headers=""),
+    answer(headers=f"{words.ATTEMPT_ID}: a1\r\n"),
+    answer(headers=OWN + "Content-Encoding: gzip\r\n"),
+    answer("500 Internal Server Error", headers=""),
+])
+def test_what_is_not_the_runners_answer_counts_as_none(text):
+    outcome, _, _ = attempt(text)
+    assert outcome.result is attempts.Result.BROKEN
+
+
+def test_runner_that_says_not_run_is_believed():
+    outcome, _, _ = attempt(
+        answer("503 Service Unavailable", f"{words.NOT_EXECUTED}: 1\r\n", ""))
+    assert outcome.result is attempts.Result.NOT_RUN
+
+
+def test_answer_without_length_is_whole_only_if_it_ends_without_a_reset():
+    text = f"HTTP/1.1 200 OK\r\n{OWN}\r\nyes".encode()
+    assert attempt(text, then="close")[0].body == b"yes"
+    assert attempt(text, then="reset")[0].result is attempts.Result.BROKEN
+
+
+def test_cut_answer_is_none():
+    outcome, _, _ = attempt(answer(body="yes")[:-1], then="close")
+    assert outcome.result is attempts.Result.BROKEN
+
+
+def test_stream_is_passed_on_event_by_event():
+    outcome, _, events = attempt(stream("id: 1\ndata: a\n\n",
+                                        "id: 2\ndata: b\n\n"),
+                                 streaming=True)
+    assert outcome.result is attempts.Result.STREAMED and events == [1, 2]
+
+
+def test_part_of_an_event_is_not_passed_on():
+    outcome, _, events = attempt(stream("id: 1\ndata: a\n\n", "id: 2\nda"),
+                                 streaming=True)
+    assert outcome.result is attempts.Result.BROKEN and events == [1]
+
+
+def test_stream_without_its_last_chunk_is_not_whole():
+    outcome, _, _ = attempt(stream("id: 1\ndata: a\n\n", end=False),
+                            streaming=True,
+                            then="close")
+    assert outcome.result is attempts.Result.BROKEN
+
+
+def test_runner_that_says_nothing_is_given_up():
+    outcome, _, _ = attempt(b"", give_up_ms=300)
+    assert outcome.result is attempts.Result.TIMED_OUT
--- /dev/null
+++ b/tests/gateway/test_callers.py
@@ -0,0 +1,147 @@
+"""Tests of callers' connections."""
+
+import asyncio
+
+import pytest
+
+from cardamommill.experiment import virtualloop
+from cardamommill.gateway import callers, clock, model
+
+ADDRESS = ("10.1.0.1", 8000)
+LIMITS = model.Limits(1000, 2000, 500, 5000)
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Client(asyncio.Protocol):
+    """Keeps what it is sent."""
+
+    def __init__(self):
+        self.got = b""
+        self.closed = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.got += data
+
+    def connection_lost(self, exc):
+        self.closed = True
+
+
+def play(script, handler):
+    refused = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        server = callers.CallerServer(handler, refused.append)
+        server.limits = LIMITS
+        await server.listen(*ADDRESS)
+        _, client = await loop.create_connection(Client, *ADDRESS)
+        await script(client, server)
+        return client
+
+    with virtualloop.running(1) as loop:
+        return loop.run_until_complete(main()), refused
+
+
+def echo(request, reply):
+    reply.whole(200, [],
+                f"{request.method} {request.target} ".encode() + request.body)
+
+
+def send(*parts, wait_s=0.05):
+
+    async def script(client, server):
+        del server
+        for part in parts:
+            client.transport.write(part)
+            await asyncio.sleep(wait_s)
+
+    return script
+
+
+def test_requests_on_one_connection_are_answered_in_turn():
+    client, _ = play(send(GET + GET.replace(b"/x", b"/y")), echo)
+    assert client.got.index(b"GET /x") < client.got.index(b"GET /y")
+
+
+def test_body_in_chunks_is_put_together():
+    request = (b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+               b"\r\n\r\n3\r\nabc\r\n", b"2\r\nde\r\n0\r\n\r\n")
+    client, _ = play(send(*request), echo)
+    assert b"POST /x abcde" in client.got
+
+
+@pytest.mark.parametrize("text,status", [
+    (b"GET /x HTTP/1.1\r\nA: " + b"b" * 2000 + b"\r\n\r\n", 431),
+    (b"POST /x HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413),
+    (b"POST /x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked"
+     b"\r\n\r\nabc", 400),
+    (b"nonsense\r\n\r\n", 400),
+])
+def test_what_is_over_a_limit_or_no_request_is_refused(text, status):
+    client, refused = play(send(text), echo)
+    assert client.got.startswith(f"HTTP/1.1 {status}".encode())
+    assert refused == [status]
+
+
+def test_request_smuggled_behind_a_refused_one_is_not_served():
+    text = (b"POST /x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+            b"chunked\r\n\r\n0\r\n\r\n" + GET)
+    client, _ = play(send(text), echo)
+    assert client.got.count(b"HTTP/1.1") == 1
+
+
+def test_caller_that_leaves_is_told_to_whoever_answers():
+    left = []
+
+    class Serving:
+
+        def caller_left(self):
+            left.append(True)
+
+    async def script(client, server):
+        del server
+        client.transport.write(GET)
+        await asyncio.sleep(0.1)
+        client.transport.close()
+        await asyncio.sleep(0.1)
+
+    play(script, lambda request, reply: Serving())
+    assert left == [True]
+
+
+def test_answer_that_is_broken_off_does_not_look_whole():
+
+    def handler(request, reply):
+        del request
+        reply.start(200, [])
+        reply.piece(b"part")
+        reply.break_off()
+
+    client, _ = play(send(GET), handler)
+    assert b"0\r\n\r\n" not in client.got and client.closed
+
+
+def test_slow_head_is_timed_out_and_idle_connection_closed():
+
+    async def script(client, server):
+        client.transport.write(b"GET /x HTTP/1.1\r\n")
+        await asyncio.sleep(0.6)
+        server.sweep(clock.now_ms())
+        await asyncio.sleep(0.1)
+
+    client, _ = play(script, echo)
+    assert client.got.startswith(b"HTTP/1.1 408")
+
+
+def test_connection_ends_after_its_answer_while_stopping():
+
+    async def script(client, server):
+        server.stop()
+        client.transport.write(GET)
+        await asyncio.sleep(0.1)
+
+    client, _ = play(script, echo)
+    assert b"Connection: close" in client.got and client.closed
--- /dev/null
+++ b/tests/gateway/test_peermessage.py
@@ -0,0 +1,47 @@
+"""Tests of datagrams between nodes."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cardamommill import exceptions
+from cardamommill.gateway import flights, model, peermessage
+from tests.gateway import test_peers
+
+KEYS = strategies.builds(model.GroupKey, strategies.text(max_size=20),
+                         strategies.integers(0, 2**40))
+LOADS = strategies.builds(flights.GroupLoad, strategies.integers(0, 99),
+                          strategies.integers(0, 99),
+                          strategies.integers(0, 10**6))
+
+
+@hypothesis.given(strategies.dictionaries(KEYS, LOADS, max_size=5),
+                  strategies.booleans())
+def test_message_comes_through(in_flight, stopping):
+    key = model.GroupKey("g", 3)
+    sent = test_peers.message("n",
+                              "a",
+                              in_flight=in_flight,
+                              stopping=stopping,
+                              alarms=(peermessage.Alarm(key, 40.0, True),),
+                              opened=(peermessage.OpenedGroup(
+                                  key, "large", "i-1"),),
+                              plans_ms={"a": 10.0})
+    assert peermessage.decode(peermessage.encode(sent), "peer") == sent
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_bytes_that_are_no_message_are_refused(data):
+    with pytest.raises(exceptions.BadPeerMessage):
+        peermessage.decode(data, "10.0.0.9")
+
+
+def test_message_fits_a_datagram_however_many_groups_there_are():
+    many = {
+        model.GroupKey(f"group-{number}", number): flights.GroupLoad(1)
+        for number in range(500)
+    }
+    sent = test_peers.message("n", "a", in_flight=many)
+    data = peermessage.encode(sent)
+    assert len(data) <= peermessage.MAX_BYTES
+    assert peermessage.decode(data, "peer").in_flight
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,126 @@
+"""Tests of who the other nodes are and who plans."""
+
+from cardamommill.gateway import flights, model, peermessage, peers
+
+PLACES = ("a", "b")
+
+
+def message(node, place, sent_ms=1.0, **changes):
+    figures = dict(node=node,
+                   incarnation=1,
+                   data_centre=place,
+                   sent_ms=sent_ms,
+                   echo_ms=0.0,
+                   config_version=7,
+                   confirmed_age_ms=100.0,
+                   in_flight={},
+                   alarms=(),
+                   opened=(),
+                   requests_seen=False,
+                   stopping=False,
+                   plans_ms={})
+    return peermessage.PeerMessage(**{**figures, **changes})
+
+
+def node(name="a-1", place="a"):
+    return peers.Peers(name, place, 1, (f"10.0.0.{name}", 7340), 0.0)
+
+
+def hear(who, now_ms, *messages):
+    for each in messages:
+        who.take(each, (f"10.0.0.{each.node}", 7340), now_ms)
+
+
+def test_nothing_is_planned_before_others_could_be_heard():
+    assert not node().planned_data_centres(PLACES, 100)
+
+
+def test_first_node_of_each_data_centre_plans_for_it():
+    first = node()
+    hear(first, 1000, message("a-2", "a"), message("b-1", "b"))
+    assert first.planned_data_centres(PLACES, 1000) == {"a"}
+
+
+def test_data_centre_without_a_node_is_planned_for_by_another():
+    first = node()
+    hear(first, 1000, message("b-1", "b"))
+    assert first.planned_data_centres(PLACES, 1000) == {"a"}
+    assert first.planned_data_centres(PLACES, 5000) == {"a", "b"}
+
+
+def test_planner_that_comes_back_leaves_planning_to_whoever_has_it():
+    # It does not know which groups are being formed.
+    back = node()
+    hear(back, 1000, message("a-2", "a", plans_ms={"a": 3000.0}))
+    assert "a" not in back.planned_data_centres(PLACES, 1000)
+
+
+def test_of_two_planners_the_longer_goes_on():
+    older = node("a-2")
+    older.planned_data_centres(("a",), 600)
+    hear(older, 9000, message("a-1", "a", plans_ms={"a": 1000.0}))
+    assert older.planned_data_centres(("a",), 9000) == {"a"}
+    hear(older, 9100, message("a-1", "a", 2.0, plans_ms={"a": 60_000.0}))
+    assert not older.planned_data_centres(("a",), 9100)
+
+
+def test_of_two_that_began_together_the_lower_name_goes_on():
+    low, high = node("a-1"), node("a-2")
+    low.planned_data_centres(("a",), 600)
+    high.planned_data_centres(("a",), 600)
+    hear(low, 800, message("a-2", "a", plans_ms={"a": 200.0}))
+    hear(high, 800, message("a-1", "a", plans_ms={"a": 200.0}))
+    assert low.planned_data_centres(("a",), 800) == {"a"}
+    assert not high.planned_data_centres(("a",), 800)
+
+
+def test_node_that_stops_does_not_count_as_alive():
+    first = node("a-2")
+    hear(first, 1000, message("a-1", "a", stopping=True))
+    assert first.planned_data_centres(("a",), 1000) == {"a"}
+
+
+def test_limits_are_shared_with_nodes_that_are_out_of_sight():
+    # A node that is cut off must not take the others' part of the budget.
+    first = node()
+    hear(first, 1000, message("a-2", "a"), message("b-1", "b"))
+    assert first.nodes(1000) == 3
+    assert first.nodes(60_000) == 3
+
+
+def test_message_that_was_overtaken_is_left():
+    first = node()
+    hear(first, 1000, message("a-2", "a", 20.0, config_version=8))
+    hear(first, 1001, message("a-2", "a", 10.0, config_version=7))
+    assert first.newest_version() == 8
+
+
+def test_confirmation_is_dated_by_this_nodes_own_question():
+    # A datagram may be late without bound; what it confirms is dated by when
+    # this node sent what it echoes, so delay only makes it older.
+    first = node()
+    hear(first, 9000, message("a-2",
+                              "a",
+                              echo_ms=5000.0,
+                              confirmed_age_ms=300.0))
+    assert first.confirmed_ms(7, 9000) == 4700.0
+    assert first.confirmed_ms(8, 9000) == float("-inf")
+
+
+def test_loads_of_peers_are_added():
+    key = model.GroupKey("g", 1)
+    first = node()
+    hear(first, 1000,
+         message("a-2", "a", in_flight={key: flights.GroupLoad(2, 1, 30)}),
+         message("b-1", "b", in_flight={key: flights.GroupLoad(3, 0, 5)}))
+    assert first.in_flight(1000)[key] == flights.GroupLoad(5, 1, 35)
+    assert not first.in_flight(9000)
+
+
+def test_lost_node_is_forgotten_and_seeds_are_asked_seldom():
+    first = node()
+    hear(first, 1000, message("a-2", "a"))
+    assert len(first.due(1000, 200)) == 1
+    assert not first.due(1100, 200)
+    assert len(first.due(1200, 200)) == 1
+    assert not first.due(30_000, 200)
--- /dev/null
+++ b/tests/gateway/test_placing.py
@@ -0,0 +1,87 @@
+"""Tests of where requests go."""
+
+import dataclasses
+
+from cardamommill.gateway import model, placing
+from tests.gateway import builders
+
+ENGINE = builders.engine()
+WORK = placing.Work(1000, 180)
+WISH = placing.Wish(300.0, 1600.0, 0.5)
+
+
+def candidate(name="g", in_flight=0, **changes):
+    figures = dict(key=model.GroupKey(name, 1),
+                   head=f"i-{name}",
+                   in_flight=in_flight,
+                   places=13,
+                   pace=1.0,
+                   away=False,
+                   avoided=False)
+    return placing.Candidate(**{**figures, **changes})
+
+
+def place(*candidates, wish=WISH, excluded=frozenset()):
+    return placing.place(ENGINE, WORK, candidates, excluded, wish, 700.0)
+
+
+def test_least_loaded_group_is_taken():
+    placed = place(candidate("a", 9), candidate("b", 2))
+    assert placed.candidate.key.name == "b"
+    assert not placed.patient
+
+
+def test_group_nearby_is_taken_where_both_are_as_good():
+    placed = place(candidate("a", 2, away=True), candidate("b", 2))
+    assert placed.candidate.key.name == "b"
+
+
+def test_group_away_is_taken_where_it_is_much_sooner():
+    placed = place(candidate("a", 1, away=True), candidate("b", 13))
+    assert placed.candidate.key.name == "a"
+
+
+def test_slow_group_is_left_for_a_whole_one():
+    placed = place(candidate("a", 2, pace=2.5), candidate("b", 6))
+    assert placed.candidate.key.name == "b"
+
+
+def test_avoided_group_is_used_only_where_no_other_is_in_time():
+    avoided = candidate("a", avoided=True)
+    assert place(avoided, candidate("b", 9)).candidate.key.name == "b"
+    assert place(avoided).candidate.key.name == "a"
+
+
+def test_request_that_cannot_be_in_time_waits_behind_those_that_can():
+    placed = place(candidate("a", 19))
+    assert placed.patient
+
+
+def test_queue_of_late_requests_is_short():
+    # A longer one would not be served before its callers leave.
+    refused = place(candidate("a", 19, patient=7))
+    assert isinstance(refused, placing.Refused)
+    assert refused.retry_after_ms > 0
+
+
+def test_returns_are_spread():
+    early = place(candidate("a", 19, patient=7),
+                  wish=dataclasses.replace(WISH, spread=0.0))
+    late = place(candidate("a", 19, patient=7),
+                 wish=dataclasses.replace(WISH, spread=1.0))
+    assert late.retry_after_ms >= 1.5 * early.retry_after_ms
+
+
+def test_no_group_says_when_one_should_stand():
+    refused = place(candidate("a"),
+                    excluded=frozenset({model.GroupKey("a", 1)}))
+    assert refused.reason == "no group stands"
+    assert 700 <= refused.retry_after_ms <= 900
+
+
+def test_long_prompt_is_expected_later():
+    short = placing.place(ENGINE, placing.Work(100, 10), [candidate()],
+                          frozenset(), WISH, 0)
+    long = placing.place(ENGINE, placing.Work(5000, 10), [candidate()],
+                         frozenset(), WISH, 0)
+    assert long.first_event_ms > short.first_event_ms + 90
