--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -93,11 +93,15 @@
             reply.whole(404, [], b"")
             return
         status, body = await call(query, request.body)
-        if self.fault == "silent":
+        if self._is_silent():
+            # Also for calls that came before it fell silent.
             return
         reply.whole(status, [("Content-Type", "application/json")],
                     json.dumps(body).encode())
 
+    def _is_silent(self) -> bool:
+        return self.fault == "silent"
+
     async def _rows_get(self, query: dict[str, str],
                         body: bytes) -> tuple[int, dict[str, Any]]:
         del body
--- /dev/null
+++ b/cardamommill/gateway/formations.py
@@ -0,0 +1,195 @@
+"""Groups on their way to serving: joined, seen ready, opened, or given up."""
+
+from collections.abc import Iterator
+
+from cardamommill.gateway import fleetview, loads, model, orders, planning
+
+# Between two questions to a member that should be ready by now.
+PROBE_INTERVAL_MS = 120.0
+# A formation that takes this many times what it should is given up.
+PATIENCE = 3.0
+PATIENCE_FLOOR_MS = 3000.0
+# Loads take this part of their time before the first request.
+LEAD_LOAD_FACTOR = 0.1
+# From the end of a join to its word in the list.
+DUE_MARGIN_MS = 20.0
+
+
+class Formations:
+    """All formations of one planner."""
+
+    def __init__(self, view: fleetview.FleetView, name: str, pending: set[str],
+                 ledger: loads.LoadLedger) -> None:
+        """Makes it.
+
+        Args:
+            view: What is believed.
+            name: Begins all names of groups.
+            pending: Runners with an order under way.
+            ledger: Counts loads.
+        """
+        self._view = view
+        self._name = name
+        self._pending = pending
+        self._ledger = ledger
+        self._count = 0
+        self._epoch = 0
+        self.by_key: dict[model.GroupKey, planning.Formation] = {}
+
+    def see_epoch(self, epoch: int) -> None:
+        """Has all later groups come after an epoch that was seen."""
+        self._epoch = max(self._epoch, epoch)
+
+    def has_member(self, runner: str) -> bool:
+        """Whether a runner is in any of them."""
+        return any(runner in each.members for each in self.by_key.values())
+
+    def of(self, order: orders.Order) -> planning.Formation | None:
+        """Returns the formation that an order belongs to."""
+        return self.by_key.get(order.group) if order.group else None
+
+    def advance(self, service: str, engine: model.Engine,
+                now_ms: float) -> Iterator[planning.Action]:
+        """Returns what to do now for those of a service."""
+        for formation in list(self.by_key.values()):
+            if formation.service == service:
+                yield from self._advance_one(formation, engine, now_ms)
+
+    def _advance_one(self, formation: planning.Formation, engine: model.Engine,
+                     now_ms: float) -> Iterator[planning.Action]:
+        members = [self._view.known.get(each) for each in formation.members]
+        fault = self._fault(formation, members, now_ms)
+        if fault:
+            del self.by_key[formation.key]
+            yield from self.leave(formation.key, members, fault)
+            return
+        unready = [
+            each for each in members
+            if each is not None and not planning.is_ready(each, formation.key)
+        ]
+        head = members[0]
+        assert head is not None and head.membership is not None or unready
+        if unready:
+            if now_ms >= max(formation.due_ms, formation.probe_ms):
+                formation.probe_ms = now_ms + PROBE_INTERVAL_MS
+                yield planning.ReadList()
+            return
+        assert head is not None and head.membership is not None
+        if head.membership.state is model.MemberState.OPEN:
+            del self.by_key[formation.key]
+            yield planning.Opened(formation.key, formation.service,
+                                  formation.model.name, head.runner.id,
+                                  now_ms - formation.begun_ms)
+            return
+        if not formation.open_sent_ms:
+            formation.open_sent_ms = now_ms
+            formation.open_tries += 1
+            formation.probe_ms = now_ms + engine.form_ms + 20
+            yield orders.Order(head.runner.id,
+                               orders.Operation.OPEN,
+                               formation.key,
+                               expected_seq=head.orders_begun,
+                               reason="all members ready")
+        elif formation.open_accepted_ms:
+            # The head serves this long after it accepted; were it not so, it
+            # would refuse what is sent, as not run.
+            if now_ms >= formation.open_accepted_ms + engine.form_ms + 10:
+                self._view.take_open(head.runner.id, formation.key,
+                                     formation.model.name)
+        elif head.runner.id not in self._pending:
+            formation.open_sent_ms = 0.0
+            yield planning.ReadList()
+
+    def _fault(self, formation: planning.Formation,
+               members: list[fleetview.Known | None], now_ms: float) -> str:
+        if formation.refused:
+            return formation.refused
+        for runner_id, known in zip(formation.members, members, strict=True):
+            if known is None or not known.usable:
+                return f"{runner_id} is gone, down or leaving"
+            membership = known.membership
+            elsewhere = (membership is not None and
+                         membership.key != formation.key)
+            if elsewhere and runner_id not in self._pending:
+                return f"{runner_id} is in another group"
+            if (membership is not None and membership.key == formation.key and
+                    membership.state is model.MemberState.BROKEN):
+                return "broken"
+            if (membership is None and runner_id not in self._pending and
+                    now_ms > formation.due_ms and
+                    known.report_ms > formation.begun_ms):
+                return f"{runner_id} did not join"
+        took_ms = now_ms - formation.begun_ms
+        planned_ms = formation.due_ms - formation.begun_ms
+        if took_ms > max(PATIENCE_FLOOR_MS, PATIENCE * planned_ms):
+            return f"not ready after {took_ms:.0f} ms"
+        if formation.open_tries > 4:
+            return "head does not open"
+        return ""
+
+    def adopt(self, group: fleetview.Group, service: str,
+              served: model.ServedModel, now_ms: float) -> None:
+        """Goes on with a formation that another planner began."""
+        members = tuple(
+            group.members[rank].runner.id for rank in sorted(group.members))
+        if sorted(group.members) != list(range(served.size)):
+            return
+        self.by_key[group.key] = planning.Formation(group.key, service, served,
+                                                    members, now_ms,
+                                                    now_ms + served.warm_ms)
+
+    def begin(self, service: str, engine: model.Engine,
+              served: model.ServedModel, scope: planning.Scope,
+              picked: list[fleetview.Known],
+              now_ms: float) -> Iterator[planning.Action]:
+        """Begins a group with these members, the head first."""
+        self._count += 1
+        self._epoch += 1
+        key = model.GroupKey(f"{self._name}-{self._count}", self._epoch)
+        cold = sum(
+            planning.join_ms(each, served) > served.warm_ms for each in picked)
+        # All planners load at the same time.
+        at_once = cold * scope.count / max(1, len(scope.data_centres))
+        slowed = max(1.0, at_once / engine.loads_at_once)
+        longest_ms = max(planning.join_ms(each, served) for each in picked)
+        if scope.in_lead and cold:
+            longest_ms *= slowed * LEAD_LOAD_FACTOR
+        if not scope.in_lead:
+            self._ledger.note(cold, now_ms)
+        members = tuple(each.runner.id for each in picked)
+        formation = planning.Formation(key, service, served, members, now_ms,
+                                       now_ms + longest_ms + DUE_MARGIN_MS,
+                                       cold)
+        self.by_key[key] = formation
+        yield from self._joins(formation)
+
+    def _joins(self,
+               formation: planning.Formation) -> Iterator[planning.Action]:
+        for member in formation.members:
+            known = self._view.known[member]
+            yield orders.Order(member,
+                               orders.Operation.JOIN,
+                               formation.key,
+                               formation.model.name,
+                               formation.members,
+                               expected_seq=known.orders_begun,
+                               reason="new group")
+
+    def leave(self, key: model.GroupKey,
+              members: list[fleetview.Known] | list[fleetview.Known | None],
+              reason: str) -> Iterator[planning.Action]:
+        """Has all members that can be reached leave a group."""
+        # A member leaves itself before it joins anything else: its old head
+        # may still be open and out of reach.
+        for known in members:
+            if known is None or known.runner.id in self._pending:
+                continue
+            if known.down_ms or not known.listed:
+                continue
+            membership = known.membership
+            if membership is None or membership.key != key:
+                continue
+            yield orders.Order(known.runner.id,
+                               orders.Operation.LEAVE,
+                               key,
+                               reason=reason)
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -13,6 +13,7 @@
     model,
     orders,
     planner,
+    planning,
     upstream,
 )
 from cardamommill.platform import ordercalls
@@ -58,7 +59,7 @@
              data_centres: frozenset[str], count: int, in_lead: bool,
              in_flight: dict[model.GroupKey, int], now_ms: float) -> None:
         """Decides and begins to act."""
-        scope = planner.Scope(data_centres, count, in_lead, in_flight)
+        scope = planning.Scope(data_centres, count, in_lead, in_flight)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._lag_ms = max(self._lag_ms, service.engine.report_lag_ms)
@@ -67,7 +68,7 @@
             if service.engine is not None:
                 self._tell(service.name, scope, now_ms)
 
-    def _tell(self, service: str, scope: planner.Scope, now_ms: float) -> None:
+    def _tell(self, service: str, scope: planning.Scope, now_ms: float) -> None:
         if now_ms - self._told_ms < SUMMARY_INTERVAL_MS:
             return
         self._told_ms = now_ms
@@ -78,13 +79,13 @@
                       list_age_ms=int(now_ms - self._view.list_as_of_ms),
                       **self.planner.summary(service, scope, now_ms)))
 
-    def _act(self, action: planner.Action) -> None:
+    def _act(self, action: planning.Action) -> None:
         if isinstance(action, orders.Order):
             self.planner.sent(action.runner)
             self._spawn(self._order(action))
-        elif isinstance(action, planner.Probe):
+        elif isinstance(action, planning.Probe):
             self._spawn(self._probe(action))
-        elif isinstance(action, planner.ReadList):
+        elif isinstance(action, planning.ReadList):
             self._read_list()
         else:
             _LOG.info(
@@ -141,7 +142,7 @@
             membership = None
         self._view.take_order(order.runner, begun, membership, now_ms)
 
-    async def _probe(self, probe: planner.Probe) -> None:
+    async def _probe(self, probe: planning.Probe) -> None:
         await self.ask(probe.runner, probe.reason)
 
     async def ask(self, runner_id: str, reason: str) -> bool:
--- /dev/null
+++ b/cardamommill/gateway/loads.py
@@ -0,0 +1,31 @@
+"""How many loads from the weight store may begin."""
+
+from cardamommill.gateway import model, planning
+
+# Part of the permitted rate of loads that the planners use together, so that
+# a second planner after a change of hands stays within the bound.
+LOAD_SHARE = 0.7
+LOAD_WINDOW_MS = 5000.0
+
+
+class LoadLedger:
+    """Counts the loads that one planner began."""
+
+    def __init__(self) -> None:
+        self._loads_ms: list[float] = []
+
+    def note(self, count: int, now_ms: float) -> None:
+        """Notes that loads begin."""
+        self._loads_ms += [now_ms] * count
+
+    def may_load(self, engine: model.Engine, scope: planning.Scope,
+                 now_ms: float) -> bool:
+        """Whether one more keeps to this planner's part of the rate."""
+        if scope.in_lead:
+            return True
+        self._loads_ms = [
+            each for each in self._loads_ms if now_ms - each < LOAD_WINDOW_MS
+        ]
+        limit = (LOAD_SHARE * engine.loads_per_s * LOAD_WINDOW_MS / 1000 *
+                 len(scope.data_centres) / scope.count)
+        return len(self._loads_ms) + 1 <= limit
--- /dev/null
+++ b/cardamommill/gateway/planning.py
@@ -0,0 +1,87 @@
+"""Types of planning: actions, formations, and for whom it is done."""
+
+import dataclasses
+
+from cardamommill.gateway import fleetview, model, orders
+
+# A join of the model that the runner's last group had.
+REJOIN_MS = 200.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a runner for its report."""
+
+    runner: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadList:
+    """Reads the list of runners now: a report would be older."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """Tells all nodes that a group serves."""
+
+    key: model.GroupKey
+    service: str
+    model: str
+    head: str
+    took_ms: float
+
+
+Action = orders.Order | Probe | ReadList | Opened
+
+
+@dataclasses.dataclass(slots=True)
+class Formation:
+    """A group on its way to serving."""
+
+    key: model.GroupKey
+    service: str
+    model: model.ServedModel
+    members: tuple[str, ...]
+    begun_ms: float
+    due_ms: float
+    loads: int = 0
+    probe_ms: float = 0.0
+    open_sent_ms: float = 0.0
+    open_accepted_ms: float = 0.0
+    open_tries: int = 0
+    refused: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """For whom a planner plans at this moment.
+
+    Attributes:
+        data_centres: Those whose runners it orders.
+        count: How many data centres there are; they share limits.
+        in_lead: Whether no request has come yet: loads are cheap then.
+        in_flight: Requests of all nodes per group.
+    """
+
+    data_centres: frozenset[str]
+    count: int
+    in_lead: bool
+    in_flight: dict[model.GroupKey, int]
+
+
+def is_ready(known: fleetview.Known, key: model.GroupKey) -> bool:
+    """Whether a runner says that it is ready in a group, or serves."""
+    membership = known.membership
+    return (membership is not None and membership.key == key and
+            membership.state
+            in (model.MemberState.READY, model.MemberState.OPEN))
+
+
+def join_ms(known: fleetview.Known, served: model.ServedModel) -> float:
+    """Returns what it takes a runner to join a group of a model."""
+    if known.last_model == served.name:
+        return REJOIN_MS
+    if served.name in known.standing.staged:
+        return served.warm_ms
+    return served.load_ms
--- /dev/null
+++ b/cardamommill/gateway/spares.py
@@ -0,0 +1,101 @@
+"""Which models the hosts of free runners load ahead of need."""
+
+from collections.abc import Iterator
+import math
+
+from cardamommill.gateway import fleetview, loads, model, orders, planning
+
+
+class Spares:
+    """Free runners and what is staged on their hosts."""
+
+    def __init__(self, view: fleetview.FleetView,
+                 ledger: loads.LoadLedger) -> None:
+        self._view = view
+        self._ledger = ledger
+        self._staging: dict[str, tuple[str, float]] = {}
+
+    def is_staging(self, runner: str) -> bool:
+        """Whether its host is loading."""
+        return runner in self._staging
+
+    def give_up(self, runner: str) -> None:
+        """Notes that an order to load was refused."""
+        self._staging.pop(runner, None)
+
+    def stage(self, engine: model.Engine, scope: planning.Scope,
+              free: list[fleetview.Known],
+              now_ms: float) -> Iterator[planning.Action]:
+        """Returns orders to load for the free runners of one domain."""
+        held: dict[str, int] = {each.name: 0 for each in engine.models}
+        for known in free:
+            name = self.warm_model(known)
+            if name in held:
+                held[name] += 1
+        for known in self._idle(engine, free, held):
+            if not self._ledger.may_load(engine, scope, now_ms):
+                return
+            before = self.warm_model(known)
+            served = self._wanted(engine, held, len(free))
+            if served.name == before:
+                continue
+            if before in held:
+                held[before] -= 1
+            held[served.name] += 1
+            self._staging[known.runner.id] = (served.name,
+                                              now_ms + 2 * served.load_ms)
+            self._ledger.note(1, now_ms)
+            yield orders.Order(known.runner.id,
+                               orders.Operation.STAGE,
+                               model=served.name,
+                               expected_seq=known.orders_begun,
+                               reason=f"held in the domain: {held}")
+
+    def _idle(self, engine: model.Engine, free: list[fleetview.Known],
+              held: dict[str, int]) -> list[fleetview.Known]:
+        """Returns runners whose host may load something else, blank ones first.
+
+        One that holds a model may load another only where enough runners are
+        free for a group of either and no whole group can be made: it would
+        wait for ever for partners.
+        """
+        blank = [each for each in free if not self.warm_model(each)]
+        sizes = {each.name: each.size for each in engine.models}
+        stuck = len(free) >= min(sizes.values()) and all(
+            count < sizes[name] for name, count in held.items())
+        if blank or not stuck or any(
+                each.runner.id in self._staging for each in free):
+            return blank
+        best = max(held, key=lambda name: (held[name] / sizes[name], name))
+        missing = sizes[best] - held[best]
+        others = [each for each in free if self.warm_model(each) != best]
+        return others[:missing] if len(others) >= missing else []
+
+    def _wanted(self, engine: model.Engine, held: dict[str, int],
+                free: int) -> model.ServedModel:
+        # What lacks the fewest runners to a whole group comes first, where
+        # there are enough of them; else the model with the fewest spares.
+        def key(served: model.ServedModel) -> tuple[float, float]:
+            count = held[served.name]
+            missing = served.size - count
+            reachable = 0 < missing < served.size and free >= served.size
+            return (missing if reachable else math.inf,
+                    count / max(served.share, 1e-6))
+
+        return min(engine.models, key=key)
+
+    def warm_model(self, known: fleetview.Known) -> str:
+        """Returns the model that a runner is quick to serve, if any."""
+        if known.runner.id in self._staging:
+            return self._staging[known.runner.id][0]
+        if known.standing.staged:
+            return known.standing.staged[-1]
+        return known.last_model
+
+    def forget_staged(self, now_ms: float) -> None:
+        """Forgets orders to load that are done, or were lost."""
+        for runner_id, (name, until_ms) in list(self._staging.items()):
+            known = self._view.known.get(runner_id)
+            done = known is not None and name in known.standing.staged
+            if known is None or done or now_ms > until_ms:
+                del self._staging[runner_id]
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -2,11 +2,11 @@
 
 import collections
 
-from cardamommill.gateway import model, orders, planner
+from cardamommill.gateway import model, orders, planner, planning
 from tests.gateway import builders
 
-SCOPE = planner.Scope(frozenset({"a"}), 1, False, {})
-LEAD = planner.Scope(frozenset({"a"}), 1, True, {})
+SCOPE = planning.Scope(frozenset({"a"}), 1, False, {})
+LEAD = planning.Scope(frozenset({"a"}), 1, True, {})
 STATE = model.MemberState
 
 
@@ -138,7 +138,7 @@
     bench.view.take_list(left, bench.now_ms + 10)
     actions = bench.step()
     assert not ordered(actions, orders.Operation.LEAVE)
-    assert planner.Probe(gone, "left the list") in actions
+    assert planning.Probe(gone, "left the list") in actions
 
 
 def test_group_with_a_leaving_member_ends_when_it_is_empty():
@@ -151,7 +151,8 @@
                         staged=("large",)) for each in warm(5)
     ]
     bench.view.take_list(leaving, bench.now_ms + 10)
-    bench.scope = planner.Scope(frozenset({"a"}), 1, False, {joins[0].group: 3})
+    bench.scope = planning.Scope(frozenset({"a"}), 1, False,
+                                 {joins[0].group: 3})
     assert not ordered(bench.step(1500), orders.Operation.LEAVE)
     bench.scope = SCOPE
     assert ordered(bench.step(), orders.Operation.LEAVE)
--- a/tests/gateway/test_planner_machine.py
+++ b/tests/gateway/test_planner_machine.py
@@ -9,7 +9,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from cardamommill.gateway import fleetview, model, orders, planner
+from cardamommill.gateway import fleetview, model, orders, planner, planning
 from tests.gateway import builders
 
 STATE = model.MemberState
@@ -111,13 +111,13 @@
 
     def plan_once(self, which, fate):
         self.now_ms += 60
-        scope = planner.Scope(frozenset({"a"}), 1, False, {})
+        scope = planning.Scope(frozenset({"a"}), 1, False, {})
         actions = self.planners[which].step(builders.service(), scope,
                                             self.now_ms)
         for number, action in enumerate(actions):
-            if isinstance(action, planner.Probe):
+            if isinstance(action, planning.Probe):
                 self.report(which, action.runner)
-            elif isinstance(action, planner.ReadList):
+            elif isinstance(action, planning.ReadList):
                 self.take_rows(which)
             elif isinstance(action, orders.Order):
                 self.order(which, action, fate[number % len(fate)])
