--- /dev/null
+++ b/cardamommill/gateway/dispatcher.py
@@ -0,0 +1,321 @@
+"""Finds each request its runner and keeps count of what is under way."""
+
+from collections.abc import Callable, Coroutine
+import random
+from typing import Any
+
+import logbook
+
+from cardamommill import logs, metrics
+from cardamommill.gateway import (
+    attempts,
+    clock,
+    entrysettings,
+    fleetview,
+    flights,
+    freshness,
+    model,
+    peers,
+    placing,
+    platformreader,
+    relay,
+    retrybudget,
+    routetable,
+    silence,
+    standing,
+    upstream,
+)
+
+# A group that failed a request is left alone until its members were asked.
+FAULT_AVOID_MS = 300.0
+# A runner that failed a request comes last for this long.
+RUNNER_FAULT_MS = 1000.0
+# A peer is asked for its confirmation once the own one is this old.
+OWN_CONFIRMATION_MS = 1500.0
+
+_LOG = logbook.Logger("requests")
+
+
+class Dispatcher:
+    """What requests need of their node; see `relay.Surroundings`."""
+
+    def __init__(self, settings: entrysettings.EntrySettings,
+                 pool: upstream.Pool, view: fleetview.FleetView,
+                 reader: platformreader.PlatformReader,
+                 fresh: freshness.Freshness, others: peers.Peers,
+                 figures: metrics.Metrics,
+                 spawn: Callable[[Coroutine[Any, Any, None]], None]) -> None:
+        """Makes it; `on_fault` and `expected_ms` are set by its owner."""
+        self._settings = settings
+        self.pool = pool
+        self.spawn = spawn
+        self._view = view
+        self._reader = reader
+        self._freshness = fresh
+        self._peers = others
+        self._metrics = figures
+        self._chance = random.Random(settings.node)
+        self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
+        self._own_runners: dict[str, int] = {}
+        self._runner_faults_ms: dict[str, float] = {}
+        self._peer_load: dict[model.GroupKey, flights.GroupLoad] = {}
+        self.flights = flights.Flights()
+        self.standing = standing.StandingGroups(view)
+        self.silence = silence.SilenceDetector()
+        # Who looks into a group that failed a request.
+        self.on_fault: Callable[[model.GroupKey, str], None] = _nobody
+        # When a group that is missing should stand again.
+        self.expected_ms: Callable[[], float] = _soon
+
+    def reload(self, settings: entrysettings.EntrySettings) -> None:
+        """Takes changed settings."""
+        self._settings = settings
+        self._budgets.clear()
+
+    def relays_at(self, key: model.GroupKey) -> list[relay.Relay]:
+        """Returns this node's requests at a group."""
+        return list(self._relays.get(key, ()))
+
+    def look_at_peers(self, now_ms: float) -> None:
+        """Takes what peers told last of their load."""
+        self._peer_load = self._peers.in_flight(now_ms)
+
+    def in_flight(self) -> dict[model.GroupKey, int]:
+        """Returns the requests of all nodes at each group."""
+        found = {
+            key: load.requests + load.patient
+            for key, load in self._peer_load.items()
+        }
+        for key, relays in self._relays.items():
+            found[key] = found.get(key, 0) + len(relays)
+        return found
+
+    def forget(self, now_ms: float) -> None:
+        """Forgets old faults."""
+        for runner, at_ms in list(self._runner_faults_ms.items()):
+            if now_ms - at_ms > 10 * RUNNER_FAULT_MS:
+                del self._runner_faults_ms[runner]
+
+    def table(self) -> routetable.RouteTable | None:
+        """Returns the configuration in force."""
+        return self._reader.table
+
+    def config_age_ms(self) -> float:
+        """Returns for how long a newer one may have been accepted."""
+        self._confirm_by_peers()
+        return self._freshness.age_ms(clock.now_ms())
+
+    def keys_may_be_trusted(self) -> bool:
+        """Whether no key can have been taken away for too long."""
+        self._confirm_by_peers()
+        return self._freshness.keys_may_be_trusted(clock.now_ms())
+
+    def _confirm_by_peers(self) -> None:
+        now_ms = clock.now_ms()
+        if self._reader.table is None or (self._freshness.age_ms(now_ms)
+                                          < OWN_CONFIRMATION_MS):
+            return
+        version = self._reader.table.configuration.version
+        as_of_ms = self._peers.confirmed_ms(version, now_ms)
+        self._freshness.confirm(min(as_of_ms, now_ms))
+
+    def find_target(self, one: relay.Relay) -> relay.Target | placing.Refused:
+        """Returns where a request goes next."""
+        table = self._reader.table
+        assert table is not None and one.route is not None
+        refused = placing.Refused("no service", relay.DEFAULT_RETRY_AFTER_MS)
+        for name in routetable.backends_in_order(one.route, self._chance):
+            service = table.configuration.services.get(name)
+            if service is None:
+                continue
+            if service.engine is not None and one.model_name:
+                found = self._find_group(one, service, service.engine)
+            else:
+                found = self._find_runner(one, service)
+            if isinstance(found, relay.Target):
+                one.service = name
+                return found
+            refused = found
+        return refused
+
+    def _find_group(self, one: relay.Relay, service: model.Service,
+                    engine: model.Engine) -> relay.Target | placing.Refused:
+        now_ms = clock.now_ms()
+        served = engine.model(one.model_name)
+        if served is None:
+            return placing.Refused("no such model",
+                                   relay.DEFAULT_RETRY_AFTER_MS)
+        heads: dict[model.GroupKey, fleetview.Known] = {}
+        candidates = []
+        for each in self.standing.of_model(service.name, served.name):
+            heads[each.key] = each.head
+            load = self.flights.load(each.key).plus(
+                self._peer_load.get(each.key, flights.NO_LOAD))
+            candidates.append(
+                placing.Candidate(
+                    key=each.key,
+                    head=each.head.runner.id,
+                    in_flight=load.requests,
+                    patient=load.patient,
+                    places=engine.slots,
+                    pace=served.pace *
+                    max(1.0, each.pace,
+                        engine.far_factor if each.is_far else 1.0),
+                    away=(each.head.runner.data_centre
+                          != self._settings.data_centre),
+                    avoided=(each.retiring or
+                             self.standing.is_avoided(each.key, now_ms)),
+                    reading_tokens=load.unread_tokens))
+        excluded = frozenset(
+            each.key for each in one.tried if each.key is not None)
+        placed = placing.place(engine, one.work, candidates, excluded,
+                               one.wish(self._chance.random()),
+                               self.expected_ms())
+        if isinstance(placed, placing.Refused):
+            return placed
+        key = placed.candidate.key
+        return relay.Target(heads[key], key, placed)
+
+    def _find_runner(self, one: relay.Relay,
+                     service: model.Service) -> relay.Target | placing.Refused:
+        now_ms = clock.now_ms()
+        tried = {each.known.runner.id for each in one.tried}
+        usable = [
+            each for each in self._view.of_service(service.name)
+            if each.usable and each.runner.id not in tried
+        ]
+        if not usable:
+            return placing.Refused("no runner", relay.DEFAULT_RETRY_AFTER_MS)
+
+        def cost(known: fleetview.Known) -> tuple[bool, float, bool, float]:
+            runner = known.runner
+            fault_ms = self._runner_faults_ms.get(runner.id, float("-inf"))
+            return (now_ms - fault_ms < RUNNER_FAULT_MS,
+                    self._own_runners.get(runner.id, 0) // 2, runner.data_centre
+                    != self._settings.data_centre, self._chance.random())
+
+        return relay.Target(min(usable, key=cost))
+
+    def may_repeat(self, service: str) -> bool:
+        """Whether the retry budget allows one more."""
+        now_ms = clock.now_ms()
+        return self._budget(service).may_repeat(self._peers.nodes(now_ms),
+                                                now_ms)
+
+    def _budget(self, service: str) -> retrybudget.RetryBudget:
+        if service not in self._budgets:
+            bounds = self._settings.bounds
+            self._budgets[service] = retrybudget.RetryBudget(
+                bounds.retry_ratio, bounds.retry_window_s * 1000,
+                bounds.retry_slack)
+        return self._budgets[service]
+
+    def attempt_begins(self, one: relay.Relay, target: relay.Target,
+                       attempt: attempts.Attempt, repeat: bool) -> None:
+        """Notes a try."""
+        del attempt
+        now_ms = clock.now_ms()
+        budget = self._budget(one.service)
+        if repeat:
+            budget.repeat(now_ms)
+            self._metrics.count("repeats_total", service=one.service)
+        else:
+            budget.request(now_ms)
+        runner_id = target.known.runner.id
+        self._own_runners[runner_id] = self._own_runners.get(runner_id, 0) + 1
+        if target.key is None or target.placed is None:
+            return
+        self._relays.setdefault(target.key, {})[one] = None
+        placed = target.placed
+        self.flights.begins(target.key, one.attempt_id, one.work.prompt_tokens,
+                            placed.patient)
+        self.silence.sent(target.key, one.attempt_id, placed.pass_ms,
+                          placed.read_ms, placed.first_event_ms, now_ms)
+
+    def event_came(self, one: relay.Relay, target: relay.Target,
+                   first: bool) -> None:
+        """Notes an event of a stream."""
+        del first
+        if target.key is None:
+            return
+        self.flights.event(target.key, one.attempt_id)
+        self.silence.event(target.key, one.attempt_id, clock.now_ms())
+
+    def attempt_ends(self, one: relay.Relay, target: relay.Target,
+                     outcome: attempts.Outcome) -> None:
+        """Notes the end of a try."""
+        runner_id = target.known.runner.id
+        left = self._own_runners.get(runner_id, 1) - 1
+        if left > 0:
+            self._own_runners[runner_id] = left
+        else:
+            self._own_runners.pop(runner_id, None)
+        self._metrics.count("attempts_total",
+                            service=one.service,
+                            result=outcome.result.value)
+        if target.key is not None:
+            relays = self._relays.get(target.key, {})
+            relays.pop(one, None)
+            if not relays:
+                self._relays.pop(target.key, None)
+            self.flights.ends(target.key, one.attempt_id)
+            self.silence.ended(target.key, one.attempt_id)
+        self._note_fault(one, target, outcome)
+
+    def _note_fault(self, one: relay.Relay, target: relay.Target,
+                    outcome: attempts.Outcome) -> None:
+        fine = (attempts.Result.ANSWERED, attempts.Result.STREAMED,
+                attempts.Result.ABANDONED)
+        if outcome.result in fine:
+            return
+        now_ms = clock.now_ms()
+        _LOG.info(
+            logs.line("attempt-failed",
+                      request=one.attempt_id,
+                      target=target.name,
+                      result=outcome.result.value,
+                      reason=outcome.reason,
+                      events=one.events,
+                      list_age_ms=int(now_ms - self._view.list_as_of_ms)))
+        self._runner_faults_ms[target.known.runner.id] = now_ms
+        if target.key is None:
+            return
+        if outcome.result in (attempts.Result.BROKEN, attempts.Result.UNSENT,
+                              attempts.Result.NOT_RUN):
+            self.standing.avoid(target.key, now_ms + FAULT_AVOID_MS)
+            self.on_fault(target.key, outcome.reason)
+
+    def ended(self, one: relay.Relay, status: int, reason: str) -> None:
+        """Notes the end of a request."""
+        now_ms = clock.now_ms()
+        route = one.route.name if one.route is not None else ""
+        self._metrics.count("requests_total", route=route, status=str(status))
+        arrived_ms = one.request.arrived_ms
+        if one.first_event_ms:
+            self._metrics.observe_ms("first_event",
+                                     one.first_event_ms - arrived_ms,
+                                     route=route)
+        table = self._reader.table
+        _LOG.info(
+            logs.line(
+                "request-ended",
+                request=one.attempt_id,
+                route=route,
+                tenant=one.tenant.name if one.tenant else "",
+                status=status,
+                reason=reason,
+                targets=",".join(each.name for each in one.tried),
+                events=one.events,
+                first_event_ms=int(one.first_event_ms -
+                                   arrived_ms) if one.first_event_ms else "",
+                took_ms=int(now_ms - arrived_ms),
+                version=table.configuration.version if table else 0))
+
+
+def _nobody(key: model.GroupKey, reason: str) -> None:
+    del key, reason
+
+
+def _soon() -> float:
+    return relay.DEFAULT_RETRY_AFTER_MS
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -46,9 +46,8 @@
         self._told_ms = float("-inf")
         self.planner = planner.Planner(view, name)
 
-    @property
     def expected_ms(self) -> float:
-        """When a group that is missing should stand again."""
+        """Returns when a group that is missing should stand again."""
         now_ms = clock.now_ms()
         due = [
             each.due_ms - now_ms for each in self.planner.formations.values()
--- /dev/null
+++ b/cardamommill/gateway/nodelink.py
@@ -0,0 +1,116 @@
+"""Datagrams to and from other nodes, and how nodes find each other."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from cardamommill import exceptions, logs
+from cardamommill.gateway import clock, entrysettings, peermessage, peers
+from cardamommill.platform import storecalls, words
+
+# Five a second to each peer tell a change of load in time for a placement,
+# and cost 1.5 KB/s a peer.
+HEARTBEAT_MS = 200.0
+# The table of nodes is read again this often, and sooner by a node that hears
+# nobody: a new node writes itself there and speaks to all that it finds.
+FIND_MS = 20_000.0
+FIND_ALONE_MS = 2000.0
+FIND_RETRY_MS = 1000.0
+
+_LOG = logbook.Logger("peers")
+
+
+class NodeLink:
+    """Speaks to other nodes."""
+
+    def __init__(
+            self, settings: entrysettings.EntrySettings, others: peers.Peers,
+            compose: Callable[[peers.Peer, float], peermessage.PeerMessage],
+            heard: Callable[[peermessage.PeerMessage, float], None]) -> None:
+        """Makes it.
+
+        Args:
+            settings: Where to listen, and seeds.
+            others: What is known of other nodes.
+            compose: Returns the message for a peer.
+            heard: Takes a message.
+        """
+        self._settings = settings
+        self._peers = others
+        self._compose = compose
+        self._heard = heard
+        self._udp: asyncio.DatagramTransport | None = None
+
+    async def listen(self) -> None:
+        """Begins to hear and to speak."""
+        settings = self._settings
+        self._udp, _ = await asyncio.get_running_loop(
+        ).create_datagram_endpoint(lambda: _Datagrams(self._on_datagram),
+                                   local_addr=(settings.ip, settings.peer_port))
+        self.learn_seeds(settings)
+
+    def learn_seeds(self, settings: entrysettings.EntrySettings) -> None:
+        """Speaks to the nodes that settings name, too."""
+        for seed in settings.seeds:
+            host, _ = entrysettings.address(seed)
+            self._peers.learn((host, settings.peer_port))
+
+    def _on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        now_ms = clock.now_ms()
+        try:
+            message = peermessage.decode(data, address[0])
+        except exceptions.BadPeerMessage as error:
+            _LOG.warning(logs.line("datagram-refused", reason=str(error)))
+            return
+        if self._peers.take(message, address, now_ms):
+            _LOG.info(
+                logs.line("peer-alive",
+                          peer=message.node,
+                          incarnation=message.incarnation))
+        self._heard(message, now_ms)
+
+    def speak(self, now_ms: float, at_once: bool = False) -> None:
+        """Tells peers what is due, or all of them at once."""
+        if self._udp is None:
+            return
+        interval_ms = 0.0 if at_once else HEARTBEAT_MS
+        for peer in self._peers.due(now_ms, interval_ms):
+            message = self._compose(peer, now_ms)
+            self._udp.sendto(peermessage.encode(message), peer.address)
+
+    async def find_nodes(self, store: storecalls.Store) -> None:
+        """Keeps finding nodes by the platform's table; never ends."""
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await store.put(words.NODES_TABLE, self._settings.node,
+                                    self._settings.ip.encode())
+                    registered = True
+                rows = await store.table(words.NODES_TABLE)
+            except exceptions.StoreError as error:
+                _LOG.warning(logs.line("nodes-unread", reason=str(error)))
+                await asyncio.sleep(FIND_RETRY_MS / 1000)
+                continue
+            for row in rows.rows:
+                address = (row.value.decode("ascii", "replace"),
+                           self._settings.peer_port)
+                if self._peers.learn(address):
+                    _LOG.info(logs.line("node-found", node=row.key))
+            alone = not self._peers.alive(clock.now_ms())
+            await asyncio.sleep((FIND_ALONE_MS if alone else FIND_MS) / 1000)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands datagrams over."""
+
+    def __init__(self, take: Callable[[bytes, tuple[str, int]], None]) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._take(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        # A peer without a process: its silence says the same.
+        del exc
