--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -285,6 +285,41 @@
             print(f"== {name}")
             importlib.import_module(f"cardamommill.bench_{name}").main()
 
+    def experiment(self, *files: str, seeds: int = 1, page: str = "") -> str:
+        """Plays whole nodes against a model of the platform, in simulated time.
+
+        Args:
+            *files: Experiments, YAML files; see examples/experiments.
+            seeds: How many runs of each variant.
+            page: A file for a page with plots; none if empty.
+
+        Raises:
+            CommandError: A run broke a rule.
+        """
+        deployments = importlib.import_module(
+            "cardamommill.experiment.deployments")
+        comparing = importlib.import_module("cardamommill.experiment.comparing")
+        played = []
+        for file in files:
+            for each in comparing.play_all(deployments.load(pathlib.Path(file)),
+                                           int(seeds)):
+                played.append(each)
+                print(f"{len(played)}: {', '.join(each.row())}",
+                      file=sys.stderr,
+                      flush=True)
+        if page:
+            importlib.import_module("cardamommill.experiment.page").write(
+                pathlib.Path(page), played)
+        broken = [
+            f"{violation.rule}: {violation.text}" for each in played
+            for violation in each.outcome.violations
+        ]
+        print(comparing.table([each.row() for each in played]))
+        if broken:
+            raise exceptions.CommandError("; ".join(broken[:10]),
+                                          step="experiment")
+        return f"{len(played)} runs, no rule broken"
+
     def trial(self, seed: int = 1, seconds: float = 60) -> None:
         """Lets real processes fail under load, and checks all answers.
 
--- /dev/null
+++ b/cardamommill/experiment/comparing.py
@@ -0,0 +1,92 @@
+"""Plays experiments, with constants of decisions changed to compare them."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import importlib
+from typing import Any
+
+from cardamommill import exceptions
+from cardamommill.experiment import deployments, world
+
+PACKAGE = "cardamommill.gateway"
+COLUMNS = ("experiment", "variant", "seed", "requests", "credit", "worst 4 s",
+           "in aim", "late", "refused", "failed", "calls/s", "broken rules")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """One run and under what it was played."""
+
+    variant: str
+    seed: int
+    outcome: world.Outcome
+    length_s: float
+
+    def row(self) -> tuple[str, ...]:
+        """Returns its line of the table."""
+        outcome = self.outcome
+        return (outcome.name, self.variant, str(self.seed),
+                str(len(outcome.results)), f"{outcome.earned:.3f}",
+                f"{outcome.worst_window():.3f}",
+                *(f"{outcome.share(each):.3f}"
+                  for each in ("in-aim", "late", "refused", "failed")),
+                f"{outcome.store_calls / self.length_s:.1f}",
+                str(len(outcome.violations)))
+
+
+def play_all(deployment: deployments.Deployment,
+             seeds: int) -> Iterator[Played]:
+    """Plays each variant with each seed, as they are asked for."""
+    variants = {"as it is": {}, **deployment.variants}
+    for name, changes in variants.items():
+        for seed in range(deployment.seed, deployment.seed + seeds):
+            with changed(changes):
+                outcome = world.play(deployment, seed)
+            yield Played(name, seed, outcome,
+                         deployment.lead_s + deployment.length_s)
+
+
+@contextlib.contextmanager
+def changed(constants: dict[str, float]) -> Iterator[None]:
+    """Changes named constants of decision modules for a while.
+
+    Args:
+        constants: Such as ``placing.PATIENT_PART`` with a figure.
+
+    Raises:
+        CommandError: There is no such constant.
+    """
+    before: list[tuple[Any, str, Any]] = []
+    try:
+        for path, value in constants.items():
+            module, name = _constant(path)
+            before.append((module, name, getattr(module, name)))
+            setattr(module, name, value)
+        yield
+    finally:
+        for module, name, value in reversed(before):
+            setattr(module, name, value)
+
+
+def _constant(path: str) -> tuple[Any, str]:
+    module_name, _, name = path.partition(".")
+    try:
+        module = importlib.import_module(f"{PACKAGE}.{module_name}")
+    except ImportError:
+        module = None
+    if module is None or not name.isupper() or not hasattr(module, name):
+        raise exceptions.CommandError(
+            f"no constant {path}; such as placing.PATIENT_PART",
+            step="experiment")
+    return module, name
+
+
+def table(rows: list[tuple[str, ...]]) -> str:
+    """Returns rows under their columns."""
+    everything = [COLUMNS, *rows]
+    widths = [max(map(len, column)) for column in zip(*everything, strict=True)]
+    return "\n".join("  ".join(
+        text.ljust(width)
+        for text, width in zip(row, widths, strict=True)).rstrip()
+                     for row in everything)
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -89,6 +89,8 @@
         domains: Fabric domains a data centre.
         runners: Runners a domain.
         plain_runners: Runners of the plain service a data centre.
+        variants: Constants of decision modules that differ, by the name of
+            the variant, such as ``placing.PATIENT_PART``.
     """
 
     name: str
@@ -104,6 +106,7 @@
     models: tuple[ModelSpec, ...]
     kinds: tuple[KindSpec, ...]
     troubles: tuple[Trouble, ...] = ()
+    variants: dict[str, dict[str, float]] = {}
 
     def kind(self, spec: KindSpec) -> modelclients.Kind:
         """Returns a kind of request for the clients."""
