--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -74,7 +74,8 @@
         self._reader = platformreader.PlatformReader(
             storecalls.Store(self.pool,
                              entrysettings.address(settings.platform)),
-            self.view, self._freshness, self._on_table)
+            self.view, self._freshness, settings.bounds.drain_ms,
+            self._on_table)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -9,11 +9,12 @@
 from cardamommill.gateway import clock, fleetview, freshness, model, routetable
 from cardamommill.platform import configurations, entries, storecalls, words
 
-# A feed that is asked to wait longer confirms the configuration too seldom:
-# keys must be known to hold every few seconds.
-FEED_WAIT_MS = 1500
-# The list must be younger than the drain bound of 2 s, with one call lost.
-LIST_INTERVAL_MS = 800.0
+# An unanswered feed confirms nothing: it is asked to wait for this part of the
+# time in which a key that was taken away may still work.
+FEED_PART = 0.5
+# The list is read each such part of the drain bound, so that two reads fall
+# into it.
+LIST_PART = 0.45
 MIN_LIST_MS = 50.0
 # After a call that failed.
 RETRY_MS = 250.0
@@ -25,13 +26,14 @@
     """Reads what the platform says, and says what changed."""
 
     def __init__(self, store: storecalls.Store, view: fleetview.FleetView,
-                 fresh: freshness.Freshness,
+                 fresh: freshness.Freshness, drain_ms: float,
                  on_table: Callable[[routetable.RouteTable], None]) -> None:
         self.store = store
         self.table: routetable.RouteTable | None = None
         self._view = view
         self._fresh = fresh
         self._on_table = on_table
+        self._list_interval_ms = LIST_PART * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
@@ -44,8 +46,9 @@
                 if not version:
                     rows = await self.store.table(words.OPERATOR_TABLE)
                 else:
-                    rows = await self.store.feed(words.OPERATOR_TABLE, version,
-                                                 FEED_WAIT_MS)
+                    rows = await self.store.feed(
+                        words.OPERATOR_TABLE, version,
+                        int(FEED_PART * self._fresh.revoke_ms))
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="op"))
                 version = 0
@@ -110,7 +113,7 @@
                 # reading of all later lists.
                 _LOG.exception(logs.line("list-failed"))
             took_ms = clock.now_ms() - began_ms
-            await self._wait(max(MIN_LIST_MS, LIST_INTERVAL_MS - took_ms))
+            await self._wait(max(MIN_LIST_MS, self._list_interval_ms - took_ms))
 
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
