--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -219,14 +219,30 @@
         """
         return self._shown(("status",), json)
 
-    def explain(self, kind: str, name: str, json: bool = False) -> str:
+    def explain(self,
+                kind: str,
+                name: str,
+                json: bool = False,
+                logs: str = "") -> str:
         """Prints how something is, and how it came to be so.
 
         Args:
             kind: replica, request, vm or service.
             name: Its id.
             json: Whether to print JSON.
+            logs: Files with the output of nodes, separated by commas; from
+                these alone a request is then explained, and no node asked.
+
+        Raises:
+            CommandError: Logs explain requests alone.
         """
+        if logs:
+            if kind != "request":
+                raise exceptions.CommandError("logs explain requests alone",
+                                              step="explain")
+            loglines = importlib.import_module("cardamommill.loglines")
+            paths = [pathlib.Path(each) for each in str(logs).split(",")]
+            return str(loglines.explain_request(str(name), paths))
         return self._shown(("explain", kind, name), json)
 
     def _shown(self, path: tuple[str, ...], as_json: bool) -> str:
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -6,12 +6,13 @@
 import pytest
 
 from cardamommill import documents, settings
+from cardamommill.experiment import deployments
 from tools import pages
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")])
 EXAMPLES = sorted(ROOT.glob("examples/*/*.yaml"))
-TEST_NAME = re.compile(r"(tests/\w+\.py)(?:::(\w+))?(?:::(\w+))?")
+TEST_NAME = re.compile(r"(tests/[\w/]+\.py)(?:::(\w+))?(?:::(\w+))?")
 LINK = re.compile(r"\[[^\]]+\]\(([\w./-]+)(?:#[^)]*)?\)")
 MODULE = re.compile(r"`(\w+)\.py`")
 TARGET = re.compile(r"`make (\w+)")
@@ -44,7 +45,10 @@
 @named(PAGES)
 def test_modules_that_are_named_exist(path):
     for name in MODULE.findall(path.read_text("utf-8")):
-        found = [*ROOT.glob(f"*/{name}.py"), *ROOT.glob(f"{name}.py")]
+        found = [
+            *ROOT.glob(f"*/{name}.py"), *ROOT.glob(f"{name}.py"),
+            *ROOT.glob(f"*/*/{name}.py")
+        ]
         assert found, f"{name}.py"
 
 
@@ -57,7 +61,9 @@
 
 @named(EXAMPLES)
 def test_an_example_has_no_fault(path):
-    if path.name.endswith(".settings.yaml"):
+    if path.parent.name == "experiments":
+        assert path.name == f"{deployments.load(path).name}.yaml"
+    elif path.name.endswith(".settings.yaml"):
         assert path.name == f"{settings.load(path).node}.settings.yaml"
     else:
         document = documents.parse(path.read_text("utf-8"), path.name)
@@ -69,3 +75,24 @@
     told = re.findall(r"`(\w+)`", text.partition("## The modules")[2])
     there = [path.stem for path in ROOT.glob("cardamommill/*.py")]
     assert sorted(told) == sorted(set(there) - {"__init__"})
+
+
+PACKAGES = ("gateway", "platform", "experiment")
+
+
+@pytest.mark.parametrize("package", PACKAGES)
+def test_the_map_names_each_module_of_a_package_once(package):
+    text = (ROOT / "docs" / "HOWITWORKS.md").read_text("utf-8")
+    part = text.partition(f"### `{package}`")[2].partition("\n#")[0]
+    told = re.findall(r"`(\w+)`", part)
+    there = [path.stem for path in ROOT.glob(f"cardamommill/{package}/*.py")]
+    assert sorted(told) == sorted(set(there) - {"__init__"})
+
+
+def test_a_node_imports_no_stand_in_and_no_model_of_the_platform():
+    # They are for trials: a node that carried them would be larger, and might
+    # come to lean on them.
+    for path in ROOT.glob("cardamommill/gateway/*.py"):
+        assert "experiment" not in path.read_text("utf-8"), path
+    for path in ROOT.glob("cardamommill/platform/*.py"):
+        assert "experiment" not in path.read_text("utf-8"), path
