A stopping node takes nothing that it can't finish

Ruled out: the balancer (a data centre's only node keeps getting connections). After it has left the rotation it answers 503, not run, and closes idle connections. The new test fails without the change.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -37,6 +37,8 @@
 # The balancer asks each second and needs two misses.
 LEAVE_ROTATION_MS = 2600.0
 GRACE_MARGIN_MS = 500.0
+# Another node takes the request at once.
+STOPPED_RETRY_AFTER_S = 0.05
 
 _LOG = logbook.Logger("entry")
 
@@ -161,6 +163,16 @@
     def _on_request(self, request: callers.CallerRequest,
                     reply: callers.Reply) -> callers.Serving | None:
         self._requests_seen = True
+        if self._has_left_rotation(clock.now_ms()):
+            # It could not be finished before the process is ended by force: a
+            # stream that began 6 s after SIGTERM was cut in the middle.
+            reply.whole(503, [("Retry-After", f"{STOPPED_RETRY_AFTER_S:.3f}")],
+                        b"this node is stopping; not run\n")
+            self.metrics.count("requests_refused_stopping_total")
+            _LOG.info(
+                logs.line("request-refused-stopping",
+                          request=request.get(words.ATTEMPT_ID)))
+            return None
         one = relay.Relay(self._requests, request, reply)
         if not one.begin():
             return None
@@ -301,8 +313,14 @@
         _LOG.info(logs.line("stopping", why=why, busy=self._server.busy))
         self._speak_at_once()
 
+    def _has_left_rotation(self, now_ms: float) -> bool:
+        return (self._stopping_ms > 0 and
+                now_ms - self._stopping_ms > LEAVE_ROTATION_MS)
+
     def _maybe_end(self, now_ms: float) -> None:
         since_ms = now_ms - self._stopping_ms
+        if self._has_left_rotation(now_ms):
+            self._server.close_idle()
         grace_ms = self._settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
         if since_ms > grace_ms or (since_ms > LEAVE_ROTATION_MS and
                                    not self._server.busy):
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -4,13 +4,16 @@
 happens on an ordinary bad day, at a small size.
 """
 
+import asyncio
 import pathlib
+import signal
 
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.experiment import deployments, world
-from cardamommill.gateway import freshness, relay
+from cardamommill.experiment import deployments, oracle, virtualloop, world
+from cardamommill.gateway import freshness, relay, upstream
+from cardamommill.platform import words
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
 MODELS = (deployments.ModelSpec(name="large", size=4, share=0.57),
@@ -140,6 +143,60 @@
     assert {"TWICE", "REFUSED"} & {each.rule for each in outcome.violations}
 
 
+def test_stopping_node_takes_nothing_that_it_can_not_finish():
+    # SIGTERM comes while a long stream is under way. The node must not end
+    # before it, yet each new request keeps it longer, until the process is
+    # ended by force in the middle of one. Late ones are told that they have
+    # not run.
+    deployment = deployments.Deployment(name="test",
+                                        lead_s=9,
+                                        length_s=1,
+                                        places={"a": 1},
+                                        models=MODELS,
+                                        kinds=KINDS)
+    status = {}
+
+    async def script(playing):
+        await playing.begin()
+        await asyncio.sleep(9)
+        playing.spawn("clients-a", ask(playing, "long", 700, status))
+        await asyncio.sleep(0.5)
+        machine = playing.machines["node-a-1"]
+        playing.loop.signal_host(machine.host, signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        await ask(playing, "early", 7, status)
+        await asyncio.sleep(2.0)
+        await ask(playing, "late", 7, status)
+        await asyncio.sleep(4.0)
+
+    async def ask(playing, name, tokens, status):
+        request = upstream.request_bytes("POST", f"/draft/{name}",
+                                         [("Host", "model.example"),
+                                          (words.ATTEMPT_ID, name),
+                                          (words.DEADLINE_MS, "8000"),
+                                          (words.MODEL, "large"),
+                                          (words.TOKEN_COUNTS, f"100,{tokens}"),
+                                          ("Authorization", "Bearer key0")],
+                                         b"x")
+        playing.judge.client_sends(
+            name,
+            oracle.Sent(0, "POST", f"/draft/{name}", b"x", "key0", "tenant0",
+                        "engine", True))
+        with upstream.Pool() as pool:
+            answer = await upstream.fetch(
+                pool, (playing.machines["node-a-1"].host, world.FRONT_PORT),
+                request, 8000)
+        status[name] = (answer.head.status, answer.ending)
+
+    with virtualloop.running(1) as loop:
+        playing = world.World(deployment, 1, loop)
+        loop.run_until_complete(script(playing))
+        assert not playing.judge.violations
+    assert status["long"] == (200, upstream.Ending.COMPLETE)
+    assert status["early"] == (200, upstream.Ending.COMPLETE)
+    assert status["late"][0] == 503
+
+
 def test_examples_are_experiments():
     for path in EXAMPLES.glob("*.yaml"):
         assert deployments.load(path).kinds
