--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -6,6 +6,8 @@
 
 # Between two questions to a member that should be ready by now.
 PROBE_INTERVAL_MS = 120.0
+# Without a list for this long members are asked themselves.
+LIST_STALE_MS = 1500.0
 # A formation that takes this many times what it should is given up.
 PATIENCE = 3.0
 PATIENCE_FLOOR_MS = 3000.0
@@ -72,7 +74,7 @@
         if unready:
             if now_ms >= max(formation.due_ms, formation.probe_ms):
                 formation.probe_ms = now_ms + PROBE_INTERVAL_MS
-                yield planning.ReadList()
+                yield from self._look(unready, now_ms)
             return
         assert head is not None and head.membership is not None
         if head.membership.state is model.MemberState.OPEN:
@@ -100,6 +102,17 @@
             formation.open_sent_ms = 0.0
             yield planning.ReadList()
 
+    def _look(self, unready: list[fleetview.Known],
+              now_ms: float) -> Iterator[planning.Action]:
+        # The list is told at once and reports are old, but a node that is cut
+        # off from the store would wait for the list for as long as that lasts:
+        # a group stood ready and unopened for 8 s.
+        if now_ms - self._view.list_as_of_ms < LIST_STALE_MS:
+            yield planning.ReadList()
+            return
+        for each in unready:
+            yield planning.Probe(each.runner.id, "should be ready")
+
     def _fault(self, formation: planning.Formation,
                members: list[fleetview.Known | None], now_ms: float) -> str:
         if formation.refused:
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -76,6 +76,17 @@
     assert [each.runner for each in opens] == [joins[0].runner]
 
 
+def test_members_are_asked_where_the_list_does_not_come():
+    # The planner's node is cut off from the store while a group forms. Its
+    # members are ready and say so only in the list; nobody opens the group.
+    bench = Bench(warm(5))
+    for order in ordered(bench.step(), orders.Operation.JOIN):
+        bench.accept(order)
+    actions = bench.step(3000)
+    probes = [each for each in actions if isinstance(each, planning.Probe)]
+    assert len(probes) == 4
+
+
 def test_every_join_names_the_count_of_orders():
     bench = Bench(warm(5))
     for number in range(1, 6):
