--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -6,6 +6,11 @@
 from cardamommill.gateway.attempts import Result
 
 
+def test_only_a_try_that_surely_did_not_run_counts_as_that():
+    assert {each for each in Result if not endings.may_have_run(each)
+           } == {Result.NOT_RUN, Result.UNSENT}
+
+
 def test_request_that_may_have_run_is_never_said_not_to_have():
     for result, repeatable, elsewhere in itertools.product(
             Result, (True, False), (True, False)):
--- /dev/null
+++ b/tests/gateway/test_standing.py
@@ -0,0 +1,83 @@
+"""Tests of which groups take requests."""
+
+import pytest
+
+from cardamommill.gateway import model, standing
+from tests.gateway import builders
+
+KEY = model.GroupKey("g", 3)
+STATE = model.MemberState
+
+
+def members(head_state=STATE.OPEN, row_version=1, **changes):
+    states = [head_state, STATE.READY, STATE.READY, STATE.READY]
+    return [
+        builders.runner(number,
+                        row_version,
+                        membership=builders.member(KEY, number, state),
+                        served="large",
+                        domain=changes.get("domains", ["d"] * 4)[number],
+                        leaving=number == changes.get("leaving", -1))
+        for number, state in enumerate(states)
+    ]
+
+
+def groups(view):
+    return list(standing.StandingGroups(view).of_model("llm", "large"))
+
+
+def test_open_group_takes_requests():
+    (found,) = groups(builders.view(*members()))
+    assert found.key == KEY and found.head.runner.id == "i-0"
+    assert not found.is_far and not found.retiring
+
+
+@pytest.mark.parametrize(
+    "state", [STATE.JOINING, STATE.READY, STATE.CLOSING, STATE.BROKEN])
+def test_group_that_is_not_open_takes_none(state):
+    assert not groups(builders.view(*members(state)))
+
+
+def test_group_whose_head_is_leaving_takes_none():
+    # A leaving backend server may get nothing 2 s after it said so; its group
+    # is ended only once its requests are done.
+    assert not groups(builders.view(*members(leaving=0)))
+
+
+def test_group_with_a_leaving_member_is_the_last_choice():
+    (found,) = groups(builders.view(*members(leaving=2)))
+    assert found.retiring
+
+
+def test_group_with_a_member_that_does_not_answer_takes_none():
+    view = builders.view(*members())
+    view.take_silence("i-2", 2000)
+    assert not groups(view)
+
+
+def test_group_whose_head_left_the_list_takes_none():
+    view = builders.view(*members())
+    view.take_list(members()[1:], 2000)
+    assert not groups(view)
+
+
+def test_group_over_two_domains_is_known_as_slow():
+    (found,) = groups(builders.view(*members(domains=["d", "d", "d", "e"])))
+    assert found.is_far
+
+
+def test_change_of_belief_is_seen_at_once():
+    view = builders.view(*members())
+    found = standing.StandingGroups(view)
+    assert found.of_model("llm", "large")
+    view.take_silence("i-1", 2000)
+    assert not found.of_model("llm", "large")
+
+
+def test_alarm_is_heeded_for_its_time_or_until_it_is_taken_back():
+    found = standing.StandingGroups(builders.view(*members()))
+    found.avoid(KEY, 1000)
+    assert found.is_avoided(KEY, 999) and not found.is_avoided(KEY, 1000)
+    found.avoid(KEY, 3000)
+    found.trust(KEY)
+    assert not found.is_avoided(KEY, 2000)
