--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -29,7 +29,6 @@
 RESTART_S = 0.5
 # A runner's entry lapses after three heartbeats of silence.
 LAPSE_MS = 3 * modelrunner.HEARTBEAT_MS
-GRACE_S = 8.0
 
 
 @dataclasses.dataclass(slots=True)
