--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -11,10 +11,11 @@
 
 # An unanswered feed confirms nothing: it is asked to wait for this part of the
 # time in which a key that was taken away may still work.
-FEED_PART = 0.5
+FEED_PART = 0.3
 # The list is read each such part of the drain bound, so that two reads fall
-# into it.
-LIST_PART = 0.45
+# into it. At 0.45 a day of high load earned 0.22 to 0.37 in seven runs, at 0.4
+# 0.25 to 0.61 in four; why so much is not known yet.
+LIST_PART = 0.4
 MIN_LIST_MS = 50.0
 # After a call that failed.
 RETRY_MS = 250.0
