Read checked YAML in one place; drop what nothing uses

Three loaders of YAML files (settings, entry settings, experiments) had the same body; all call settings.load_as now, whose comment on not showing what was found had been lost in the two copies. A request's key was hashed again at each look whether it still holds; its digest is kept. Unused: a constant, two fields, a counter and a method of connections, a property of requests, a parameter.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -5,7 +5,7 @@
 
 import pydantic
 
-from cardamommill import documents, exceptions, yamltext
+from cardamommill import settings
 from cardamommill.experiment import modelclients
 
 
@@ -214,17 +214,4 @@
     Raises:
         SettingsError: Lists every fault in the file.
     """
-    try:
-        return Deployment.model_validate(yamltext.load(path.read_text("utf-8")))
-    except OSError as error:
-        raise exceptions.SettingsError(f"can't be read: {error.strerror}",
-                                       step="experiment",
-                                       peer=str(path)) from error
-    except pydantic.ValidationError as error:
-        raise exceptions.SettingsError(documents.faults(error),
-                                       step="experiment",
-                                       peer=str(path)) from None
-    except ValueError as error:
-        raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step="experiment",
-                                       peer=str(path)) from error
+    return settings.load_as(Deployment, path, "experiment")
--- a/cardamommill/gateway/entrysettings.py
+++ b/cardamommill/gateway/entrysettings.py
@@ -5,7 +5,7 @@
 
 import pydantic
 
-from cardamommill import documents, exceptions, settings, yamltext
+from cardamommill import documents, settings
 
 
 class _Model(pydantic.BaseModel):
@@ -86,18 +86,4 @@
     Raises:
         SettingsError: Lists every fault in the file.
     """
-    try:
-        return EntrySettings.model_validate(
-            yamltext.load(path.read_text("utf-8")))
-    except OSError as error:
-        raise exceptions.SettingsError(f"can't be read: {error.strerror}",
-                                       step="settings",
-                                       peer=str(path)) from error
-    except pydantic.ValidationError as error:
-        raise exceptions.SettingsError(documents.faults(error),
-                                       step="settings",
-                                       peer=str(path)) from None
-    except ValueError as error:
-        raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step="settings",
-                                       peer=str(path)) from error
+    return settings.load_as(EntrySettings, path)
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -76,7 +76,7 @@
                       data_centres=",".join(sorted(scope.data_centres)),
                       lead=scope.in_lead,
                       list_age_ms=int(now_ms - self._view.list_as_of_ms),
-                      **self.planner.summary(service, scope, now_ms)))
+                      **self.planner.summary(service, scope)))
 
     def _act(self, action: planning.Action) -> None:
         if isinstance(action, orders.Order):
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -106,8 +106,7 @@
         """Notes that a runner was asked after an order that it refused."""
         self._pending.discard(order.runner)
 
-    def summary(self, service: str, scope: planning.Scope,
-                now_ms: float) -> dict[str, str]:
+    def summary(self, service: str, scope: planning.Scope) -> dict[str, str]:
         """Returns how the runners of this planner are used, for the log."""
         counts: dict[str, dict[str, int]] = {}
 
@@ -140,8 +139,6 @@
             for kind, names in counts.items()
         }
 
-    # Formations.
-
     # Groups that stand, or did.
 
     def _tend(self, group: fleetview.Group, service: str, engine: model.Engine,
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -120,6 +120,7 @@
         self.attempt_id = request.get(words.ATTEMPT_ID) or ""
         self.route: model.Route | None = None
         self.tenant: model.Tenant | None = None
+        self._key_digest = b""
         self.service = ""
         self.work = _work(request)
         self.model_name = request.get(words.MODEL) or ""
@@ -171,7 +172,8 @@
         if not self._node.keys_may_be_trusted():
             return self._refuse(503, "keys not confirmed for too long",
                                 DEFAULT_RETRY_AFTER_MS)
-        tenant = table.tenant(configurations.key_digest(key.strip()))
+        self._key_digest = configurations.key_digest(key.strip())
+        tenant = table.tenant(self._key_digest)
         if tenant is None:
             if stale:
                 return self._refuse(503, "unknown key in an old view",
@@ -187,8 +189,7 @@
         table = self._node.table()
         if table is None or not self._node.keys_may_be_trusted():
             return False
-        _, _, key = (self.request.get("authorization") or "").partition(" ")
-        return table.tenant(configurations.key_digest(key.strip())) is not None
+        return table.tenant(self._key_digest) is not None
 
     @property
     def ran_maybe(self) -> bool:
@@ -240,11 +241,6 @@
             return
         self._attempt.give_up(attempts.Result.DIVERTED, reason)
 
-    @property
-    def group(self) -> model.GroupKey | None:
-        """The group that it is at."""
-        return self._target.key if self._target is not None else None
-
     async def _serve(self) -> None:
         while True:
             target = await self._next_target()
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -22,7 +22,6 @@
 KEEP_ALIVE_MARGIN_MS = 700
 # For peers that name no time-out.
 DEFAULT_KEEP_ALIVE_MS = 3000
-READ_BYTES_LIMIT = 1 << 16
 
 
 class Ending(enum.Enum):
@@ -84,7 +83,6 @@
         self._tainted = False
         self._informational = False
         self.idle_until_ms = 0.0
-        self.idle_since_ms = 0.0
 
     @property
     def usable(self) -> bool:
@@ -202,9 +200,7 @@
         if unsent or not self._parser.should_keep_alive():
             self._tainted = True
         timeout = _keep_alive_ms(self._head)
-        now_ms = clock.now_ms()
-        self.idle_since_ms = now_ms
-        self.idle_until_ms = now_ms + timeout - KEEP_ALIVE_MARGIN_MS
+        self.idle_until_ms = clock.now_ms() + timeout - KEEP_ALIVE_MARGIN_MS
 
     def _finish(self, ending: Ending, reason: str) -> None:
         receiver, self._receiver = self._receiver, None
@@ -235,7 +231,6 @@
     def __init__(self) -> None:
         self._idle: dict[Address, list[Connection]] = {}
         self._opening: set[asyncio.Task[None]] = set()
-        self.opened = 0
 
     def __enter__(self) -> "Pool":
         return self
@@ -271,14 +266,8 @@
             self._open_and_send(address, request, receiver, exchange))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
-        exchange.opening = task
         return exchange
 
-    def forget(self, address: Address) -> None:
-        """Closes the idle connections to a peer."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
-
     def idle_count(self) -> int:
         """Returns how many connections stand idle."""
         return sum(map(len, self._idle.values()))
@@ -320,7 +309,6 @@
                 receiver.on_end(Ending.NOT_SENT,
                                 f"connect: {error or 'timed out'}")
             return
-        self.opened += 1
         if exchange.cancelled:
             connection.close()
             return
@@ -333,7 +321,6 @@
 
     def __init__(self) -> None:
         self.connection: Connection | None = None
-        self.opening: asyncio.Task[None] | None = None
         self.cancelled = False
 
     @property
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -1,7 +1,7 @@
 """The settings of a node: one YAML file, checked whole."""
 
 import pathlib
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import pydantic
 
@@ -11,6 +11,8 @@
                     pydantic.StringConstraints(
                         pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 
+_T = TypeVar("_T", bound=pydantic.BaseModel)
+
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -182,22 +184,36 @@
     Args:
         path: A YAML file.
 
+    Raises:
+        SettingsError: Lists every fault in the file.
+    """
+    return load_as(Settings, path)
+
+
+def load_as(kind: type[_T], path: pathlib.Path, step: str = "settings") -> _T:
+    """Returns what a YAML file holds, checked whole.
+
+    Args:
+        kind: The model that it is checked against.
+        path: The file.
+        step: What it is read for; errors carry it.
+
     Raises:
         SettingsError: Lists every fault in the file.
     """
     try:
-        return Settings.model_validate(yamltext.load(path.read_text("utf-8")))
+        return kind.model_validate(yamltext.load(path.read_text("utf-8")))
     except OSError as error:
         raise exceptions.SettingsError(f"can't be read: {error.strerror}",
-                                       step="settings",
+                                       step=step,
                                        peer=str(path)) from error
     except pydantic.ValidationError as error:
         # Not "from error": pydantic's text shows what it found, and a key
         # written into the wrong field would reach the log with a traceback.
         raise exceptions.SettingsError(documents.faults(error),
-                                       step="settings",
+                                       step=step,
                                        peer=str(path)) from None
     except ValueError as error:
         raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step="settings",
+                                       step=step,
                                        peer=str(path)) from error
