Keep no figures of a try that nobody reads

A clock was read at each event of a stream for a field that nothing used; two parameters of what a relay tells its node were thrown away by the receiver. Behaviour is as before; formatter, linter, types and the tests of gateway, platform and experiment pass.

--- a/cardamommill/gateway/attempts.py
+++ b/cardamommill/gateway/attempts.py
@@ -5,7 +5,7 @@
 import enum
 from typing import Protocol
 
-from cardamommill.gateway import clock, eventcutter, upstream
+from cardamommill.gateway import eventcutter, upstream
 from cardamommill.platform import words
 
 # The largest answer that is not a stream.
@@ -61,9 +61,6 @@
         self.done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future())
         self.exchange: upstream.Exchange | None = None
-        self.events = 0
-        self.last_event_ms = 0.0
-        self.head_ms = 0.0
         self._attempt_id = attempt_id
         self._streaming = streaming
         self._sink = sink
@@ -90,7 +87,6 @@
         if echo is not None and echo != self._attempt_id:
             return False
         self._head = head
-        self.head_ms = clock.now_ms()
         if self._streaming and head.status == _OK_FIRST and (
                 self._sound_success()):
             self._cutter = eventcutter.EventCutter()
@@ -114,8 +110,6 @@
             if not self._sink.on_event(self._head, event):
                 self._break("an event that does not follow the last")
                 return
-            self.events += 1
-            self.last_event_ms = clock.now_ms()
 
     def on_end(self, ending: upstream.Ending, reason: str) -> None:
         """Takes the end of the exchange."""
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -212,9 +212,8 @@
         return self._budgets[service]
 
     def attempt_begins(self, one: relay.Relay, target: relay.Target,
-                       attempt: attempts.Attempt, repeat: bool) -> None:
+                       repeat: bool) -> None:
         """Notes a try."""
-        del attempt
         now_ms = clock.now_ms()
         budget = self._budget(one.service)
         if repeat:
@@ -233,10 +232,8 @@
         self.silence.sent(target.key, one.attempt_id, placed.pass_ms,
                           placed.read_ms, placed.first_event_ms, now_ms)
 
-    def event_came(self, one: relay.Relay, target: relay.Target,
-                   first: bool) -> None:
+    def event_came(self, one: relay.Relay, target: relay.Target) -> None:
         """Notes an event of a stream."""
-        del first
         if target.key is None:
             return
         self.flights.event(target.key, one.attempt_id)
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -95,14 +95,14 @@
         """Whether the retry budget allows one more."""
 
     def attempt_begins(self, relay: "Relay", target: Target,
-                       attempt: attempts.Attempt, repeat: bool) -> None:
+                       repeat: bool) -> None:
         """Notes a try."""
 
     def attempt_ends(self, relay: "Relay", target: Target,
                      outcome: attempts.Outcome) -> None:
         """Notes the end of a try."""
 
-    def event_came(self, relay: "Relay", target: Target, first: bool) -> None:
+    def event_came(self, relay: "Relay", target: Target) -> None:
         """Notes an event of a stream."""
 
     def ended(self, relay: "Relay", status: int, reason: str) -> None:
@@ -280,7 +280,7 @@
         attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
         self._attempt = attempt
         self._target = target
-        self._node.attempt_begins(self, target, attempt, bool(self.tried))
+        self._node.attempt_begins(self, target, bool(self.tried))
         self.tried.append(target)
         runner = target.known.runner
         now_ms = clock.now_ms()
@@ -343,7 +343,7 @@
     def on_event(self, head: upstream.Head, event: eventcutter.Event) -> bool:
         """Passes an event on, if it is the next one."""
         assert self._target is not None
-        self._node.event_came(self, self._target, not self.events)
+        self._node.event_came(self, self._target)
         if event.id is not None:
             if self.last_event_id is not None:
                 if event.id <= self.last_event_id:
