Leave attempts at a runner that stands still; keep runners' ports

Cause, test_runner_stopped: a repeatable request that was at a runner when it stopped kept its open connection until the caller's deadline (30 s), though its replica was known to serve no more and others could take it. Cause, test_shutdown_with_fifty_streams: runners listened on ports that outgoing connections get, so while one was down a connection could take its port and its next life ended at its start; nobody waited for that life. Ruled out: a runner slow to start (the tests between take seconds).

Change: the requests controller looks four times a second for attempts at replicas that serve no more, and the shell ends those of which nothing came for as long as evidence lasts. Launched stand-ins listen below the range of outgoing connections, and a restart waits until it takes requests.

--- a/cardamommill/actions.py
+++ b/cardamommill/actions.py
@@ -165,6 +165,23 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonAttempt(Action):
+    """Ends an attempt if it is silent; its `events.AttemptEnded` follows.
+
+    Attributes:
+        request_id: Whose.
+        attempt_id: Which; nothing happens if it has ended.
+        silent_ms: How long nothing may have come of it.
+        reason: Why, for the journal.
+    """
+
+    request_id: str
+    attempt_id: str
+    silent_ms: int
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse(Action):
     """Gives the caller its final answer, at once.
--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -143,6 +143,7 @@
         self._sink = sink
         self._post = post
         self._started_ms = loop.now_ms()
+        self._heard_ms = self._started_ms
         self._first_byte_ms = 0
         self._sent = False
         self._lost = False
@@ -186,6 +187,7 @@
     def take_header(self, line: bytes) -> int | None:
         """Takes a line of the answer's head from curl."""
         self._header_bytes += len(line)
+        self._heard_ms = loop.now_ms()
         if self._header_bytes > MAX_HEADER_BYTES:
             self._stopped = "the answer's head is too large"
             return _STOP
@@ -227,6 +229,7 @@
 
     def take_body(self, data: bytes) -> int | None:
         """Takes a part of the answer's body from curl."""
+        self._heard_ms = loop.now_ms()
         if self._held is not None:
             self._held += data
             if len(self._held) > MAX_REFUSAL_BYTES:
@@ -244,6 +247,13 @@
             return _STOP
         return None
 
+    def stop_if_silent(self, silent_ms: int, reason: str) -> bool:
+        """Marks it as given up if nothing came for so long; True if so."""
+        if loop.now_ms() - self._heard_ms < silent_ms:
+            return False
+        self._stopped = reason
+        return True
+
     def finish(self, error: int, detail: str) -> events.AttemptEnded:
         """Returns how the attempt ended.
 
--- a/cardamommill/exchange.py
+++ b/cardamommill/exchange.py
@@ -150,6 +150,11 @@
                     live.attempt_id = ""
             self._forget_if_over(live)
 
+    @perform.register
+    def _(self, action: actions.AbandonAttempt) -> None:
+        self._replicas.abandon(action.attempt_id, action.silent_ms,
+                               action.reason)
+
     @perform.register
     def _(self, action: actions.Refuse) -> None:
         live = self._forget(action.request_id)
--- a/cardamommill/inprogress.py
+++ b/cardamommill/inprogress.py
@@ -108,6 +108,12 @@
             ]
             heapq.heapify(self._deadlines)
 
+    def running(self) -> Iterator[InProgress]:
+        """Yields the requests that run at a replica."""
+        for request in self._by_id.values():
+            if request.stage is requesting.Stage.RUNNING:
+                yield request
+
     def wake(self, request_id: str, at_ms: int) -> None:
         """Has `due` yield a request at a time."""
         heapq.heappush(self._deadlines, (at_ms, request_id))
--- a/cardamommill/launching.py
+++ b/cardamommill/launching.py
@@ -99,6 +99,7 @@
         self.runner_addresses: dict[str, str] = {}
         self.platform_address = ""
         self._ports: set[int] = set()
+        self._runner_ports: dict[str, int] = {}
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> Self:
@@ -109,7 +110,8 @@
                     tempfile.TemporaryDirectory(prefix="cardamommill-")))
             self.platform = self._start(
                 "platform",
-                ("standin", "platform", f"--lag-ms={self.plan.vm_list_lag_ms}"))
+                ("standin", "platform", f"--port={self._free_port()}",
+                 f"--lag-ms={self.plan.vm_list_lag_ms}"))
             self.platform_address = self.platform.ready_addresses(1)[0]
             for vm in self.plan.vms:
                 self.start_runner(vm)
@@ -131,13 +133,30 @@
     # --- Starting ---
 
     def start_runner(self, vm: VmPlan) -> None:
-        """Starts a VM's runner, again if it had ended, at the same address."""
-        known = self.runner_addresses.get(vm.vm_id, ":0")
+        """Starts a VM's runner, again if it had ended, at the same address.
+
+        The port is none that outgoing connections get: while the runner was
+        down one of them could take it, and the next life ended at its start.
+        """
+        if vm.vm_id not in self._runner_ports:
+            self._runner_ports[vm.vm_id] = self._free_port()
         options = tuple(f"--{name.replace('_', '-')}={value}"
                         for name, value in vm.options.items())
         self.runners[vm.vm_id] = self._start(
             vm.vm_id, ("standin", "runner", f"--vm={vm.vm_id}",
-                       f"--port={known.split(':')[1]}", *options))
+                       f"--port={self._runner_ports[vm.vm_id]}", *options))
+
+    def restart_runner(self, vm: VmPlan) -> None:
+        """Starts a VM's runner again, and waits until it takes requests.
+
+        Raises:
+            CommandError: It ended, or took too long.
+        """
+        self.start_runner(vm)
+        self.runners[vm.vm_id].ready_addresses(1)
+
+    def _free_port(self) -> int:
+        return int(processes.free_address(self._ports).split(":")[1])
 
     def list_vm(self, vm: VmPlan) -> None:
         """Puts a VM on the platform's list."""
--- a/cardamommill/node.py
+++ b/cardamommill/node.py
@@ -175,6 +175,7 @@
 
     @_perform.register(actions.Dispatch)
     @_perform.register(actions.CancelAttempt)
+    @_perform.register(actions.AbandonAttempt)
     @_perform.register(actions.Refuse)
     @_perform.register(actions.Replay)
     @_perform.register(actions.Finish)
--- a/cardamommill/requestfakes.py
+++ b/cardamommill/requestfakes.py
@@ -275,6 +275,16 @@
             run.over = True
             self._remove(self.replicas[run.dispatch.target.replica_id], run)
 
+    def _abandon(self, action: actions.AbandonAttempt, name: str) -> None:
+        del name
+        run = self._runs.get(action.attempt_id)
+        if run is None or run.over:
+            return
+        silent = run.began_ms < 0 or self.now_ms < run.first_ms
+        if silent:
+            self._remove(self.replicas[run.dispatch.target.replica_id], run)
+            self._end(run, _Outcome.UNKNOWN)
+
     def _remove(self, replica: _Replica, run: _Run) -> None:
         if run in replica.waiting:
             replica.waiting.remove(run)
@@ -336,6 +346,7 @@
 _PERFORM: dict[type[actions.Action], Callable[..., None]] = {
     actions.Dispatch: RequestWorld._dispatch,
     actions.CancelAttempt: RequestWorld._cancel,
+    actions.AbandonAttempt: RequestWorld._abandon,
     actions.Refuse: RequestWorld._answer_caller,
     actions.Replay: RequestWorld._answer_caller,
     actions.Finish: RequestWorld._answer_caller,
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -1,6 +1,6 @@
 """The controller that takes each request from its arrival to its answer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import functools
 from typing import Any
 
@@ -16,12 +16,16 @@
     refusals,
     requesting,
     retries,
+    serving,
 )
 from cardamommill import board as board_lib
 
 # The shell ends attempts at their deadline; this long after, it has or its
 # word was lost, and the caller is answered all the same.
 OVERDUE_MS = 500
+# Between two looks for attempts at replicas that serve no more: a tenth of the
+# time that it takes evidence to run out.
+LOOK_MS = 250
 
 _InProgress = inprogress.InProgress
 _Outcome = requesting.Outcome
@@ -43,6 +47,8 @@
         super().__init__(board, timing, seed)
         self._ends = endings.Endings(board)
         self._register = self._ends.register
+        self._timing = timing
+        self._looked_ms = board_lib.NEVER_MS
         self._dispatching = dispatching.Dispatching(self._ends, board, timing,
                                                     self.random)
 
@@ -103,6 +109,7 @@
             action for request in self._register.due(now_ms)
             for action in self._overdue(request, now_ms)
         ]
+        wanted += self._leave_the_lost(now_ms)
         for service, work in self._ends.work.items():
             if work.queue:
                 wanted += self._dispatching.hopeless(service, now_ms)
@@ -110,6 +117,34 @@
         self._dispatching.publish(now_ms)
         return tuple(wanted)
 
+    def _leave_the_lost(self, now_ms: int) -> Iterator[actions.Action]:
+        """Ends silent attempts at replicas that serve no more.
+
+        A runner that stands still keeps its connections: a caller whose
+        request was there got nothing for 30 s, though others could serve it.
+        """
+        if now_ms - self._looked_ms < LOOK_MS:
+            return
+        self._looked_ms = now_ms
+        lost: dict[str, bool] = {}
+        for request in self._register.running():
+            target = request.target
+            if (target is None or target.remote_node or request.claimed or
+                    not request.head.repeatable or request.gone):
+                continue
+            if target.replica_id not in lost:
+                lost[target.replica_id] = not self._serves(target, now_ms)
+            if lost[target.replica_id]:
+                yield actions.AbandonAttempt(request.head.request_id,
+                                             request.attempt_id,
+                                             self._timing.evidence_max_age_ms,
+                                             "its replica serves no more")
+
+    def _serves(self, target: requesting.Target, now_ms: int) -> bool:
+        row = self.board.assignments.replicas.get(target.replica_id)
+        return row is not None and serving.serving_replica(
+            self.board, row, self._timing, now_ms) is not None
+
     # --- What happens to a running request ---
 
     def _attempt_started(self, request: _InProgress,
--- a/cardamommill/upstream.py
+++ b/cardamommill/upstream.py
@@ -67,6 +67,16 @@
             found[1].cancelled = True
         self._curl.call(lambda: self._cancel(attempt_id))
 
+    def abandon(self, attempt_id: str, silent_ms: int, reason: str) -> None:
+        """Ends an attempt if nothing came of it for so long; from any thread.
+
+        Args:
+            attempt_id: Which; nothing happens if it has ended.
+            silent_ms: For how long it must have been silent.
+            reason: Why, for the journal.
+        """
+        self._curl.call(lambda: self._abandon(attempt_id, silent_ms, reason))
+
     def _add(self, transfer: attempts.Transfer) -> None:
         attempt = transfer.attempt
         left_ms = attempt.deadline_ms - loop.now_ms()
@@ -111,6 +121,15 @@
             self._keep(curl)
             self._tell_engine(transfer.attempt)
 
+    def _abandon(self, attempt_id: str, silent_ms: int, reason: str) -> None:
+        found = self._under_way.get(attempt_id)
+        if found is None:
+            return
+        curl, transfer = found
+        if transfer.stop_if_silent(silent_ms, reason):
+            self._curl.remove(curl)
+            self._end(curl, transfer, pycurl.E_OPERATION_TIMEDOUT, reason)
+
     def _tell_engine(self, attempt: attempts.Attempt) -> None:
         # A node that loses its caller's connection cancels by itself.
         if attempt.target.remote_node:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -143,7 +143,7 @@
         """Starts what was killed again and waits until all is served."""
         for vm in self.plan.vms:
             if not self.runners[vm.vm_id].running():
-                self.start_runner(vm)
+                self.restart_runner(vm)
         for node in NODES:
             if not self.nodes[node].running():
                 self.start_node(node)
@@ -194,18 +194,21 @@
 def test_runner_stopped(fleet, pool):
     """A runner stands still: its connection is open, but nothing comes.
 
-    Soon no node sends it anything, and callers get whole answers.
+    Soon no node sends it anything, and callers get whole answers; so do those
+    whose request was there already.
     """
     stopped = fleet.runners["gpu-0"]
     stopped.pause()
     try:
+        early = [pool.submit(fleet.draft, node, 5) for node in list(NODES) * 5]
         processes.wait_until(
-            lambda: "gpu-0" not in str([
-                each for each in fleet.status("n2")["replicas"]
-                if each["serving"]
-            ]), "it is out of service", 10.0)
+            lambda: not any("gpu-0" in str(each)
+                            for node in NODES
+                            for each in fleet.status(node)["replicas"]
+                            if each["serving"]), "it is out of service", 10.0)
         answers = pool.map(lambda node: fleet.draft(node, 5), list(NODES) * 5)
         assert {answer.status for answer in answers} == {200}
+        assert {each.result().status for each in early} == {200}
     finally:
         stopped.resume()
     fleet.wait_served()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -12,6 +12,7 @@
     documents,
     events,
     peering,
+    periods,
     requesting,
 )
 from cardamommill import board as board_lib
@@ -219,6 +220,27 @@
     assert not node.board.requests.stages
 
 
+def test_attempt_at_a_replica_that_serves_no_more_is_left():
+    """The runner stands still: its connection is open, but nothing comes.
+
+    Its evidence runs out. The attempt ends if it was silent all the while,
+    and the request goes on at another replica; what may not run twice stays.
+    """
+    node = requestnode.Node()
+    dispatch = dispatched(node.arrive("a"))
+    node.arrive("b", repeatable=False)
+    node.step(events.ClaimGranted("b"))
+    assert not of_kind(node.tick(500), actions.AbandonAttempt)
+    timing = periods.Timing()
+    left = of_kind(node.tick(timing.evidence_max_age_ms, refresh=False),
+                   actions.AbandonAttempt)
+    assert left == [
+        actions.AbandonAttempt("a", dispatch.attempt_id,
+                               timing.evidence_max_age_ms,
+                               "its replica serves no more")
+    ]
+
+
 def test_caller_that_goes_ends_a_repeatable_attempt_only():
     node = node_with_notices()
     dispatch = dispatched(node.arrive("a"))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -243,6 +243,32 @@
         ])
 
 
+def test_silent_attempt_is_left_and_a_living_one_is_not():
+    """A runner stands still after it took the request.
+
+    Its replica serves no more by then. The attempt ends long before its
+    deadline, the engine is told, and nobody may say that it did not run; an
+    attempt of which something came of late goes on.
+    """
+    with edge.Runner(lambda received, send: time.sleep(1)) as runner, edge.Node(
+            runner.address) as node:
+        sock = node.connect()
+        sock.sendall(edge.request())
+        edge.wait_for(lambda: runner.received)
+        request_id = node.of(events.RequestArrived)[0].head.request_id
+        for silent_ms in (60_000, 0):
+            node.upstream.abandon(f"{request_id}-1", silent_ms,
+                                  "it serves no more")
+        assert edge.Reply(sock).status == 503
+        assert len(node.of(events.AttemptEnded)) == 1
+        assert ended(node).outcome is Outcome.UNKNOWN
+        assert ended(node).detail == "it serves no more"
+        edge.wait_for(lambda: [
+            each for each in runner.received
+            if each.line.startswith("POST /cancel/")
+        ])
+
+
 def test_answer_above_the_limit_is_given_up():
     script = edge.json_answer(b"x" * 9_000_000)
     with edge.Runner(script) as runner, edge.Node(runner.address) as node:
