Load strained models first; give slow groups up for quick ones

Ruled out: capacity as such (32 and 44 requests at once for 78 places each while all groups stand).

Change: the part of a model's requests that wait though they will be late tells which model is loaded first; a group over two domains is closed where its members and spares make a quick one.

--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -91,6 +91,13 @@
             found[key] = found.get(key, 0) + len(relays)
         return found
 
+    def waiting(self) -> dict[model.GroupKey, int]:
+        """Returns the requests of all nodes that wait and will be late."""
+        found = {key: load.patient for key, load in self._peer_load.items()}
+        for key, load in self.flights.loads().items():
+            found[key] = found.get(key, 0) + load.patient
+        return found
+
     def forget(self, now_ms: float) -> None:
         """Forgets old faults."""
         for runner, at_ms in list(self._runner_faults_ms.items()):
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -23,6 +23,7 @@
     nodelink,
     peermessage,
     peers,
+    planning,
     platformreader,
     relay,
     routetable,
@@ -268,9 +269,10 @@
         if not ours:
             return
         in_lead = not (self._requests_seen or self._peers.any_requests_seen())
-        self._keeper.plan(table.configuration, ours,
-                          len(self._settings.data_centres), in_lead,
-                          self._requests.in_flight(), now_ms)
+        scope = planning.Scope(ours, len(self._settings.data_centres), in_lead,
+                               self._requests.in_flight(),
+                               self._requests.waiting())
+        self._keeper.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
         self._opened[key] = (clock.now_ms(), name, head)
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+import dataclasses
 from typing import Any
 
 import logbook
@@ -54,11 +55,9 @@
         ]
         return max(min(due, default=USUAL_REPAIR_MS), 100.0) + 300.0
 
-    def plan(self, configuration: model.Configuration,
-             data_centres: frozenset[str], count: int, in_lead: bool,
-             in_flight: dict[model.GroupKey, int], now_ms: float) -> None:
+    def plan(self, configuration: model.Configuration, scope: planning.Scope,
+             now_ms: float) -> None:
         """Decides and begins to act."""
-        scope = planning.Scope(data_centres, count, in_lead, in_flight)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._lag_ms = max(self._lag_ms, service.engine.report_lag_ms)
@@ -139,6 +138,9 @@
                                           model.MemberState.JOINING)
         elif left:
             membership = None
+        elif order.operation is orders.Operation.CLOSE and membership:
+            membership = dataclasses.replace(membership,
+                                             state=model.MemberState.CLOSING)
         self._view.take_order(order.runner, begun, membership, now_ms)
 
     async def _probe(self, probe: planning.Probe) -> None:
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from cardamommill.gateway import (
+    consolidation,
     fleetview,
     formations,
     loads,
@@ -15,6 +16,7 @@
     orders,
     planning,
     spares,
+    strain,
 )
 
 # With this part of all places taken a model gets spares as further groups.
@@ -49,7 +51,9 @@
         self._ledger = loads.LoadLedger()
         self._formations = formations.Formations(view, name, self._pending,
                                                  self._ledger)
-        self._spares = spares.Spares(view, self._ledger)
+        self._strain = strain.Strain()
+        self._spares = spares.Spares(view, self._ledger, self._strain)
+        self._consolidation = consolidation.Consolidation(self._formations)
         self._asked_ms: dict[str, float] = {}
         self._foreign_ms: dict[model.GroupKey, float] = {}
 
@@ -67,6 +71,7 @@
         groups = self._view.groups(service.name)
         for key in groups:
             self._formations.see_epoch(key.epoch)
+        self._strain.see(engine, groups, scope, now_ms)
         actions: list[planning.Action] = []
         actions += self._formations.advance(service.name, engine, now_ms)
         for group in groups.values():
@@ -152,7 +157,7 @@
         if reason:
             yield from self._formations.leave(group.key, members, reason)
             return
-        if served is None:
+        if served is None or self._consolidation.has(group.key):
             return
         complete = len(group.members) == served.size
         if complete and not group.is_open:
@@ -252,6 +257,10 @@
                                       now_ms)
             whole = [each for runners in domains.values() for each in runners]
             if len(domains) > 1:
+                yield from self._consolidation.step(engine,
+                                                    self._view.groups(service),
+                                                    whole, self._is_free,
+                                                    now_ms)
                 largest = max(map(len, domains.values()))
                 yield from self._form_far(service, engine, scope, whole,
                                           largest, now_ms)
@@ -285,6 +294,8 @@
         # A group over two domains is slower, but it serves; it may use up
         # spares only while its model has fewer groups than its share.
         for served in self._by_need(service, engine, runners):
+            if self._consolidation.is_under_way(served.name):
+                continue
             if not self._is_short(service, engine, served, scope, runners):
                 continue
             fits = served.size <= largest_domain
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -62,12 +62,14 @@
         count: How many data centres there are; they share limits.
         in_lead: Whether no request has come yet: loads are cheap then.
         in_flight: Requests of all nodes per group.
+        waiting: Those of them that wait though they will be late.
     """
 
     data_centres: frozenset[str]
     count: int
     in_lead: bool
     in_flight: dict[model.GroupKey, int]
+    waiting: dict[model.GroupKey, int] = dataclasses.field(default_factory=dict)
 
 
 def is_ready(known: fleetview.Known, key: model.GroupKey) -> bool:
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/spares.py
@@ -3,16 +3,31 @@
 from collections.abc import Iterator
 import math
 
-from cardamommill.gateway import fleetview, loads, model, orders, planning
+from cardamommill.gateway import (
+    fleetview,
+    loads,
+    model,
+    orders,
+    planning,
+    strain,
+)
 
 
 class Spares:
     """Free runners and what is staged on their hosts."""
 
-    def __init__(self, view: fleetview.FleetView,
-                 ledger: loads.LoadLedger) -> None:
+    def __init__(self, view: fleetview.FleetView, ledger: loads.LoadLedger,
+                 strained: strain.Strain) -> None:
+        """Makes it.
+
+        Args:
+            view: What is believed of runners.
+            ledger: Counts loads.
+            strained: Which models need more groups.
+        """
         self._view = view
         self._ledger = ledger
+        self._strain = strained
         self._staging: dict[str, tuple[str, float]] = {}
 
     def is_staging(self, runner: str) -> bool:
@@ -66,20 +81,26 @@
         if blank or not stuck or any(
                 each.runner.id in self._staging for each in free):
             return blank
-        best = max(held, key=lambda name: (held[name] / sizes[name], name))
+        best = max(
+            held,
+            key=lambda name:
+            (self._strain.is_strained(name), held[name] / sizes[name], name))
         missing = sizes[best] - held[best]
         others = [each for each in free if self.warm_model(each) != best]
         return others[:missing] if len(others) >= missing else []
 
     def _wanted(self, engine: model.Engine, held: dict[str, int],
                 free: int) -> model.ServedModel:
-        # What lacks the fewest runners to a whole group comes first, where
-        # there are enough of them; else the model with the fewest spares.
-        def key(served: model.ServedModel) -> tuple[float, float]:
+        # A model whose requests wait comes first: by the fewest runners alone
+        # the smaller one got most loads of a day, while it had eight groups
+        # and the larger one four. Then what lacks the fewest runners to a whole
+        # group, where there are enough; else the model with the fewest spares.
+        def key(served: model.ServedModel) -> tuple[bool, float, float]:
             count = held[served.name]
             missing = served.size - count
             reachable = 0 < missing < served.size and free >= served.size
-            return (missing if reachable else math.inf,
+            return (not self._strain.is_strained(served.name),
+                    missing if reachable else math.inf,
                     count / max(served.share, 1e-6))
 
         return min(engine.models, key=key)
--- /dev/null
+++ b/cardamommill/gateway/strain.py
@@ -0,0 +1,50 @@
+"""Which models have more work than their groups do in time."""
+
+from cardamommill.gateway import fleetview, model, planning
+
+# A model is strained once this part of its requests waits though it will be
+# late. Where all groups stood it was none at all.
+STRAINED_PART = 0.1
+# The part is a mean over about this: a load takes 16 s and is not worth
+# beginning for a burst that ends within one.
+MEMORY_MS = 2000.0
+
+
+class Strain:
+    """Keeps the part of late requests of each model."""
+
+    def __init__(self) -> None:
+        self._part: dict[str, float] = {}
+        self._seen_ms: float | None = None
+
+    def see(self, engine: model.Engine, groups: dict[model.GroupKey,
+                                                     fleetview.Group],
+            scope: planning.Scope, now_ms: float) -> None:
+        """Takes in what is at the groups now.
+
+        Args:
+            engine: Whose models.
+            groups: All groups of the service.
+            scope: What requests are where.
+            now_ms: The time.
+        """
+        if scope.in_lead:
+            return
+        since_ms = now_ms - self._seen_ms if self._seen_ms is not None else 0.0
+        self._seen_ms = now_ms
+        weight = min(1.0, since_ms / MEMORY_MS)
+        for served in engine.models:
+            keys = [
+                each.key
+                for each in groups.values()
+                if each.model == served.name and each.is_open
+            ]
+            requests = sum(scope.in_flight.get(each, 0) for each in keys)
+            waiting = sum(scope.waiting.get(each, 0) for each in keys)
+            part = waiting / max(1, requests) if keys else 1.0
+            before = self._part.get(served.name, 0.0)
+            self._part[served.name] = before + weight * (part - before)
+
+    def is_strained(self, model_name: str) -> bool:
+        """Whether a model needs more groups than it has."""
+        return self._part.get(model_name, 0.0) > STRAINED_PART
--- /dev/null
+++ b/tests/gateway/test_strain.py
@@ -0,0 +1,75 @@
+"""Tests of which models need more groups, and what is loaded for them."""
+
+from cardamommill.gateway import model, orders, planning
+from tests.gateway import builders
+from tests.gateway import test_planner as planners
+
+LARGE = model.GroupKey("g1", 1)
+SMALL = model.GroupKey("g2", 2)
+
+
+def group(key, name, start, size):
+    return [
+        builders.runner(start + rank,
+                        served=name,
+                        staged=(name,),
+                        membership=builders.member(
+                            key, rank, model.MemberState.OPEN
+                            if rank == 0 else model.MemberState.READY))
+        for rank in range(size)
+    ]
+
+
+def bench(waiting, blank=2):
+    """One group of each model, with blank runners in their domain."""
+    runners = group(LARGE, "large", 1, 4) + group(SMALL, "small", 5, 3)
+    runners += [builders.runner(20 + each) for each in range(blank)]
+    runners += [builders.runner(30, staged=("small",))]
+    scope = planning.Scope(frozenset({"a"}), 1, False, {
+        LARGE: 20,
+        SMALL: 20
+    }, waiting)
+    return planners.Bench(runners, scope)
+
+
+def loaded(actions):
+    return [
+        each.model for each in planners.ordered(actions, orders.Operation.STAGE)
+    ]
+
+
+def test_blank_runners_load_what_is_nearest_to_a_group():
+    assert loaded(bench({}).step()) == ["small", "small"]
+
+
+def test_blank_runners_load_the_model_whose_requests_wait():
+    """Requests of the larger model wait and will be late; the smaller is idle.
+
+    By the fewest missing runners alone the smaller model would get another
+    group, and callers of the larger one would wait for as long as a load
+    takes, again and again.
+    """
+    one = bench({LARGE: 8}, blank=0)
+    for _ in range(20):
+        one.step(100)
+    late = [builders.runner(20 + each, row_version=2) for each in range(2)]
+    runners = [each.runner for each in one.view.known.values()]
+    one.view.take_list(runners + late, one.now_ms)
+    assert loaded(one.step()) == ["large", "large"]
+
+
+def test_a_short_burst_is_no_strain():
+    one = bench({LARGE: 8})
+    assert loaded(one.step(100)) == ["small", "small"]
+
+
+def test_a_model_without_any_group_is_strained():
+    runners = group(SMALL, "small", 5, 3)
+    one = planners.Bench(runners,
+                         planning.Scope(frozenset({"a"}), 1, False, {SMALL: 1}))
+    for _ in range(20):
+        one.step(100)
+    blank = [builders.runner(20 + each, row_version=2) for each in range(4)]
+    known = [each.runner for each in one.view.known.values()]
+    one.view.take_list(known + blank, one.now_ms)
+    assert loaded(one.step()) == ["large"] * 4
