Count groups that are joining for their model

Cause: a runner that is joining does not say of which model, so a group that was just begun counted for none. Ruled out: that too few runners were listed (all 18 were).

Change: what is forming counts by what it forms.

--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -350,20 +350,9 @@
         in_domain = {each.runner.id for each in runners}
         here: dict[str, int] = {}
         overall: dict[str, int] = {}
-        for group in self._view.groups(service).values():
-            for known in group.members.values():
-                overall[group.model] = overall.get(group.model, 0) + 1
-                if known.runner.id in in_domain:
-                    here[group.model] = here.get(group.model, 0) + 1
-        for formation in self.formations.values():
-            name = formation.model.name
-            for member in formation.members:
-                joined = self._view.known.get(member)
-                if joined is None or joined.membership is not None:
-                    continue
-                overall[name] = overall.get(name, 0) + 1
-                if member in in_domain:
-                    here[name] = here.get(name, 0) + 1
+        for name, members in self._members_by_model(service):
+            overall[name] = overall.get(name, 0) + len(members)
+            here[name] = here.get(name, 0) + len(members & in_domain)
 
         def need(served: model.ServedModel) -> tuple[float, float]:
             share = max(served.share, 1e-6)
@@ -372,6 +361,21 @@
 
         return sorted(engine.models, key=need)
 
+    def _members_by_model(self, service: str) -> Iterator[tuple[str, set[str]]]:
+        """Yields the model and the members of each group, formed or forming.
+
+        A runner that is joining does not say of which model. Counted by its
+        word alone, groups that were just begun counted for none, and two of
+        the same model were begun in one domain, where one of each should be.
+        """
+        for formation in self.formations.values():
+            yield formation.model.name, set(formation.members)
+        for group in self._view.groups(service).values():
+            if group.key not in self.formations:
+                yield group.model, {
+                    each.runner.id for each in group.members.values()
+                }
+
     def _pick(self, engine: model.Engine, served: model.ServedModel,
               scope: planning.Scope, runners: list[fleetview.Known],
               free: list[fleetview.Known],
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -223,6 +223,22 @@
     assert names == {"large": 4, "small": 3}
 
 
+def test_groups_that_are_joining_count_for_their_model():
+    """Runners of a domain join a group; they don't yet say of which model.
+
+    The next group of the domain must be of the other model: two of the same
+    left its callers half of the groups that they need.
+    """
+    lead = planning.Scope(frozenset({"a"}), 3, True, {})
+    bench = Bench([builders.runner(number) for number in range(1, 10)], lead)
+    begun = []
+    for _ in range(60):
+        for order in ordered(bench.step(), orders.Operation.JOIN):
+            bench.accept(order)
+            begun.append((order.group, order.model))
+    assert sorted(name for _, name in set(begun)) == ["large", "small"]
+
+
 def test_cold_runners_are_staged_and_not_joined_after_the_lead():
     # A join that has to load holds all other members up for 16 s.
     bench = Bench(warm(3) + [builders.runner(9)])
