Take a spare for another model only where that is strained

And a host that was loading for a planner that had died refused the same order each 250 ms, twelve times.

Change: a host that holds a model loads another only if that is strained; a refused load is asked again after 2 s.

--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -97,7 +97,7 @@
     async def _order(self, order: orders.Order) -> None:
         known = self._view.known.get(order.runner)
         if known is None:
-            self.planner.refused(order, "unknown runner")
+            self.planner.refused(order, "unknown runner", clock.now_ms())
             self.planner.settled(order)
             return
         reply, detail = await ordercalls.send_order(self._pool, known.runner,
@@ -109,7 +109,7 @@
             self.planner.accepted(order, now_ms)
         else:
             self._view.take_refusal(order.runner, now_ms)
-            self.planner.refused(order, reply.value)
+            self.planner.refused(order, reply.value, now_ms)
         _LOG.info(
             logs.line("order",
                       runner=order.runner,
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -95,14 +95,14 @@
         if formation is not None and order.operation is orders.Operation.OPEN:
             formation.open_accepted_ms = now_ms
 
-    def refused(self, order: orders.Order, reason: str) -> None:
+    def refused(self, order: orders.Order, reason: str, now_ms: float) -> None:
         """Notes that an order was not accepted, or perhaps not.
 
         The runner gets no other order until `settled`: what is believed of it
         is wrong, and its report tells only later what is true.
         """
         if order.operation is orders.Operation.STAGE:
-            self._spares.give_up(order.runner)
+            self._spares.give_up(order.runner, now_ms)
         formation = self._formations.of(order)
         if formation is not None and order.operation is orders.Operation.JOIN:
             formation.refused = f"{order.runner} refused: {reason}"
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/spares.py
@@ -12,6 +12,10 @@
     strain,
 )
 
+# A host that refuses is loading for another planner, or one that died: asked
+# each 250 ms it refused twelve times in a row.
+REFUSED_MS = 2000.0
+
 
 class Spares:
     """Free runners and what is staged on their hosts."""
@@ -29,14 +33,16 @@
         self._ledger = ledger
         self._strain = strained
         self._staging: dict[str, tuple[str, float]] = {}
+        self._refused_ms: dict[str, float] = {}
 
     def is_staging(self, runner: str) -> bool:
         """Whether its host is loading."""
         return runner in self._staging
 
-    def give_up(self, runner: str) -> None:
+    def give_up(self, runner: str, now_ms: float) -> None:
         """Notes that an order to load was refused."""
         self._staging.pop(runner, None)
+        self._refused_ms[runner] = now_ms
 
     def stage(self, engine: model.Engine, scope: planning.Scope,
               free: list[fleetview.Known],
@@ -48,6 +54,9 @@
             if name in held:
                 held[name] += 1
         for known in self._idle(engine, free, held):
+            if now_ms - self._refused_ms.get(known.runner.id, -math.inf) < (
+                    REFUSED_MS):
+                continue
             if not self._ledger.may_load(engine, scope, now_ms):
                 return
             before = self.warm_model(known)
@@ -70,21 +79,21 @@
               held: dict[str, int]) -> list[fleetview.Known]:
         """Returns runners whose host may load something else, blank ones first.
 
-        One that holds a model may load another only where enough runners are
-        free for a group of either and no whole group can be made: it would
-        wait for ever for partners.
+        One that holds a model may load another only for a strained one, and
+        where enough runners are free for a group of either and no whole group
+        can be made: it would wait for ever for partners. Where nothing is
+        strained it is worth more as a spare: one that was turned into a third
+        group of the idle model was missing a second later.
         """
         blank = [each for each in free if not self.warm_model(each)]
         sizes = {each.name: each.size for each in engine.models}
         stuck = len(free) >= min(sizes.values()) and all(
             count < sizes[name] for name, count in held.items())
-        if blank or not stuck or any(
+        strained = [name for name in held if self._strain.is_strained(name)]
+        if blank or not stuck or not strained or any(
                 each.runner.id in self._staging for each in free):
             return blank
-        best = max(
-            held,
-            key=lambda name:
-            (self._strain.is_strained(name), held[name] / sizes[name], name))
+        best = max(strained, key=lambda name: (held[name] / sizes[name], name))
         missing = sizes[best] - held[best]
         others = [each for each in free if self.warm_model(each) != best]
         return others[:missing] if len(others) >= missing else []
@@ -120,3 +129,6 @@
             done = known is not None and name in known.standing.staged
             if known is None or done or now_ms > until_ms:
                 del self._staging[runner_id]
+        for runner_id, at_ms in list(self._refused_ms.items()):
+            if now_ms - at_ms > REFUSED_MS:
+                del self._refused_ms[runner_id]
--- a/tests/gateway/test_consolidation.py
+++ b/tests/gateway/test_consolidation.py
@@ -17,7 +17,8 @@
                         staged=("large",),
                         membership=builders.member(
                             key, rank, state if rank == 0 else STATE.READY))
-        for rank, (number, domain) in enumerate(zip(numbers, domains))
+        for rank, (number,
+                   domain) in enumerate(zip(numbers, domains, strict=True))
     ]
 
 
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -177,7 +177,7 @@
     for order in joins[1:]:
         bench.accept(order)
     bench.planner.sent(joins[0].runner)
-    bench.planner.refused(joins[0], "unfit")
+    bench.planner.refused(joins[0], "unfit", bench.now_ms)
     actions = bench.step()
     assert len(ordered(actions, orders.Operation.LEAVE)) == 3
     assert not bench.planner.formations
@@ -270,10 +270,52 @@
 
 def test_hosts_whose_model_finds_no_partner_load_another():
     # Two hosts of each model in one domain would wait for ever.
-    stuck = warm(2) + warm(2, "small", start=11)
-    bench = Bench(stuck)
-    actions = bench.step()
-    assert ordered(actions, orders.Operation.STAGE)
+    bench = Bench(warm(2) + warm(2, "small", start=11))
+    staged = []
+    for _ in range(20):
+        staged += ordered(bench.step(), orders.Operation.STAGE)
+    assert len(staged) == 1
+
+
+def test_spare_is_not_turned_into_a_group_that_nobody_needs():
+    """Two spares of the small model and one of the large, in a calm minute.
+
+    The large one is what the next death of its model needs; as the third of a
+    small group it is gone, and the large model's callers wait for a load.
+    """
+    group = model.GroupKey("g1", 1)
+    served = [
+        builders.runner(20 + rank,
+                        served="large",
+                        membership=builders.member(
+                            group, rank, STATE.READY if rank else STATE.OPEN))
+        for rank in range(4)
+    ]
+    small = [
+        builders.runner(30 + rank,
+                        served="small",
+                        membership=builders.member(
+                            model.GroupKey("g2", 2), rank,
+                            STATE.READY if rank else STATE.OPEN))
+        for rank in range(3)
+    ]
+    bench = Bench(served + small + warm(1) + warm(2, "small", start=11))
+    for _ in range(20):
+        assert not ordered(bench.step(), orders.Operation.STAGE)
+
+
+def test_host_that_refuses_to_load_is_left_alone_for_a_while():
+    """It loads for a planner that died; its report does not say what.
+
+    Asked again at once it refused each time, and each order has its price.
+    """
+    bench = Bench([builders.runner(1)])
+    (order,) = ordered(bench.step(), orders.Operation.STAGE)
+    bench.planner.sent(order.runner)
+    bench.planner.refused(order, "unfit", bench.now_ms)
+    bench.planner.settled(order)
+    assert not ordered(bench.step(250), orders.Operation.STAGE)
+    assert ordered(bench.step(2500), orders.Operation.STAGE)
 
 
 def test_formation_of_a_dead_planner_is_adopted():
