Send a long answer where it can be whole in time

Placement looked at the first event alone. Ruled out: that they were refused more often (by the log they were sent, and their callers left or their time ran out).

Change: a group at which an answer would end after its deadline comes last for it; the time between events counts the reading of others' prompts.

--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -1,6 +1,6 @@
 """Chooses the group or runner of a request, or refuses it."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 
 from cardamommill.gateway import model
@@ -59,6 +59,7 @@
     """Where a request goes, and when its first event should come.
 
     Attributes:
+        finish_ms: When its last event should come.
         patient: Whether it waits behind all that can be in time.
     """
 
@@ -66,6 +67,7 @@
     first_event_ms: float
     read_ms: float
     pass_ms: float
+    finish_ms: float
     patient: bool = False
 
 
@@ -99,12 +101,14 @@
     Attributes:
         goal_ms: In time if its first event comes within this from now.
         patience_ms: How long it may wait where it can't be in time.
+        left_ms: Until when it must be whole.
         spread: From 0 to 1, different for each request: those that are told
             to come back do not come all at once.
     """
 
     goal_ms: float
     patience_ms: float
+    left_ms: float
     spread: float
 
 
@@ -118,6 +122,10 @@
     the capacity made nearly every request late (51 of 2,800 in time in the
     worst 20 s of a day of high load).
 
+    A group that can't finish it by its deadline comes last: at groups over two
+    domains, with 180 ms between events, no answer of 50 events and more became
+    whole, and of the largest tenth 0.27 were served where of all 0.58 were.
+
     Args:
         engine: Its arithmetic.
         work: What the request asks.
@@ -129,15 +137,18 @@
     standing = [each for each in candidates if each.key not in excluded]
     placed = [_expect(engine, work, each) for each in standing]
     in_time = [each for each in placed if each.first_event_ms <= wish.goal_ms]
-    if in_time:
-        return min(in_time, key=_cost_ms)
     patient = [
         each for each in placed if each.candidate.patient < PATIENT_PART *
         each.candidate.places and each.first_event_ms <= wish.patience_ms
     ]
-    if patient:
-        return dataclasses.replace(min(patient, key=_patient_cost),
-                                   patient=True)
+    for wanted in (_finishing(wish), _any):
+        chosen = [each for each in in_time if wanted(each)]
+        if chosen:
+            return min(chosen, key=_cost_ms)
+        chosen = [each for each in patient if wanted(each)]
+        if chosen:
+            return dataclasses.replace(min(chosen, key=_patient_cost),
+                                       patient=True)
     if placed:
         return Refused("all groups are full",
                        FULL_RETRY_AFTER_MS * (1 + wish.spread))
@@ -145,6 +156,15 @@
     return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
 
 
+def _finishing(wish: Wish) -> Callable[[Placed], bool]:
+    return lambda placed: placed.finish_ms <= wish.left_ms
+
+
+def _any(placed: Placed) -> bool:
+    del placed
+    return True
+
+
 def _cost_ms(placed: Placed) -> float:
     candidate = placed.candidate
     return (placed.first_event_ms +
@@ -171,4 +191,14 @@
         queue_ms = waiting * passes * one_pass_ms / candidate.places
     # On average half a pass is under way, and one more brings the event.
     first_ms = 1.5 * one_pass_ms + own_read_ms + others_ms + queue_ms
-    return Placed(candidate, first_ms, own_read_ms, one_pass_ms)
+    finish_ms = first_ms + work.answer_tokens / engine.stride * _usual_pass_ms(
+        engine, running + 1, candidate.pace)
+    return Placed(candidate, first_ms, own_read_ms, one_pass_ms, finish_ms)
+
+
+def _usual_pass_ms(engine: model.Engine, running: int, pace: float) -> float:
+    # Each that runs has come with a prompt, whose reading holds the others up:
+    # 58 ms between events where a pass alone takes 45.
+    passes = max(1.0, engine.usual_answer_tokens / engine.stride)
+    reading_ms = running * read_ms(engine, engine.usual_prompt_tokens, pace)
+    return pass_ms(engine, running, pace) + reading_ms / passes
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -215,9 +215,9 @@
         now_ms = clock.now_ms()
         left_ms = self.end_ms - now_ms
         if self.reply.started or self.route is None or not self.route.goal_ms:
-            return placing.Wish(left_ms, left_ms, spread)
+            return placing.Wish(left_ms, left_ms, left_ms, spread)
         goal_ms = self.request.arrived_ms + self.route.goal_ms - now_ms
-        return placing.Wish(goal_ms, min(left_ms, PATIENCE_MS), spread)
+        return placing.Wish(goal_ms, min(left_ms, PATIENCE_MS), left_ms, spread)
 
     # The way.
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -7,7 +7,7 @@
 
 ENGINE = builders.engine()
 WORK = placing.Work(1000, 180)
-WISH = placing.Wish(300.0, 1600.0, 0.5)
+WISH = placing.Wish(300.0, 1600.0, 8000.0, 0.5)
 
 
 def candidate(name="g", in_flight=0, **changes):
@@ -21,8 +21,8 @@
     return placing.Candidate(**{**figures, **changes})
 
 
-def place(*candidates, wish=WISH, excluded=frozenset()):
-    return placing.place(ENGINE, WORK, candidates, excluded, wish, 700.0)
+def place(*candidates, wish=WISH, excluded=frozenset(), work=WORK):
+    return placing.place(ENGINE, work, candidates, excluded, wish, 700.0)
 
 
 def test_least_loaded_group_is_taken():
@@ -46,6 +46,21 @@
     assert placed.candidate.key.name == "b"
 
 
+def test_long_answer_is_not_sent_where_it_cannot_be_whole():
+    """An answer of 80 events; the quick group is full, the slow idle.
+
+    The slow one gives the first event in time and takes 10 s for the rest, of
+    8: its caller would wait for all of that and get nothing. Where there is no
+    other, the slow one has it all the same: its length is a guess.
+    """
+    long = placing.Work(200, 560)
+    slow = candidate("slow", 0, pace=2.5)
+    quick = candidate("quick", 17)
+    assert place(slow, quick, work=long).candidate.key.name == "quick"
+    assert place(slow, quick).candidate.key.name == "slow"
+    assert place(slow, work=long).candidate.key.name == "slow"
+
+
 def test_avoided_group_is_used_only_where_no_other_is_in_time():
     avoided = candidate("a", avoided=True)
     assert place(avoided, candidate("b", 9)).candidate.key.name == "b"
