Ask the store less often; heed a death until the list can say so

Cause: store calls were 14 to 17 a second over six nodes, aim 8: the feed of the configuration each 1.5 s and the list each 0.8 s by each node, or each 120 ms whenever a group was on its way, also while it loaded. Change: 2.5 s, 1.2 s, and 120 ms only from shortly before members should be ready. The longer list made the time too short for which an alarm that found a member dead is heeded (4.5 s, against 3.6 s for the entry to go, a heartbeat and the reading): now it follows from the settings.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -31,8 +31,9 @@
     def __init__(self, view: fleetview.FleetView,
                  requests: dispatcher.Dispatcher,
                  keeper: groupkeeper.GroupKeeper, figures: metrics.Metrics,
-                 plans_for: Callable[[model.GroupKey],
-                                     bool], spread: Callable[[], None],
+                 confirmed_ms: float, plans_for: Callable[[model.GroupKey],
+                                                          bool],
+                 spread: Callable[[], None],
                  spawn: Callable[[Coroutine[Any, Any, None]], None]) -> None:
         """Makes it.
 
@@ -41,6 +42,7 @@
             requests: This node's requests.
             keeper: Asks runners.
             figures: Counts alarms.
+            confirmed_ms: How long an alarm is heeded that found a member dead.
             plans_for: Whether this node plans for a group.
             spread: Tells other nodes at once.
             spawn: Runs something beside all else.
@@ -49,6 +51,7 @@
         self._requests = requests
         self._keeper = keeper
         self._metrics = figures
+        self._confirmed_ms = confirmed_ms
         self._plans_for = plans_for
         self._spread = spread
         self._spawn = spawn
@@ -114,8 +117,7 @@
         now_ms = clock.now_ms()
         if not all(answers):
             self._alarms[key] = (now_ms, True)
-            self._requests.standing.avoid(key,
-                                          now_ms + standing.CONFIRMED_ALARM_MS)
+            self._requests.standing.avoid(key, now_ms + self._confirmed_ms)
             for one in self._requests.relays_at(key):
                 one.divert("member does not answer")
             self._spread()
@@ -129,8 +131,7 @@
         since_ms = now_ms - alarm.age_ms
         if self._requests.silence.heard_since(alarm.key, since_ms):
             return
-        heed_ms = (standing.CONFIRMED_ALARM_MS
-                   if alarm.confirmed else standing.ALARM_MS)
+        heed_ms = (self._confirmed_ms if alarm.confirmed else standing.ALARM_MS)
         if not self._requests.standing.is_avoided(alarm.key, now_ms):
             _LOG.info(
                 logs.line("alarm-heard",
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -27,6 +27,7 @@
     platformreader,
     relay,
     routetable,
+    standing,
     upstream,
 )
 from cardamommill.platform import storecalls, words
@@ -89,10 +90,12 @@
             self._on_opened, self._reader.read_list_now, self.spawn)
         self._link = nodelink.NodeLink(settings, self._peers, self._compose,
                                        self._on_message)
-        self._alarms = alarms.Alarms(self.view, self._requests, self._keeper,
-                                     self.metrics, self._plans_for,
-                                     self._speak_at_once, self.spawn)
-        self._reader.is_keen = self._keeper.has_formations
+        self._alarms = alarms.Alarms(
+            self.view, self._requests, self._keeper, self.metrics,
+            standing.confirmed_alarm_ms(settings.heartbeat_ms,
+                                        settings.bounds.drain_ms),
+            self._plans_for, self._speak_at_once, self.spawn)
+        self._reader.is_keen = self._keeper.awaits_news
         self._requests.on_fault = self._alarms.probe
         self._requests.expected_ms = self._keeper.expected_ms
         self._opened: dict[model.GroupKey, tuple[float, str, str]] = {}
--- /dev/null
+++ b/cardamommill/gateway/fleetsummary.py
@@ -0,0 +1,69 @@
+"""How the runners of a planner are used, for the log."""
+
+from collections.abc import Callable, Iterable
+import dataclasses
+
+from cardamommill.gateway import fleetview, planning, spares
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judges:
+    """What only the planner can tell.
+
+    Attributes:
+        is_ours: Whether it orders the members of a group.
+        is_free: Whether a runner may join a group.
+        spares: What free runners hold.
+    """
+
+    is_ours: Callable[[fleetview.Group], bool]
+    is_free: Callable[[fleetview.Known], bool]
+    spares: spares.Spares
+
+
+def summary(groups: Iterable[fleetview.Group],
+            formations: Iterable[planning.Formation],
+            runners: Iterable[fleetview.Known], service: str, judges: Judges,
+            scope: planning.Scope) -> dict[str, str]:
+    """Returns counts by what runners and groups do, and by model.
+
+    Args:
+        groups: Of the service.
+        formations: On their way, of all services.
+        runners: Of the service.
+        service: Its name.
+        judges: What only the planner can tell.
+        scope: For whom it plans.
+    """
+    counts: dict[str, dict[str, int]] = {}
+
+    def add(kind: str, name: str) -> None:
+        of_kind = counts.setdefault(kind, {})
+        of_kind[name] = of_kind.get(name, 0) + 1
+
+    for group in groups:
+        if group.is_open and judges.is_ours(group):
+            add("open", group.model)
+    for formation in formations:
+        if formation.service == service:
+            add("forming", formation.model.name)
+    for known in runners:
+        if known.runner.data_centre in scope.data_centres:
+            _add_runner(known, judges, add)
+    return {
+        kind:
+            ",".join(f"{name}:{count}" for name, count in sorted(names.items()))
+        for kind, names in counts.items()
+    }
+
+
+def _add_runner(known: fleetview.Known, judges: Judges,
+                add: Callable[[str, str], None]) -> None:
+    if known.down_ms:
+        add("down", "runners")
+    elif known.runner.leaving:
+        add("leaving", "runners")
+    elif judges.is_free(known):
+        staging = judges.spares.is_staging(known.runner.id)
+        name = judges.spares.warm_model(known) or known.last_model or "blank"
+        add("staging" if staging else "free", name)
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -23,6 +23,9 @@
 USUAL_REPAIR_MS = 700.0
 # Between two lines about all runners of a planner.
 SUMMARY_INTERVAL_MS = 1000.0
+# Members of a group are looked for in the list from so long before they should
+# be ready.
+SOON_MS = 100.0
 # Beyond the lag of reports, before one tells what an order made.
 LAG_MARGIN_MS = 30.0
 
@@ -47,9 +50,11 @@
         self._told_ms = float("-inf")
         self.planner = planner.Planner(view, name)
 
-    def has_formations(self) -> bool:
-        """Whether any group is on its way."""
-        return bool(self.planner.formations)
+    def awaits_news(self) -> bool:
+        """Whether members of a group should be ready by now, or soon."""
+        soon_ms = clock.now_ms() + SOON_MS
+        return any(
+            each.due_ms < soon_ms for each in self.planner.formations.values())
 
     def expected_ms(self) -> float:
         """Returns when a group that is missing should stand again."""
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -9,6 +9,7 @@
 
 from cardamommill.gateway import (
     consolidation,
+    fleetsummary,
     fleetview,
     formations,
     loads,
@@ -113,36 +114,11 @@
 
     def summary(self, service: str, scope: planning.Scope) -> dict[str, str]:
         """Returns how the runners of this planner are used, for the log."""
-        counts: dict[str, dict[str, int]] = {}
-
-        def add(kind: str, name: str) -> None:
-            of_kind = counts.setdefault(kind, {})
-            of_kind[name] = of_kind.get(name, 0) + 1
-
-        for group in self._view.groups(service).values():
-            if group.is_open and self._is_ours(group, scope):
-                add("open", group.model)
-        for formation in self.formations.values():
-            if formation.service == service:
-                add("forming", formation.model.name)
-        for known in self._view.of_service(service):
-            if known.runner.data_centre not in scope.data_centres:
-                continue
-            if known.down_ms:
-                add("down", "runners")
-            elif known.runner.leaving:
-                add("leaving", "runners")
-            elif self._is_free(known):
-                staging = self._spares.is_staging(known.runner.id)
-                name = self._spares.warm_model(
-                    known) or known.last_model or "blank"
-                add("staging" if staging else "free", name)
-        return {
-            kind:
-                ",".join(f"{name}:{count}"
-                         for name, count in sorted(names.items()))
-            for kind, names in counts.items()
-        }
+        return fleetsummary.summary(
+            self._view.groups(service).values(), self.formations.values(),
+            self._view.of_service(service), service,
+            fleetsummary.Judges(lambda group: self._is_ours(group, scope),
+                                self._is_free, self._spares), scope)
 
     # Groups that stand, or did.
 
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -10,11 +10,12 @@
 from cardamommill.platform import configurations, entries, storecalls, words
 
 # An unanswered feed confirms nothing: it is asked to wait for this part of the
-# time in which a key that was taken away may still work.
-FEED_PART = 0.3
-# What changed in the list is asked for as often as each such part of the drain
-# bound, so that two answers fall into it, however much changes...
-LIST_PART = 0.4
+# time in which a key that was taken away may still work. Meanwhile peers tell
+# what they confirmed.
+FEED_PART = 0.5
+# What changed in the list is asked for each such part of the drain bound,
+# however much changes, so that it is known well within it...
+LIST_PART = 0.6
 # ... and as often as this while a group is on its way: its members are ready
 # one shortly after the other, and one answer should tell of all.
 KEEN_LIST_MS = 120.0
--- a/cardamommill/gateway/standing.py
+++ b/cardamommill/gateway/standing.py
@@ -5,10 +5,11 @@
 
 from cardamommill.gateway import fleetview, model
 
-# An alarm of a peer that nobody confirmed is heeded for this long; one that
-# its planner confirmed, until the list had time to tell.
+# An alarm of a peer that nobody confirmed is heeded for this long.
 ALARM_MS = 1000.0
-CONFIRMED_ALARM_MS = 4500.0
+# A dead runner's entry goes after three heartbeats without a word; the last may
+# have come just before, and one more is lost on the way.
+LAPSE_HEARTBEATS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +24,20 @@
     retiring: bool
 
 
+def confirmed_alarm_ms(heartbeat_ms: float, drain_ms: float) -> float:
+    """Returns for how long an alarm is heeded that found a member dead.
+
+    Until then the list still names a dead head as one that serves. Heeded for
+    4.5 s, with 3.6 s for the entry to go and 0.8 s or more to read of it, dead
+    groups got requests of all nodes a second time.
+
+    Args:
+        heartbeat_ms: How often runners tell of themselves.
+        drain_ms: By when this node acts on what the list says.
+    """
+    return LAPSE_HEARTBEATS * heartbeat_ms + drain_ms
+
+
 class StandingGroups:
     """The groups of each service that serve."""
 
--- a/tests/gateway/test_standing.py
+++ b/tests/gateway/test_standing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamommill.gateway import model, standing
+from cardamommill.gateway import model, platformreader, standing
 from tests.gateway import builders
 
 KEY = model.GroupKey("g", 3)
@@ -81,3 +81,17 @@
     found.avoid(KEY, 3000)
     found.trust(KEY)
     assert not found.is_avoided(KEY, 2000)
+
+
+def test_dead_group_is_left_alone_until_the_list_can_say_so():
+    """A head dies right after its heartbeat; a node finds it dead at once.
+
+    Its entry goes three heartbeats later, and each node learns of that with its
+    next reading. Until then the list says that it serves: an alarm that ends
+    before has every node send it requests again, and notice again.
+    """
+    heartbeat_ms, drain_ms = 1200.0, 2000.0
+    gone_ms = 4 * heartbeat_ms
+    known_ms = gone_ms + platformreader.LIST_PART * drain_ms
+    heeded_ms = standing.confirmed_alarm_ms(heartbeat_ms, drain_ms)
+    assert heeded_ms > known_ms
