Leave room in the loads for a change of planners

Cause: a planner that takes over does not know what the one before began. With 0.7 of the permitted rate a window in which all planners change hands could hold 30 loads where the bound and its tenth above allow 27.75: the test, two lives of three planners with 40 blank runners each, fails so. Ruled out: asking the runners (they don't say when a load began).

Change: 0.55 of the rate.

--- a/cardamommill/gateway/loads.py
+++ b/cardamommill/gateway/loads.py
@@ -2,9 +2,10 @@
 
 from cardamommill.gateway import model, planning
 
-# Part of the permitted rate of loads that the planners use together, so that
-# a second planner after a change of hands stays within the bound.
-LOAD_SHARE = 0.7
+# Part of the permitted rate of loads that the planners use together. A planner
+# that takes over does not know what the one before began: with 0.55 even two of
+# each data centre within one window stay below the bound and its tenth above.
+LOAD_SHARE = 0.55
 LOAD_WINDOW_MS = 5000.0
 
 
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from cardamommill.gateway import model, orders, planner, planning
+from cardamommill.gateway import loads, model, orders, planner, planning
 from tests.gateway import builders
 
 SCOPE = planning.Scope(frozenset({"a"}), 1, False, {})
@@ -261,6 +261,32 @@
         assert sum(start <= each < start + 5000 for each in times) <= limit
 
 
+def test_loads_keep_to_their_rate_when_planners_change_hands():
+    """All planners die right after their loads, and all begin anew.
+
+    The weight store bounds the loads that begin in some seconds, whoever began
+    them; nobody tells the new planners of those before.
+    """
+    window_ms = loads.LOAD_WINDOW_MS
+    places = ("a", "b", "c")
+    begun = 0
+    for life in range(2):
+        for place in places:
+            runners = [
+                builders.runner(number, place=place)
+                for number in range(100 * life, 100 * life + 40)
+            ]
+            bench = Bench(
+                runners,
+                planning.Scope(frozenset({place}), len(places), False, {}))
+            for _ in range(10):
+                begun += len(
+                    ordered(bench.step(window_ms / 25), orders.Operation.STAGE))
+    engine = builders.engine()
+    assert begun <= engine.loads_per_s * window_ms / 1000 * 1.1 + 3
+    assert begun > 0
+
+
 def test_survivors_in_two_domains_make_a_slow_group_where_none_stands():
     blank = [builders.runner(number) for number in range(20, 25)]
     bench = Bench(warm(2) + warm(2, start=11, domain="d1") + blank)
