Tell refused callers to come back when the queue is worked off

Ruled out: a longer queue instead (their goal has passed, and callers leave after 2 s without an event).

Change: the time after which the shortest queue of now should be worked off, spread over its double, at most 2.6 s.

--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -15,8 +15,10 @@
 # Answers that tell a peer's in-flight requests are this old at most.
 MIN_RETRY_AFTER_MS = 120.0
 MAX_RETRY_AFTER_MS = 1500.0
-# Where all groups are full: about what a request takes.
+# Where all groups are full, at least about what a request takes, and at most
+# what callers wait of the time that they have left.
 FULL_RETRY_AFTER_MS = 500.0
+MAX_FULL_RETRY_AFTER_MS = 2600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,12 +152,22 @@
             return dataclasses.replace(min(chosen, key=_patient_cost),
                                        patient=True)
     if placed:
-        return Refused("all groups are full",
-                       FULL_RETRY_AFTER_MS * (1 + wish.spread))
+        return Refused("all groups are full", _worked_off_ms(placed, wish))
     wait_ms = min(max(form_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
     return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
 
 
+def _worked_off_ms(placed: list[Placed], wish: Wish) -> float:
+    """Returns when the shortest queue of now should have been worked off.
+
+    Told to come back after 0.5 to 1 s, while a queue takes 1.3 s and more,
+    callers came back to be refused once more, and most try only twice.
+    """
+    soonest_ms = min(each.first_event_ms for each in placed)
+    wait_ms = max(FULL_RETRY_AFTER_MS, soonest_ms - max(0.0, wish.goal_ms))
+    return min(MAX_FULL_RETRY_AFTER_MS, wait_ms * (1 + wish.spread))
+
+
 def _finishing(wish: Wish) -> Callable[[Placed], bool]:
     return lambda placed: placed.finish_ms <= wish.left_ms
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -87,6 +87,20 @@
     assert late.retry_after_ms >= 1.5 * early.retry_after_ms
 
 
+def test_caller_comes_back_when_the_queue_is_worked_off():
+    """All groups are full; the shortest queue takes some 2 s.
+
+    A caller that comes back before finds the same queue, is refused again and
+    tries no more.
+    """
+    refused = place(candidate("a", 60, patient=7),
+                    candidate("b", 40, patient=7),
+                    wish=placing.Wish(300.0, 1600.0, 8000.0, 0.0))
+    engine_ms = placing.pass_ms(ENGINE, 13, 1.0)
+    queue_ms = 28 * 180 / ENGINE.stride * engine_ms / 13
+    assert queue_ms - 300 < refused.retry_after_ms < queue_ms + 300
+
+
 def test_no_group_says_when_one_should_stand():
     refused = place(candidate("a"),
                     excluded=frozenset({model.GroupKey("a", 1)}))
