--- /dev/null
+++ b/cardamommill/experiment/troubles.py
@@ -0,0 +1,254 @@
+"""What goes wrong in a run, each at its time."""
+
+import asyncio
+from collections.abc import Mapping
+import math
+import random
+import signal
+from typing import Any, Protocol
+
+from cardamommill.experiment import (
+    deployments,
+    modelclients,
+    modelrunner,
+    modelstore,
+    oracle,
+    virtualloop,
+)
+from cardamommill.gateway import clock
+from cardamommill.platform import words
+
+
+class Machine(Protocol):
+    """An entry VM."""
+
+    name: str
+    host: str
+    place: str
+    node: Any
+
+
+class Stage(Protocol):
+    """The run that troubles happen to; see `world.World`."""
+
+    deployment: deployments.Deployment
+    loop: virtualloop.VirtualLoop
+    chance: random.Random
+    fleet: modelrunner.Fleet
+    store: modelstore.ModelStore
+    judge: oracle.Oracle
+    clients: dict[str, modelclients.Clients]
+    keys: list[tuple[str, str]]
+    version: int
+
+    @property
+    def machines(self) -> Mapping[str, Machine]:
+        """Returns the entry VMs."""
+
+    def spawn(self, host: str, work: Any) -> asyncio.Task[Any]:
+        """Runs something on a host."""
+
+    def add_runner(self, place: str, domain: str,
+                   service: str) -> modelrunner.ModelRunner:
+        """Starts a runner."""
+
+    async def kill_node(self, name: str, for_s: float) -> None:
+        """Ends an entry VM's process for a while."""
+
+
+class Troubles:
+    """Carries out the troubles of one run; a method for each kind."""
+
+    def __init__(self, world: Stage) -> None:
+        self._world = world
+
+    async def happen(self, trouble: deployments.Trouble) -> None:
+        """Lets a trouble happen when its time has come."""
+        await asyncio.sleep(trouble.at_s)
+        act = getattr(self, f"_{trouble.kind}")
+        await act(trouble)
+
+    def _place(self, trouble: deployments.Trouble) -> str:
+        return trouble.place or self._world.chance.choice(
+            list(self._world.clients))
+
+    def _joined(self,
+                trouble: deployments.Trouble) -> list[modelrunner.ModelRunner]:
+        place = self._place(trouble)
+        found = [
+            each for each in self._world.fleet.runners.values()
+            if each.place == place and each.membership and not each.dark and
+            not each.leaving
+        ]
+        self._world.chance.shuffle(found)
+        return found[:trouble.count]
+
+    async def _runners_dark(self, trouble: deployments.Trouble) -> None:
+        for runner in self._joined(trouble):
+            self._world.loop.network.host(runner.host).dark = True
+            if not trouble.for_s:
+                runner.end()
+            else:
+                self._world.spawn("troubles",
+                                  self._lighten(runner, trouble.for_s))
+
+    async def _lighten(self, runner: modelrunner.ModelRunner,
+                       for_s: float) -> None:
+        await asyncio.sleep(for_s)
+        self._world.loop.network.host(runner.host).dark = False
+
+    async def _domain_dark(self, trouble: deployments.Trouble) -> None:
+        place = self._place(trouble)
+        domains = sorted({
+            each.domain
+            for each in self._world.fleet.runners.values()
+            if each.place == place and each.domain
+        })
+        domain = self._world.chance.choice(domains)
+        for runner in self._world.fleet.runners.values():
+            if runner.domain == domain and not runner.ended:
+                self._world.loop.network.host(runner.host).dark = True
+                self._world.spawn("troubles",
+                                  self._lighten(runner, trouble.for_s))
+
+    async def _runners_crash(self, trouble: deployments.Trouble) -> None:
+        for runner in self._joined(trouble):
+            runner.end()
+            self._world.loop.network.end_processes(runner.host)
+
+    async def _new_runners(self, trouble: deployments.Trouble) -> None:
+        place = self._place(trouble)
+        for _ in range(trouble.count):
+            domain = self._world.chance.randrange(
+                self._world.deployment.domains)
+            self._world.add_runner(place, f"{place}-d{domain}", "engine")
+
+    async def _runners_slow(self, trouble: deployments.Trouble) -> None:
+        slow = self._joined(trouble)
+        for runner in slow:
+            runner.pace = trouble.factor
+        await asyncio.sleep(trouble.for_s)
+        for runner in slow:
+            runner.pace = 1.0
+
+    async def _runners_drain(self, trouble: deployments.Trouble) -> None:
+        leaving = self._joined(trouble)
+        for runner in leaving:
+            runner.drain()
+        await asyncio.sleep(4.0)
+        for runner in leaving:
+            runner.end()
+            self._world.store.drop(words.SERVERS_TABLE, runner.id)
+            self._world.loop.network.end_processes(runner.host)
+
+    async def _runners_cut(self, trouble: deployments.Trouble) -> None:
+        cut = self._joined(trouble)
+        for runner in cut:
+            runner.store_cut = True
+        await asyncio.sleep(trouble.for_s)
+        for runner in cut:
+            runner.store_cut = False
+
+    async def _late_orders(self, trouble: deployments.Trouble) -> None:
+        runners = [
+            each for each in self._world.fleet.runners.values()
+            if self._world.chance.random() < trouble.factor
+        ]
+        for runner in runners:
+            runner.late_orders_ms = self._world.chance.uniform(2000, 12_000)
+        await asyncio.sleep(trouble.for_s)
+        for runner in runners:
+            runner.late_orders_ms = 0.0
+
+    async def _node_kill(self, trouble: deployments.Trouble) -> None:
+        names = [
+            each.name
+            for each in self._world.machines.values()
+            if each.node and (not trouble.place or each.place == trouble.place)
+        ]
+        for name in self._world.chance.sample(names,
+                                              min(trouble.count, len(names))):
+            self._world.spawn("troubles",
+                              self._world.kill_node(name, trouble.for_s))
+
+    async def _all_nodes_kill(self, trouble: deployments.Trouble) -> None:
+        for name in self._world.machines:
+            self._world.spawn("troubles",
+                              self._world.kill_node(name, trouble.for_s))
+
+    async def _node_stop(self, trouble: deployments.Trouble) -> None:
+        name = self._world.chance.choice(sorted(self._world.machines))
+        self._world.loop.signal_host(self._world.machines[name].host,
+                                     signal.SIGTERM)
+
+    async def _place_cut(self, trouble: deployments.Trouble) -> None:
+        place = self._place(trouble)
+        network = self._world.loop.network
+        inside = [
+            name for name, host in network.hosts.items() if host.place == place
+        ]
+        outside = [
+            name for name, host in network.hosts.items()
+            if host.place != place and not name.startswith("clients")
+        ]
+        for one in inside:
+            for other in outside:
+                if not one.startswith("clients"):
+                    network.cut(one, other)
+        await asyncio.sleep(trouble.for_s)
+        network.heal()
+
+    async def _fail_store(self, fault: str, for_s: float) -> None:
+        self._world.store.fault = fault
+        self._world.judge.counts_loads = False
+        await asyncio.sleep(for_s)
+        self._world.store.fault = ""
+        await asyncio.sleep(3.0)
+        self._world.judge.counts_loads = True
+
+    async def _store_silent(self, trouble: deployments.Trouble) -> None:
+        await self._fail_store("silent", trouble.for_s)
+
+    async def _store_busy(self, trouble: deployments.Trouble) -> None:
+        await self._fail_store("busy", trouble.for_s)
+
+    async def _store_slow(self, trouble: deployments.Trouble) -> None:
+        self._world.store.slow_factor = trouble.factor
+        await asyncio.sleep(trouble.for_s)
+        self._world.store.slow_factor = 1.0
+
+    async def _store_compact(self, trouble: deployments.Trouble) -> None:
+        del trouble
+        self._world.store.compact()
+
+    async def _configuration(self, trouble: deployments.Trouble) -> None:
+        del trouble
+        self._publish()
+
+    def _publish(self) -> None:
+        self._world.version += self._world.chance.randint(1, 3)
+        self._world.store.put(
+            words.OPERATOR_TABLE, words.CONFIGURATION_KEY,
+            self._world.deployment.configuration(self._world.version,
+                                                 self._world.keys))
+
+    async def _revoke(self, trouble: deployments.Trouble) -> None:
+        for _ in range(min(trouble.count, len(self._world.keys) - 1)):
+            gone = self._world.keys.pop(
+                self._world.chance.randrange(len(self._world.keys)))
+            self._publish()
+            self._world.judge.revoked_ms[gone[1]] = clock.now_ms()
+
+    async def _plain_cut(self, trouble: deployments.Trouble) -> None:
+        del trouble
+        # Runners lose the connections of requests that they run.
+        for runner in self._world.fleet.runners.values():
+            if runner.service == "plain":
+                self._world.loop.network.reset_connections(runner.host)
+
+    async def _burst(self, trouble: deployments.Trouble) -> None:
+        for each in self._world.clients.values():
+            each.factor = trouble.factor
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for each in self._world.clients.values():
+            each.factor = 1.0
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -3,10 +3,8 @@
 import asyncio
 import contextvars
 import dataclasses
-import math
 import pathlib
 import random
-import signal
 from typing import Any
 
 import logbook
@@ -17,6 +15,7 @@
     modelrunner,
     modelstore,
     oracle,
+    troubles,
     virtualloop,
 )
 from cardamommill.gateway import clock, entrynode, entrysettings, upstream
@@ -283,195 +282,15 @@
                     host,
                     self.clients[place].send_all(self.deployment.kind(spec),
                                                  until_ms))
+        troubled = troubles.Troubles(self)
         for trouble in self.deployment.troubles:
-            self.spawn("troubles", self._trouble(trouble))
+            self.spawn("troubles", troubled.happen(trouble))
         longest_ms = max(each.deadline_ms for each in self.deployment.kinds)
         await asyncio.sleep(self.deployment.length_s + longest_ms / 1000)
         return Outcome(self.deployment.name, [
             result for each in self.clients.values() for result in each.results
         ], self.judge.violations, self.standing, self.store.calls, started_ms)
 
-    # Troubles.
-
-    async def _trouble(self, trouble: deployments.Trouble) -> None:
-        await asyncio.sleep(trouble.at_s)
-        act = getattr(self, f"_{trouble.kind}")
-        await act(trouble)
-
-    def _place(self, trouble: deployments.Trouble) -> str:
-        return trouble.place or self.chance.choice(list(self.clients))
-
-    def _joined(self,
-                trouble: deployments.Trouble) -> list[modelrunner.ModelRunner]:
-        place = self._place(trouble)
-        found = [
-            each for each in self.fleet.runners.values()
-            if each.place == place and each.membership and not each.dark and
-            not each.leaving
-        ]
-        self.chance.shuffle(found)
-        return found[:trouble.count]
-
-    async def _runners_dark(self, trouble: deployments.Trouble) -> None:
-        for runner in self._joined(trouble):
-            self.loop.network.host(runner.host).dark = True
-            if not trouble.for_s:
-                runner.end()
-            else:
-                self.spawn("troubles", self._lighten(runner, trouble.for_s))
-
-    async def _lighten(self, runner: modelrunner.ModelRunner,
-                       for_s: float) -> None:
-        await asyncio.sleep(for_s)
-        self.loop.network.host(runner.host).dark = False
-
-    async def _domain_dark(self, trouble: deployments.Trouble) -> None:
-        place = self._place(trouble)
-        domains = sorted({
-            each.domain
-            for each in self.fleet.runners.values()
-            if each.place == place and each.domain
-        })
-        domain = self.chance.choice(domains)
-        for runner in self.fleet.runners.values():
-            if runner.domain == domain and not runner.ended:
-                self.loop.network.host(runner.host).dark = True
-                self.spawn("troubles", self._lighten(runner, trouble.for_s))
-
-    async def _runners_crash(self, trouble: deployments.Trouble) -> None:
-        for runner in self._joined(trouble):
-            runner.end()
-            self.loop.network.end_processes(runner.host)
-
-    async def _new_runners(self, trouble: deployments.Trouble) -> None:
-        place = self._place(trouble)
-        for _ in range(trouble.count):
-            domain = self.chance.randrange(self.deployment.domains)
-            self.add_runner(place, f"{place}-d{domain}", "engine")
-
-    async def _runners_slow(self, trouble: deployments.Trouble) -> None:
-        slow = self._joined(trouble)
-        for runner in slow:
-            runner.pace = trouble.factor
-        await asyncio.sleep(trouble.for_s)
-        for runner in slow:
-            runner.pace = 1.0
-
-    async def _runners_drain(self, trouble: deployments.Trouble) -> None:
-        leaving = self._joined(trouble)
-        for runner in leaving:
-            runner.drain()
-        await asyncio.sleep(4.0)
-        for runner in leaving:
-            runner.end()
-            self.store.drop(words.SERVERS_TABLE, runner.id)
-            self.loop.network.end_processes(runner.host)
-
-    async def _runners_cut(self, trouble: deployments.Trouble) -> None:
-        cut = self._joined(trouble)
-        for runner in cut:
-            runner.store_cut = True
-        await asyncio.sleep(trouble.for_s)
-        for runner in cut:
-            runner.store_cut = False
-
-    async def _late_orders(self, trouble: deployments.Trouble) -> None:
-        runners = [
-            each for each in self.fleet.runners.values()
-            if self.chance.random() < trouble.factor
-        ]
-        for runner in runners:
-            runner.late_orders_ms = self.chance.uniform(2000, 12_000)
-        await asyncio.sleep(trouble.for_s)
-        for runner in runners:
-            runner.late_orders_ms = 0.0
-
-    async def _node_kill(self, trouble: deployments.Trouble) -> None:
-        names = [
-            each.name
-            for each in self.machines.values()
-            if each.node and (not trouble.place or each.place == trouble.place)
-        ]
-        for name in self.chance.sample(names, min(trouble.count, len(names))):
-            self.spawn("troubles", self.kill_node(name, trouble.for_s))
-
-    async def _all_nodes_kill(self, trouble: deployments.Trouble) -> None:
-        for name in self.machines:
-            self.spawn("troubles", self.kill_node(name, trouble.for_s))
-
-    async def _node_stop(self, trouble: deployments.Trouble) -> None:
-        name = self.chance.choice(sorted(self.machines))
-        self.loop.signal_host(self.machines[name].host, signal.SIGTERM)
-
-    async def _place_cut(self, trouble: deployments.Trouble) -> None:
-        place = self._place(trouble)
-        network = self.loop.network
-        inside = [
-            name for name, host in network.hosts.items() if host.place == place
-        ]
-        outside = [
-            name for name, host in network.hosts.items()
-            if host.place != place and not name.startswith("clients")
-        ]
-        for one in inside:
-            for other in outside:
-                if not one.startswith("clients"):
-                    network.cut(one, other)
-        await asyncio.sleep(trouble.for_s)
-        network.heal()
-
-    async def _fail_store(self, fault: str, for_s: float) -> None:
-        self.store.fault = fault
-        self.judge.counts_loads = False
-        await asyncio.sleep(for_s)
-        self.store.fault = ""
-        await asyncio.sleep(3.0)
-        self.judge.counts_loads = True
-
-    async def _store_silent(self, trouble: deployments.Trouble) -> None:
-        await self._fail_store("silent", trouble.for_s)
-
-    async def _store_busy(self, trouble: deployments.Trouble) -> None:
-        await self._fail_store("busy", trouble.for_s)
-
-    async def _store_slow(self, trouble: deployments.Trouble) -> None:
-        self.store.slow_factor = trouble.factor
-        await asyncio.sleep(trouble.for_s)
-        self.store.slow_factor = 1.0
-
-    async def _store_compact(self, trouble: deployments.Trouble) -> None:
-        del trouble
-        self.store.compact()
-
-    async def _configuration(self, trouble: deployments.Trouble) -> None:
-        del trouble
-        self._publish()
-
-    def _publish(self) -> None:
-        self.version += self.chance.randint(1, 3)
-        self.store.put(words.OPERATOR_TABLE, words.CONFIGURATION_KEY,
-                       self.deployment.configuration(self.version, self.keys))
-
-    async def _revoke(self, trouble: deployments.Trouble) -> None:
-        for _ in range(min(trouble.count, len(self.keys) - 1)):
-            gone = self.keys.pop(self.chance.randrange(len(self.keys)))
-            self._publish()
-            self.judge.revoked_ms[gone[1]] = clock.now_ms()
-
-    async def _plain_cut(self, trouble: deployments.Trouble) -> None:
-        del trouble
-        # Runners lose the connections of requests that they run.
-        for runner in self.fleet.runners.values():
-            if runner.service == "plain":
-                self.loop.network.reset_connections(runner.host)
-
-    async def _burst(self, trouble: deployments.Trouble) -> None:
-        for each in self.clients.values():
-            each.factor = trouble.factor
-        await asyncio.sleep(trouble.for_s or math.inf)
-        for each in self.clients.values():
-            each.factor = 1.0
-
 
 def play(deployment: deployments.Deployment,
          seed: int | None = None) -> Outcome:
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from cardamommill.gateway import clock, model
+from cardamommill.gateway import clock, headfields, model
 
 # After a refusal of a request that has not been read whole, its rest is read
 # and dropped for this long: closing at once would reset the refusal away.
@@ -36,10 +36,7 @@
 
     def get(self, name: str) -> str | None:
         """Returns the first header of a name, whatever its case."""
-        wanted = name.lower()
-        return next(
-            (value for key, value in self.headers if key.lower() == wanted),
-            None)
+        return headfields.first(self.headers, name)
 
 
 class Serving(Protocol):
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from cardamommill.gateway import clock
+from cardamommill.gateway import clock, headfields
 
 # A connection that answers within a data centre or two answers in a few ms;
 # an opening packet that was dropped is sent again after 1 s.
@@ -45,10 +45,7 @@
 
     def get(self, name: str) -> str | None:
         """Returns the first header of a name, whatever its case."""
-        wanted = name.lower()
-        return next(
-            (value for key, value in self.headers if key.lower() == wanted),
-            None)
+        return headfields.first(self.headers, name)
 
 
 class Receiver(Protocol):
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -150,14 +150,6 @@
                             _STATES[group.state])
 
 
-def server_load(text: str) -> tuple[int, int] | None:
-    """Returns the running and waiting requests that an answer's head tells."""
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return int(parts[0]), int(parts[1])
-
-
 def json_body(body: bytes, step: str, peer: str) -> dict[str, Any]:
     """Returns a JSON object.
 
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -102,9 +102,3 @@
     report = entries.decode_report("i-1", json.dumps({"seq": 2}).encode())
     assert report.orders_begun == 2
     assert not hasattr(decode().standing, "seq")
-
-
-def test_load_in_an_answer():
-    assert entries.server_load("3, 1,8") == (3, 1)
-    assert entries.server_load("3,1") is None
-    assert entries.server_load("a,b,c") is None
