Take the list for stale by the bound that it is followed by

With a drain bound of 3 s a list without news is waited for longer than the 2.8 s after which members were asked themselves, so late ones would be asked each 120 ms though the list is followed. The reader tells the view; with a bound of 2 s it is 2.8 s as before.

--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -8,6 +8,8 @@
 # A runner that left the list is remembered for as long as it may still be
 # asked whether it lives: its group may go on serving.
 REMEMBERED_MS = 30_000
+# As long as a list without news is waited for, with a drain bound of 2 s.
+LIST_STALE_MS = 2800.0
 
 _ORDER = {
     model.MemberState.JOINING: 0,
@@ -97,6 +99,8 @@
         # Counts all changes, for whoever keeps what he made of the view.
         self.version = 0
         self.list_as_of_ms = float("-inf")
+        # Older than this the list is not followed any more; set by its reader.
+        self.list_stale_ms = LIST_STALE_MS
         self._groups: dict[str, dict[model.GroupKey, Group]] = {}
         self._groups_version = -1
 
--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -6,9 +6,6 @@
 
 # Between two questions to a member that should be ready by now.
 PROBE_INTERVAL_MS = 120.0
-# Without a list for this long members are asked themselves: longer than a
-# list without news is waited for.
-LIST_STALE_MS = 2800.0
 # A formation that takes this many times what it should is given up.
 PATIENCE = 3.0
 PATIENCE_FLOOR_MS = 3000.0
@@ -108,7 +105,7 @@
         # The list is told at once and reports are old, but a node that is cut
         # off from the store would wait for the list for as long as that lasts:
         # a group stood ready and unopened for 8 s.
-        if now_ms - self._view.list_as_of_ms < LIST_STALE_MS:
+        if now_ms - self._view.list_as_of_ms < self._view.list_stale_ms:
             yield planning.ReadList()
             return
         for each in unready:
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -43,6 +43,7 @@
         # Whether a change of the list is waited for.
         self.is_keen: Callable[[], bool] = bool
         self._listed: dict[str, model.Runner] = {}
+        view.list_stale_ms = (LIST_PART + LIST_WAIT_PART) * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -127,8 +127,7 @@
             await asyncio.sleep(1.0)
             ages_ms.append(clock.now_ms() - one.view.list_as_of_ms)
         assert one.store.calls - before <= 40
-        parts = platformreader.LIST_PART + platformreader.LIST_WAIT_PART
-        assert max(ages_ms) <= parts * DRAIN_MS
+        assert max(ages_ms) <= one.view.list_stale_ms
 
     follow(script)
 
