--- /dev/null
+++ b/tests/experiment/test_mixes.py
@@ -0,0 +1,16 @@
+"""Tests of rules under troubles that are drawn by chance, with fixed seeds."""
+
+import pytest
+
+from tests import mixes
+
+
+@pytest.mark.parametrize("seed", range(2000, 2006))
+def test_no_rule_is_broken_in_a_mix(seed):
+    assert not mixes.play(seed).violations
+
+
+def test_mixes_differ_and_repeat():
+    drawn = [mixes.draw(seed) for seed in range(30)]
+    assert drawn == [mixes.draw(seed) for seed in range(30)]
+    assert {each["kind"] for mix in drawn for each in mix} == set(mixes.KINDS)
