Use spares up while requests of their model wait

Ruled out: loads (staged in the lead), the other model's need (its requests were in time).

Change: a strained model's groups may take all of its spares.

--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -366,7 +366,11 @@
             not self._is_free(each) and each.usable for each in runners)
         if has_group and not any(each.last_model for each in picked):
             reserve = round(SPARE_SHARE * len(runners))
-            if len(free) - served.size < reserve:
+            # Spares are of no use to callers who wait: with 18 of the 74
+            # runners of a data centre held back, a model had its requests late
+            # or refused for half a minute.
+            if (not self._strain.is_strained(served.name) and
+                    len(free) - served.size < reserve):
                 return None
         if cold and not scope.in_lead:
             # Loading takes some ten times as long as all else: spares are
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_strain.py
@@ -58,6 +58,47 @@
     assert loaded(one.step()) == ["large", "large"]
 
 
+def spares_of_a_large_domain(waiting):
+    """Four spares of the large model in a domain of forty, one group open."""
+    runners = group(LARGE, "large", 1, 4)
+    runners += [
+        builders.runner(20 + each, staged=("large",)) for each in range(4)
+    ]
+    # These serve something else, and make the domain large.
+    runners += [
+        builders.runner(100 + number,
+                        served="small",
+                        membership=builders.member(
+                            model.GroupKey(f"s{number // 3}", 9), number % 3,
+                            model.MemberState.READY if number %
+                            3 else model.MemberState.OPEN))
+        for number in range(33)
+    ]
+    scope = planning.Scope(frozenset({"a"}), 1, False, {LARGE: 20}, waiting)
+    return planners.Bench(runners, scope)
+
+
+def joined(one, steps=20):
+    """Returns the joins of so many steps, none of them answered."""
+    found = []
+    for _ in range(steps):
+        found += planners.ordered(one.step(100), orders.Operation.JOIN)
+    return found
+
+
+def test_spares_are_used_while_requests_wait():
+    """All groups of a model are full; whole groups of it lie idle as spares.
+
+    Held back for the next death they leave callers waiting who could be served
+    now; in a large domain the survivors of two deaths make a group anyway.
+    """
+    assert len(joined(spares_of_a_large_domain({LARGE: 8}))) == 4
+
+
+def test_spares_are_held_back_while_nothing_waits():
+    assert not joined(spares_of_a_large_domain({}))
+
+
 def test_a_short_burst_is_no_strain():
     one = bench({LARGE: 8})
     assert loaded(one.step(100)) == ["small", "small"]
