Load for a strained model up to its share

Change: a strained model comes first only while it holds less of the data centre's runners, loads under way included, than its share.

--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -53,7 +53,7 @@
         self._formations = formations.Formations(view, name, self._pending,
                                                  self._ledger)
         self._strain = strain.Strain()
-        self._spares = spares.Spares(view, self._ledger, self._strain)
+        self._spares = spares.Spares(view, self._ledger)
         self._consolidation = consolidation.Consolidation(self._formations)
         self._asked_ms: dict[str, float] = {}
         self._foreign_ms: dict[model.GroupKey, float] = {}
@@ -240,13 +240,30 @@
                 largest = max(map(len, domains.values()))
                 yield from self._form_far(service, engine, scope, whole,
                                           largest, now_ms)
+            need = self._need(service, engine, whole)
             for domain in sorted(domains):
                 if scope.in_lead and any(
                         each.loads for each in self.formations.values()):
                     # Groups first: staging shares the store's bandwidth.
                     continue
                 free = [each for each in domains[domain] if self._is_free(each)]
-                yield from self._spares.stage(engine, scope, free, now_ms)
+                yield from self._spares.stage(engine, scope, free, need, now_ms)
+
+    def _need(self, service: str, engine: model.Engine,
+              runners: list[fleetview.Known]) -> strain.Need:
+        ids = {each.runner.id for each in runners}
+        holds: dict[str, int] = {}
+        for name, members in self._members_by_model(service):
+            holds[name] = holds.get(name, 0) + len(members & ids)
+        for known in runners:
+            if self._is_free(known):
+                name = self._spares.warm_model(known)
+                holds[name] = holds.get(name, 0) + 1
+        strained = frozenset(each.name
+                             for each in engine.models
+                             if self._strain.is_strained(each.name))
+        return strain.Need(strained, holds,
+                           sum(each.usable for each in runners))
 
     def _form(self, service: str, engine: model.Engine, scope: planning.Scope,
               runners: list[fleetview.Known],
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/spares.py
@@ -20,18 +20,10 @@
 class Spares:
     """Free runners and what is staged on their hosts."""
 
-    def __init__(self, view: fleetview.FleetView, ledger: loads.LoadLedger,
-                 strained: strain.Strain) -> None:
-        """Makes it.
-
-        Args:
-            view: What is believed of runners.
-            ledger: Counts loads.
-            strained: Which models need more groups.
-        """
+    def __init__(self, view: fleetview.FleetView,
+                 ledger: loads.LoadLedger) -> None:
         self._view = view
         self._ledger = ledger
-        self._strain = strained
         self._staging: dict[str, tuple[str, float]] = {}
         self._refused_ms: dict[str, float] = {}
 
@@ -45,27 +37,36 @@
         self._refused_ms[runner] = now_ms
 
     def stage(self, engine: model.Engine, scope: planning.Scope,
-              free: list[fleetview.Known],
+              free: list[fleetview.Known], need: strain.Need,
               now_ms: float) -> Iterator[planning.Action]:
-        """Returns orders to load for the free runners of one domain."""
+        """Returns orders to load for the free runners of one domain.
+
+        Args:
+            engine: Of the service.
+            scope: For whom is planned.
+            free: The runners.
+            need: Of the data centre; is kept up to date.
+            now_ms: The time.
+        """
         held: dict[str, int] = {each.name: 0 for each in engine.models}
         for known in free:
             name = self.warm_model(known)
             if name in held:
                 held[name] += 1
-        for known in self._idle(engine, free, held):
+        for known in self._idle(engine, free, held, need):
             if now_ms - self._refused_ms.get(known.runner.id, -math.inf) < (
                     REFUSED_MS):
                 continue
             if not self._ledger.may_load(engine, scope, now_ms):
                 return
             before = self.warm_model(known)
-            served = self._wanted(engine, held, len(free))
+            served = self._wanted(engine, held, len(free), need)
             if served.name == before:
                 continue
             if before in held:
                 held[before] -= 1
             held[served.name] += 1
+            need.moves(before, served.name)
             self._staging[known.runner.id] = (served.name,
                                               now_ms + 2 * served.load_ms)
             self._ledger.note(1, now_ms)
@@ -76,7 +77,7 @@
                                reason=f"held in the domain: {held}")
 
     def _idle(self, engine: model.Engine, free: list[fleetview.Known],
-              held: dict[str, int]) -> list[fleetview.Known]:
+              held: dict[str, int], need: strain.Need) -> list[fleetview.Known]:
         """Returns runners whose host may load something else, blank ones first.
 
         One that holds a model may load another only for a strained one, and
@@ -89,17 +90,17 @@
         sizes = {each.name: each.size for each in engine.models}
         stuck = len(free) >= min(sizes.values()) and all(
             count < sizes[name] for name, count in held.items())
-        strained = [name for name in held if self._strain.is_strained(name)]
-        if blank or not stuck or not strained or any(
+        first = [each.name for each in engine.models if need.comes_first(each)]
+        if blank or not stuck or not first or any(
                 each.runner.id in self._staging for each in free):
             return blank
-        best = max(strained, key=lambda name: (held[name] / sizes[name], name))
+        best = max(first, key=lambda name: (held[name] / sizes[name], name))
         missing = sizes[best] - held[best]
         others = [each for each in free if self.warm_model(each) != best]
         return others[:missing] if len(others) >= missing else []
 
-    def _wanted(self, engine: model.Engine, held: dict[str, int],
-                free: int) -> model.ServedModel:
+    def _wanted(self, engine: model.Engine, held: dict[str, int], free: int,
+                need: strain.Need) -> model.ServedModel:
         # A model whose requests wait comes first: by the fewest runners alone
         # the smaller one got most loads of a day, while it had eight groups
         # and the larger one four. Then what lacks the fewest runners to a whole
@@ -108,7 +109,7 @@
             count = held[served.name]
             missing = served.size - count
             reachable = 0 < missing < served.size and free >= served.size
-            return (not self._strain.is_strained(served.name),
+            return (not need.comes_first(served),
                     missing if reachable else math.inf,
                     count / max(served.share, 1e-6))
 
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/strain.py
@@ -1,5 +1,7 @@
 """Which models have more work than their groups do in time."""
 
+import dataclasses
+
 from cardamommill.gateway import fleetview, model, planning
 
 # A model is strained once this part of its requests waits though it will be
@@ -10,6 +12,38 @@
 MEMORY_MS = 2000.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What the models of a data centre lack.
+
+    Attributes:
+        strained: Models that need more groups.
+        holds: Runners that each has: members, spares, and those that load.
+        usable: Runners that there are.
+    """
+
+    strained: frozenset[str]
+    holds: dict[str, int]
+    usable: int
+
+    def comes_first(self, served: model.ServedModel) -> bool:
+        """Whether the next load is for a model, whatever else is near a group.
+
+        Not beyond its share: what is loaded now serves in 16 s. With all loads
+        for as long as requests waited, the other model was the strained one
+        half a minute later, with 0.43 of its requests refused.
+        """
+        held = self.holds.get(served.name, 0)
+        return (served.name in self.strained and
+                held < served.share * self.usable)
+
+    def moves(self, before: str, after: str) -> None:
+        """Notes that a runner will hold another model."""
+        if before in self.holds:
+            self.holds[before] -= 1
+        self.holds[after] = self.holds.get(after, 0) + 1
+
+
 class Strain:
     """Keeps the part of late requests of each model."""
 
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_strain.py
@@ -6,6 +6,7 @@
 
 LARGE = model.GroupKey("g1", 1)
 SMALL = model.GroupKey("g2", 2)
+LARGE_SHARE = builders.LARGE.share
 
 
 def group(key, name, start, size):
@@ -99,6 +100,26 @@
     assert not joined(spares_of_a_large_domain({}))
 
 
+def test_strained_model_gets_no_more_than_its_share():
+    """Its requests wait, and what it needs is being loaded already.
+
+    Were all loads for it until the first of them is done, the other model
+    would be short when they are.
+    """
+    one = bench({LARGE: 8}, blank=0)
+    for _ in range(20):
+        one.step(100)
+    known = [each.runner for each in one.view.known.values()]
+    blank = [builders.runner(20 + each, row_version=2) for each in range(8)]
+    one.view.take_list(known + blank, one.now_ms)
+    staged = []
+    for _ in range(10):
+        staged += loaded(one.step(600))
+    share = LARGE_SHARE * len(known + blank)
+    assert 4 + staged.count("large") <= share + 1
+    assert staged.count("small") >= 2
+
+
 def test_a_short_burst_is_no_strain():
     one = bench({LARGE: 8})
     assert loaded(one.step(100)) == ["small", "small"]
