Take what a host has loaded from the list, whatever else is doubted

A row that changed between the reading before an order and the one after it may be older than the order, so it was left, whole; as nothing else changed in it, it was never taken. With the feed, asked each 1.8 s there, a load of 1.2 s in the lead falls into that gap. Ruled out: the weight store (the runners say that they hold it), the rate of loads.

Change: what the row says of the host is taken all the same; a wrong belief of that only makes a join slower. The test fails without it.

--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -245,6 +245,10 @@
         """
         newer = read_before_ms > max(known.report_ms, known.order_ms)
         if not newer and not _goes_on(known.membership, standing.membership):
+            # What its host holds is true all the same: a load that ended before
+            # the next reading was never seen, and the spare never used.
+            known.standing = dataclasses.replace(known.standing,
+                                                 staged=standing.staged)
             return
         if standing != known.standing:
             known.list_ms = as_of_ms
--- a/tests/gateway/test_fleetview.py
+++ b/tests/gateway/test_fleetview.py
@@ -39,6 +39,21 @@
     assert view.known["i-1"].membership is None
 
 
+def test_load_that_ended_before_the_next_reading_is_seen():
+    """A host is told to load, and has done so when the list is read next.
+
+    Whether the row is older than the order nobody can tell; what it says of the
+    host is true all the same. Left unread, as nothing else changes in that row,
+    the spare was taken for one that loads for the rest of the day.
+    """
+    view = builders.view(builders.runner(1, 5), at_ms=1000)
+    view.take_order("i-1", 1, None, 1500)
+    view.take_list([builders.runner(1, 6, staged=("large",))], 2800)
+    view.take_list([builders.runner(1, 6, staged=("large",))], 4000)
+    assert view.known["i-1"].standing.staged == ("large",)
+    assert view.known["i-1"].membership is None
+
+
 def test_same_group_goes_on_by_the_list():
     view = builders.view(builders.runner(1, 5), at_ms=1000)
     view.take_order("i-1", 1, JOINING, 1500)
