Keep one record of loads, and one of each group given up

Found by reading the whole change again; behaviour is as before. - Requests at groups were added up twice, in two dictionaries built by two loops over the same counts: planners now get one load for each group. - Three dictionaries under the same keys told of a group that is given up: one record now. Its members by domain, counted in three places, are a property of the group; 'warm' was spelt out in four. - Who is in a group was looked for by the same loop in two places. - The headers that are not passed on were put together anew for each request.

Tests keep their assertions; where a scope was made of two counts it is made of one load.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -117,12 +117,9 @@
             self.probe(key, reason)
 
     async def _probe_members(self, key: model.GroupKey, reason: str) -> None:
-        members = [
-            each for each in self._view.known.values()
-            if each.membership is not None and each.membership.key == key
-        ]
         answers = await asyncio.gather(
-            *(self._keeper.ask(each.runner.id, reason) for each in members))
+            *(self._keeper.ask(each.runner.id, reason)
+              for each in self._view.members(key)))
         now_ms = clock.now_ms()
         if not all(answers):
             self._alarms[key] = (now_ms, True)
--- a/cardamommill/gateway/consolidation.py
+++ b/cardamommill/gateway/consolidation.py
@@ -1,6 +1,8 @@
 """Slow groups over two domains that are given up for a quick one."""
 
+import collections
 from collections.abc import Callable, Iterator
+import dataclasses
 
 from cardamommill.gateway import (
     fleetview,
@@ -24,6 +26,16 @@
 IsFree = Callable[[fleetview.Known], bool]
 
 
+@dataclasses.dataclass(slots=True)
+class _GivenUp:
+    """A group that is being given up, since when, and when it was last told."""
+
+    service: str
+    model: str
+    since_ms: float
+    sent_ms: float
+
+
 class Consolidation:
     """Gives up groups over two domains where a whole one can be made.
 
@@ -41,19 +53,20 @@
             made: Orders members to leave.
         """
         self._formations = made
-        self._closed_ms: dict[model.GroupKey, float] = {}
-        self._sent_ms: dict[model.GroupKey, float] = {}
-        # Service and model of each, so that members that come free make no slow
-        # group again.
-        self._models: dict[model.GroupKey, tuple[str, str]] = {}
+        self._given_up: dict[model.GroupKey, _GivenUp] = {}
 
     def has(self, key: model.GroupKey) -> bool:
         """Whether a group is being given up."""
-        return key in self._closed_ms
+        return key in self._given_up
 
     def is_under_way(self, service: str, model_name: str) -> bool:
-        """Whether groups of a model are being given up."""
-        return (service, model_name) in self._models.values()
+        """Whether groups of a model are being given up.
+
+        Their members come free one after the other, and would make a slow
+        group again.
+        """
+        return any(each.service == service and each.model == model_name
+                   for each in self._given_up.values())
 
     def step(self, service: str, engine: model.Engine,
              groups: dict[model.GroupKey,
@@ -70,29 +83,29 @@
             now_ms: The time.
         """
         ids = {each.runner.id for each in runners}
-        for key in list(self._closed_ms):
-            if self._models[key][0] != service:
+        for key, given_up in list(self._given_up.items()):
+            if given_up.service != service:
                 continue
             group = groups.get(key)
-            if group is None or now_ms - self._closed_ms[key] > FORGOTTEN_MS:
-                self._forget(key)
+            if group is None or now_ms - given_up.since_ms > FORGOTTEN_MS:
+                del self._given_up[key]
             elif _all_in(group, ids):
-                yield from self._go_on(group, now_ms)
+                yield from self._go_on(group, given_up, now_ms)
         for served in engine.models:
             if not self.is_under_way(service, served.name):
                 yield from self._begin(service, engine, served, groups, runners,
                                        is_free, now_ms)
 
-    def _go_on(self, group: fleetview.Group,
+    def _go_on(self, group: fleetview.Group, given_up: "_GivenUp",
                now_ms: float) -> Iterator[planning.Action]:
         head = group.head
         state = head.membership.state if head and head.membership else None
-        since_ms = now_ms - self._closed_ms[group.key]
-        if state is model.MemberState.OPEN and since_ms < CLOSE_MS:
-            if now_ms - self._sent_ms[group.key] > CLOSE_AGAIN_MS:
-                yield self._close(group, now_ms)
-            return
-        if state is model.MemberState.CLOSING and since_ms < CLOSE_MS:
+        finishes = state in (model.MemberState.OPEN, model.MemberState.CLOSING)
+        if finishes and now_ms - given_up.since_ms < CLOSE_MS:
+            is_told = state is model.MemberState.CLOSING
+            if not is_told and now_ms - given_up.sent_ms > CLOSE_AGAIN_MS:
+                given_up.sent_ms = now_ms
+                yield _close(group)
             return
         yield from self._formations.leave(group.key,
                                           list(group.members.values()),
@@ -107,47 +120,36 @@
         slow = [
             each for each in groups.values()
             if each.model == served.name and each.is_open and len(each.members)
-            == served.size and _all_in(each, ids) and len(_domains(each)) > 1
+            == served.size and _all_in(each, ids) and len(each.domains) > 1
         ]
         if not slow:
             return
-        warm: dict[str, int] = {}
-        for known in runners:
-            if is_free(known) and planning.join_ms(known,
-                                                   served) <= served.warm_ms:
-                domain = known.standing.domain
-                warm[domain] = warm.get(domain, 0) + 1
+        warm = collections.Counter(
+            known.standing.domain
+            for known in runners
+            if is_free(known) and planning.is_warm(known, served))
         for group in _worth_it(slow, warm, served.size, engine.far_factor):
-            self._closed_ms[group.key] = now_ms
-            self._models[group.key] = (service, served.name)
-            yield self._close(group, now_ms)
+            self._given_up[group.key] = _GivenUp(service, served.name, now_ms,
+                                                 now_ms)
+            yield _close(group)
 
-    def _close(self, group: fleetview.Group, now_ms: float) -> orders.Order:
-        head = group.head
-        assert head is not None
-        self._sent_ms[group.key] = now_ms
-        return orders.Order(head.runner.id,
-                            orders.Operation.CLOSE,
-                            group.key,
-                            expected_seq=head.orders_begun,
-                            reason="a quick group can be made")
 
-    def _forget(self, key: model.GroupKey) -> None:
-        del self._closed_ms[key]
-        self._sent_ms.pop(key, None)
-        self._models.pop(key, None)
+def _close(group: fleetview.Group) -> orders.Order:
+    head = group.head
+    assert head is not None
+    return orders.Order(head.runner.id,
+                        orders.Operation.CLOSE,
+                        group.key,
+                        expected_seq=head.orders_begun,
+                        reason="a quick group can be made")
 
 
 def _all_in(group: fleetview.Group, ids: set[str]) -> bool:
     return all(each.runner.id in ids for each in group.members.values())
 
 
-def _domains(group: fleetview.Group) -> set[str]:
-    return {each.standing.domain for each in group.members.values()}
-
-
-def _worth_it(slow: list[fleetview.Group], warm: dict[str, int], size: int,
-              far_factor: float) -> list[fleetview.Group]:
+def _worth_it(slow: list[fleetview.Group], warm: "collections.Counter[str]",
+              size: int, far_factor: float) -> list[fleetview.Group]:
     """Returns the fewest groups whose members make enough quick ones.
 
     Args:
@@ -157,19 +159,12 @@
         far_factor: How much longer a slow group takes for everything.
     """
     before = sum(count // size for count in warm.values())
-    for domain in sorted({name for each in slow for name in _domains(each)}):
-        ranked = sorted(slow, key=lambda each: -_count(each, domain))
-        for taken in range(1, len(ranked) + 1):
-            free = dict(warm)
-            for group in ranked[:taken]:
-                for name in _domains(group):
-                    free[name] = free.get(name, 0) + _count(group, name)
+    for domain in sorted({name for each in slow for name in each.domains}):
+        ranked = sorted(slow, key=lambda each: -each.domains[domain])
+        free = collections.Counter(warm)
+        for taken, group in enumerate(ranked, start=1):
+            free += group.domains
             made = sum(count // size for count in free.values()) - before
             if made - taken / far_factor >= LEAST_GAIN:
                 return ranked[:taken]
     return []
-
-
-def _count(group: fleetview.Group, domain: str) -> int:
-    return sum(
-        each.standing.domain == domain for each in group.members.values())
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -83,21 +83,11 @@
         """Takes what peers told last of their load."""
         self._peer_load = self._peers.in_flight(now_ms)
 
-    def in_flight(self) -> dict[model.GroupKey, int]:
+    def loads(self) -> dict[model.GroupKey, flights.GroupLoad]:
         """Returns the requests of all nodes at each group."""
-        found = {
-            key: load.requests + load.patient
-            for key, load in self._peer_load.items()
-        }
-        for key, relays in self._relays.items():
-            found[key] = found.get(key, 0) + len(relays)
-        return found
-
-    def waiting(self) -> dict[model.GroupKey, int]:
-        """Returns the requests of all nodes that wait and will be late."""
-        found = {key: load.patient for key, load in self._peer_load.items()}
+        found = dict(self._peer_load)
         for key, load in self.flights.loads().items():
-            found[key] = found.get(key, 0) + load.patient
+            found[key] = found.get(key, flights.NO_LOAD).plus(load)
         return found
 
     def forget(self, now_ms: float) -> None:
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -231,9 +231,7 @@
         ours = self._peers.planned_data_centres(self._settings.data_centres,
                                                 clock.now_ms())
         return any(
-            each.membership is not None and each.membership.key == key and
-            each.runner.data_centre in ours
-            for each in self.view.known.values())
+            each.runner.data_centre in ours for each in self.view.members(key))
 
     # Time.
 
@@ -275,8 +273,7 @@
             return
         in_lead = not (self._requests_seen or self._peers.any_requests_seen())
         scope = planning.Scope(ours, len(self._settings.data_centres), in_lead,
-                               self._requests.in_flight(),
-                               self._requests.waiting())
+                               self._requests.loads())
         self._keeper.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -1,5 +1,6 @@
 """What is believed of runners and groups, from the list and from reports."""
 
+import collections
 from collections.abc import Iterable, Iterator
 import dataclasses
 
@@ -83,6 +84,12 @@
         """The member that takes requests."""
         return self.members.get(0)
 
+    @property
+    def domains(self) -> "collections.Counter[str]":
+        """How many members each fabric domain has; more than one is slow."""
+        return collections.Counter(
+            each.standing.domain for each in self.members.values())
+
     @property
     def is_open(self) -> bool:
         """Whether its head says that it serves."""
@@ -289,6 +296,13 @@
             for key, group in found.items()
         }
 
+    def members(self, key: model.GroupKey) -> list[Known]:
+        """Returns who says that it is in a group, listed or not."""
+        return [
+            each for each in self.known.values()
+            if each.membership is not None and each.membership.key == key
+        ]
+
     def of_service(self, service: str) -> list[Known]:
         """Returns a service's listed runners."""
         return [
--- a/cardamommill/gateway/flights.py
+++ b/cardamommill/gateway/flights.py
@@ -19,6 +19,11 @@
     patient: int = 0
     unread_tokens: int = 0
 
+    @property
+    def all_requests(self) -> int:
+        """All of them, late or not."""
+        return self.requests + self.patient
+
     def plus(self, other: "GroupLoad") -> "GroupLoad":
         """Returns the sum."""
         return GroupLoad(self.requests + other.requests,
--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -157,8 +157,7 @@
         self._count += 1
         self._epoch += 1
         key = model.GroupKey(f"{self._name}-{self._count}", self._epoch)
-        cold = sum(
-            planning.join_ms(each, served) > served.warm_ms for each in picked)
+        cold = sum(not planning.is_warm(each, served) for each in picked)
         # All planners load at the same time.
         at_once = cold * scope.count / max(1, len(scope.data_centres))
         slowed = max(1.0, at_once / engine.loads_at_once)
--- a/cardamommill/gateway/passedon.py
+++ b/cardamommill/gateway/passedon.py
@@ -13,10 +13,12 @@
     for each in ("Authorization", words.DEADLINE_MS, words.EXPECT_INSTANCE,
                  words.TENANT, words.REQUEST_PRIORITY, words.LAST_EVENT_ID))
 
+_NOT_PASSED_ON = _HOP_HEADERS | _OWN_HEADERS
+
 
 def to_runner(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
     """Returns a caller's headers without those that this node sets itself."""
-    dropped = _HOP_HEADERS | _OWN_HEADERS
+    dropped = _NOT_PASSED_ON
     for name, value in headers:
         if name.lower() == "connection":
             dropped |= {each.strip().lower() for each in value.split(",")}
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -168,7 +168,7 @@
         ]
         if leaving:
             since_ms = min(each.leaving_ms for each in leaving)
-            idle = not scope.in_flight.get(group.key)
+            idle = not scope.load(group.key).all_requests
             if idle or now_ms - since_ms > RETIRE_MS:
                 return f"{leaving[0].runner.id} is leaving"
             return ""
@@ -296,7 +296,7 @@
                 continue
             warm = [
                 each for each in runners if self._is_free(each) and
-                (not fits or planning.join_ms(each, served) <= served.warm_ms)
+                (not fits or planning.is_warm(each, served))
             ]
             if len(warm) < served.size:
                 continue
@@ -326,7 +326,7 @@
             for group in self._view.groups(service).values()
             if group.model == served.name and group.is_open
         ]
-        load = sum(scope.in_flight.get(key, 0) for key in open_keys)
+        load = sum(scope.load(key).all_requests for key in open_keys)
         return load > BUSY_PART * engine.slots * len(open_keys)
 
     def _is_free(self, known: fleetview.Known) -> bool:
@@ -377,8 +377,7 @@
             return None
         ranked = sorted(free, key=lambda each: planning.join_ms(each, served))
         picked = ranked[:served.size]
-        cold = sum(
-            planning.join_ms(each, served) > served.warm_ms for each in picked)
+        cold = sum(not planning.is_warm(each, served) for each in picked)
         has_group = any(
             not self._is_free(each) and each.usable for each in runners)
         if has_group and not any(each.last_model for each in picked):
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cardamommill.gateway import fleetview, model, orders
+from cardamommill.gateway import fleetview, flights, model, orders
 
 # A join of the model that the runner's last group had.
 REJOIN_MS = 200.0
@@ -61,15 +61,17 @@
         data_centres: Those whose runners it orders.
         count: How many data centres there are; they share limits.
         in_lead: Whether no request has come yet: loads are cheap then.
-        in_flight: Requests of all nodes per group.
-        waiting: Those of them that wait though they will be late.
+        loads: Requests of all nodes per group.
     """
 
     data_centres: frozenset[str]
     count: int
     in_lead: bool
-    in_flight: dict[model.GroupKey, int]
-    waiting: dict[model.GroupKey, int] = dataclasses.field(default_factory=dict)
+    loads: dict[model.GroupKey, flights.GroupLoad]
+
+    def load(self, key: model.GroupKey) -> flights.GroupLoad:
+        """Returns what is at a group."""
+        return self.loads.get(key, flights.NO_LOAD)
 
 
 def is_ready(known: fleetview.Known, key: model.GroupKey) -> bool:
@@ -80,6 +82,11 @@
             in (model.MemberState.READY, model.MemberState.OPEN))
 
 
+def is_warm(known: fleetview.Known, served: model.ServedModel) -> bool:
+    """Whether a runner joins a group of a model without a load."""
+    return join_ms(known, served) <= served.warm_ms
+
+
 def join_ms(known: fleetview.Known, served: model.ServedModel) -> float:
     """Returns what it takes a runner to join a group of a model."""
     if known.last_model == served.name:
--- a/cardamommill/gateway/standing.py
+++ b/cardamommill/gateway/standing.py
@@ -88,8 +88,7 @@
         return None
     if any(each.down_ms for each in group.members.values()):
         return None
-    return Standing(
-        group.key, group.model, head,
-        max(each.pace for each in group.members.values()),
-        len({each.standing.domain for each in group.members.values()}) > 1,
-        any(each.runner.leaving for each in group.members.values()))
+    return Standing(group.key, group.model, head,
+                    max(each.pace for each in group.members.values()),
+                    len(group.domains) > 1,
+                    any(each.runner.leaving for each in group.members.values()))
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/strain.py
@@ -73,8 +73,8 @@
                 for each in groups.values()
                 if each.model == served.name and each.is_open
             ]
-            requests = sum(scope.in_flight.get(each, 0) for each in keys)
-            waiting = sum(scope.waiting.get(each, 0) for each in keys)
+            requests = sum(scope.load(each).all_requests for each in keys)
+            waiting = sum(scope.load(each).patient for each in keys)
             part = waiting / max(1, requests) if keys else 1.0
             before = self._part.get(served.name, 0.0)
             self._part[served.name] = before + weight * (part - before)
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -2,7 +2,14 @@
 
 import collections
 
-from cardamommill.gateway import loads, model, orders, planner, planning
+from cardamommill.gateway import (
+    flights,
+    loads,
+    model,
+    orders,
+    planner,
+    planning,
+)
 from tests.gateway import builders
 
 SCOPE = planning.Scope(frozenset({"a"}), 1, False, {})
@@ -165,7 +172,7 @@
     ]
     bench.view.take_list(leaving, bench.now_ms + 10)
     bench.scope = planning.Scope(frozenset({"a"}), 1, False,
-                                 {joins[0].group: 3})
+                                 {joins[0].group: flights.GroupLoad(3)})
     assert not ordered(bench.step(1500), orders.Operation.LEAVE)
     bench.scope = SCOPE
     assert ordered(bench.step(), orders.Operation.LEAVE)
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_strain.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cardamommill.gateway import model, orders, planning, strain
+from cardamommill.gateway import flights, model, orders, planning, strain
 from tests.gateway import builders
 from tests.gateway import test_planner as planners
 
@@ -23,15 +23,24 @@
     ]
 
 
+def loads(requests, waiting):
+    """Returns what is at groups: all requests, and those of them that wait."""
+    return {
+        key: flights.GroupLoad(count - waiting.get(key, 0), waiting.get(key, 0))
+        for key, count in requests.items()
+    }
+
+
 def bench(waiting, blank=2):
     """One group of each model, with blank runners in their domain."""
     runners = group(LARGE, "large", 1, 4) + group(SMALL, "small", 5, 3)
     runners += [builders.runner(20 + each) for each in range(blank)]
     runners += [builders.runner(30, staged=("small",))]
-    scope = planning.Scope(frozenset({"a"}), 1, False, {
-        LARGE: 20,
-        SMALL: 20
-    }, waiting)
+    scope = planning.Scope(frozenset({"a"}), 1, False,
+                           loads({
+                               LARGE: 20,
+                               SMALL: 20
+                           }, waiting))
     return planners.Bench(runners, scope)
 
 
@@ -77,7 +86,8 @@
                             3 else model.MemberState.OPEN))
         for number in range(33)
     ]
-    scope = planning.Scope(frozenset({"a"}), 1, False, {LARGE: 20}, waiting)
+    scope = planning.Scope(frozenset({"a"}), 1, False,
+                           loads({LARGE: 20}, waiting))
     return planners.Bench(runners, scope)
 
 
@@ -145,8 +155,9 @@
 
 def test_a_model_without_any_group_is_strained():
     runners = group(SMALL, "small", 5, 3)
-    one = planners.Bench(runners,
-                         planning.Scope(frozenset({"a"}), 1, False, {SMALL: 1}))
+    one = planners.Bench(
+        runners,
+        planning.Scope(frozenset({"a"}), 1, False, loads({SMALL: 1}, {})))
     for _ in range(20):
         one.step(100)
     blank = [builders.runner(20 + each, row_version=2) for each in range(4)]
