Leave nothing that runs without a way on; let no answer follow events

Now a try is left only with key, budget and another group that nobody avoids in hand; until then it stays, is looked at each 40 ms, and an event keeps it. A stream that broke waits for its key as it does for a group.

Beside them: a runner's own failure (5xx, or 408 and 429 without a promise) of a repeatable request is followed by another runner; if nothing better comes, its caller gets that first failure.

Ruled out: that the runner was not sound (it went on), that the resumed run's events were at fault (its answer had none).

--- a/cardamommill/gateway/attempts.py
+++ b/cardamommill/gateway/attempts.py
@@ -13,6 +13,10 @@
 
 _OK_FIRST = 200
 _OK_LAST = 299
+# To a caller these say that the request has not run. A runner that says so
+# without a promise has run it and failed.
+_UNPROMISED = frozenset({408, 429})
+_FAULT_FIRST = 500
 
 
 class Result(enum.Enum):
@@ -20,6 +24,9 @@
 
     # A whole answer that goes to the caller.
     ANSWERED = "answered"
+    # A whole answer by which the runner says that it failed. Another runner
+    # may do better.
+    FAILED = "failed"
     # All events of a stream went to the caller.
     STREAMED = "streamed"
     # The runner said that it did not run the request.
@@ -136,6 +143,9 @@
             return Outcome(Result.NOT_RUN, f"runner said {status}", self._head)
         if self._head.get(words.ATTEMPT_ID) is None:
             return Outcome(Result.BROKEN, f"{status} without the request's id")
+        if status >= _FAULT_FIRST or status in _UNPROMISED:
+            return Outcome(Result.FAILED, f"runner said {status}", self._head,
+                           bytes(self._body))
         return Outcome(Result.ANSWERED, "", self._head, bytes(self._body))
 
     def _sound_success(self) -> bool:
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -125,6 +125,11 @@
         self.events = 0
         self._attempt: attempts.Attempt | None = None
         self._target: Target | None = None
+        # A failure of a runner's own: the answer if nothing better comes.
+        self._failure: attempts.Outcome | None = None
+        # Where a try goes on that is about to be left.
+        self._reserved: Target | None = None
+        self._leaving: asyncio.TimerHandle | None = None
         self.left = False
 
     # Admission.
@@ -176,12 +181,13 @@
 
     def key_still_holds(self) -> bool:
         """Whether the key may be used at this moment."""
-        if self.tenant is None:
-            return True
+        return self.tenant is None or (self._key_is_known() and
+                                       self._node.keys_may_be_trusted())
+
+    def _key_is_known(self) -> bool:
         table = self._node.table()
-        if table is None or not self._node.keys_may_be_trusted():
-            return False
-        return table.tenant(self._key_digest) is not None
+        return (table is not None and
+                table.tenant(self._key_digest) is not None)
 
     @property
     def ran_maybe(self) -> bool:
@@ -224,14 +230,45 @@
             self._attempt.give_up(attempts.Result.ABANDONED, "caller left")
 
     def divert(self, reason: str) -> None:
-        """Leaves the group that it is at, for another where it may."""
+        """Leaves the group that it is at once all is there to go on.
+
+        Silence alone is no reason to end an answer that can't go on anywhere
+        else: the runner may still finish it. A stream of one node that had its
+        key unconfirmed for 14 ms more was ended so, at a runner that was well.
+        """
         if self._attempt is None or self.route is None:
             return
-        if not self.route.repeatable or not self._may_go_elsewhere(leaving=1):
-            # Silence alone is no reason to end an answer that can't go on
-            # anywhere else: the runner may still finish it.
+        if not self.route.repeatable:
+            return
+        self._stay()
+        self._leave(self._attempt, reason)
+
+    def _leave(self, attempt: attempts.Attempt, reason: str) -> None:
+        if attempt is not self._attempt or attempt.done.done():
+            return
+        target = self._way_on()
+        if target is not None:
+            self._reserved = target
+            attempt.give_up(attempts.Result.DIVERTED, reason)
             return
-        self._attempt.give_up(attempts.Result.DIVERTED, reason)
+        self._leaving = asyncio.get_running_loop().call_later(
+            RESUME_LOOK_MS / 1000, self._leave, attempt, reason)
+
+    def _way_on(self) -> Target | None:
+        """Returns where a try that is left goes on, if it may and can."""
+        if not self._may_go_elsewhere(leaving=1) or not self.key_still_holds():
+            return None
+        found = self._node.find_target(self)
+        if isinstance(found, placing.Refused):
+            return None
+        if found.placed is not None and found.placed.candidate.avoided:
+            return None
+        return found
+
+    def _stay(self) -> None:
+        if self._leaving is not None:
+            self._leaving.cancel()
+            self._leaving = None
 
     async def _serve(self) -> None:
         while True:
@@ -245,8 +282,10 @@
             outcome = await self._try(target)
             state = endings.State(
                 self.route is not None and self.route.repeatable,
-                self.ran_maybe, self._may_go_elsewhere())
+                self.ran_maybe, self._may_go_elsewhere(), self.reply.started)
             step = endings.after(outcome.result, state)
+            if outcome.result is attempts.Result.FAILED:
+                self._failure = self._failure or outcome
             if step is not endings.Next.ELSEWHERE:
                 self._finish(step, outcome)
                 return
@@ -256,18 +295,22 @@
         while True:
             if self.left:
                 return None
-            if not self.key_still_holds():
-                return placing.Refused("key not confirmed",
-                                       DEFAULT_RETRY_AFTER_MS)
-            found = self._node.find_target(self)
+            found = self._find_target()
             if isinstance(found, Target) or not self.reply.started:
                 return found
             now_ms = clock.now_ms()
             if (now_ms - waited_from_ms > RESUME_PATIENCE_MS or
-                    now_ms > self.end_ms):
+                    now_ms > self.end_ms or
+                (self.tenant is not None and not self._key_is_known())):
                 return found
             await asyncio.sleep(RESUME_LOOK_MS / 1000)
 
+    def _find_target(self) -> Target | placing.Refused:
+        reserved, self._reserved = self._reserved, None
+        if not self.key_still_holds():
+            return placing.Refused("key not confirmed", DEFAULT_RETRY_AFTER_MS)
+        return reserved or self._node.find_target(self)
+
     async def _try(self, target: Target) -> attempts.Outcome:
         attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
         self._attempt = attempt
@@ -288,6 +331,7 @@
             outcome = await attempt.done
         finally:
             timer.cancel()
+            self._stay()
             self._attempt = None
         if endings.may_have_run(outcome.result):
             self.ran_at.append(target)
@@ -328,6 +372,7 @@
     def on_event(self, head: upstream.Head, event: eventcutter.Event) -> bool:
         """Passes an event on, if it is the next one."""
         assert self._target is not None
+        self._stay()
         self._node.event_came(self, self._target)
         if event.id is not None:
             if self.last_event_id is not None:
@@ -353,6 +398,8 @@
         if step is endings.Next.PASS_ON:
             self._pass_on(outcome)
             return
+        if self._pass_failure_on():
+            return
         reason = f"{_STATUS_TEXT[step]}: {outcome.reason}"
         if self.reply.started:
             self.reply.break_off()
@@ -382,7 +429,16 @@
         self.reply.whole(status, passedon.to_caller(outcome.head), outcome.body)
         self._node.ended(self, status, "")
 
+    def _pass_failure_on(self) -> bool:
+        """Answers with an earlier failure of a runner, if there was one."""
+        if self._failure is None or self.reply.started:
+            return False
+        self._pass_on(self._failure)
+        return True
+
     def _end_refused(self, refused: placing.Refused) -> None:
+        if self._pass_failure_on():
+            return
         if self.reply.started:
             self.reply.break_off()
             self._node.ended(self, 0, f"broken off: {refused.reason}")
--- /dev/null
+++ b/tests/gateway/relays.py
@@ -0,0 +1,189 @@
+"""One request of a caller whose runners answer as a test says."""
+
+import asyncio
+import dataclasses
+
+from cardamommill.gateway import (
+    callers,
+    eventcutter,
+    model,
+    placing,
+    relay,
+    upstream,
+)
+from cardamommill.platform import words
+from tests.gateway import builders
+
+ATTEMPT_ID = "a1"
+NO_GROUP = placing.Refused("no group stands", 300.0)
+FAR_END_MS = 1e12
+
+
+@dataclasses.dataclass
+class Reply:
+    """What the caller's connection got, in order.
+
+    Attributes:
+        status: Of the head; 0 before it.
+        events: The ids of whole events.
+        wholes: Bodies that came as one whole answer.
+        ending: How it ended; empty while it goes on.
+    """
+
+    status: int = 0
+    headers: list = dataclasses.field(default_factory=list)
+    events: list = dataclasses.field(default_factory=list)
+    wholes: list = dataclasses.field(default_factory=list)
+    ending: str = ""
+    started: bool = False
+
+    @property
+    def ended(self):
+        return bool(self.ending)
+
+    def whole(self, status, headers, body):
+        assert not self.started, "a whole answer within another one"
+        self.status, self.headers = status, headers
+        self.wholes.append(body)
+        self.started = True
+        self.ending = "whole"
+
+    def start(self, status, headers):
+        assert not self.started, "a second head"
+        self.status, self.headers = status, headers
+        self.started = True
+
+    def piece(self, data):
+        assert self.started and not self.ended
+        self.events.append(eventcutter.event_id(data))
+
+    def end(self):
+        assert not self.ended
+        self.ending = "whole"
+
+    def break_off(self):
+        assert not self.ended
+        self.ending = "broken off"
+
+
+class Exchange:
+    """A request at a runner, which the test answers."""
+
+    def __init__(self, request, receiver):
+        self.request = request
+        self.receiver = receiver
+        self.sent = True
+        self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+    @property
+    def after_event(self):
+        """The id that it goes on after, 0 for none."""
+        name = words.LAST_EVENT_ID.lower()
+        for line in self.request.decode().split("\r\n"):
+            if line.lower().startswith(f"{name}:"):
+                return int(line.partition(":")[2])
+        return 0
+
+    def head(self, status, seal="s1", **headers):
+        found = [(words.ATTEMPT_ID, ATTEMPT_ID), *headers.items()]
+        if seal:
+            found.append((words.SEAL, seal))
+        return self.receiver.on_head(upstream.Head(status, found))
+
+    def event(self, number):
+        self.receiver.on_body(b"id: %d\ndata: x\n\n" % number)
+
+    def complete(self):
+        self.receiver.on_end(upstream.Ending.COMPLETE, "")
+
+    def cut(self):
+        self.receiver.on_end(upstream.Ending.BROKEN, "closed")
+
+    def answer(self, status, body=b"it failed", **headers):
+        self.head(status, **headers)
+        self.receiver.on_body(body)
+        self.complete()
+
+
+class Node:
+    """What a relay needs; groups stand, and keys hold, as a test says."""
+
+    def __init__(self, kind=model.RouteKind.STREAMING, resumable=True):
+        self.pool = self
+        self.exchanges = []
+        self.ends = []
+        self.groups = 3
+        self.keys_hold = True
+        self.repeats_left = 10
+        self.route = model.Route(name="r",
+                                 host="h",
+                                 prefix="/v/",
+                                 kind=kind,
+                                 backends=(),
+                                 timeout_ms=FAR_END_MS,
+                                 goal_ms=300.0,
+                                 gap_goal_ms=200.0,
+                                 max_attempts=2,
+                                 priority=1,
+                                 public=False,
+                                 resumable=resumable)
+        self._known = [
+            next(iter(builders.view(builders.runner(number)).known.values()))
+            for number in range(9)
+        ]
+
+    def send(self, address, request, receiver, fresh=False):
+        del address, fresh
+        self.exchanges.append(Exchange(request, receiver))
+        return self.exchanges[-1]
+
+    def spawn(self, work):
+        self.task = asyncio.get_running_loop().create_task(work)
+
+    def table(self):
+        return self
+
+    def tenant(self, digest):
+        del digest
+        return True
+
+    def keys_may_be_trusted(self):
+        return self.keys_hold
+
+    def find_target(self, one):
+        if len(one.tried) >= self.groups:
+            return NO_GROUP
+        return relay.Target(self._known[len(one.tried)])
+
+    def may_repeat(self, service):
+        del service
+        return self.repeats_left > 0
+
+    def attempt_begins(self, one, target, repeat):
+        del one, target
+        self.repeats_left -= repeat
+
+    def attempt_ends(self, one, target, outcome):
+        pass
+
+    def event_came(self, one, target):
+        pass
+
+    def ended(self, one, status, reason):
+        del one
+        self.ends.append((status, reason))
+
+
+def begin(node):
+    """Returns a relay whose request goes to a runner in the running loop."""
+    headers = [(words.ATTEMPT_ID, ATTEMPT_ID)]
+    request = callers.CallerRequest("POST", "/v/1", headers, b"", 0.0)
+    one = relay.Relay(node, request, Reply())
+    one.route = node.route
+    one.tenant = model.Tenant("t", (), None)
+    one.end_ms = FAR_END_MS
+    one.start()
+    return one
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cardamommill.gateway import callers, placing, relay
-from tests.gateway import builders
+from cardamommill.gateway import callers, model, placing, relay
+from tests.gateway import builders, relays
 
 REFUSED = placing.Refused("all groups are full", 1300.0)
 
@@ -61,3 +61,170 @@
     answer = end(ran)
     assert answer[0] == status
     assert answer[1]["Retry-After"] == "1.300"
+
+
+def played(play, **changes):
+    """Runs a coroutine function on a request that is at its first runner."""
+    node = relays.Node(**changes)
+
+    async def run():
+        one = relays.begin(node)
+        await asyncio.sleep(0)
+        await play(node, one)
+        await asyncio.sleep(0)
+        return one.reply
+
+    return asyncio.run(run()), node
+
+
+def test_failed_resumption_is_no_part_of_the_stream():
+    """A runner is cut after two events; the next answers with a failure.
+
+    The caller has a stream that has begun: the failure's bytes would be taken
+    for its events. It is told that the stream is not whole.
+    """
+
+    async def play(node, one):
+        del one
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        first.event(2)
+        first.cut()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert node.exchanges[1].after_event == 2
+        node.exchanges[1].answer(500)
+        await asyncio.sleep(0)
+
+    reply, _ = played(play)
+    assert reply.events == [1, 2]
+    assert reply.ending == "broken off"
+
+
+def test_repeatable_request_that_a_runner_fails_gets_another():
+    """One runner of several answers 500 to a part of its requests."""
+
+    async def play(node, one):
+        del one
+        node.exchanges[0].answer(500)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        node.exchanges[1].answer(200, b"yes")
+        await asyncio.sleep(0)
+
+    reply, _ = played(play, kind=model.RouteKind.IDEMPOTENT)
+    assert (reply.status, reply.wholes) == (200, [b"yes"])
+
+
+@pytest.mark.parametrize("then", ["refused", "cut"])
+def test_failure_of_a_runner_is_told_if_nothing_better_comes(then):
+    """A runner fails a request; the next one refuses it or goes away."""
+
+    async def play(node, one):
+        del one
+        node.exchanges[0].answer(500, b"first")
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        if then == "refused":
+            node.groups = 2
+            node.exchanges[1].answer(503,
+                                     **{"X-Cardamommill-Not-Executed": "1"})
+        else:
+            node.exchanges[1].cut()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    reply, _ = played(play, kind=model.RouteKind.IDEMPOTENT)
+    assert (reply.status, reply.wholes) == (500, [b"first"])
+
+
+def test_request_that_may_run_once_gets_its_runners_failure():
+    """A purchase fails at its runner: run again it could be billed twice."""
+
+    async def play(node, one):
+        del one
+        node.exchanges[0].answer(500)
+        await asyncio.sleep(0)
+
+    reply, node = played(play, kind=model.RouteKind.NON_IDEMPOTENT)
+    assert reply.status == 500
+    assert len(node.exchanges) == 1
+
+
+@pytest.mark.parametrize("lacking", ["key", "budget", "group"])
+def test_running_stream_is_left_only_when_all_is_there_to_go_on(lacking):
+    """A group falls silent for one node, with two events delivered.
+
+    Its key is not confirmed, the budget is used up, or no other group stands.
+    Left at once the stream would end at a runner that was well; it stays, and
+    goes on there or elsewhere once it can.
+    """
+
+    async def play(node, one):
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        node.keys_hold = lacking != "key"
+        node.repeats_left = 0 if lacking == "budget" else 10
+        node.groups = 1 if lacking == "group" else 3
+        one.divert("group silent")
+        await asyncio.sleep(0)
+        assert not first.cancelled
+        node.keys_hold, node.repeats_left, node.groups = True, 10, 3
+        await asyncio.sleep(2 * relay.RESUME_LOOK_MS / 1000)
+        assert first.cancelled
+        second = node.exchanges[1]
+        second.head(200)
+        second.event(2)
+        second.complete()
+        await asyncio.sleep(0)
+
+    reply, _ = played(play)
+    assert reply.events == [1, 2]
+    assert reply.ending == "whole"
+
+
+def test_event_keeps_a_stream_where_it_is():
+    """The group that was silent goes on before there is a way elsewhere."""
+
+    async def play(node, one):
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        node.groups = 1
+        one.divert("group silent")
+        first.event(2)
+        node.groups = 3
+        await asyncio.sleep(2 * relay.RESUME_LOOK_MS / 1000)
+        assert not first.cancelled
+        first.complete()
+        await asyncio.sleep(0)
+
+    reply, _ = played(play)
+    assert (reply.events, reply.ending) == ([1, 2], "whole")
+
+
+def test_stream_waits_a_while_for_its_key_to_be_confirmed():
+    """A runner is cut; the node's view of the keys is too old for 20 ms more.
+
+    Ended at once, an answer that could go on would be lost.
+    """
+
+    async def play(node, one):
+        del one
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        node.keys_hold = False
+        first.cut()
+        await asyncio.sleep(0.02)
+        node.keys_hold = True
+        await asyncio.sleep(2 * relay.RESUME_LOOK_MS / 1000)
+        node.exchanges[1].head(200)
+        node.exchanges[1].event(2)
+        node.exchanges[1].complete()
+        await asyncio.sleep(0)
+
+    reply, _ = played(play)
+    assert (reply.events, reply.ending) == ([1, 2], "whole")
