Have two nodes of a data centre read the store for all of it

Cause: each node read the list and followed the configuration itself.

Change: `sources` decides whom a node asks. The first two nodes of a data centre by name, and whoever plans, ask the store; the others ask one of these two, which answers from its copy (`tables`, `peerrows`) with the age of what it tells. A node that the store failed twice in a row asks the nearest peer that confirmed the configuration of late. Ages are dated by the asker's own question, so a slow answer only makes evidence older; a copy older than the node's own reading may be is refused. Deployments with two nodes a data centre read as before.

A test of alarms read the real clock after its run and failed once the machine was up for long enough; it looks back within the run now.

--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -217,6 +217,14 @@
         await asyncio.sleep(trouble.for_s)
         self._world.store.slow_factor = 1.0
 
+    async def _store_cut(self, trouble: deployments.Trouble) -> None:
+        """Cuts nodes off from the store alone, over all data centres."""
+        network = self._world.loop.network
+        for machine in list(self._world.machines.values())[:trouble.count]:
+            network.cut(machine.host, modelstore.ADDRESS[0])
+        await asyncio.sleep(trouble.for_s)
+        network.heal()
+
     async def _store_compact(self, trouble: deployments.Trouble) -> None:
         del trouble
         self._world.store.compact()
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -22,12 +22,16 @@
     model,
     nodelink,
     peermessage,
+    peerrows,
     peers,
     planning,
     platformreader,
     relay,
     routetable,
+    rowsource,
+    sources,
     standing,
+    tables,
     upstream,
 )
 from cardamommill.platform import storecalls, words
@@ -75,11 +79,15 @@
         self._questions = callers.CallerServer(self._on_question,
                                                self._on_refused)
         self._freshness = freshness.Freshness(settings.bounds.revoke_ms)
+        self._store = storecalls.Store(self.pool,
+                                       entrysettings.address(settings.platform))
+        copies = tables.Tables()
+        self._rows = callers.CallerServer(
+            peerrows.RowServer(copies, self.spawn).on_request, self._on_refused)
         self._reader = platformreader.PlatformReader(
-            storecalls.Store(self.pool,
-                             entrysettings.address(settings.platform)),
-            self.view, self._freshness, settings.bounds.drain_ms,
-            self._on_table)
+            self._source(words.OPERATOR_TABLE, copies),
+            self._source(words.SERVERS_TABLE, copies), self.view,
+            self._freshness, settings.bounds.drain_ms, self._on_table)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
@@ -103,6 +111,12 @@
         self._ticks = 0
         self._done: asyncio.Event
 
+    def _source(self, table: str, copies: tables.Tables) -> rowsource.RowSource:
+        choice = sources.Sources(self._settings.node,
+                                 self._settings.data_centre, self._peers)
+        return rowsource.RowSource(self._store, self.pool, choice, table,
+                                   copies.table(table))
+
     def __enter__(self) -> Self:
         self._handler = logs.LogHandler(self._settings.logging,
                                         self._settings.node)
@@ -134,7 +148,7 @@
                 await self._listen()
                 self.spawn(self._reader.follow_configuration())
                 self.spawn(self._reader.follow_list())
-                self.spawn(self._link.find_nodes(self._reader.store))
+                self.spawn(self._link.find_nodes(self._store))
                 self.spawn(self._tick())
                 await self._done.wait()
             finally:
@@ -148,6 +162,7 @@
         await self._questions.listen(*entrysettings.address(settings.ready))
         if settings.metrics_port:
             await self._questions.listen(settings.ip, settings.metrics_port)
+        await self._rows.listen(settings.ip, settings.peer_port)
         await self._link.listen()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -255,6 +270,7 @@
         if self._ticks % SWEEP_EVERY_TICKS == 0:
             self._server.sweep(now_ms)
             self._questions.sweep(now_ms)
+            self._rows.sweep(now_ms)
             self.pool.trim()
             self._look_at_settings()
             self._alarms.forget(now_ms)
@@ -330,6 +346,7 @@
                                    not self._server.busy):
             self._server.close()
             self._server.close_idle()
+            self._rows.close()
             self._done.set()
 
     def _look_at_settings(self) -> None:
--- /dev/null
+++ b/cardamommill/gateway/peerrows.py
@@ -0,0 +1,160 @@
+"""Tables of the store as nodes pass them on to each other."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+from urllib import parse
+
+import msgpack
+
+from cardamommill import exceptions
+from cardamommill.gateway import callers, clock, tables, upstream
+from cardamommill.platform import storecalls
+
+PATH = "/rows"
+_STEP = "peer rows"
+# A peer answers from its memory; one that has fallen silent is left for the
+# store soon, since what is known of leaving runners must stay young.
+ANSWER_MS = 250.0
+# The longest that anybody waits for news in one call.
+MOST_WAIT_MS = 2000.0
+
+_OK = 200
+_GONE = 410
+_UNREADY = 503
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class PeerRows:
+    """The tables of one peer; asked like the store."""
+
+    def __init__(self, pool: upstream.Pool, address: upstream.Address) -> None:
+        self._pool = pool
+        self._address = address
+        self._peer = f"{address[0]}:{address[1]}"
+
+    async def table(self, table: str) -> storecalls.Rows:
+        """Returns all rows of a table.
+
+        Raises:
+            StoreError: No answer that can be used.
+        """
+        return await self._ask({"table": table}, ANSWER_MS)
+
+    async def feed(self, table: str, after: int,
+                   wait_ms: int) -> storecalls.Rows:
+        """Returns what changed in a table, when something has.
+
+        Raises:
+            HistoryLost: The table must be read whole.
+            StoreError: No answer that can be used.
+        """
+        query = {"table": table, "after": after, "wait_ms": wait_ms}
+        return await self._ask(query, wait_ms + ANSWER_MS)
+
+    async def _ask(self, query: dict[str, Any],
+                   timeout_ms: float) -> storecalls.Rows:
+        request = upstream.request_bytes("GET",
+                                         f"{PATH}?{parse.urlencode(query)}",
+                                         [("Host", self._peer)])
+        asked_ms = clock.now_ms()
+        answer = await upstream.fetch(self._pool, self._address, request,
+                                      timeout_ms)
+        if answer.ending is not upstream.Ending.COMPLETE:
+            raise exceptions.StoreError(answer.reason,
+                                        step=_STEP,
+                                        peer=self._peer)
+        if answer.head.status == _GONE:
+            raise storecalls.HistoryLost("forgotten",
+                                         step=_STEP,
+                                         peer=self._peer)
+        if answer.head.status != _OK:
+            raise exceptions.StoreError(f"status {answer.head.status}",
+                                        step=_STEP,
+                                        peer=self._peer)
+        return self._decoded(answer.body, asked_ms)
+
+    def _decoded(self, body: bytes, asked_ms: float) -> storecalls.Rows:
+        try:
+            version, age_ms, rows = msgpack.unpackb(body)
+            found = tuple(
+                storecalls.Row(str(key), bytes(value), int(number), bool(gone))
+                for key, value, number, gone in rows)
+            # The peer answered after it was asked, so the time at which this
+            # was true is not later than this.
+            return storecalls.Rows(found, int(version),
+                                   asked_ms - float(age_ms))
+        except (TypeError, ValueError, msgpack.UnpackException) as error:
+            raise exceptions.StoreError(f"malformed rows: {error!r}",
+                                        step=_STEP,
+                                        peer=self._peer) from error
+
+
+class _Waiting:
+    """An answer that waits for news."""
+
+    def __init__(self) -> None:
+        self.left = False
+
+    def caller_left(self) -> None:
+        """Notes that nobody waits any more."""
+        self.left = True
+
+
+class RowServer:
+    """Answers peers from this node's copies."""
+
+    def __init__(self, copies: tables.Tables, spawn: Spawn) -> None:
+        self._copies = copies
+        self._spawn = spawn
+
+    def on_request(self, request: callers.CallerRequest,
+                   reply: callers.Reply) -> callers.Serving | None:
+        """Answers at once, or once there is news."""
+        path, _, query = request.target.partition("?")
+        fields = dict(parse.parse_qsl(query))
+        try:
+            name = fields["table"]
+            after = int(fields.get("after", 0))
+            wait_ms = min(MOST_WAIT_MS, float(fields.get("wait_ms", 0)))
+        except (KeyError, ValueError):
+            reply.whole(400, [], b"no table, or no number\n")
+            return None
+        if path != PATH:
+            reply.whole(404, [], b"no such page\n")
+            return None
+        table = self._copies.table(name)
+        if not table.version:
+            reply.whole(_UNREADY, [], b"not read yet\n")
+            return None
+        if not after:
+            _answer(reply, table, table.whole())
+            return None
+        waiting = _Waiting()
+        self._spawn(_answer_changes(reply, table, after, wait_ms, waiting))
+        return waiting
+
+
+async def _answer_changes(reply: callers.Reply, table: tables.Table, after: int,
+                          wait_ms: float, waiting: _Waiting) -> None:
+    until_ms = clock.now_ms() + wait_ms
+    while not waiting.left:
+        rows = table.since(after)
+        if rows is None:
+            reply.whole(_GONE, [], b"forgotten\n")
+            return
+        left_ms = until_ms - clock.now_ms()
+        if rows or left_ms <= 0:
+            _answer(reply, table, rows)
+            return
+        await table.changed(left_ms)
+
+
+def _answer(reply: callers.Reply, table: tables.Table,
+            rows: tuple[storecalls.Row, ...]) -> None:
+    age_ms = clock.now_ms() - table.as_of_ms
+    body = msgpack.packb([
+        table.version, age_ms,
+        [[each.key, each.value, each.version, each.deleted] for each in rows]
+    ])
+    reply.whole(_OK, [("Content-Type", "application/msgpack")], body)
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -216,6 +216,11 @@
         local = sorted(name for place, name in nodes if place == data_centre)
         return self._node == (local or sorted(name for _, name in nodes))[0]
 
+    @property
+    def plans(self) -> bool:
+        """Whether this node orders any runners."""
+        return bool(self._plans_since_ms)
+
     def plans_ms(self, now_ms: float) -> dict[str, float]:
         """Returns for how long this node has planned for whom."""
         return {
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -6,7 +6,14 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import clock, fleetview, freshness, model, routetable
+from cardamommill.gateway import (
+    clock,
+    fleetview,
+    freshness,
+    model,
+    routetable,
+    rowsource,
+)
 from cardamommill.platform import configurations, entries, storecalls, words
 
 # An unanswered feed confirms nothing: it is asked to wait for this part of the
@@ -22,6 +29,9 @@
 # An answer without news is asked for after this part of the drain bound. What
 # changes is answered at once: a node that does not get it is cut off.
 LIST_WAIT_PART = 0.8
+# A peer that reads the configuration may have heard of it this part of the time
+# in which a key may still work ago: its feed's wait, and a lost answer.
+OLDEST_PART = 0.7
 # After a call that failed.
 RETRY_MS = 250.0
 
@@ -31,10 +41,12 @@
 class PlatformReader:
     """Reads what the platform says, and says what changed."""
 
-    def __init__(self, store: storecalls.Store, view: fleetview.FleetView,
+    def __init__(self, operator: rowsource.RowSource,
+                 servers: rowsource.RowSource, view: fleetview.FleetView,
                  fresh: freshness.Freshness, drain_ms: float,
                  on_table: Callable[[routetable.RouteTable], None]) -> None:
-        self.store = store
+        self._operator = operator
+        self._servers = servers
         self.table: routetable.RouteTable | None = None
         self._view = view
         self._fresh = fresh
@@ -53,26 +65,19 @@
         version = 0
         while True:
             try:
-                if not version:
-                    rows = await self.store.table(words.OPERATOR_TABLE)
-                else:
-                    rows = await self.store.feed(
-                        words.OPERATOR_TABLE, version,
-                        int(FEED_PART * self._fresh.revoke_ms))
+                rows = await self._read_configuration(version)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="op"))
                 version = 0
                 continue
             except exceptions.StoreError as error:
                 self._lose("configuration", error)
-                # Read whole next: that is answered at once, while a feed
-                # without news is answered only at its end, and until then no
-                # key could be trusted.
                 await asyncio.sleep(RETRY_MS / 1000 if not version else 0)
-                version = 0
+                version = _after_failure(self._operator, version)
                 continue
             self._regain("configuration")
-            version = rows.version
+            # A peer may tell of an older time than who was asked before it.
+            version = max(version, rows.version)
             try:
                 self._take_rows(rows)
             except Exception:
@@ -80,6 +85,11 @@
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
+    async def _read_configuration(self, version: int) -> storecalls.Rows:
+        revoke_ms = self._fresh.revoke_ms
+        return await self._operator.read(version, int(FEED_PART * revoke_ms),
+                                         OLDEST_PART * revoke_ms)
+
     def _take_rows(self, rows: storecalls.Rows) -> None:
         sound = True
         for row in rows.rows:
@@ -126,7 +136,7 @@
                 continue
             except exceptions.StoreError as error:
                 self._lose("list", error)
-                version = 0
+                version = _after_failure(self._servers, version)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._regain("list")
@@ -136,14 +146,14 @@
                 # One row that this version can't take must not end the
                 # reading of all later lists.
                 _LOG.exception(logs.line("list-failed"))
-            version = rows.version
-            await self._wait(began_ms)
+            version = max(version, rows.version)
+            if self._servers.is_direct:
+                await self._wait(began_ms)
 
     async def _read_list(self, version: int) -> storecalls.Rows:
-        if not version:
-            return await self.store.table(words.SERVERS_TABLE)
-        return await self.store.feed(words.SERVERS_TABLE, version,
-                                     int(LIST_WAIT_PART * self._drain_ms))
+        return await self._servers.read(version,
+                                        int(LIST_WAIT_PART * self._drain_ms),
+                                        self._view.list_stale_ms)
 
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
@@ -200,3 +210,9 @@
         if what in self._lost:
             self._lost.discard(what)
             _LOG.info(logs.line("store-regained", what=what))
+
+
+def _after_failure(source: rowsource.RowSource, version: int) -> int:
+    # Read whole from the store, which answers that at once, and on from where
+    # it was from a peer, which answers often.
+    return 0 if source.asks_store_next else version
--- /dev/null
+++ b/cardamommill/gateway/sources.py
@@ -0,0 +1,123 @@
+"""Decides whether a node asks the store or a peer for the store's tables.
+
+Each call to the store has a price, and the store a bound for all nodes: read by
+each of eighty nodes, the list and the configuration took an eighth of what a
+day earned. So a few nodes of a data centre read, and the others ask these,
+which answer with the age of what they tell. Whoever is turned away by the store
+asks a peer that has confirmed the configuration of late.
+"""
+
+import dataclasses
+import zlib
+
+from cardamommill.gateway import peers
+
+# One may die while the other still reads.
+READERS = 2
+# The store is left after this many failures in a row and asked again so long
+# after the last; a peer is left after one.
+STORE_FAILURES = 2
+STORE_AGAIN_MS = 1500.0
+PEER_AGAIN_MS = 3000.0
+# Of peers that confirmed the configuration within this the nearest is asked:
+# bytes between data centres are dear.
+YOUNG_MS = 1500.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Whom to ask.
+
+    Attributes:
+        peer: The address of a node; None for the store.
+    """
+
+    peer: peers.Address | None = None
+
+
+STORE = Source()
+
+
+@dataclasses.dataclass(slots=True)
+class _Failures:
+    """How often a source gave no answer in a row, and when it last did."""
+
+    count: int = 0
+    last_ms: float = float("-inf")
+
+
+class Sources:
+    """Keeps who failed of late, for one table."""
+
+    def __init__(self, node: str, data_centre: str,
+                 others: peers.Peers) -> None:
+        self._node = node
+        self._data_centre = data_centre
+        self._peers = others
+        self._failures: dict[Source, _Failures] = {}
+
+    def failed(self, source: Source, now_ms: float) -> None:
+        """Notes that a source gave no answer that can be used."""
+        failures = self._failures.setdefault(source, _Failures())
+        failures.count += 1
+        failures.last_ms = now_ms
+
+    def worked(self, source: Source) -> None:
+        """Notes an answer."""
+        self._failures.pop(source, None)
+
+    @property
+    def store_is_lost(self) -> bool:
+        """Whether the store failed more than once in a row.
+
+        One lost answer of a feed says little: asked again, the store answers
+        in some ms. Left at once for peers, which had lost theirs as well, all
+        nodes refused all keys for 0.6 s.
+        """
+        failures = self._failures.get(STORE)
+        return failures is not None and failures.count >= STORE_FAILURES
+
+    def choose(self, now_ms: float) -> Source:
+        """Returns whom to ask now."""
+        if self.store_is_lost and self._failed_lately(STORE, now_ms,
+                                                      STORE_AGAIN_MS):
+            return self._freshest(now_ms) or STORE
+        return self._reader(now_ms) or STORE
+
+    def _failed_lately(self, source: Source, now_ms: float,
+                       for_ms: float) -> bool:
+        failures = self._failures.get(source)
+        return failures is not None and now_ms - failures.last_ms < for_ms
+
+    def _reader(self, now_ms: float) -> Source | None:
+        """Returns the reader that this node follows; None for a reader.
+
+        Each follows only nodes with lower names, so that no two follow each
+        other. A planner reads for itself: it waits for news of its members.
+        """
+        if self._peers.plans:
+            return None
+        readers = sorted(
+            (each.last.node, each.address)
+            for each in self._peers.alive(now_ms)
+            if each.last and each.last.data_centre == self._data_centre)
+        readers = readers[:READERS]
+        if len(readers) < READERS or self._node < readers[-1][0]:
+            return None
+        mine = zlib.crc32(self._node.encode()) % READERS
+        source = Source(readers[mine][1])
+        if self._failed_lately(source, now_ms, PEER_AGAIN_MS):
+            return None
+        return source
+
+    def _freshest(self, now_ms: float) -> Source | None:
+        found = []
+        for each in self._peers.alive(now_ms):
+            source = Source(each.address)
+            if each.last is None or self._failed_lately(source, now_ms,
+                                                        PEER_AGAIN_MS):
+                continue
+            age_ms = each.last.confirmed_age_ms + now_ms - each.heard_ms
+            is_far = each.last.data_centre != self._data_centre
+            found.append((age_ms > YOUNG_MS, is_far, age_ms, each.address))
+        return Source(min(found)[-1]) if found else None
--- /dev/null
+++ b/cardamommill/gateway/tables.py
@@ -0,0 +1,96 @@
+"""This node's copy of the store's tables, with what changed in them of late."""
+
+import asyncio
+from collections import deque
+import dataclasses
+
+from cardamommill.platform import storecalls
+
+# Who follows a copy asks several times a second; of a burst of changes this
+# many are kept for whoever was held up.
+KEPT_CHANGES = 2000
+
+
+class Table:
+    """One table as of the newest answer about it."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.as_of_ms = float("-inf")
+        self._rows: dict[str, storecalls.Row] = {}
+        self._changes: deque[storecalls.Row] = deque()
+        # All that changed after this version is kept.
+        self._kept_from = 0
+        self._waiting: set[asyncio.Future[None]] = set()
+
+    def take(self, rows: storecalls.Rows, whole: bool) -> None:
+        """Takes an answer: the whole table, or what changed in it.
+
+        One that is older than the copy only says less; it is left.
+        """
+        if rows.version < self.version:
+            return
+        self.version = rows.version
+        self.as_of_ms = max(self.as_of_ms, rows.as_of_ms)
+        if whole:
+            self._rows = {each.key: each for each in rows.rows}
+            self._changes.clear()
+            self._kept_from = rows.version
+        for row in () if whole else rows.rows:
+            # One without a version of its own changed by that of the answer.
+            self._change(row if row.version else dataclasses.
+                         replace(row, version=rows.version))
+        if rows.rows:
+            self._wake()
+
+    def _change(self, row: storecalls.Row) -> None:
+        if row.deleted:
+            self._rows.pop(row.key, None)
+        else:
+            self._rows[row.key] = row
+        self._changes.append(row)
+        if len(self._changes) > KEPT_CHANGES:
+            self._kept_from = self._changes.popleft().version
+
+    def whole(self) -> tuple[storecalls.Row, ...]:
+        """Returns all rows."""
+        return tuple(self._rows.values())
+
+    def since(self, version: int) -> tuple[storecalls.Row, ...] | None:
+        """Returns what changed after a version; None where that is forgotten.
+
+        A copy that is older than the version has no news.
+        """
+        if version < self._kept_from:
+            return None
+        newest = {
+            each.key: each for each in self._changes if each.version > version
+        }
+        return tuple(newest.values())
+
+    async def changed(self, within_ms: float) -> None:
+        """Returns at the next change, or after a time without any."""
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting.add(waiting)
+        try:
+            await asyncio.wait_for(waiting, max(0.0, within_ms) / 1000)
+        except TimeoutError:
+            return
+        finally:
+            self._waiting.discard(waiting)
+
+    def _wake(self) -> None:
+        for each in self._waiting:
+            if not each.done():
+                each.set_result(None)
+
+
+class Tables:
+    """The tables that a node follows, by name."""
+
+    def __init__(self) -> None:
+        self._tables: dict[str, Table] = {}
+
+    def table(self, name: str) -> Table:
+        """Returns the copy of a table; empty, of version 0, before any news."""
+        return self._tables.setdefault(name, Table())
--- /dev/null
+++ b/tests/experiment/test_sharing.py
@@ -0,0 +1,123 @@
+"""Plays nodes that share what a few of them read of the store."""
+
+import pytest
+
+from cardamommill.experiment import deployments, world
+from cardamommill.gateway import clock, peerrows, sources
+from tests.experiment import test_world
+
+
+def play(*troubles, nodes=6, length_s=8.0, seed=1):
+    deployment = deployments.Deployment(
+        name="sharing",
+        lead_s=9,
+        length_s=length_s,
+        places={
+            "a": nodes,
+            "b": 1
+        },
+        models=test_world.MODELS,
+        kinds=test_world.KINDS,
+        troubles=[deployments.Trouble(**each) for each in troubles])
+    return world.play(deployment, seed)
+
+
+def served(outcome, from_s, to_s):
+    """The part of requests that were served, of those sent within a time."""
+    inside = [
+        each for each in outcome.results
+        if from_s * 1000 <= each.at_ms - outcome.started_ms < to_s * 1000
+    ]
+    return sum(
+        each.outcome in ("in-aim", "late") for each in inside) / len(inside)
+
+
+def test_calls_to_the_store_grow_with_data_centres_not_with_nodes(monkeypatch):
+    """Each call has a price and the store a bound, whatever nodes there are."""
+    few, many = play(nodes=2), play(nodes=8)
+    assert not many.violations
+    assert many.share("in-aim") > 0.97
+    # What each does at its start, and a reader that plans besides.
+    assert many.store_calls < 1.6 * few.store_calls
+    monkeypatch.setattr(sources.Sources, "_reader", lambda self, now_ms: None)
+    assert play(nodes=8).store_calls > 2.2 * few.store_calls
+
+
+def test_nodes_cut_from_the_store_serve_on_what_their_peers_read():
+    """Four of seven nodes are cut off from the store alone, for 9 s.
+
+    Their keys would be unconfirmed after 4.4 s and every request refused,
+    though three peers that they reach have it confirmed all the while.
+    """
+    outcome = play({
+        "kind": "store_cut",
+        "at_s": 1.0,
+        "count": 4,
+        "for_s": 9.0
+    },
+                   length_s=10.0)
+    assert not outcome.violations
+    assert served(outcome, 6.0, 10.0) > 0.97
+
+
+@pytest.mark.parametrize("trouble", [
+    {
+        "kind": "revoke",
+        "at_s": 2.5,
+        "count": 3
+    },
+    {
+        "kind": "configuration",
+        "at_s": 2.5
+    },
+    {
+        "kind": "runners_drain",
+        "at_s": 2.5,
+        "count": 2
+    },
+    {
+        "kind": "node_kill",
+        "place": "a",
+        "at_s": 2.0,
+        "for_s": 3.0
+    },
+])
+def test_no_rule_is_broken_where_rows_come_from_peers(trouble):
+    """Keys go, runners leave, readers die while half the nodes are cut off."""
+    outcome = play({
+        "kind": "store_cut",
+        "at_s": 1.0,
+        "count": 3,
+        "for_s": 8.0
+    },
+                   trouble,
+                   length_s=10.0)
+    assert not outcome.violations
+    assert outcome.earned > 0.8
+
+
+def test_copy_of_a_peer_that_is_cut_off_too_is_refused(monkeypatch):
+    """All nodes lose the store; each would pass its old copy on for ever.
+
+    Keys are taken away then. Whoever takes an old copy for news of now
+    lets them work for too long.
+    """
+    troubles = ({
+        "kind": "store_silent",
+        "at_s": 1.98,
+        "for_s": 9.0
+    }, {
+        "kind": "revoke",
+        "at_s": 1.99,
+        "count": 3
+    })
+    assert not play(*troubles, length_s=11.0).violations
+
+    def answer_as_if_new(reply, table, rows):
+        table.as_of_ms = clock.now_ms()
+        answer(reply, table, rows)
+
+    answer = peerrows._answer
+    monkeypatch.setattr(peerrows, "_answer", answer_as_if_new)
+    outcome = play(*troubles, length_s=11.0)
+    assert {each.rule for each in outcome.violations} == {"CONFIG"}
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -94,7 +94,14 @@
         self.alarms.look(now_ms)
 
     def is_avoided(self, key=KEY):
-        return self.requests.standing.is_avoided(key, clock.now_ms())
+        return key in self.avoided
+
+    def look_back(self):
+        """Keeps which groups are avoided while the run's clock is read."""
+        self.avoided = {
+            key for key in (KEY, OTHER, THIRD, FOURTH)
+            if self.requests.standing.is_avoided(key, clock.now_ms())
+        }
 
 
 def play(script, plans=False):
@@ -103,6 +110,7 @@
         bench = Bench(plans)
         script(bench)
         await asyncio.sleep(0.1)
+        bench.look_back()
         return bench
 
     with virtualloop.running(1) as loop:
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -7,7 +7,11 @@
     clock,
     fleetview,
     freshness,
+    peers,
     platformreader,
+    rowsource,
+    sources,
+    tables,
     upstream,
 )
 from cardamommill.platform import storecalls, words
@@ -37,9 +41,17 @@
     def __init__(self, pool):
         self.store = modelstore.ModelStore()
         self.view = fleetview.FleetView()
-        self.reader = platformreader.PlatformReader(
-            storecalls.Store(pool, modelstore.ADDRESS), self.view,
-            freshness.Freshness(5000.0), DRAIN_MS, lambda table: None)
+        others = peers.Peers("n1", "a", 1, ("10.1.0.1", 7000), clock.now_ms())
+        store = storecalls.Store(pool, modelstore.ADDRESS)
+        operator, servers = (rowsource.RowSource(
+            store, pool, sources.Sources("n1", "a", others), name,
+            tables.Table()) for name in (words.OPERATOR_TABLE,
+                                         words.SERVERS_TABLE))
+        self.reader = platformreader.PlatformReader(operator, servers,
+                                                    self.view,
+                                                    freshness.Freshness(5000.0),
+                                                    DRAIN_MS,
+                                                    lambda table: None)
 
     def put(self, runner, **fields):
         self.store.put(words.SERVERS_TABLE, runner, entry(**fields))
--- /dev/null
+++ b/tests/gateway/test_sources.py
@@ -0,0 +1,129 @@
+"""Tests of whom a node asks for the store's tables."""
+
+import pytest
+
+from cardamommill.gateway import peermessage, peers, sources
+
+NOW_MS = 100_000.0
+
+
+def peer(number, place="a", age_ms=100.0, stopping=False):
+    return peermessage.PeerMessage(node=f"n{number}",
+                                   incarnation=1,
+                                   data_centre=place,
+                                   sent_ms=NOW_MS,
+                                   echo_ms=0.0,
+                                   interval_ms=200.0,
+                                   config_version=1,
+                                   confirmed_age_ms=age_ms,
+                                   in_flight={},
+                                   alarms=(),
+                                   opened=(),
+                                   requests_seen=False,
+                                   stopping=stopping,
+                                   plans_ms={})
+
+
+def address(number):
+    return (f"10.1.0.{number}", 7000)
+
+
+def choice(own, *others):
+    """Returns what node `own` of data centre a chooses by, and its peers."""
+    known = peers.Peers(f"n{own}", "a", 1, address(own), 0.0)
+    hear(known, *others)
+    return sources.Sources(f"n{own}", "a", known), known
+
+
+def lose_store(one):
+    for _ in range(sources.STORE_FAILURES):
+        one.failed(sources.STORE, NOW_MS)
+
+
+def hear(known, *messages, at_ms=NOW_MS):
+    for message in messages:
+        known.take(message, address(int(message.node[1:])), at_ms)
+
+
+def test_two_nodes_of_a_data_centre_read_the_store():
+    nodes = range(1, 7)
+    direct = [
+        own for own in nodes
+        if choice(own, *(peer(each) for each in nodes
+                         if each != own))[0].choose(NOW_MS) == sources.STORE
+    ]
+    assert direct == [1, 2]
+
+
+@pytest.mark.parametrize("others", [(1,), (1, 2)])
+def test_small_data_centres_read_for_themselves(others):
+    """Two nodes of another data centre are no readers for this one."""
+    messages = [peer(each, place="a" if each == 1 else "b") for each in others]
+    assert choice(9, *messages)[0].choose(NOW_MS) == sources.STORE
+
+
+def test_nodes_never_follow_each_other():
+    """Views differ: each sees only some of the others.
+
+    Two that followed each other would both grow old, and neither would ask the
+    store.
+    """
+    for hidden in range(1, 6):
+        for own in range(1, 6):
+            seen = [
+                peer(each) for each in range(1, 6) if each not in (own, hidden)
+            ]
+            found = choice(own, *seen)[0].choose(NOW_MS)
+            assert found == sources.STORE or int(
+                found.peer[0].rpartition(".")[2]) < own
+
+
+def test_planner_reads_for_itself():
+    """It waits for its members' word; a list of a second ago delays a group."""
+    one, known = choice(9)
+    known.planned_data_centres(("a",), NOW_MS)
+    hear(known, peer(1), peer(2))
+    assert known.plans
+    assert one.choose(NOW_MS) == sources.STORE
+
+
+def test_reader_that_fails_is_left_for_a_while():
+    one, known = choice(9, peer(1), peer(2))
+    first = one.choose(NOW_MS)
+    one.failed(first, NOW_MS)
+    assert one.choose(NOW_MS + 1) == sources.STORE
+    later_ms = NOW_MS + sources.PEER_AGAIN_MS + 1
+    hear(known, peer(1), peer(2), at_ms=later_ms)
+    assert one.choose(later_ms) == first
+
+
+def test_node_that_the_store_turns_away_asks_a_near_peer_that_is_young():
+    """The store serves the others: this one need not refuse all keys."""
+    others = (peer(1, age_ms=4000.0), peer(2, "b", 10.0), peer(3, age_ms=900.0))
+    one, _ = choice(0, *others)
+    assert one.choose(NOW_MS) == sources.STORE
+    lose_store(one)
+    assert one.choose(NOW_MS + 1).peer == address(3)
+
+
+def test_store_that_failed_is_asked_again():
+    one, _ = choice(0, peer(3))
+    lose_store(one)
+    assert one.choose(NOW_MS + sources.STORE_AGAIN_MS + 1) == sources.STORE
+    assert one.store_is_lost
+    one.worked(sources.STORE)
+    assert not one.store_is_lost
+
+
+def test_node_that_knows_nobody_asks_the_store_whatever_failed():
+    one, _ = choice(0)
+    lose_store(one)
+    assert one.choose(NOW_MS + 1) == sources.STORE
+
+
+def test_one_lost_answer_is_no_reason_to_leave_the_store():
+    """All nodes lose an answer of their feeds; the store itself is well."""
+    one, _ = choice(0, peer(3))
+    one.failed(sources.STORE, NOW_MS)
+    assert one.choose(NOW_MS + 1) == sources.STORE
+    assert not one.store_is_lost
--- /dev/null
+++ b/tests/gateway/test_tables.py
@@ -0,0 +1,86 @@
+"""Tests of copies of the store's tables."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from cardamommill.gateway import tables
+from cardamommill.platform import storecalls
+
+
+def row(key, version, deleted=False):
+    return storecalls.Row(key, b"v%d" % version, version, deleted)
+
+
+def rows(*found, version, as_of_ms=0.0):
+    return storecalls.Rows(found, version, as_of_ms)
+
+
+def test_whoever_follows_a_copy_gets_each_change():
+    table = tables.Table()
+    table.take(rows(row("a", 1), row("b", 2), version=3), whole=True)
+    table.take(rows(row("a", 4), row("b", 5, deleted=True), version=5),
+               whole=False)
+    assert {
+        each.key: each.deleted for each in table.since(3)
+    } == {
+        "a": False,
+        "b": True
+    }
+    assert [each.key for each in table.whole()] == ["a"]
+    assert table.since(5) == ()
+
+
+def test_row_that_went_without_a_version_is_told_all_the_same():
+    """The store marks it as deleted and names no version of its own."""
+    table = tables.Table()
+    table.take(rows(row("a", 1), version=3), whole=True)
+    table.take(rows(row("a", 0, deleted=True), version=6), whole=False)
+    assert [each.deleted for each in table.since(3)] == [True]
+
+
+def test_forgotten_changes_are_no_news_but_a_gap():
+    table = tables.Table()
+    table.take(rows(version=3), whole=True)
+    assert table.since(2) is None
+
+
+def test_older_answer_changes_nothing():
+    table = tables.Table()
+    table.take(rows(row("a", 5), version=5, as_of_ms=50.0), whole=True)
+    table.take(rows(row("b", 2), version=4, as_of_ms=90.0), whole=True)
+    assert [each.key for each in table.whole()] == ["a"]
+    assert table.as_of_ms == 50.0
+
+
+@hypothesis.given(
+    strategies.lists(strategies.lists(strategies.tuples(
+        strategies.sampled_from("abc"), strategies.booleans()),
+                                      max_size=3),
+                     max_size=12), strategies.data())
+def test_followers_of_any_age_end_up_with_the_same_rows(batches, data):
+    """One that asks now and then, through a copy, sees what the store holds."""
+    table = tables.Table()
+    table.take(rows(version=1), whole=True)
+    followed, seen, version = {}, 1, 1
+    for batch in batches:
+        changes = []
+        for key, deleted in batch:
+            version += 1
+            changes.append(row(key, version, deleted))
+        table.take(rows(*changes, version=version), whole=False)
+        if data.draw(strategies.booleans()):
+            _apply(followed, table.since(seen))
+            seen = table.version
+    _apply(followed, table.since(seen))
+    assert followed == {each.key: each for each in table.whole()}
+
+
+def _apply(followed, changes):
+    assert changes is not None
+    for each in changes:
+        if each.deleted:
+            followed.pop(each.key, None)
+        else:
+            followed[each.key] = dataclasses.replace(each)
