Take a model for strained by the groups that can be reached

Cause: in a data centre that was cut off, groups of the others counted as standing though no member answered. One group of the smaller model stood in it, spares for another lay idle for six seconds, and its callers were refused.

Change: groups with a member that does not answer this node count neither for strain nor for whether a model is busy.

--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -93,8 +93,8 @@
     @property
     def serves_here(self) -> bool:
         """Whether it serves, and all its members answer this node."""
-        return self.is_open and not any(
-            each.down_ms for each in self.members.values())
+        return self.is_open and not any(each.down_ms
+                                        for each in self.members.values())
 
     @property
     def is_open(self) -> bool:
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -324,7 +324,7 @@
         open_keys = [
             group.key
             for group in self._view.groups(service).values()
-            if group.model == served.name and group.is_open
+            if group.model == served.name and group.serves_here
         ]
         load = sum(scope.load(key).all_requests for key in open_keys)
         return load > BUSY_PART * engine.slots * len(open_keys)
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/strain.py
@@ -64,6 +64,9 @@
         """
         if scope.in_lead:
             return
+        # Groups that can't be reached take no requests of here: in a data
+        # centre that was cut off one group stood, and spares for two lay idle
+        # until the end, since all groups of the others counted.
         since_ms = now_ms - self._seen_ms.get(service, now_ms)
         self._seen_ms[service] = now_ms
         weight = min(1.0, since_ms / MEMORY_MS)
@@ -71,7 +74,7 @@
             keys = [
                 each.key
                 for each in groups.values()
-                if each.model == served.name and each.is_open
+                if each.model == served.name and each.serves_here
             ]
             requests = sum(scope.load(each).all_requests for each in keys)
             waiting = sum(scope.load(each).patient for each in keys)
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_strain.py
@@ -164,3 +164,29 @@
     known = [each.runner for each in one.view.known.values()]
     one.view.take_list(known + blank, one.now_ms)
     assert loaded(one.step()) == ["large"] * 4
+
+
+def test_groups_that_cannot_be_reached_are_no_help():
+    """A data centre is cut off: groups of the others stand, out of its reach.
+
+    Its spares, kept for deaths while all groups stood, are what it has.
+    """
+    far = model.GroupKey("g3", 3)
+    away = [
+        dataclasses.replace(each, data_centre="b")
+        for each in group(far, "large", 40, 4)
+    ]
+    here = group(SMALL, "small", 5, 3)
+    here += [builders.runner(20 + each, staged=("large",)) for each in range(4)]
+    one = planners.Bench(here + away)
+    for _ in range(20):
+        one.step(100)
+    before = planners.ordered(one.step(), orders.Operation.JOIN)
+    for each in away:
+        one.view.take_silence(each.id, one.now_ms)
+    made = [
+        each for _ in range(20)
+        for each in planners.ordered(one.step(100), orders.Operation.JOIN)
+    ]
+    assert not before
+    assert {each.model for each in made} == {"large"}
