Count a stream's runs from its first event

Cause: a stream diverted from two groups in a row, each with a dead member and neither of which had given an event, had used up its two attempts: it waited at the second one until its caller left.

Change: a try that is left without an event counts for no run. That it may have run is still said: nothing that was sent is called "not run" for it.

--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -118,6 +118,9 @@
         self.model_name = request.get(words.MODEL) or ""
         self.tried: list[Target] = []
         self.ran_at: list[Target] = []
+        # Those of them that count as runs: a stream runs from its first token.
+        self._begun_at: list[Target] = []
+        self._try_events = 0
         self.end_ms = math.inf
         self.last_event_id: int | None = passedon.number(
             request.get(words.LAST_EVENT_ID))
@@ -256,7 +259,9 @@
 
     def _way_on(self) -> Target | None:
         """Returns where a try that is left goes on, if it may and can."""
-        if not self._may_go_elsewhere(leaving=1) or not self.key_still_holds():
+        if not self._may_go_elsewhere(leaving=self._try_has_begun()):
+            return None
+        if not self.key_still_holds():
             return None
         found = self._node.find_target(self)
         if isinstance(found, placing.Refused):
@@ -317,6 +322,7 @@
         self._target = target
         self._node.attempt_begins(self, target, bool(self.tried))
         self.tried.append(target)
+        self._try_events = 0
         runner = target.known.runner
         now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
@@ -335,16 +341,29 @@
             self._attempt = None
         if endings.may_have_run(outcome.result):
             self.ran_at.append(target)
+            diverted = outcome.result is attempts.Result.DIVERTED
+            if self._try_has_begun() or not diverted:
+                self._begun_at.append(target)
         self._node.attempt_ends(self, target, outcome)
         return outcome
 
-    def _may_go_elsewhere(self, leaving: int = 0) -> bool:
+    def _try_has_begun(self) -> bool:
+        """Whether a runner is at work, as far as can be seen from here.
+
+        A group that stands still has given no event: it would have come long
+        before the silence was noticed. Counted as runs all the same, two dead
+        groups in a row used up the attempts of a request that none had begun.
+        """
+        return not self.streaming or self._try_events > 0
+
+    def _may_go_elsewhere(self, leaving: bool = False) -> bool:
         if self.route is None or len(self.tried) >= MAX_TRIES:
             return False
         if self.end_ms - clock.now_ms() < MIN_LEFT_MS:
             return False
         # A runner that ended meanwhile does not count.
-        counted = leaving + sum(not each.known.down_ms for each in self.ran_at)
+        counted = leaving + sum(
+            not each.known.down_ms for each in self._begun_at)
         if counted >= self.route.max_attempts:
             return False
         return self._node.may_repeat(self.service)
@@ -373,6 +392,7 @@
         """Passes an event on, if it is the next one."""
         assert self._target is not None
         self._stay()
+        self._try_events += 1
         self._node.event_came(self, self._target)
         if event.id is not None:
             if self.last_event_id is not None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -228,3 +228,25 @@
 
     reply, _ = played(play)
     assert (reply.events, reply.ending) == ([1, 2], "whole")
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_groups_that_never_began_a_stream_use_up_no_attempts(begun):
+    """Two groups in a row lose a member before they give an event.
+
+    The route allows two runs. None has begun, so the third group may run it;
+    had both begun it, it would have run three times.
+    """
+
+    async def play(node, one):
+        for number in range(2):
+            exchange = node.exchanges[number]
+            if begun:
+                exchange.head(200)
+                exchange.event(number + 1)
+            one.divert("member does not answer")
+            await asyncio.sleep(2 * relay.RESUME_LOOK_MS / 1000)
+        assert len(node.exchanges) == (2 if begun else 3)
+        assert node.exchanges[1].cancelled is not begun
+
+    played(play)
