End no group by a silence that is older than a member's return

The planner outside had found all its runners down; when the link was mended the first member to answer was ordered to leave its group because the next one "does not answer", asked last while the link was cut. Groups that were well were taken apart within 0.1 s of the return, and stood broken 5 s later. Planners that had just started then formed groups on guessed counts of orders: each wrong guess is refused and ends a formation (0.06 to 0.3 s each, three in a row). And whoever plans for no data centre believed runners down for good: of 21 found down by one node during a cut, 4 were ever asked again.

Change: members whose silence is older than another member's return are asked anew before anything is ended. Runners whose count of orders is a guess are asked for it and form no group until it is known. Every node asks runners again that are down and still listed: at once when a node of their data centre is heard again, else after half the time for which an alarm is heeded.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -21,6 +21,9 @@
 PROBE_AGAIN_MS = 400.0
 # News that others need is told for this long, since datagrams get lost.
 NEWS_MS = 700.0
+# Runners of a data centre that is heard again are asked, but not twice for the
+# return of two nodes.
+BACK_ASK_MS = 250.0
 # Two groups of a data centre that are found down within this may have one
 # cause.
 TOGETHER_MS = 500.0
@@ -60,6 +63,7 @@
         self._spawn = spawn
         self._alarms: dict[model.GroupKey, tuple[float, bool]] = {}
         self._probed_ms: dict[model.GroupKey, float] = {}
+        self._asked_again_ms: dict[str, float] = {}
         # When a peer told that it asks the members of a group.
         self._asked_by_peer_ms: dict[model.GroupKey, float] = {}
         # When the last group of another data centre was found down.
@@ -81,6 +85,9 @@
             for key, at_ms in list(times.items()):
                 if now_ms - at_ms > 10 * NEWS_MS:
                     del times[key]
+        for runner, at_ms in list(self._asked_again_ms.items()):
+            if now_ms - at_ms > 10 * NEWS_MS:
+                del self._asked_again_ms[runner]
 
     def look(self, now_ms: float) -> None:
         """Finds groups that have newly fallen silent, or stand still."""
@@ -90,6 +97,33 @@
             self._give_up(key, "group stands still",
                           now_ms + standing.STALLED_MS)
 
+    def ask_again(self, now_ms: float, data_centre: str = "") -> None:
+        """Asks runners that did not answer and that the list still names.
+
+        A dead one has left the list by then. Believed down until a planner of
+        this node's asked, groups of a data centre that was cut off once got no
+        request of the others' nodes again.
+
+        Args:
+            now_ms: The time.
+            data_centre: One that is heard again; its runners are asked at once.
+        """
+        for known in list(self._view.known.values()):
+            if not known.down_ms or not known.listed:
+                continue
+            is_back = known.runner.data_centre == data_centre
+            after_ms = BACK_ASK_MS if is_back else self._confirmed_ms / 2
+            runner = known.runner.id
+            asked_ms = max(known.silent_ms,
+                           self._asked_again_ms.get(runner, float("-inf")))
+            if now_ms - asked_ms < after_ms:
+                continue
+            self._asked_again_ms[runner] = now_ms
+            self._spawn(self._ask(runner))
+
+    async def _ask(self, runner: str) -> None:
+        await self._keeper.ask(runner, "did not answer")
+
     def _suspect(self, key: model.GroupKey, now_ms: float) -> None:
         """Asks the members of a silent group, and sends it nothing meanwhile.
 
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -97,7 +97,7 @@
             f"{settings.node[:24]}-{self._incarnation % 36**5:x}",
             self._on_opened, self._reader.read_list_now, self.spawn)
         self._link = nodelink.NodeLink(settings, self._peers, self._compose,
-                                       self._on_message)
+                                       self._on_message, self._on_return)
         self._alarms = alarms.Alarms(
             self.view, self._requests, self._keeper, self.metrics,
             standing.confirmed_alarm_ms(settings.heartbeat_ms,
@@ -217,6 +217,9 @@
         for alarm in message.alarms:
             self._alarms.hear(alarm, message.node, now_ms)
 
+    def _on_return(self, data_centre: str) -> None:
+        self._alarms.ask_again(clock.now_ms(), data_centre)
+
     def _compose(self, now_ms: float) -> peermessage.PeerMessage:
         table = self._reader.table
         opened = tuple(
@@ -274,6 +277,7 @@
             self.pool.trim()
             self._look_at_settings()
             self._alarms.forget(now_ms)
+            self._alarms.ask_again(now_ms)
             self._requests.forget(now_ms)
             self._forget_opened(now_ms)
         if self._stopping_ms:
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -32,6 +32,8 @@
         standing: The newest that is known of its orders and group.
         report_ms: When the newest report was asked for.
         down_ms: When it was found not to answer; 0 while it is not.
+        silent_ms: When it was last asked in vain.
+        back_ms: When it last answered again after that.
         leaving_ms: When it was first seen to leave; 0 while it is not.
         last_model: The model of its last group, for which joining is quick.
         pace: Of its newest report; over 1 is slow.
@@ -39,6 +41,7 @@
         list_ms: When the list last told something new of its group.
         orders_begun: Its count of orders, as far as this node knows; a wrong
             guess is refused by the runner and then asked for.
+        is_counted: Whether that is no guess.
     """
 
     runner: model.Runner
@@ -47,12 +50,15 @@
     standing: model.Standing
     report_ms: float = 0.0
     down_ms: float = 0.0
+    silent_ms: float = 0.0
+    back_ms: float = 0.0
     leaving_ms: float = 0.0
     last_model: str = ""
     pace: float = 1.0
     order_ms: float = 0.0
     list_ms: float = 0.0
     orders_begun: int = 0
+    is_counted: bool = True
 
     @property
     def usable(self) -> bool:
@@ -151,7 +157,11 @@
                     as_of_ms: float) -> Iterator[tuple[str, str]]:
         known = self.known.get(runner.id)
         if known is None:
-            known = Known(runner, True, as_of_ms, runner.standing)
+            known = Known(runner,
+                          True,
+                          as_of_ms,
+                          runner.standing,
+                          is_counted=_is_blank(runner.standing))
             self.known[runner.id] = known
             self._note_model(known)
             yield runner.id, "listed"
@@ -185,6 +195,7 @@
             return
         if known.down_ms:
             known.down_ms = 0.0
+            known.back_ms = asked_ms
             self.version += 1
         known.pace = report.pace
         known.report_ms = asked_ms
@@ -193,13 +204,17 @@
             return
         known.standing = report.standing
         known.orders_begun = report.orders_begun
+        known.is_counted = True
         self._note_model(known)
         self.version += 1
 
     def take_silence(self, runner_id: str, asked_ms: float) -> bool:
         """Notes that a runner did not answer; True where that is news."""
         known = self.known.get(runner_id)
-        if known is None or known.down_ms or asked_ms < known.report_ms:
+        if known is None or asked_ms < known.report_ms:
+            return False
+        known.silent_ms = asked_ms
+        if known.down_ms:
             return False
         known.down_ms = asked_ms
         self.version += 1
@@ -215,6 +230,7 @@
         self._note_model(known)
         self.version += 1
         known.orders_begun = orders_begun
+        known.is_counted = True
         known.standing = dataclasses.replace(known.standing,
                                              membership=membership)
 
@@ -265,6 +281,9 @@
             return
         if standing != known.standing:
             known.list_ms = as_of_ms
+        if _place(standing.membership) != _place(known.membership):
+            # Somebody else ordered that.
+            known.is_counted = False
         known.standing = standing
         self._note_model(known)
 
@@ -327,6 +346,15 @@
         ]
 
 
+def _is_blank(standing: model.Standing) -> bool:
+    """Whether nobody can have ordered anything of a runner yet."""
+    return not (standing.staged or standing.models or standing.membership)
+
+
+def _place(membership: model.Membership | None) -> model.GroupKey | None:
+    return membership.key if membership is not None else None
+
+
 def _goes_on(before: model.Membership | None,
              after: model.Membership | None) -> bool:
     """Whether a place in a group is the same one, later."""
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -21,10 +21,12 @@
 class NodeLink:
     """Speaks to other nodes."""
 
-    def __init__(
-            self, settings: entrysettings.EntrySettings, others: peers.Peers,
-            compose: Callable[[float], peermessage.PeerMessage],
-            heard: Callable[[peermessage.PeerMessage, float], None]) -> None:
+    def __init__(self, settings: entrysettings.EntrySettings,
+                 others: peers.Peers,
+                 compose: Callable[[float], peermessage.PeerMessage],
+                 heard: Callable[[peermessage.PeerMessage, float],
+                                 None], came_back: Callable[[str],
+                                                            None]) -> None:
         """Makes it.
 
         Args:
@@ -32,11 +34,13 @@
             others: What is known of other nodes.
             compose: Returns the message for all peers.
             heard: Takes a message.
+            came_back: Takes the data centre of a node that was not heard of.
         """
         self._settings = settings
         self._peers = others
         self._compose = compose
         self._heard = heard
+        self._came_back = came_back
         self._udp: asyncio.DatagramTransport | None = None
 
     async def listen(self) -> None:
@@ -65,6 +69,7 @@
                 logs.line("peer-alive",
                           peer=message.node,
                           incarnation=message.incarnation))
+            self._came_back(message.data_centre)
         self._heard(message, now_ms)
 
     def speak(self, now_ms: float, at_once: bool = False) -> None:
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -30,6 +30,10 @@
 RETIRE_MS = 5000.0
 # A runner that doesn't answer is asked again this often while it is listed.
 DOWN_RETRY_MS = 1200.0
+# A group's members are asked this often while one is back and one is not...
+BACK_RETRY_MS = 200.0
+# ... and a runner whose count of orders is not known.
+COUNT_RETRY_MS = 300.0
 # A member that left the list may be cut from the store alone.
 ABSENT_RETRY_MS = 1500.0
 # Part of a domain that is kept as spares when groups are first formed: two
@@ -80,6 +84,7 @@
                 actions += self._tend(group, service.name, engine, scope,
                                       now_ms)
         actions += self._ask_the_silent(service.name, scope, now_ms)
+        actions += self._count_orders(service.name, scope, now_ms)
         actions += self._form_and_stage(service.name, engine, scope, now_ms)
         return actions
 
@@ -129,6 +134,10 @@
             return
         served = engine.model(group.model)
         members = list(group.members.values())
+        doubted = _doubted(members)
+        if doubted:
+            yield from self._ask_anew(doubted, now_ms)
+            return
         reason = self._end_reason(group, served, scope, now_ms)
         if reason:
             yield from self._formations.leave(group.key, members, reason)
@@ -202,6 +211,28 @@
             if self._may_ask(known.runner.id, DOWN_RETRY_MS, now_ms):
                 yield planning.Probe(known.runner.id, "did not answer")
 
+    def _ask_anew(self, doubted: list[fleetview.Known],
+                  now_ms: float) -> Iterator[planning.Action]:
+        for known in doubted:
+            if self._may_ask(known.runner.id, BACK_RETRY_MS, now_ms):
+                yield planning.Probe(known.runner.id, "another member is back")
+
+    def _count_orders(self, service: str, scope: planning.Scope,
+                      now_ms: float) -> Iterator[planning.Action]:
+        """Asks for counts of orders before they are needed.
+
+        A planner that has just started guesses them. Each wrong guess is
+        refused, and ends the forming of a whole group: three in a row took
+        1.3 s after a restart of all nodes.
+        """
+        for known in self._view.of_service(service):
+            if known.is_counted or not known.usable:
+                continue
+            if known.runner.data_centre not in scope.data_centres:
+                continue
+            if self._may_ask(known.runner.id, COUNT_RETRY_MS, now_ms):
+                yield planning.Probe(known.runner.id, "count of orders unknown")
+
     def _may_ask(self, runner: str, interval_ms: float, now_ms: float) -> bool:
         if now_ms - self._asked_ms.get(runner, float("-inf")) < interval_ms:
             return False
@@ -333,6 +364,8 @@
         runner_id = known.runner.id
         if not known.usable or known.membership is not None:
             return False
+        if not known.is_counted:
+            return False
         return (runner_id not in self._pending and
                 not self._formations.has_member(runner_id))
 
@@ -404,3 +437,16 @@
                       if each.loads and now_ms < each.due_ms)
         share = engine.loads_at_once * len(scope.data_centres) / scope.count
         return loading < max(1.0, share)
+
+
+def _doubted(members: list[fleetview.Known]) -> list[fleetview.Known]:
+    """Returns members whose silence is older than another's return.
+
+    A data centre that was cut off comes back: one member answers, the next was
+    asked last while the link was still cut. Ended by that, groups that were
+    well were taken apart in the second after the link was mended.
+    """
+    back_ms = max((each.back_ms for each in members), default=0.0)
+    return [
+        each for each in members if each.down_ms and each.silent_ms < back_ms
+    ]
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -218,3 +218,34 @@
     bench = play(script)
     assert bench.relay.reasons == ["a peer found a member down"]
     assert bench.is_avoided()
+
+
+def test_runners_of_a_data_centre_that_is_heard_again_are_asked():
+    """It was cut off; this node plans for no data centre and found all down.
+
+    Nothing else would tell it that they answer: their groups got no request
+    of here again for as long as they stood.
+    """
+
+    def script(bench):
+        for number in range(4, 16):
+            bench.view.take_silence(f"i-{number}", clock.now_ms() - 3000)
+        bench.alarms.ask_again(clock.now_ms(), "b")
+        bench.alarms.ask_again(clock.now_ms(), "b")
+
+    bench = play(script)
+    assert sorted(bench.keeper.asked) == sorted(
+        f"i-{number}" for number in range(4, 16))
+
+
+def test_runner_that_is_down_and_still_listed_is_asked_again_in_time():
+    """A lost packet was taken for its death; no planner of here asks it."""
+
+    def script(bench):
+        now_ms = clock.now_ms()
+        bench.view.take_silence("i-0", now_ms)
+        bench.alarms.ask_again(now_ms + 1000)
+        assert not bench.keeper.asked
+        bench.alarms.ask_again(now_ms + 3100)
+
+    assert play(script).keeper.asked == ["i-0"]
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -29,6 +29,8 @@
 
     def __init__(self, runners, scope=SCOPE):
         self.view = builders.view(*runners)
+        for known in self.view.known.values():
+            known.is_counted = True
         self.planner = planner.Planner(self.view, "n")
         self.scope = scope
         self.service = builders.service()
@@ -389,3 +391,50 @@
 def test_runners_elsewhere_are_not_ordered():
     bench = Bench([builders.runner(number, place="b") for number in range(9)])
     assert not bench.step()
+
+
+def test_runners_whose_count_of_orders_is_a_guess_are_asked_first():
+    """A planner starts anew and finds spares that its predecessor staged.
+
+    Joined on a guessed count they refuse, and each refusal ends the forming of
+    a whole group.
+    """
+    bench = Bench(warm(4))
+    for known in bench.view.known.values():
+        known.is_counted = False
+    actions = bench.step()
+    assert not ordered(actions, orders.Operation.JOIN)
+    assert {
+        each.runner for each in actions if isinstance(each, planning.Probe)
+    } == {"i-1", "i-2", "i-3", "i-4"}
+    for known in list(bench.view.known.values()):
+        report = builders.report(7)
+        bench.view.take_report(known.runner.id, report, bench.now_ms, 0.0)
+    bench.view.known["i-1"].standing = warm(1)[0].standing
+    joins = ordered(bench.step(), orders.Operation.JOIN)
+    assert all(each.expected_seq == 7 for each in joins)
+
+
+def test_group_is_not_ended_by_silence_from_before_another_members_return():
+    """A data centre that was cut off comes back, member by member.
+
+    One answers; the others were asked last while the link was cut. They are
+    asked anew, and the group that was well all the while goes on.
+    """
+    bench = Bench(warm(5))
+    joins = standing(bench)
+    group = [bench.view.known[each.runner] for each in joins]
+    for each in group:
+        bench.view.take_silence(each.runner.id, bench.now_ms)
+    bench.now_ms += 1000
+    report = builders.report(3, group[0].membership, "large")
+    bench.view.take_report(group[0].runner.id, report, bench.now_ms, 0.0)
+    actions = bench.step()
+    assert not ordered(actions, orders.Operation.LEAVE)
+    asked = {
+        each.runner for each in actions if isinstance(each, planning.Probe)
+    }
+    assert asked == {each.runner.id for each in group[1:]}
+    for each in group[1:]:
+        bench.view.take_silence(each.runner.id, bench.now_ms)
+    assert ordered(bench.step(), orders.Operation.LEAVE)
