Read the table of nodes less often where nodes are many

A new node writes itself there and speaks to all that it finds, so the others need not read. All together now read it each 3.3 s; with up to six nodes nothing changes. Not measured apart.

--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -9,9 +9,11 @@
 from cardamommill.gateway import clock, entrysettings, peermessage, peers
 from cardamommill.platform import storecalls, words
 
-# The table of nodes is read again this often, and sooner by a node that hears
-# nobody: a new node writes itself there and speaks to all that it finds.
+# The table of nodes is read again this often, by all nodes together where they
+# are many, and sooner by a node that hears nobody: a new node writes itself
+# there and speaks to all that it finds.
 FIND_MS = 20_000.0
+FIND_TOGETHER_MS = 3300.0
 FIND_ALONE_MS = 2000.0
 FIND_RETRY_MS = 1000.0
 
@@ -102,8 +104,14 @@
                            self._settings.peer_port)
                 if self._peers.learn(address):
                     _LOG.info(logs.line("node-found", node=row.key))
-            alone = not self._peers.alive(clock.now_ms())
-            await asyncio.sleep((FIND_ALONE_MS if alone else FIND_MS) / 1000)
+            await asyncio.sleep(
+                _find_again_ms(len(self._peers.alive(clock.now_ms()))) / 1000)
+
+
+def _find_again_ms(others: int) -> float:
+    if not others:
+        return FIND_ALONE_MS
+    return max(FIND_MS, FIND_TOGETHER_MS * (1 + others))
 
 
 class _Datagrams(asyncio.DatagramProtocol):
