Pass on only what is new of a table, and ask only peers that know more

The store turns all nodes away for six seconds. Each reader that reads a table whole again forgot its changes, so that all that follow it read it whole as well, and each node then asked one peer after the other, near and far, none of which had confirmed anything later than itself.

Change: a whole reading is compared with the copy, and only what differs is passed on. Peers are asked only if they confirmed the configuration within 1.5 s; those that follow a reader go on asking it, and the store each 1.5 s.

--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -19,8 +19,8 @@
 STORE_FAILURES = 2
 STORE_AGAIN_MS = 1500.0
 PEER_AGAIN_MS = 3000.0
-# Of peers that confirmed the configuration within this the nearest is asked:
-# bytes between data centres are dear.
+# Of peers that confirmed the configuration within this the nearest is asked, as
+# bytes between data centres are dear; others know no more than this node does.
 YOUNG_MS = 1500.0
 
 
@@ -79,10 +79,15 @@
 
     def choose(self, now_ms: float) -> Source:
         """Returns whom to ask now."""
+        reader = self._reader(now_ms)
         if self.store_is_lost and self._failed_lately(STORE, now_ms,
                                                       STORE_AGAIN_MS):
-            return self._freshest(now_ms) or STORE
-        return self._reader(now_ms) or STORE
+            # A reader that is cut off too has nothing new, but asking it costs
+            # nothing: of eighty nodes each would call the store all the while.
+            return self._young(now_ms) or reader or STORE
+        if reader is None or self._failed_lately(reader, now_ms, PEER_AGAIN_MS):
+            return STORE
+        return reader
 
     def _failed_lately(self, source: Source, now_ms: float,
                        for_ms: float) -> bool:
@@ -105,12 +110,10 @@
         if len(readers) < READERS or self._node < readers[-1][0]:
             return None
         mine = zlib.crc32(self._node.encode()) % READERS
-        source = Source(readers[mine][1])
-        if self._failed_lately(source, now_ms, PEER_AGAIN_MS):
-            return None
-        return source
+        return Source(readers[mine][1])
 
-    def _freshest(self, now_ms: float) -> Source | None:
+    def _young(self, now_ms: float) -> Source | None:
+        """Returns the nearest peer that confirmed the configuration of late."""
         found = []
         for each in self._peers.alive(now_ms):
             source = Source(each.address)
@@ -118,6 +121,7 @@
                                                         PEER_AGAIN_MS):
                 continue
             age_ms = each.last.confirmed_age_ms + now_ms - each.heard_ms
-            is_far = each.last.data_centre != self._data_centre
-            found.append((age_ms > YOUNG_MS, is_far, age_ms, each.address))
+            if age_ms < YOUNG_MS:
+                is_far = each.last.data_centre != self._data_centre
+                found.append((is_far, age_ms, each.address))
         return Source(min(found)[-1]) if found else None
--- a/cardamommill/gateway/tables.py
+++ b/cardamommill/gateway/tables.py
@@ -30,19 +30,34 @@
         """
         if rows.version < self.version:
             return
+        if not self.version:
+            self._kept_from = rows.version
+        changes = self._news(rows) if whole else rows.rows
         self.version = rows.version
         self.as_of_ms = max(self.as_of_ms, rows.as_of_ms)
-        if whole:
-            self._rows = {each.key: each for each in rows.rows}
-            self._changes.clear()
-            self._kept_from = rows.version
-        for row in () if whole else rows.rows:
+        for row in changes:
             # One without a version of its own changed by that of the answer.
-            self._change(row if row.version else dataclasses.
-                         replace(row, version=rows.version))
-        if rows.rows:
+            version = row.version or rows.version
+            self._change(dataclasses.replace(row, version=version))
+        if changes:
             self._wake()
 
+    def _news(self, rows: storecalls.Rows) -> tuple[storecalls.Row, ...]:
+        """Returns what a whole table says that the copy does not.
+
+        Whoever follows the copy goes on from where it was: made to read it
+        whole after each whole reading, eighty nodes passed 0.2 GB between data
+        centres during one outage of the store.
+        """
+        named = {each.key for each in rows.rows}
+        gone = [
+            storecalls.Row(key, b"", rows.version, deleted=True)
+            for key in self._rows
+            if key not in named
+        ]
+        new = [each for each in rows.rows if each.version > self.version]
+        return (*gone, *new)
+
     def _change(self, row: storecalls.Row) -> None:
         if row.deleted:
             self._rows.pop(row.key, None)
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -127,3 +127,21 @@
     one.failed(sources.STORE, NOW_MS)
     assert one.choose(NOW_MS + 1) == sources.STORE
     assert not one.store_is_lost
+
+
+def test_nobody_asks_peers_that_know_no_more():
+    """The store is away for all: each peer's confirmation is as old as ours.
+
+    Readers go on asking the store, and those that follow them wait for these.
+    """
+    old = sources.YOUNG_MS + 500.0
+    reader, _ = choice(0, peer(3, age_ms=old), peer(4, age_ms=old))
+    lose_store(reader)
+    assert reader.choose(NOW_MS + 1) == sources.STORE
+    follower, _ = choice(9, peer(3, age_ms=old), peer(4, age_ms=old))
+    first = follower.choose(NOW_MS)
+    follower.failed(first, NOW_MS)
+    assert follower.choose(NOW_MS + 1) == sources.STORE
+    lose_store(follower)
+    assert follower.choose(NOW_MS + 2) == first
+    assert follower.choose(NOW_MS + sources.STORE_AGAIN_MS + 1) == sources.STORE
--- a/tests/gateway/test_tables.py
+++ b/tests/gateway/test_tables.py
@@ -46,6 +46,26 @@
     assert table.since(2) is None
 
 
+def test_whole_reading_tells_followers_only_what_is_new():
+    """The store was away; its table is read whole again.
+
+    Made to do the same, all that follow this copy would have it sent whole.
+    """
+    table = tables.Table()
+    table.take(rows(row("a", 1), row("b", 2), row("c", 3), version=3),
+               whole=True)
+    table.take(rows(row("a", 1), row("c", 6), row("d", 7), version=8),
+               whole=True)
+    assert {
+        each.key: each.deleted for each in table.since(3)
+    } == {
+        "b": True,
+        "c": False,
+        "d": False
+    }
+    assert sorted(each.key for each in table.whole()) == ["a", "c", "d"]
+
+
 def test_older_answer_changes_nothing():
     table = tables.Table()
     table.take(rows(row("a", 5), version=5, as_of_ms=50.0), whole=True)
