--- /dev/null
+++ b/tests/gateway/planners.py
@@ -0,0 +1,73 @@
+"""A planner with runners that obey at once."""
+
+from cardamommill.gateway import model, orders, planner, planning
+from tests.gateway import builders
+
+SCOPE = planning.Scope(frozenset({"a"}), 1, False, {})
+LEAD = planning.Scope(frozenset({"a"}), 1, True, {})
+STATE = model.MemberState
+
+
+def ordered(actions, operation):
+    return [
+        each for each in actions
+        if isinstance(each, orders.Order) and each.operation is operation
+    ]
+
+
+class Bench:
+    """A planner with its view, and runners that obey at once."""
+
+    def __init__(self, runners, scope=SCOPE):
+        self.view = builders.view(*runners)
+        for known in self.view.known.values():
+            known.is_counted = True
+        self.planner = planner.Planner(self.view, "n")
+        self.scope = scope
+        self.service = builders.service()
+        self.now_ms = 1000.0
+
+    def step(self, after_ms=60.0):
+        self.now_ms += after_ms
+        return self.planner.step(self.service, self.scope, self.now_ms)
+
+    def accept(self, order, state=None):
+        known = self.view.known[order.runner]
+        place = known.membership
+        if order.operation is orders.Operation.JOIN:
+            place = builders.member(order.group,
+                                    order.members.index(order.runner), state or
+                                    STATE.JOINING)
+        elif order.operation is orders.Operation.LEAVE:
+            place = None
+        elif order.operation is orders.Operation.CLOSE:
+            place = builders.member(order.group, 0, STATE.CLOSING)
+        self.planner.sent(order.runner)
+        self.view.take_order(order.runner, known.orders_begun + 1, place,
+                             self.now_ms)
+        self.planner.accepted(order, self.now_ms)
+
+    def become(self, order, state):
+        known = self.view.known[order.runner]
+        place = builders.member(order.group, order.members.index(order.runner),
+                                state)
+        self.view.take_order(order.runner, known.orders_begun, place,
+                             self.now_ms)
+
+
+def warm(count, name="large", start=1, domain="d0"):
+    return [
+        builders.runner(number, domain=domain, staged=(name,))
+        for number in range(start, start + count)
+    ]
+
+
+def standing(bench, number_of_members=4):
+    joins = ordered(bench.step(), orders.Operation.JOIN)[:number_of_members]
+    for order in joins:
+        bench.accept(order, STATE.READY)
+    for order in ordered(bench.step(), orders.Operation.OPEN):
+        bench.accept(order)
+    bench.step(400)
+    bench.step()
+    return joins
--- a/tests/gateway/test_consolidation.py
+++ b/tests/gateway/test_consolidation.py
@@ -3,8 +3,7 @@
 import dataclasses
 
 from cardamommill.gateway import model, orders, planning
-from tests.gateway import builders
-from tests.gateway import test_planner as planners
+from tests.gateway import builders, planners
 
 STATE = model.MemberState
 ordered = planners.ordered
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_strain.py
@@ -3,8 +3,7 @@
 import dataclasses
 
 from cardamommill.gateway import flights, model, orders, planning, strain
-from tests.gateway import builders
-from tests.gateway import test_planner as planners
+from tests.gateway import builders, planners
 
 LARGE = model.GroupKey("g1", 1)
 SMALL = model.GroupKey("g2", 2)
