Go on from what is known when a peer is asked

A node that the store does not answer tries it each 1.5 s; each try began the reading anew, so that the peer asked next, often far away, sent the whole table.

Change: `rowsource` itself keeps what is known, and reads whole only from the store after a failure, or where history is lost; the reader above it keeps no version.

--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -62,34 +62,30 @@
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
-        version = 0
+        has_failed = False
         while True:
+            revoke_ms = self._fresh.revoke_ms
             try:
-                rows = await self._read_configuration(version)
+                news = await self._operator.read(int(FEED_PART * revoke_ms),
+                                                 OLDEST_PART * revoke_ms)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="op"))
-                version = 0
                 continue
             except exceptions.StoreError as error:
                 self._lose("configuration", error)
-                await asyncio.sleep(RETRY_MS / 1000 if not version else 0)
-                version = _after_failure(self._operator, version)
+                # One lost answer is asked for again at once.
+                await asyncio.sleep(RETRY_MS / 1000 if has_failed else 0)
+                has_failed = True
                 continue
+            has_failed = False
             self._regain("configuration")
-            # A peer may tell of an older time than who was asked before it.
-            version = max(version, rows.version)
             try:
-                self._take_rows(rows)
+                self._take_rows(news.rows)
             except Exception:
                 _LOG.exception(logs.line("configuration-failed"))
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
-    async def _read_configuration(self, version: int) -> storecalls.Rows:
-        revoke_ms = self._fresh.revoke_ms
-        return await self._operator.read(version, int(FEED_PART * revoke_ms),
-                                         OLDEST_PART * revoke_ms)
-
     def _take_rows(self, rows: storecalls.Rows) -> None:
         sound = True
         for row in rows.rows:
@@ -125,36 +121,29 @@
         Read whole 1.25 times a second by each of 71 nodes, 225 rows took a
         seventh of their processor time and a fiftieth of what requests earned.
         """
-        version = 0
         while True:
             began_ms = clock.now_ms()
             try:
-                rows = await self._read_list(version)
+                news = await self._servers.read(
+                    int(LIST_WAIT_PART * self._drain_ms),
+                    self._view.list_stale_ms)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="servers"))
-                version = 0
                 continue
             except exceptions.StoreError as error:
                 self._lose("list", error)
-                version = _after_failure(self._servers, version)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._regain("list")
             try:
-                self._take_list(rows, whole=not version)
+                self._take_list(news.rows, news.whole)
             except Exception:
                 # One row that this version can't take must not end the
                 # reading of all later lists.
                 _LOG.exception(logs.line("list-failed"))
-            version = max(version, rows.version)
             if self._servers.is_direct:
                 await self._wait(began_ms)
 
-    async def _read_list(self, version: int) -> storecalls.Rows:
-        return await self._servers.read(version,
-                                        int(LIST_WAIT_PART * self._drain_ms),
-                                        self._view.list_stale_ms)
-
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
         self._wanted.set()
@@ -210,9 +199,3 @@
         if what in self._lost:
             self._lost.discard(what)
             _LOG.info(logs.line("store-regained", what=what))
-
-
-def _after_failure(source: rowsource.RowSource, version: int) -> int:
-    # Read whole from the store, which answers that at once, and on from where
-    # it was from a peer, which answers often.
-    return 0 if source.asks_store_next else version
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -1,5 +1,7 @@
 """Reads a table of the store where `sources` says, and keeps a copy of it."""
 
+import dataclasses
+
 import logbook
 
 from cardamommill import exceptions, logs
@@ -13,6 +15,19 @@
 _LOG = logbook.Logger("platform")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """What a reading told.
+
+    Attributes:
+        rows: The whole table, or what changed in it.
+        whole: Which of both.
+    """
+
+    rows: storecalls.Rows
+    whole: bool
+
+
 class RowSource:
     """One table, whoever tells of it."""
 
@@ -34,59 +49,61 @@
         self._name = name
         self._copy = copy
         self._last = sources.STORE
+        # The version up to which all is known; 0 where the whole is needed.
+        self._known = 0
 
     @property
     def is_direct(self) -> bool:
         """Whether the store itself was asked last."""
         return self._last == sources.STORE
 
-    @property
-    def asks_store_next(self) -> bool:
-        """Whether the next answer should come from the store itself."""
-        return self._choice.choose(clock.now_ms()).peer is None
-
-    async def read(self, after: int, wait_ms: int,
-                   oldest_ms: float) -> storecalls.Rows:
-        """Returns what changed in the table, when something has.
+    async def read(self, wait_ms: int, oldest_ms: float) -> News:
+        """Returns the table, and later what changed in it, when something has.
 
         Args:
-            after: The version that is known; 0 for the whole table, at once.
             wait_ms: How long the store waits for news.
             oldest_ms: How old a peer's copy may be.
 
         Raises:
-            HistoryLost: The table must be read whole.
+            HistoryLost: The next reading will be whole.
             StoreError: No answer that can be used.
         """
         source = self._choice.choose(clock.now_ms())
         self._note(source)
-        if after and source.peer is None and self._choice.store_is_lost:
+        after = self._known
+        if source.peer is None and self._choice.store_has_failed:
             # A feed without news is answered only at its end, and until then
-            # no key could be trusted; the whole table comes at once.
-            raise storecalls.HistoryLost("the store was away",
-                                         step=self._name,
-                                         peer="store")
+            # no key could be trusted; the whole table comes at once. A peer
+            # answers often, and goes on from what is known: it passed whole
+            # tables between data centres for as long as a cut lasted.
+            after = 0
         try:
-            if source.peer is None:
-                rows = await self._ask(self._store, after, wait_ms)
-            else:
-                peer = peerrows.PeerRows(self._pool, source.peer)
-                rows = await self._ask(peer, after, min(wait_ms, PEER_WAIT_MS))
-                _refuse_old(rows, oldest_ms, source.peer)
+            rows = await self._ask(source, after, wait_ms, oldest_ms)
         except storecalls.HistoryLost:
+            self._known = 0
             raise
         except exceptions.StoreError:
             self._choice.failed(source, clock.now_ms())
             raise
         self._choice.worked(source)
+        # A peer may tell of an older time than who was asked before it.
+        self._known = max(after, rows.version)
         self._copy.take(rows, whole=not after)
-        return rows
+        return News(rows, whole=not after)
 
-    async def _ask(self, asked: "storecalls.Store | peerrows.PeerRows",
-                   after: int, wait_ms: int) -> storecalls.Rows:
-        if not after:
-            return await asked.table(self._name)
-        return await asked.feed(self._name, after, wait_ms)
+    async def _ask(self, source: sources.Source, after: int, wait_ms: int,
+                   oldest_ms: float) -> storecalls.Rows:
+        asked: storecalls.Store | peerrows.PeerRows = self._store
+        if source.peer is not None:
+            asked = peerrows.PeerRows(self._pool, source.peer)
+            wait_ms = min(wait_ms, PEER_WAIT_MS)
+        if after:
+            rows = await asked.feed(self._name, after, wait_ms)
+        else:
+            rows = await asked.table(self._name)
+        if source.peer is not None:
+            _refuse_old(rows, oldest_ms, source.peer)
+        return rows
 
     def _note(self, source: sources.Source) -> None:
         if self._last == source:
--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -66,6 +66,11 @@
         """Notes an answer."""
         self._failures.pop(source, None)
 
+    @property
+    def store_has_failed(self) -> bool:
+        """Whether the store's last answer to this node was none."""
+        return STORE in self._failures
+
     @property
     def store_is_lost(self) -> bool:
         """Whether the store failed more than once in a row.
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -121,3 +121,29 @@
     monkeypatch.setattr(peerrows, "_answer", answer_as_if_new)
     outcome = play(*troubles, length_s=11.0)
     assert {each.rule for each in outcome.violations} == {"CONFIG"}
+
+
+def test_nodes_cut_from_the_store_are_not_sent_whole_tables(monkeypatch):
+    """Each tries the store now and then, which fails, and asks peers on.
+
+    Made to begin anew by each such try, a data centre that was cut off had
+    whole tables sent from the others for as long as the cut lasted.
+    """
+    whole = []
+    table = peerrows.PeerRows.table
+
+    async def counted(self, name):
+        whole.append(name)
+        return await table(self, name)
+
+    monkeypatch.setattr(peerrows.PeerRows, "table", counted)
+    outcome = play({
+        "kind": "store_cut",
+        "at_s": 1.0,
+        "count": 4,
+        "for_s": 9.0
+    },
+                   length_s=10.0)
+    assert not outcome.violations
+    # What nodes that start later than their reader have it send.
+    assert len(whole) <= 4, whole
