Ask members of groups while nothing else would tell that they died

The list is silent then, and from 4.4 s on no key is confirmed, so no request is at any group and none can fall silent. Members that died meanwhile were found only after the store was back; groups formed anew took until 8 s later.

Change: while the list is older than it may be, a planner asks the members of its groups at which no request is, each 1.5 s.

Ruled out: that the nodes' own restart did it (they had been up for 6 s), that loads were missing (spares had the model).

--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -152,7 +152,7 @@
             return
         if group.is_open:
             self._foreign_ms.pop(group.key, None)
-            yield from self._ask_absent(group, now_ms)
+            yield from self._ask_absent(group, scope, now_ms)
 
     def _end_reason(self, group: fleetview.Group,
                     served: model.ServedModel | None, scope: planning.Scope,
@@ -193,13 +193,25 @@
         first_ms = self._foreign_ms.setdefault(key, now_ms)
         return reason if now_ms - first_ms > FOREIGN_GRACE_MS else ""
 
-    def _ask_absent(self, group: fleetview.Group,
+    def _ask_absent(self, group: fleetview.Group, scope: planning.Scope,
                     now_ms: float) -> Iterator[planning.Action]:
+        """Asks members of whom nothing else would tell that they died.
+
+        While the store is away the list is silent, and once keys can't be
+        confirmed no stream is there to fall silent: groups that died in an
+        outage of eight seconds were found and formed anew only after it, and
+        four windows of two seconds earned 0.24 to 0.74.
+        """
+        is_stale = (now_ms - self._view.list_as_of_ms
+                    > self._view.list_stale_ms)
+        is_unseen = is_stale and not scope.load(group.key).all_requests
         for known in group.members.values():
-            if known.listed or known.down_ms:
+            if known.down_ms or (known.listed and not is_unseen):
                 continue
             if self._may_ask(known.runner.id, ABSENT_RETRY_MS, now_ms):
-                yield planning.Probe(known.runner.id, "left the list")
+                yield planning.Probe(
+                    known.runner.id,
+                    "no word of it" if known.listed else "left the list")
 
     def _ask_the_silent(self, service: str, scope: planning.Scope,
                         now_ms: float) -> Iterator[planning.Action]:
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import pytest
+
 from cardamommill.gateway import (
     flights,
     model,
@@ -266,3 +268,33 @@
     for each in group[1:]:
         bench.view.take_silence(each.runner.id, bench.now_ms)
     assert planners.ordered(bench.step(), orders.Operation.LEAVE)
+
+
+def test_members_are_asked_while_nothing_else_would_tell_of_their_death():
+    """The store is away, and with it the list; keys are no longer trusted.
+
+    No request is at any group, so none can be found silent. A member dies: its
+    group must be formed anew by the time that requests are let in again.
+    """
+    bench = planners.Bench(planners.warm(5))
+    joins = planners.standing(bench)
+    bench.view.list_as_of_ms = bench.now_ms - bench.view.list_stale_ms - 1
+    asked = probed(bench.step())
+    assert asked == {each.runner for each in joins}
+    bench.view.take_silence(joins[1].runner, bench.now_ms)
+    assert planners.ordered(bench.step(), orders.Operation.LEAVE)
+
+
+@pytest.mark.parametrize("is_stale", [False, True])
+def test_members_are_not_asked_where_the_list_or_requests_tell(is_stale):
+    bench = planners.Bench(planners.warm(5))
+    joins = planners.standing(bench)
+    loads_now = {joins[0].group: flights.GroupLoad(2)} if is_stale else {}
+    bench.scope = planning.Scope(frozenset({"a"}), 1, False, loads_now)
+    age_ms = bench.view.list_stale_ms + 1 if is_stale else 0.0
+    bench.view.list_as_of_ms = bench.now_ms - age_ms
+    assert not probed(bench.step())
+
+
+def probed(actions):
+    return {each.runner for each in actions if isinstance(each, planning.Probe)}
