Look into a dead group once, and tell of it once

Change: silence is news only of a member that was not known to be down; heads that are down or unlisted are not asked; a planner asks for an alarm's sake only where it knows of no member that is down.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -150,14 +150,16 @@
 
     def _give_up(self, key: model.GroupKey, reason: str,
                  until_ms: float) -> None:
-        relays = self._requests.relays_at(key)
         _LOG.warning(
             logs.line("group-given-up",
                       group=key,
-                      requests=len(relays),
+                      requests=len(self._requests.relays_at(key)),
                       reason=reason))
         self._requests.standing.avoid(key, until_ms)
-        for one in relays:
+        self._leave(key, reason)
+
+    def _leave(self, key: model.GroupKey, reason: str) -> None:
+        for one in self._requests.relays_at(key):
             one.divert(reason)
 
     def probe(self, key: model.GroupKey, reason: str) -> None:
@@ -179,6 +181,7 @@
 
     async def _probe_members(self, key: model.GroupKey, reason: str) -> None:
         members = self._view.members(key)
+        was_up = {each.runner.id for each in members if not each.down_ms}
         answers = await asyncio.gather(
             *(self._keeper.ask(each.runner.id, reason) for each in members))
         now_ms = clock.now_ms()
@@ -186,6 +189,16 @@
             self._alarms.pop(key, None)
             self._requests.standing.trust(key)
             return
+        silent = {
+            each.runner.id
+            for each, answered in zip(members, answers, strict=True)
+            if not answered
+        }
+        if not silent & was_up:
+            # Nothing new: told and looked into again for each such answer, two
+            # dead groups had all nodes ask and tell without an end.
+            self._leave(key, "member does not answer")
+            return
         self._alarms[key] = (now_ms, True)
         self._give_up(key, "member does not answer",
                       now_ms + self._confirmed_ms)
@@ -227,5 +240,6 @@
                       peer=peer,
                       age_ms=int(alarm.age_ms)))
         self._give_up(alarm.key, "a peer found a member down", until_ms)
-        if self._plans_for(alarm.key):
+        if self._plans_for(alarm.key) and not any(
+                each.down_ms for each in self._view.members(alarm.key)):
             self.probe(alarm.key, f"alarm of {peer}")
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -333,9 +333,9 @@
         return [
             each.membership.key
             for each in self.known.values()
-            if each.membership is not None and each.membership.rank == 0 and
-            each.membership.state is model.MemberState.OPEN and
-            each.runner.data_centre == data_centre
+            if each.usable and each.membership is not None and
+            each.membership.rank == 0 and each.membership.state is
+            model.MemberState.OPEN and each.runner.data_centre == data_centre
         ]
 
     def of_service(self, service: str) -> list[Known]:
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -36,13 +36,16 @@
 class Keeper:
     """Counts questions; all but the dead are answered."""
 
-    def __init__(self):
+    def __init__(self, view):
         self.asked = []
         self.dead = set()
+        self._view = view
 
     async def ask(self, runner, reason):
         del reason
         self.asked.append(runner)
+        if runner in self.dead:
+            self._view.take_silence(runner, clock.now_ms())
         return runner not in self.dead
 
 
@@ -71,7 +74,7 @@
                                                              place="b"),
                                   *members(THIRD, 8, place="b"),
                                   *members(FOURTH, 12, place="b"))
-        self.keeper = Keeper()
+        self.keeper = Keeper(self.view)
         self.relay = Relay()
         self.spoken = 0
         self.requests = types.SimpleNamespace(
@@ -104,12 +107,14 @@
         }
 
 
-def play(script, plans=False):
+def play(script, plans=False, then=None):
 
     async def main():
         bench = Bench(plans)
         script(bench)
         await asyncio.sleep(0.1)
+        if then is not None:
+            await then(bench)
         bench.look_back()
         return bench
 
@@ -249,3 +254,28 @@
         bench.alarms.ask_again(now_ms + 3100)
 
     assert play(script).keeper.asked == ["i-0"]
+
+
+def test_dead_groups_are_asked_and_told_of_once():
+    """Two groups of a data centre lose a member within 0.5 s.
+
+    Each has all groups there asked. Asked themselves, the dead ones do not
+    answer again; were that news, each would have all asked anew, and every node
+    told, for as long as the dead are remembered.
+    """
+
+    def script(bench):
+        bench.keeper.dead = {f"i-{number}" for number in range(4, 12)}
+        bench.fall_silent(OTHER)
+        bench.fall_silent(THIRD)
+
+    async def asks_in_turn(bench):
+        for _ in range(20):
+            await asyncio.sleep(0.3)
+            for key in (OTHER, THIRD, FOURTH):
+                bench.alarms.probe(key, "asked")
+
+    bench = play(script, then=asks_in_turn)
+    assert bench.spoken == 4
+    assert sum(reason == "member does not answer"
+               for reason in bench.relay.reasons) >= 2
