Test what nodes pass on to each other of the store's tables

Dates, changes, waits, lost history, a table not read yet, questions that make no sense, a peer that is silent; with real connections under the virtual clock.

--- /dev/null
+++ b/tests/gateway/test_peerrows.py
@@ -0,0 +1,124 @@
+"""Tests of tables that nodes pass on to each other."""
+
+import asyncio
+
+import pytest
+
+from cardamommill import exceptions
+from cardamommill.experiment import virtualloop
+from cardamommill.gateway import callers, clock, peerrows, tables, upstream
+from cardamommill.platform import storecalls
+
+ADDRESS = ("10.1.0.2", 7340)
+AGE_MS = 300.0
+
+
+def row(key, version):
+    return storecalls.Row(key, b"v", version)
+
+
+def served(script):
+    """Plays a script on a peer whose copy of table t was read a while ago."""
+
+    async def main():
+        copies = tables.Tables()
+        loop = asyncio.get_running_loop()
+        server = callers.CallerServer(
+            peerrows.RowServer(copies, loop.create_task).on_request,
+            lambda status: None)
+        await server.listen(*ADDRESS)
+        copies.table("t").take(
+            storecalls.Rows((row("a", 3),), 5,
+                            clock.now_ms() - AGE_MS), True)
+        with upstream.Pool() as pool:
+            return await script(copies.table("t"), pool)
+
+    with virtualloop.running(1) as loop:
+        return loop.run_until_complete(main())
+
+
+def test_what_is_passed_on_is_dated_no_later_than_it_was_true():
+
+    async def script(table, pool):
+        rows = await peerrows.PeerRows(pool, ADDRESS).table("t")
+        return rows, table.as_of_ms
+
+    rows, as_of_ms = served(script)
+    assert [each.key for each in rows.rows] == ["a"]
+    assert rows.version == 5
+    assert as_of_ms - 50 < rows.as_of_ms <= as_of_ms
+
+
+def test_follower_hears_of_a_change_at_once():
+
+    async def script(table, pool):
+        peer = peerrows.PeerRows(pool, ADDRESS)
+        asking = asyncio.get_running_loop().create_task(
+            peer.feed("t", 5, wait_ms=1000))
+        await asyncio.sleep(0.2)
+        table.take(storecalls.Rows((row("b", 6),), 6, clock.now_ms()), False)
+        began_ms = clock.now_ms()
+        rows = await asking
+        return rows, clock.now_ms() - began_ms
+
+    rows, took_ms = served(script)
+    assert [each.key for each in rows.rows] == ["b"]
+    assert took_ms < 20
+
+
+def test_answer_without_news_comes_after_the_wait_and_is_as_old_as_the_copy():
+
+    async def script(table, pool):
+        rows = await peerrows.PeerRows(pool, ADDRESS).feed("t", 5, wait_ms=400)
+        return rows, clock.now_ms() - rows.as_of_ms
+
+    rows, age_ms = served(script)
+    assert not rows.rows
+    assert age_ms >= AGE_MS + 400
+
+
+def test_version_from_before_the_copy_is_lost_history():
+
+    async def script(table, pool):
+        del table
+        await peerrows.PeerRows(pool, ADDRESS).feed("t", 2, wait_ms=100)
+
+    with pytest.raises(storecalls.HistoryLost):
+        served(script)
+
+
+def test_table_that_the_peer_has_not_read_is_no_empty_table():
+    """Taken for empty, all runners would have left at once."""
+
+    async def script(table, pool):
+        del table
+        await peerrows.PeerRows(pool, ADDRESS).table("other")
+
+    with pytest.raises(exceptions.StoreError, match="503"):
+        served(script)
+
+
+@pytest.mark.parametrize("target,status", [("/rows", 400),
+                                           ("/rows?table=t&after=x", 400),
+                                           ("/other?table=t", 404)])
+def test_question_that_makes_no_sense_is_refused(target, status):
+
+    async def script(table, pool):
+        del table
+        request = upstream.request_bytes("GET", target, [("Host", "peer")])
+        return await upstream.fetch(pool, ADDRESS, request, 500.0)
+
+    assert served(script).head.status == status
+
+
+def test_peer_that_does_not_answer_is_left_in_time():
+
+    async def script(table, pool):
+        del table
+        silent = peerrows.PeerRows(pool, ("10.1.0.9", 7340))
+        began_ms = clock.now_ms()
+        with pytest.raises(exceptions.StoreError):
+            await silent.feed("t", 5, wait_ms=450)
+        return clock.now_ms() - began_ms
+
+    assert served(script) < 450 + peerrows.ANSWER_MS + 20
