Answer a request at once that a dead group has not begun

Cause, by reading: since requests leave a group only with a way on in hand, one that a group with a dead member had not begun stayed there, if no other group stood, until its caller's patience ended. A request that nothing will come of is not to be held.

Change: where a member did not answer, a request without an event is answered at once, 502 with Retry-After where it can't go on (it may have run, so nothing is promised). A group that is only silent, or stands still though all answer, keeps it.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -94,8 +94,10 @@
         for key in self._requests.silence.silent(now_ms):
             self._suspect(key, now_ms)
         for key in self._requests.silence.stalled(now_ms):
-            self._give_up(key, "group stands still",
-                          now_ms + standing.STALLED_MS)
+            self._give_up(key,
+                          "group stands still",
+                          now_ms + standing.STALLED_MS,
+                          is_dead=False)
 
     def ask_again(self, now_ms: float, data_centre: str = "") -> None:
         """Asks runners that did not answer and that the list still names.
@@ -148,19 +150,22 @@
         self.probe(key, "silent")
         self._spread()
 
-    def _give_up(self, key: model.GroupKey, reason: str,
-                 until_ms: float) -> None:
+    def _give_up(self,
+                 key: model.GroupKey,
+                 reason: str,
+                 until_ms: float,
+                 is_dead: bool = True) -> None:
         _LOG.warning(
             logs.line("group-given-up",
                       group=key,
                       requests=len(self._requests.relays_at(key)),
                       reason=reason))
         self._requests.standing.avoid(key, until_ms)
-        self._leave(key, reason)
+        self._leave(key, reason, is_dead)
 
-    def _leave(self, key: model.GroupKey, reason: str) -> None:
+    def _leave(self, key: model.GroupKey, reason: str, is_dead: bool) -> None:
         for one in self._requests.relays_at(key):
-            one.divert(reason)
+            one.divert(reason, is_dead)
 
     def probe(self, key: model.GroupKey, reason: str) -> None:
         """Asks all members of a group, unless it was done just now."""
@@ -197,7 +202,7 @@
         if not silent & was_up:
             # Nothing new: told and looked into again for each such answer, two
             # dead groups had all nodes ask and tell without an end.
-            self._leave(key, "member does not answer")
+            self._leave(key, "member does not answer", is_dead=True)
             return
         self._alarms[key] = (now_ms, True)
         self._give_up(key, "member does not answer",
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -232,30 +232,37 @@
         if self._attempt is not None:
             self._attempt.give_up(attempts.Result.ABANDONED, "caller left")
 
-    def divert(self, reason: str) -> None:
+    def divert(self, reason: str, is_dead: bool = False) -> None:
         """Leaves the group that it is at once all is there to go on.
 
         Silence alone is no reason to end an answer that can't go on anywhere
         else: the runner may still finish it. A stream of one node that had its
         key unconfirmed for 14 ms more was ended so, at a runner that was well.
+
+        Args:
+            reason: For the log.
+            is_dead: Whether the group lost a member. A request that it has not
+                begun is then answered at once, also where it can't go on:
+                nothing is gained by holding it until its caller gives up.
         """
         if self._attempt is None or self.route is None:
             return
         if not self.route.repeatable:
             return
         self._stay()
-        self._leave(self._attempt, reason)
+        self._leave(self._attempt, reason, is_dead)
 
-    def _leave(self, attempt: attempts.Attempt, reason: str) -> None:
+    def _leave(self, attempt: attempts.Attempt, reason: str,
+               is_dead: bool) -> None:
         if attempt is not self._attempt or attempt.done.done():
             return
         target = self._way_on()
-        if target is not None:
+        if target is not None or (is_dead and not self.reply.started):
             self._reserved = target
             attempt.give_up(attempts.Result.DIVERTED, reason)
             return
         self._leaving = asyncio.get_running_loop().call_later(
-            RESUME_LOOK_MS / 1000, self._leave, attempt, reason)
+            RESUME_LOOK_MS / 1000, self._leave, attempt, reason, is_dead)
 
     def _way_on(self) -> Target | None:
         """Returns where a try that is left goes on, if it may and can."""
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -55,8 +55,9 @@
     def __init__(self):
         self.reasons = []
 
-    def divert(self, reason):
+    def divert(self, reason, is_dead):
         self.reasons.append(reason)
+        self.is_dead = is_dead
 
 
 class Bench:
@@ -181,6 +182,7 @@
 def test_requests_leave_a_group_that_stands_still_though_all_answer():
     bench = play(lambda bench: bench.fall_silent(for_ms=1500))
     assert bench.relay.reasons == ["group stands still"]
+    assert not bench.relay.is_dead
 
 
 def test_second_group_down_in_a_data_centre_has_all_its_groups_asked():
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -250,3 +250,24 @@
         assert node.exchanges[1].cancelled is not begun
 
     played(play)
+
+
+@pytest.mark.parametrize("is_dead", [False, True])
+def test_request_at_a_dead_group_is_not_held(is_dead):
+    """A group loses a member before it has begun a request; no other stands.
+
+    Nothing will come of it there: its caller is told at once when to come back,
+    and that it may have run. While the group is only silent it may still begin.
+    """
+
+    async def play(node, one):
+        node.groups = 1
+        one.divert("member does not answer", is_dead)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert one.reply.ended is is_dead
+
+    reply, _ = played(play)
+    if is_dead:
+        assert reply.status == 502
+        assert "Retry-After" in dict(reply.headers)
