Forget old times, and build peers' messages, in one place each

Found reading the whole change again: the alarms forgot three tables of times by two loops, the tests of sources built a peer's message anew beside those of peers, and two tests of sharing repeated one trouble. No behaviour and no assertion is changed.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import logbook
 
@@ -30,6 +30,8 @@
 
 _LOG = logbook.Logger("alarms")
 
+_Key = TypeVar("_Key")
+
 
 class Alarms:
     """Looks into silent groups and moves requests away from dead ones."""
@@ -81,13 +83,9 @@
         for key, (at_ms, _) in list(self._alarms.items()):
             if now_ms - at_ms > 10 * NEWS_MS:
                 del self._alarms[key]
-        for times in (self._probed_ms, self._asked_by_peer_ms):
-            for key, at_ms in list(times.items()):
-                if now_ms - at_ms > 10 * NEWS_MS:
-                    del times[key]
-        for runner, at_ms in list(self._asked_again_ms.items()):
-            if now_ms - at_ms > 10 * NEWS_MS:
-                del self._asked_again_ms[runner]
+        _forget_old(self._probed_ms, now_ms)
+        _forget_old(self._asked_by_peer_ms, now_ms)
+        _forget_old(self._asked_again_ms, now_ms)
 
     def look(self, now_ms: float) -> None:
         """Finds groups that have newly fallen silent, or stand still."""
@@ -248,3 +246,9 @@
         if self._plans_for(alarm.key) and not any(
                 each.down_ms for each in self._view.members(alarm.key)):
             self.probe(alarm.key, f"alarm of {peer}")
+
+
+def _forget_old(times: dict[_Key, float], now_ms: float) -> None:
+    for key, at_ms in list(times.items()):
+        if now_ms - at_ms > 10 * NEWS_MS:
+            del times[key]
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -6,6 +6,8 @@
 from cardamommill.gateway import clock, peerrows, sources
 from tests.experiment import test_world
 
+FOUR_CUT = {"kind": "store_cut", "at_s": 1.0, "count": 4, "for_s": 9.0}
+
 
 def play(*troubles, nodes=6, length_s=8.0, seed=1):
     deployment = deployments.Deployment(
@@ -49,13 +51,7 @@
     Their keys would be unconfirmed after 4.4 s and every request refused,
     though three peers that they reach have it confirmed all the while.
     """
-    outcome = play({
-        "kind": "store_cut",
-        "at_s": 1.0,
-        "count": 4,
-        "for_s": 9.0
-    },
-                   length_s=10.0)
+    outcome = play(FOUR_CUT, length_s=10.0)
     assert not outcome.violations
     assert served(outcome, 6.0, 10.0) > 0.97
 
@@ -137,13 +133,7 @@
         return await table(self, name)
 
     monkeypatch.setattr(peerrows.PeerRows, "table", counted)
-    outcome = play({
-        "kind": "store_cut",
-        "at_s": 1.0,
-        "count": 4,
-        "for_s": 9.0
-    },
-                   length_s=10.0)
+    outcome = play(FOUR_CUT, length_s=10.0)
     assert not outcome.violations
     # What nodes that start later than their reader have it send.
     assert len(whole) <= 4, whole
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -2,26 +2,18 @@
 
 import pytest
 
-from cardamommill.gateway import peermessage, peers, sources
+from cardamommill.gateway import peers, sources
+from tests.gateway import test_peers
 
 NOW_MS = 100_000.0
 
 
 def peer(number, place="a", age_ms=100.0, stopping=False):
-    return peermessage.PeerMessage(node=f"n{number}",
-                                   incarnation=1,
-                                   data_centre=place,
-                                   sent_ms=NOW_MS,
-                                   echo_ms=0.0,
-                                   interval_ms=200.0,
-                                   config_version=1,
-                                   confirmed_age_ms=age_ms,
-                                   in_flight={},
-                                   alarms=(),
-                                   opened=(),
-                                   requests_seen=False,
-                                   stopping=stopping,
-                                   plans_ms={})
+    return test_peers.message(f"n{number}",
+                              place,
+                              sent_ms=NOW_MS,
+                              confirmed_age_ms=age_ms,
+                              stopping=stopping)
 
 
 def address(number):
