--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -177,11 +177,12 @@
         self.ends.append((status, reason))
 
 
-def begin(node):
+def begin(node, request=None, reply=None):
     """Returns a relay whose request goes to a runner in the running loop."""
     headers = [(words.ATTEMPT_ID, ATTEMPT_ID)]
-    request = callers.CallerRequest("POST", "/v/1", headers, b"", 0.0)
-    one = relay.Relay(node, request, Reply())
+    request = request or callers.CallerRequest("POST", "/v/1", headers, b"",
+                                               0.0)
+    one = relay.Relay(node, request, reply or Reply())
     one.route = node.route
     one.tenant = model.Tenant("t", (), None)
     one.end_ms = FAR_END_MS
