Let a caller's connection take no step that does not follow what it sent

Callers of a stream that went on at a second runner got that runner's whole 500 behind its events and could not read it. Cause: a decision that knew nothing of what had been sent, and a connection that wrote whatever it was told.

Now a small table says what follows on what. A step that is not in it is told (answer-out-of-order) and not taken: an answer that has begun is broken off, one that is complete is left alone, as its connection may carry the next answer.

Ruled out: a late second answer on a kept connection (no run of another request answered at that time; its id would differ and is skipped), a torn event (both callers fail 2 and 3 ms after the 500, not after the cut).

--- a/cardamommill/exceptions.py
+++ b/cardamommill/exceptions.py
@@ -57,5 +57,9 @@
         self.status = status
 
 
+class AnswerOutOfOrder(CardamommillError):
+    """A step of an answer does not follow what its caller was sent."""
+
+
 class ControlFailed(CardamommillError):
     """A decision failed; the node ends rather than serve from half of one."""
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from cardamommill.experiment import modelstore, oracle, virtualloop
-from cardamommill.gateway import callers, clock, model
+from cardamommill.gateway import callers, clock, model, replies
 from cardamommill.platform import words
 
 PORT = 8140
@@ -37,7 +37,7 @@
     """A request at a head."""
 
     request: callers.CallerRequest
-    reply: callers.Reply
+    reply: replies.Reply
     attempt: str
     priority: int
     to_read: float
@@ -191,7 +191,7 @@
     # Requests.
 
     def _on_request(self, request: callers.CallerRequest,
-                    reply: callers.Reply) -> callers.Serving | None:
+                    reply: replies.Reply) -> callers.Serving | None:
         expected = request.get(words.EXPECT_INSTANCE)
         if expected is not None and expected != self.id:
             reply.whole(421, [(words.INSTANCE_ID, self.id)], b"")
@@ -205,7 +205,7 @@
             return None
         return self._take_job(request, reply)
 
-    def _answer_report(self, reply: callers.Reply) -> None:
+    def _answer_report(self, reply: replies.Reply) -> None:
         engine = self.engine
         lag_ms = engine.report_lag_ms if engine else 0.0
         told = self._report(self._entry())
@@ -216,7 +216,7 @@
         reply.whole(200, [], json.dumps(told).encode())
 
     def _take_job(self, request: callers.CallerRequest,
-                  reply: callers.Reply) -> Job | None:
+                  reply: replies.Reply) -> Job | None:
         attempt = request.get(words.ATTEMPT_ID) or ""
         self._fleet.in_lead = False
         self._fleet.oracle.arrives(attempt, self.service, self.id,
@@ -384,7 +384,7 @@
     # Orders.
 
     async def _answer_order(self, order: dict[str, Any],
-                            reply: callers.Reply) -> None:
+                            reply: replies.Reply) -> None:
         if self.late_orders_ms:
             await asyncio.sleep(self.late_orders_ms / 1000)
             self._carry_out(order)
--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib import parse
 
-from cardamommill.gateway import callers, clock
+from cardamommill.gateway import callers, clock, replies
 from cardamommill.platform import words
 
 ADDRESS = ("10.200.1.7", 8223)
@@ -66,12 +66,12 @@
         self.history_from = self.version + 1
 
     def _on_request(self, request: callers.CallerRequest,
-                    reply: callers.Reply) -> None:
+                    reply: replies.Reply) -> None:
         self.calls += 1
         asyncio.get_running_loop().create_task(self._answer(request, reply))
 
     async def _answer(self, request: callers.CallerRequest,
-                      reply: callers.Reply) -> None:
+                      reply: replies.Reply) -> None:
         if self.fault == "silent":
             return
         if self.fault == "reset":
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -4,13 +4,12 @@
 from collections import deque
 from collections.abc import Callable
 import dataclasses
-import http
 import socket
 from typing import Any, Protocol
 
 import httptools
 
-from cardamommill.gateway import clock, headfields, model
+from cardamommill.gateway import clock, headfields, model, replies
 
 # After a refusal of a request that has not been read whole, its rest is read
 # and dropped for this long: closing at once would reset the refusal away.
@@ -21,8 +20,6 @@
 MAX_PIPELINED = 8
 DEFAULT_LIMITS = model.Limits(16_384, 4_194_304, 3000, 15_000)
 
-_REASONS = {each.value: each.phrase for each in http.HTTPStatus}
-
 
 @dataclasses.dataclass(slots=True)
 class CallerRequest:
@@ -46,48 +43,7 @@
         """The caller closed its connection."""
 
 
-class Reply:
-    """The answer to one request."""
-
-    def __init__(self, connection: "CallerConnection") -> None:
-        self._connection = connection
-        self.started = False
-        self.ended = False
-
-    def whole(self, status: int, headers: list[tuple[str, str]],
-              body: bytes) -> None:
-        """Sends an answer at once."""
-        self.started = self.ended = True
-        self._connection.write(
-            _head(status, [*headers, (
-                "Content-Length", str(len(body)))], self._connection.closing) +
-            body)
-        self._connection.answered()
-
-    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Begins an answer whose length is not known."""
-        self.started = True
-        self._connection.write(
-            _head(status, [*headers, ("Transfer-Encoding", "chunked")],
-                  self._connection.closing))
-
-    def piece(self, data: bytes) -> None:
-        """Sends a piece."""
-        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-    def end(self) -> None:
-        """Ends an answer that is complete."""
-        self.ended = True
-        self._connection.write(b"0\r\n\r\n")
-        self._connection.answered()
-
-    def break_off(self) -> None:
-        """Ends an answer that is not complete so that it looks like that."""
-        self.ended = True
-        self._connection.abort()
-
-
-Handler = Callable[[CallerRequest, Reply], Serving | None]
+Handler = Callable[[CallerRequest, replies.Reply], Serving | None]
 
 
 class CallerConnection(asyncio.Protocol):
@@ -232,7 +188,7 @@
             return
         self._busy = True
         request = self._waiting.popleft()
-        reply = Reply(self)
+        reply = replies.Reply(self)
         serving = self._server.handler(request, reply)
         if not reply.ended:
             self._serving = serving
@@ -267,9 +223,10 @@
         if self._busy:
             self.abort()
             return
-        body = _REASONS[status].encode()
+        body = replies.REASONS[status].encode()
         self.write(
-            _head(status, [("Content-Length", str(len(body)))], True) + body)
+            replies.head_bytes(status, [("Content-Length",
+                                         str(len(body)))], True) + body)
         self._server.on_refused(status)
         self._close_soon()
 
@@ -349,11 +306,3 @@
     def busy(self) -> int:
         """How many connections have a request under way."""
         return sum(each.busy for each in self.connections)
-
-
-def _head(status: int, headers: list[tuple[str, str]], closing: bool) -> bytes:
-    lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if closing:
-        lines.append("Connection: close")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -27,6 +27,7 @@
     planning,
     platformreader,
     relay,
+    replies,
     routetable,
     rowsource,
     sources,
@@ -182,7 +183,7 @@
     # Callers.
 
     def _on_request(self, request: callers.CallerRequest,
-                    reply: callers.Reply) -> callers.Serving | None:
+                    reply: replies.Reply) -> callers.Serving | None:
         self._requests_seen = True
         if self._has_left_rotation(clock.now_ms()):
             # It could not be finished before the process is ended by force: a
@@ -316,7 +317,7 @@
                 self._requests.keys_may_be_trusted())
 
     def _on_question(self, request: callers.CallerRequest,
-                     reply: callers.Reply) -> None:
+                     reply: replies.Reply) -> None:
         status, body = self._tell(request.target)
         reply.whole(status, [("Content-Type", "text/plain")], body)
 
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -7,7 +7,7 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import callers, clock, tables, upstream
+from cardamommill.gateway import callers, clock, replies, tables, upstream
 from cardamommill.platform import storecalls
 
 PATH = "/rows"
@@ -109,7 +109,7 @@
         self._spawn = spawn
 
     def on_request(self, request: callers.CallerRequest,
-                   reply: callers.Reply) -> callers.Serving | None:
+                   reply: replies.Reply) -> callers.Serving | None:
         """Answers at once, or once there is news."""
         path, _, query = request.target.partition("?")
         fields = dict(parse.parse_qsl(query))
@@ -135,7 +135,7 @@
         return waiting
 
 
-async def _answer_changes(reply: callers.Reply, table: tables.Table, after: int,
+async def _answer_changes(reply: replies.Reply, table: tables.Table, after: int,
                           wait_ms: float, waiting: _Waiting) -> None:
     until_ms = clock.now_ms() + wait_ms
     while not waiting.left:
@@ -150,7 +150,7 @@
         await table.changed(left_ms)
 
 
-def _answer(reply: callers.Reply, table: tables.Table,
+def _answer(reply: replies.Reply, table: tables.Table,
             rows: tuple[storecalls.Row, ...]) -> None:
     age_ms = clock.now_ms() - table.as_of_ms
     body = msgpack.packb([
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -6,6 +6,7 @@
 import math
 from typing import Any, Protocol
 
+from cardamommill import exceptions
 from cardamommill.gateway import (
     attempts,
     callers,
@@ -16,6 +17,7 @@
     model,
     passedon,
     placing,
+    replies,
     routetable,
     upstream,
 )
@@ -105,7 +107,7 @@
     """One request of a caller."""
 
     def __init__(self, node: Surroundings, request: callers.CallerRequest,
-                 reply: callers.Reply) -> None:
+                 reply: replies.Reply) -> None:
         self._node = node
         self.request = request
         self.reply = reply
@@ -224,7 +226,7 @@
 
     def start(self) -> None:
         """Serves the request in a task of its own."""
-        self._node.spawn(self._serve())
+        self._node.spawn(self._serve_and_tell())
 
     def caller_left(self) -> None:
         """Gives up at once: a runner that works on takes others' places."""
@@ -282,6 +284,12 @@
             self._leaving.cancel()
             self._leaving = None
 
+    async def _serve_and_tell(self) -> None:
+        try:
+            await self._serve()
+        except exceptions.AnswerOutOfOrder as error:
+            self._node.ended(self, 0, f"broken off: {error}")
+
     async def _serve(self) -> None:
         while True:
             target = await self._next_target()
--- a/tests/gateway/test_answers_whole.py
+++ b/tests/gateway/test_replies.py
@@ -7,7 +7,6 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import callers
 from tests.gateway import relays, test_callers
 
 REQUEST = (b"POST /v/1 HTTP/1.1\r\nHost: h\r\n"
@@ -88,6 +87,10 @@
     reply.end()
 
 
+def _break_off(reply):
+    reply.break_off()
+
+
 @pytest.mark.parametrize("before,step", [
     ((_start, _piece), _whole),
     ((_start, _piece), _start),
@@ -154,7 +157,7 @@
         await asyncio.sleep(0.01)
         replies[0].end()
         await asyncio.sleep(0.01)
-        for step in (_piece, _end, _whole, callers.Reply.break_off):
+        for step in (_piece, _end, _whole, _break_off):
             with contextlib.suppress(exceptions.CardamommillError):
                 step(replies[0])
         replies[1].piece(b"own")
