--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -8,9 +8,11 @@
 
 from cardamommill import exceptions
 from cardamommill.gateway import (
+    admitting,
     attempts,
     callers,
     clock,
+    conclusion,
     endings,
     eventcutter,
     fleetview,
@@ -18,10 +20,9 @@
     passedon,
     placing,
     replies,
-    routetable,
     upstream,
 )
-from cardamommill.platform import configurations, words
+from cardamommill.platform import words
 
 # Tries at runners that refuse or can't be reached; a refusal costs a caller
 # some ms, and the budget bounds their sum.
@@ -40,15 +41,7 @@
 # Ranks of the runner's queue: those that can be in time come before all that
 # can't.
 URGENT_RANKS = 5
-DEFAULT_RETRY_AFTER_MS = 250.0
-# A key or route that this node doesn't know may be in a newer configuration.
-UNKNOWN_TRUST_MS = 2500.0
-
-_STATUS_TEXT = {
-    endings.Next.SAY_NOT_RUN: "not run",
-    endings.Next.SAY_UNKNOWN: "may have run; no answer came",
-    endings.Next.SAY_TIMED_OUT: "no answer in time",
-}
+DEFAULT_RETRY_AFTER_MS = admitting.DEFAULT_RETRY_AFTER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +58,7 @@
         return str(self.key) if self.key else self.known.runner.id
 
 
-class Surroundings(Protocol):
+class Surroundings(admitting.Beliefs, Protocol):
     """What a relay needs of its node."""
 
     pool: upstream.Pool
@@ -73,15 +66,6 @@
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs something beside all else until the node ends."""
 
-    def table(self) -> routetable.RouteTable | None:
-        """Returns the configuration in force."""
-
-    def config_age_ms(self) -> float:
-        """Returns for how long a newer one may have been accepted."""
-
-    def keys_may_be_trusted(self) -> bool:
-        """Whether no key can have been taken away for too long."""
-
     def find_target(self, relay: "Relay") -> Target | placing.Refused:
         """Returns where a request goes next."""
 
@@ -130,8 +114,8 @@
         self.events = 0
         self._attempt: attempts.Attempt | None = None
         self._target: Target | None = None
-        # A failure of a runner's own: the answer if nothing better comes.
-        self._failure: attempts.Outcome | None = None
+        self._conclusion = conclusion.Conclusion(
+            reply, lambda status, reason: node.ended(self, status, reason))
         # Where a try goes on that is about to be left.
         self._reserved: Target | None = None
         self._leaving: asyncio.TimerHandle | None = None
@@ -141,47 +125,15 @@
 
     def begin(self) -> bool:
         """Admits the request or answers it; True where it goes on."""
-        table = self._node.table()
-        if table is None:
-            return self._refuse(503, "no configuration yet",
-                                DEFAULT_RETRY_AFTER_MS)
-        route = table.route(self.request.get("host") or "", self.request.target)
-        stale = self._node.config_age_ms() > UNKNOWN_TRUST_MS
-        if route is None:
-            if stale:
-                return self._refuse(503, "no such route in an old view",
-                                    DEFAULT_RETRY_AFTER_MS)
-            return self._refuse(404, "no such route")
-        self.route = route
-        self._set_end(route)
-        if not self.attempt_id:
-            return self._refuse(400, "no attempt id")
-        if table.needs_keys and not route.public:
-            return self._admit_key(table, stale)
-        return True
-
-    def _set_end(self, route: model.Route) -> None:
-        given_ms = passedon.number(self.request.get(words.DEADLINE_MS))
-        limit_ms = min(given_ms if given_ms is not None else math.inf,
-                       route.timeout_ms)
-        self.end_ms = self.request.arrived_ms + limit_ms
-
-    def _admit_key(self, table: routetable.RouteTable, stale: bool) -> bool:
-        scheme, _, key = (self.request.get("authorization") or
-                          "").partition(" ")
-        if scheme.lower() != "bearer" or not key.strip():
-            return self._refuse(401, "no key")
-        if not self._node.keys_may_be_trusted():
-            return self._refuse(503, "keys not confirmed for too long",
-                                DEFAULT_RETRY_AFTER_MS)
-        self._key_digest = configurations.key_digest(key.strip())
-        tenant = table.tenant(self._key_digest)
-        if tenant is None:
-            if stale:
-                return self._refuse(503, "unknown key in an old view",
-                                    DEFAULT_RETRY_AFTER_MS)
-            return self._refuse(401, "unknown key")
-        self.tenant = tenant
+        found = admitting.admit(self._node, self.request)
+        self.route = found.route
+        if isinstance(found, admitting.TurnedAway):
+            self._conclusion.refuse(found.status, found.reason,
+                                    found.retry_after_ms)
+            return False
+        self.tenant = found.tenant
+        self._key_digest = found.key_digest
+        self.end_ms = found.end_ms
         return True
 
     def key_still_holds(self) -> bool:
@@ -294,10 +246,10 @@
         while True:
             target = await self._next_target()
             if isinstance(target, placing.Refused):
-                self._end_refused(target)
+                self._conclusion.not_placed(target, self.ran_maybe)
                 return
             if target is None:
-                self._node.ended(self, 0, "caller left")
+                self._conclusion.caller_left()
                 return
             outcome = await self._try(target)
             state = endings.State(
@@ -305,9 +257,12 @@
                 self.ran_maybe, self._may_go_elsewhere(), self.reply.started)
             step = endings.after(outcome.result, state)
             if outcome.result is attempts.Result.FAILED:
-                self._failure = self._failure or outcome
+                self._conclusion.note_failure(outcome)
+            if self.left:
+                self._conclusion.caller_left()
+                return
             if step is not endings.Next.ELSEWHERE:
-                self._finish(step, outcome)
+                self._conclusion.follow(step, outcome)
                 return
 
     async def _next_target(self) -> Target | placing.Refused | None:
@@ -423,73 +378,3 @@
         self.events += 1
         self.reply.piece(event.data)
         return True
-
-    # Ends.
-
-    def _finish(self, step: endings.Next, outcome: attempts.Outcome) -> None:
-        if step is endings.Next.NOTHING or self.left:
-            self._node.ended(self, 0, "caller left")
-            return
-        if step is endings.Next.PASS_ON:
-            self._pass_on(outcome)
-            return
-        if self._pass_failure_on():
-            return
-        reason = f"{_STATUS_TEXT[step]}: {outcome.reason}"
-        if self.reply.started:
-            self.reply.break_off()
-            self._node.ended(self, 0, f"broken off: {reason}")
-            return
-        if step is endings.Next.SAY_NOT_RUN:
-            self._refuse(503, reason, DEFAULT_RETRY_AFTER_MS)
-        elif step is endings.Next.SAY_UNKNOWN:
-            self._refuse(502, reason)
-        else:
-            self._refuse(504, reason)
-
-    def _pass_on(self, outcome: attempts.Outcome) -> None:
-        if outcome.result is attempts.Result.STREAMED:
-            if not self.reply.started:
-                self.reply.start(outcome.head.status,
-                                 passedon.to_caller(outcome.head))
-            self.reply.end()
-            self._node.ended(self, outcome.head.status, "")
-            return
-        status = outcome.head.status
-        if status in (408, 429, 503):
-            # To a caller these say that the request has not run, and the
-            # runner did not say that.
-            self._refuse(502, f"runner said {status} without a promise")
-            return
-        self.reply.whole(status, passedon.to_caller(outcome.head), outcome.body)
-        self._node.ended(self, status, "")
-
-    def _pass_failure_on(self) -> bool:
-        """Answers with an earlier failure of a runner, if there was one."""
-        if self._failure is None or self.reply.started:
-            return False
-        self._pass_on(self._failure)
-        return True
-
-    def _end_refused(self, refused: placing.Refused) -> None:
-        if self._pass_failure_on():
-            return
-        if self.reply.started:
-            self.reply.break_off()
-            self._node.ended(self, 0, f"broken off: {refused.reason}")
-        elif self.ran_maybe:
-            # A repeat may be wanted all the same, and is of use later.
-            self._refuse(502, refused.reason, refused.retry_after_ms)
-        else:
-            self._refuse(503, refused.reason, refused.retry_after_ms)
-
-    def _refuse(self,
-                status: int,
-                reason: str,
-                retry_after_ms: float = 0.0) -> bool:
-        headers = [("Content-Type", "text/plain; charset=utf-8")]
-        if retry_after_ms:
-            headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
-        self.reply.whole(status, headers, f"{reason}\n".encode())
-        self._node.ended(self, status, reason)
-        return False
