Have the model's clients take bytes that are no answer for a broken rule

A second answer written into a stream was seen by no run of the project's own model: its clients counted it as one more failure, as if a runner had broken off. Now what is no HTTP breaks MIXED. The test gives a client two events and then a whole failure: nothing was found before, MIXED is now; an answer that only ends early breaks no rule, one that looks whole too early breaks ORDER, as before.

--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -105,6 +105,10 @@
             self.next_id += 1
 
     def on_end(self, ending: upstream.Ending, reason: str) -> None:
+        if ending is upstream.Ending.NOT_HTTP:
+            # Counted as a failure only, a whole answer within a stream passed
+            # for a runner that broke off.
+            self._judge.broken("MIXED", f"{self._attempt}: {reason}")
         if not self.done.done():
             self.done.set_result(ending.value if ending is
                                  upstream.Ending.COMPLETE else reason)
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -30,8 +30,10 @@
     COMPLETE = "complete"
     # Nothing left this node: the peer can't have run it.
     NOT_SENT = "not-sent"
-    # The peer closed or reset, or sent what is no HTTP.
+    # The peer closed or reset.
     BROKEN = "broken"
+    # The peer sent what is no HTTP.
+    NOT_HTTP = "not-http"
     # This side gave up.
     CANCELLED = "cancelled"
 
@@ -127,7 +129,7 @@
         except (httptools.HttpParserError,
                 httptools.HttpParserUpgrade) as error:
             self._drop()
-            self._finish(Ending.BROKEN, f"no HTTP: {type(error).__name__}")
+            self._finish(Ending.NOT_HTTP, f"no HTTP: {type(error).__name__}")
             return
         if self._receiver is None:
             # Only now is it known that no bytes came after the answer.
--- /dev/null
+++ b/tests/experiment/test_modelclients.py
@@ -0,0 +1,75 @@
+"""Tests of what clients of the model take for a broken rule."""
+
+import asyncio
+
+import pytest
+
+from cardamommill.experiment import (
+    modelclients,
+    modelrunner,
+    oracle,
+    virtualloop,
+)
+from cardamommill.gateway import callers, clock
+from cardamommill.platform import words
+
+ADDRESS = ("10.1.0.1", 8000)
+KIND = modelclients.Kind("drafts", "h", "/v/", "s", per_s=5.0, answer_tokens=40)
+
+
+class World:
+    """One node, which answers as a test says."""
+
+    all_keys = (("t", "k"),)
+
+    def node_for(self, place, chance):
+        del place, chance
+        return ADDRESS
+
+    def stride(self, service):
+        del service
+        return 8
+
+
+def broken_rules(behind_events):
+    """Returns the rules that are broken if these bytes follow two events."""
+    judge = oracle.Oracle(oracle.Limits(1.0))
+
+    def handler(request, reply):
+        reply.start(200, [(words.ATTEMPT_ID, request.get(words.ATTEMPT_ID)),
+                          (words.SEAL, "s")])
+        for number in (1, 2):
+            reply.piece(modelrunner.event_bytes(request.target, number))
+        connection = next(iter(server.connections))
+        connection.write(behind_events)
+        connection.close()
+
+    server = callers.CallerServer(handler, lambda status: None)
+
+    async def main():
+        await server.listen(*ADDRESS)
+        clients = modelclients.Clients(World(), "a", judge, seed=1)
+        await clients.send_all(KIND, clock.now_ms() + 500)
+        await asyncio.sleep(1)
+
+    with virtualloop.running(1) as loop:
+        loop.run_until_complete(main())
+    assert judge.sent
+    return {each.rule for each in judge.violations}
+
+
+@pytest.mark.parametrize("behind_events,rules", [
+    (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 9\r\n\r\n"
+     b"it failed", {"MIXED"}),
+    (b"", set()),
+    (b"3\r\ndat", set()),
+    (b"0\r\n\r\n", {"ORDER"}),
+])
+def test_bytes_that_are_no_answer_break_a_rule(behind_events, rules):
+    """A client gets two events, and then what belongs to no stream.
+
+    Taken for one more failure, a second answer within the first was seen by no
+    run of the model. An answer that only ends early breaks no rule, one that
+    looks whole too early does.
+    """
+    assert broken_rules(behind_events) == rules
