Tell of answers that belong to nobody

Of three ways in which a caller may get bytes that are no answer, the logs could tell two apart from the rest but not a runner that answers twice: its second answer was skipped, or its connection closed, without a line. Now answer-skipped names the request that waited and the one that the answer is of, answer-unasked the peer. The test fails without either line.

--- a/cardamommill/gateway/attempts.py
+++ b/cardamommill/gateway/attempts.py
@@ -5,6 +5,9 @@
 import enum
 from typing import Protocol
 
+import logbook
+
+from cardamommill import logs
 from cardamommill.gateway import eventcutter, upstream
 from cardamommill.platform import words
 
@@ -18,6 +21,8 @@
 _UNPROMISED = frozenset({408, 429})
 _FAULT_FIRST = 500
 
+_LOG = logbook.Logger("attempts")
+
 
 class Result(enum.Enum):
     """What is known of a try."""
@@ -92,6 +97,11 @@
         """Takes a head; one of another request is skipped."""
         echo = head.get(words.ATTEMPT_ID)
         if echo is not None and echo != self._attempt_id:
+            _LOG.warning(
+                logs.line("answer-skipped",
+                          request=self._attempt_id,
+                          answers=echo,
+                          status=head.status))
             return False
         self._head = head
         if self._streaming and head.status == _OK_FIRST and (
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -8,7 +8,9 @@
 from typing import Any, Protocol
 
 import httptools
+import logbook
 
+from cardamommill import logs
 from cardamommill.gateway import clock, headfields
 
 # A connection that answers within a data centre or two answers in a few ms;
@@ -23,6 +25,8 @@
 # For peers that name no time-out.
 DEFAULT_KEEP_ALIVE_MS = 3000
 
+_LOG = logbook.Logger("upstream")
+
 
 class Ending(enum.Enum):
     """How an exchange ended, as far as the connection can tell."""
@@ -122,6 +126,7 @@
         """Parses what arrived; see asyncio.Protocol."""
         if self._receiver is None:
             # Nobody waits: an answer too many.
+            self._tell_unasked(len(data))
             self._drop()
             return
         try:
@@ -153,6 +158,7 @@
     def on_message_begin(self) -> None:
         """Begins an answer; see httptools."""
         if self._receiver is None:
+            self._tell_unasked(0)
             self._tainted = True
         self._head = Head()
 
@@ -207,6 +213,14 @@
             return
         receiver.on_end(ending, reason)
 
+    def _tell_unasked(self, count: int) -> None:
+        transport = self._transport
+        peer = transport.get_extra_info("peername") if transport else None
+        _LOG.warning(
+            logs.line("answer-unasked",
+                      peer=":".join(map(str, peer or ())),
+                      bytes=count or ""))
+
     def _drop(self) -> None:
         self._tainted = True
         if self._transport is not None:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from cardamommill.gateway import attempts
@@ -125,3 +126,20 @@
 def test_runner_that_says_nothing_is_given_up():
     outcome, _, _ = attempt(b"", give_up_ms=300)
     assert outcome.result is attempts.Result.TIMED_OUT
+
+
+@pytest.mark.parametrize("answers,event", [
+    ((answer(headers=OTHER) + answer(),), "event=answer-skipped"),
+    ((answer() + answer(headers=OTHER),), "event=answer-unasked"),
+])
+def test_answer_too_many_is_told(answers, event):
+    """A runner answers twice; the second answer belongs to nobody.
+
+    Nothing told of it: whether a caller's wrong bytes came from a runner that
+    answers twice could not be seen in the logs.
+    """
+    with logbook.TestHandler() as handler:
+        outcome, idle, _ = attempt(*answers)
+    assert outcome.body == b"yes" and idle == 0
+    told = [each for each in handler.formatted_records if event in each]
+    assert len(told) == 1
