Keep no connection that was opened for a request that may run once

Cause: a request that may run once takes a new connection, and the pool kept each one afterwards for some seconds, though the next such request takes a new one too. So connections grew with the rate, not with what was under way, up to the runner's bound; it resets the next, and what was reset may have run, so it is answered 502.

Ruled out: runners down or failing (they took a few requests a second, none of these reached one), places (six of each stood free), the time-out of connections (all were reset within 10 ms).

The new connection is closed after its answer. What is left open is what repeatable requests use again, which is what was under way at once.

--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -251,16 +251,19 @@
             address: The peer.
             request: Head and body.
             receiver: Who takes the answer.
-            fresh: Whether a kept connection won't do.
+            fresh: Whether a kept connection won't do; the new one is not kept.
         """
         exchange = Exchange()
         connection = None if fresh else self._take(address)
+        # Kept after it, new connections of requests that take no kept one piled
+        # up at a runner until it reset the next, which may have run then.
+        on_idle = Connection.close if fresh else self._keep(address)
         if connection is not None:
             exchange.connection = connection
             connection.send(request, receiver)
             return exchange
         task = asyncio.get_running_loop().create_task(
-            self._open_and_send(address, request, receiver, exchange))
+            self._open_and_send(address, request, receiver, exchange, on_idle))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return exchange
@@ -290,16 +293,20 @@
             connection.close()
         return None
 
-    async def _open_and_send(self, address: Address, request: bytes,
-                             receiver: Receiver, exchange: "Exchange") -> None:
-        loop = asyncio.get_running_loop()
+    def _keep(self, address: Address) -> Callable[[Connection], None]:
 
         def keep(connection: Connection) -> None:
             self._idle.setdefault(address, []).append(connection)
 
+        return keep
+
+    async def _open_and_send(self, address: Address, request: bytes,
+                             receiver: Receiver, exchange: "Exchange",
+                             on_idle: Callable[[Connection], None]) -> None:
+        loop = asyncio.get_running_loop()
         try:
             _, connection = await asyncio.wait_for(
-                loop.create_connection(lambda: Connection(keep), *address),
+                loop.create_connection(lambda: Connection(on_idle), *address),
                 CONNECT_TIMEOUT_MS / 1000)
         except (OSError, TimeoutError) as error:
             if not exchange.cancelled:
--- /dev/null
+++ b/tests/gateway/test_upstream.py
@@ -0,0 +1,81 @@
+"""Tests of connections to runners and to the platform."""
+
+import asyncio
+
+from cardamommill.experiment import virtualloop
+from cardamommill.gateway import upstream
+
+ADDRESS = ("10.9.0.1", 8080)
+CAP = 5
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class CappedRunner(asyncio.Protocol):
+    """Takes a few connections at a time and resets those beyond."""
+
+    open_now: set["CappedRunner"] = set()
+
+    def connection_made(self, transport):
+        self._transport = transport
+        if len(self.open_now) >= CAP:
+            transport.abort()
+            return
+        self.open_now.add(self)
+
+    def data_received(self, data):
+        del data
+        self._transport.write(ANSWER)
+
+    def connection_lost(self, exc):
+        del exc
+        self.open_now.discard(self)
+
+
+def run(script):
+    """Plays a script with a pool beside a runner of few connections."""
+    CappedRunner.open_now = set()
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        await loop.create_server(CappedRunner, *ADDRESS)
+        with upstream.Pool() as pool:
+            return await script(pool)
+
+    with virtualloop.running(1) as loop:
+        return loop.run_until_complete(main())
+
+
+def test_requests_on_new_connections_leave_none_behind():
+    """Callers get 502 for writes, one after the other, at a runner at rest.
+
+    A request that may run once only takes a new connection. Each was kept
+    afterwards, though the next such request takes a new one as well; at thirty
+    a second a runner stood at its bound for connections with nothing to do,
+    and reset the next. What was reset may have run, so nobody may repeat it.
+    """
+
+    async def script(pool):
+        endings = []
+        for _ in range(4 * CAP):
+            answer = await upstream.fetch(pool,
+                                          ADDRESS,
+                                          b"POST / HTTP/1.1\r\n\r\n",
+                                          500.0,
+                                          fresh=True)
+            endings.append(answer.ending)
+            await asyncio.sleep(0.01)
+        return endings
+
+    assert set(run(script)) == {upstream.Ending.COMPLETE}
+
+
+def test_connection_of_a_request_that_may_be_repeated_is_kept():
+
+    async def script(pool):
+        for _ in range(3):
+            await upstream.fetch(pool, ADDRESS, b"GET / HTTP/1.1\r\n\r\n",
+                                 500.0)
+            await asyncio.sleep(0.01)
+        return pool.idle_count()
+
+    assert run(script) == 1
