Take a request for unsent that met a lost connection

A connection can be lost between its opening, or its taking from the pool, and the first byte: the loop then goes on to send. Handled by then, the send failed in an assertion that nobody saw, and the request was held until its time was over, to be answered 504; not yet handled, or found by the send itself, it ended as one that may have run, and a request that may run once was answered 502, though no byte of it had left.

Now it ends as not sent, so that another runner is tried, and it is answered 503 where none may be. The transport closes within a write only if its first send failed, of which the system took nothing; a part that was taken leaves it open, and ends as before as one that may have run.

--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -90,12 +90,17 @@
 
     def send(self, request: bytes, receiver: Receiver) -> None:
         """Sends a request; the receiver gets its answer."""
-        assert self._transport is not None
         self._receiver = receiver
         self._parser = httptools.HttpResponseParser(self)
         self._has_head = False
         self._tainted = False
-        self._transport.write(request)
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.write(request)
+        # Lost by now, it was held to its end, or said to have run. Writes close
+        # only if their first send failed, which took nothing.
+        if transport is None or transport.is_closing():
+            self._finish(Ending.NOT_SENT, "closed before it was sent")
 
     def close(self) -> None:
         """Ends the exchange, if one is under way, and the connection."""
@@ -255,9 +260,9 @@
         """
         exchange = Exchange()
         connection = None if fresh else self._take(address)
-        # Kept after it, new connections of requests that take no kept one piled
-        # up at a runner until it reset the next, which may have run then.
-        on_idle = Connection.close if fresh else self._keep(address)
+        # Kept though none takes them, they made a runner reset the next one.
+        on_idle = Connection.close if fresh else (
+            lambda one: self._idle.setdefault(address, []).append(one))
         if connection is not None:
             exchange.connection = connection
             connection.send(request, receiver)
@@ -293,13 +298,6 @@
             connection.close()
         return None
 
-    def _keep(self, address: Address) -> Callable[[Connection], None]:
-
-        def keep(connection: Connection) -> None:
-            self._idle.setdefault(address, []).append(connection)
-
-        return keep
-
     async def _open_and_send(self, address: Address, request: bytes,
                              receiver: Receiver, exchange: "Exchange",
                              on_idle: Callable[[Connection], None]) -> None:
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import upstream
+from cardamommill.gateway import clock, upstream
 
 ADDRESS = ("10.9.0.1", 8080)
 CAP = 5
@@ -79,3 +81,68 @@
         return pool.idle_count()
 
     assert run(script) == 1
+
+
+@pytest.mark.parametrize("handled", [True, False])
+def test_request_that_meets_a_lost_connection_has_not_left(
+        monkeypatch, handled):
+    """A runner takes a connection and resets it before anything is sent.
+
+    The reset is there when the request's turn comes, handled or not. Taken for
+    a request under way, it was held until its time was over, or answered as one
+    that may have run, though no byte of it can have left.
+    """
+    create = virtualloop.VirtualLoop.create_connection
+
+    async def create_reset(*args, **options):
+        transport, protocol = await create(*args, **options)
+        if handled:
+            transport.lose(ConnectionResetError("reset by peer"))
+        else:
+            transport.abort()
+        return transport, protocol
+
+    monkeypatch.setattr(virtualloop.VirtualLoop, "create_connection",
+                        create_reset)
+
+    async def script(pool):
+        began_ms = clock.now_ms()
+        answer = await upstream.fetch(pool, ADDRESS, b"POST / HTTP/1.1\r\n\r\n",
+                                      500.0)
+        return answer.ending, clock.now_ms() - began_ms
+
+    ending, took_ms = run(script)
+    assert ending is upstream.Ending.NOT_SENT
+    assert took_ms < 10.0
+
+
+def test_request_that_the_system_refuses_to_send_has_not_left():
+    """A kept connection was reset, and the loop has not looked at it yet.
+
+    Its first send fails: nothing was taken, so another runner may be tried.
+    """
+
+    class Refusing(virtualloop.FakeTransport):
+
+        def write(self, data):
+            del data
+            self.abort()
+
+    async def script(pool):
+        del pool
+        endings = []
+        connection = upstream.Connection(lambda _: None)
+        transport = Refusing(asyncio.get_running_loop(), "a", "b", connection)
+        connection.connection_made(transport)
+
+        class Receiver:
+
+            def on_end(self, ending, reason):
+                del reason
+                endings.append(ending)
+
+        connection.send(b"POST / HTTP/1.1\r\n\r\n", Receiver())
+        await asyncio.sleep(0.01)
+        return endings
+
+    assert run(script) == [upstream.Ending.NOT_SENT]
