Ask a peer for a configuration that this node's source does not tell

Twelve nodes refused their readiness check from about 6.0 s for a second, and answered some 75 requests 503: just those that were cut off and follow a reader that was cut off too. The other six are these readers, who had left the store by then, and two that follow readers which read on. To be unready was right: the twelve stood on a configuration of 0.56 s, and the bound for keys is 6 s less 0.6 s. That they still stood on it was not: 62 peers, whom they heard all the while, had the newer one since 2.65 s, and so can't confirm an older one.

Cause: a node asks its source and nobody else until that source fails. The store's call of up to three seconds, unanswered, is waited for and made twice more; then only a peer whose confirmation is younger than 1.5 s is asked, and quiet peers confirm each 3 s. A follower asks its reader until what it tells is seven tenths of the bound old, also a follower that the store would answer: it was up to 4.2 s behind, over the 2 s within which a configuration must be in force.

Each heartbeat says which configuration is in force at its sender. If one is newer than the own one 200 ms later still, the nearest peer that has it is asked for what changed; the source is followed on. What is asked says its own age, so a key is trusted no longer for it. In calm times no peer is asked: sources tell sooner.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -208,6 +208,8 @@
 
     def _on_message(self, message: peermessage.PeerMessage,
                     now_ms: float) -> None:
+        if self._reader.misses(message.config_version):
+            self.spawn(self._reader.catch_up())
         for opened in message.opened:
             if self.view.take_open(opened.head, opened.key, opened.model):
                 _LOG.info(
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -34,6 +34,9 @@
 OLDEST_PART = 0.7
 # After a call that failed.
 RETRY_MS = 250.0
+# A configuration that a peer has in force comes here by itself within this, or
+# else a peer is asked for it.
+OVERDUE_MS = 200.0
 
 _LOG = logbook.Logger("platform")
 
@@ -59,6 +62,7 @@
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
+        self._is_catching_up = False
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
@@ -86,6 +90,39 @@
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
+    def misses(self, version: int) -> bool:
+        """Whether a peer's configuration is newer, and nobody asks for it."""
+        return version > self._version() and not self._is_catching_up
+
+    async def catch_up(self) -> None:
+        """Asks a peer that knows more, if this node's source does not tell.
+
+        One that is cut off is left only after seconds: it answers with what it
+        had, and a store that has fallen silent is waited for.
+        """
+        version = self._version()
+        self._is_catching_up = True
+        try:
+            await asyncio.sleep(OVERDUE_MS / 1000)
+            if self._version() == version:
+                await self._read_ahead(version)
+        finally:
+            self._is_catching_up = False
+
+    async def _read_ahead(self, version: int) -> None:
+        try:
+            news = await self._operator.read_ahead(version)
+        except exceptions.StoreError as error:
+            _LOG.info(logs.line("catch-up-failed", reason=str(error)))
+            return
+        if news is not None:
+            self._take_rows(news.rows)
+            _LOG.info(
+                logs.line("caught-up", before=version, now=self._version()))
+
+    def _version(self) -> int:
+        return self.table.configuration.version if self.table else 0
+
     def _take_rows(self, rows: storecalls.Rows) -> None:
         sound = True
         for row in rows.rows:
@@ -102,7 +139,7 @@
             # force is no longer known to be the newest.
             _LOG.error(logs.line("configuration-refused", reason=str(error)))
             return False
-        before = self.table.configuration.version if self.table else 0
+        before = self._version()
         if configuration.version <= before:
             return True
         self.table = routetable.RouteTable(configuration)
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -1,6 +1,7 @@
 """Reads a table of the store where `sources` says, and keeps a copy of it."""
 
 import dataclasses
+import math
 
 import logbook
 
@@ -77,6 +78,10 @@
             # answers often, and goes on from what is known: it passed whole
             # tables between data centres for as long as a cut lasted.
             after = 0
+        return await self._read_from(source, after, wait_ms, oldest_ms)
+
+    async def _read_from(self, source: sources.Source, after: int, wait_ms: int,
+                         oldest_ms: float) -> News:
         try:
             rows = await self._ask(source, after, wait_ms, oldest_ms)
         except storecalls.HistoryLost:
@@ -91,6 +96,24 @@
         self._copy.take(rows, whole=not after)
         return News(rows, whole=not after)
 
+    async def read_ahead(self, version: int) -> News | None:
+        """Returns at once what a peer tells that has a newer configuration.
+
+        Args:
+            version: The configuration in force here.
+
+        Returns:
+            None where no such peer is known.
+
+        Raises:
+            HistoryLost: The next reading will be whole.
+            StoreError: No answer that can be used.
+        """
+        source = self._choice.ahead(version, clock.now_ms())
+        if source is None:
+            return None
+        return await self._read_from(source, self._known, 0, math.inf)
+
     async def _ask(self, source: sources.Source, after: int, wait_ms: int,
                    oldest_ms: float) -> storecalls.Rows:
         asked: storecalls.Store | peerrows.PeerRows = self._store
--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -117,6 +117,18 @@
         mine = zlib.crc32(self._node.encode()) % READERS
         return Source(readers[mine][1])
 
+    def ahead(self, version: int, now_ms: float) -> Source | None:
+        """Returns the nearest peer with a newer configuration in force."""
+        found = []
+        for each in self._peers.alive(now_ms):
+            source = Source(each.address)
+            if (each.last is None or each.last.config_version <= version or
+                    self._failed_lately(source, now_ms, PEER_AGAIN_MS)):
+                continue
+            is_far = each.last.data_centre != self._data_centre
+            found.append((is_far, now_ms - each.heard_ms, each.address))
+        return Source(min(found)[-1]) if found else None
+
     def _young(self, now_ms: float) -> Source | None:
         """Returns the nearest peer that confirmed the configuration of late."""
         found = []
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -2,8 +2,15 @@
 
 import pytest
 
-from cardamommill.experiment import deployments, world
-from cardamommill.gateway import clock, peerrows, sources
+from cardamommill.experiment import deployments, troubles, world
+from cardamommill.gateway import (
+    clock,
+    entrysettings,
+    peerrows,
+    platformreader,
+    rowsource,
+    sources,
+)
 from tests.experiment import test_world
 
 FOUR_CUT = {"kind": "store_cut", "at_s": 1.0, "count": 4, "for_s": 9.0}
@@ -137,3 +144,75 @@
     assert not outcome.violations
     # What nodes that start later than their reader have it send.
     assert len(whole) <= 4, whole
+
+
+def lags_ms(monkeypatch, *happening):
+    """Returns how long after its writing nodes took each configuration."""
+    written_ms, found = {}, []
+    publish = troubles.Troubles._publish
+    take = platformreader.PlatformReader._take_configuration
+
+    def noted(self):
+        publish(self)
+        written_ms[self._world.version] = clock.now_ms()
+
+    def timed(self, value):
+        before = self.table
+        sound = take(self, value)
+        if before is not None and self.table is not before:
+            version = self.table.configuration.version
+            found.append(clock.now_ms() - written_ms[version])
+        return sound
+
+    monkeypatch.setattr(troubles.Troubles, "_publish", noted)
+    monkeypatch.setattr(platformreader.PlatformReader, "_take_configuration",
+                        timed)
+    outcome = play(*happening, nodes=8, length_s=10.0)
+    assert not outcome.violations
+    return found
+
+
+@pytest.mark.parametrize("cut", [2, 4])
+def test_node_whose_source_is_cut_off_asks_who_knows_more(monkeypatch, cut):
+    """Keys go just after the store fell silent for readers of a data centre.
+
+    The other nodes know at once, and say so with each heartbeat. A cut-off
+    reader waited for its call of some seconds, and its followers, also those
+    that the store would have answered, for the reader, until what it told was
+    too old: a dozen nodes of eighty let the keys in, then refused all keys.
+    """
+    found = lags_ms(monkeypatch, {
+        "kind": "store_cut",
+        "at_s": 2.5,
+        "count": cut,
+        "for_s": 9.0
+    }, {
+        "kind": "revoke",
+        "at_s": 2.6,
+        "count": 1
+    }, {
+        "kind": "configuration",
+        "at_s": 5.0
+    })
+    assert len(found) == 2 * 9
+    assert max(found) < entrysettings.Bounds().config_apply_ms / 2
+
+
+def test_nodes_do_not_ask_each_other_while_their_sources_tell(monkeypatch):
+    """Each heartbeat may tell of a configuration some ms before the source."""
+    asked = []
+    read_ahead = rowsource.RowSource.read_ahead
+
+    async def counted(self, version):
+        asked.append(version)
+        return await read_ahead(self, version)
+
+    monkeypatch.setattr(rowsource.RowSource, "read_ahead", counted)
+    found = lags_ms(
+        monkeypatch,
+        *({
+            "kind": "configuration",
+            "at_s": 1.0 + 0.3 * number
+        } for number in range(10)))
+    assert max(found) < 100.0
+    assert not asked
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -8,12 +8,13 @@
 NOW_MS = 100_000.0
 
 
-def peer(number, place="a", age_ms=100.0, stopping=False):
+def peer(number, place="a", age_ms=100.0, stopping=False, **fields):
     return test_peers.message(f"n{number}",
                               place,
                               sent_ms=NOW_MS,
                               confirmed_age_ms=age_ms,
-                              stopping=stopping)
+                              stopping=stopping,
+                              **fields)
 
 
 def address(number):
@@ -137,3 +138,13 @@
     lose_store(follower)
     assert follower.choose(NOW_MS + 2) == first
     assert follower.choose(NOW_MS + sources.STORE_AGAIN_MS + 1) == sources.STORE
+
+
+def test_nearest_peer_with_a_newer_configuration_is_asked_for_it():
+    one, _ = choice(0, peer(1, config_version=4), peer(2, "b",
+                                                       config_version=6),
+                    peer(3, config_version=5))
+    assert one.ahead(4, NOW_MS).peer == address(3)
+    one.failed(one.ahead(4, NOW_MS), NOW_MS)
+    assert one.ahead(4, NOW_MS).peer == address(2)
+    assert one.ahead(6, NOW_MS) is None
