--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -96,12 +96,17 @@
 
     def send(self, request: bytes, receiver: Receiver) -> None:
         """Sends a request; the receiver gets its answer."""
-        assert self._transport is not None
         self._receiver = receiver
         self._parser = httptools.HttpResponseParser(self)
         self._has_head = False
         self._tainted = False
-        self._transport.write(request)
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.write(request)
+        # Lost by now, it was held to its end, or said to have run. Writes close
+        # only if their first send failed, which took nothing.
+        if transport is None or transport.is_closing():
+            self._finish(Ending.NOT_SENT, "closed before it was sent")
 
     def close(self) -> None:
         """Ends the exchange, if one is under way, and the connection."""
@@ -267,16 +272,19 @@
             address: The peer.
             request: Head and body.
             receiver: Who takes the answer.
-            fresh: Whether a kept connection won't do.
+            fresh: Whether a kept connection won't do; the new one is not kept.
         """
         exchange = Exchange()
         connection = None if fresh else self._take(address)
+        # Kept though none takes them, they made a runner reset the next one.
+        on_idle = Connection.close if fresh else (
+            lambda one: self._idle.setdefault(address, []).append(one))
         if connection is not None:
             exchange.connection = connection
             connection.send(request, receiver)
             return exchange
         task = asyncio.get_running_loop().create_task(
-            self._open_and_send(address, request, receiver, exchange))
+            self._open_and_send(address, request, receiver, exchange, on_idle))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
         return exchange
@@ -307,15 +315,12 @@
         return None
 
     async def _open_and_send(self, address: Address, request: bytes,
-                             receiver: Receiver, exchange: "Exchange") -> None:
+                             receiver: Receiver, exchange: "Exchange",
+                             on_idle: Callable[[Connection], None]) -> None:
         loop = asyncio.get_running_loop()
-
-        def keep(connection: Connection) -> None:
-            self._idle.setdefault(address, []).append(connection)
-
         try:
             _, connection = await asyncio.wait_for(
-                loop.create_connection(lambda: Connection(keep), *address),
+                loop.create_connection(lambda: Connection(on_idle), *address),
                 CONNECT_TIMEOUT_MS / 1000)
         except (OSError, TimeoutError) as error:
             if not exchange.cancelled:
