--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -163,8 +163,8 @@
     assert {"TWICE", "REFUSED"} & {each.rule for each in outcome.violations}
 
 
-# In these the survivors make a slow group, and new runners a quick one, in some
-# ten of twenty-four: which runners die when shifts with anything that a node does.
+# In ten of twenty-four seeds the survivors make a slow group and new runners a
+# quick one: which runners die shifts with all that a node does.
 SLOW_GROUP_SEEDS = (1, 5, 7, 8, 10, 11, 12, 14, 15, 21, 23, 24)
 LEAST_CLOSED = 3
 
