Write nothing past the answer that is under way on a caller's connection

One cause: writers beside the reply. The connection now says 100 only while no answer is under way, catches what a handler raises and breaks off, refuses only where nothing waits, says close only in its last answer, and bounds what waits before it writes, not what one answer adds.

--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -8,18 +8,23 @@
 from typing import Any, Protocol
 
 import httptools
+import logbook
 
+from cardamommill import logs
 from cardamommill.gateway import clock, headfields, model, replies
 
 # After a refusal of a request that has not been read whole, its rest is read
 # and dropped for this long: closing at once would reset the refusal away.
 LINGER_MS = 700
-# What may wait for a caller that does not read its stream.
+# What may wait for a caller that does not read before more is written. One
+# large answer may be more: a caller that reads well was cut off in its middle.
 UNSENT_BYTES = 1 << 20
 # Requests that wait behind the one being answered on the same connection.
 MAX_PIPELINED = 8
 DEFAULT_LIMITS = model.Limits(16_384, 4_194_304, 3000, 15_000)
 
+_LOG = logbook.Logger("callers")
+
 
 @dataclasses.dataclass(slots=True)
 class CallerRequest:
@@ -57,6 +62,10 @@
         self._busy = False
         self._waiting: deque[CallerRequest] = deque()
         self._refusing = False
+        self._reply: replies.Reply | None = None
+        # Whether the caller of the request that arrives waits to be told to
+        # send its body.
+        self._owes_continue = False
         self._head_bytes = 0
         self._in_head = True
         self._target = b""
@@ -67,8 +76,8 @@
 
     @property
     def closing(self) -> bool:
-        """Whether the connection ends after the answer."""
-        return self._refusing or self._server.stopping
+        """Whether the connection ends after the answer that begins now."""
+        return self._refusing or (self._server.stopping and not self._waiting)
 
     @property
     def busy(self) -> bool:
@@ -139,6 +148,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header; see httptools."""
+        if not self._in_head:
+            # Behind a body; no limit on heads holds for it.
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -156,7 +168,14 @@
                 self._refuse(413)
                 return
             if lower == "expect" and value.lower() == "100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._owes_continue = True
+        self._tell_to_go_on()
+
+    def _tell_to_go_on(self) -> None:
+        # Not into an answer: its caller would take it for a part of that.
+        if self._owes_continue and not self._busy and not self._waiting:
+            self._owes_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Takes a piece of the body; see httptools."""
@@ -171,6 +190,7 @@
         self.part_since_ms = 0.0
         self._head_bytes = 0
         self._in_head = True
+        self._owes_continue = False
         if self._refusing:
             return
         request = CallerRequest(self._parser.get_method().decode("latin-1"),
@@ -188,8 +208,16 @@
             return
         self._busy = True
         request = self._waiting.popleft()
-        reply = replies.Reply(self)
-        serving = self._server.handler(request, reply)
+        self._reply = reply = replies.Reply(self)
+        try:
+            serving = self._server.handler(request, reply)
+        except Exception:
+            # The parser, which called, would have it refused as malformed: a
+            # second answer, or one to a request that may have run.
+            _LOG.exception(logs.line("handler-failed", target=request.target))
+            if not reply.ended:
+                reply.break_off()
+            return
         if not reply.ended:
             self._serving = serving
 
@@ -200,9 +228,12 @@
         self.idle_since_ms = clock.now_ms()
         if self._transport is None:
             return
-        if self.closing and not self._waiting:
+        if self._reply is not None and self._reply.said_close:
+            self._waiting.clear()
+        if self.closing or (self._reply is not None and self._reply.said_close):
             self._close_soon()
             return
+        self._tell_to_go_on()
         self._transport.resume_reading()
         if self._waiting:
             asyncio.get_running_loop().call_soon(self._serve_next)
@@ -220,7 +251,8 @@
         if self._refusing:
             return
         self._refusing = True
-        if self._busy:
+        if self._busy or self._waiting:
+            # A refusal now would be taken for the answer to those.
             self.abort()
             return
         body = replies.REASONS[status].encode()
@@ -239,9 +271,10 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        transport.write(data)
         if transport.get_write_buffer_size() > UNSENT_BYTES:
             self.abort()
+            return
+        transport.write(data)
 
     def close(self) -> None:
         """Closes after what is unsent."""
--- a/cardamommill/gateway/replies.py
+++ b/cardamommill/gateway/replies.py
@@ -18,7 +18,7 @@
 
     @property
     def closing(self) -> bool:
-        """Whether it ends after the answer."""
+        """Whether it ends after the answer that begins now."""
 
     def write(self, data: bytes) -> None:
         """Sends bytes."""
@@ -70,6 +70,8 @@
     def __init__(self, connection: Line) -> None:
         self._connection = connection
         self._sent = _Sent.NOTHING
+        # Whether its head says that the connection ends behind it.
+        self.said_close = False
 
     @property
     def started(self) -> bool:
@@ -85,18 +87,20 @@
               body: bytes) -> None:
         """Sends an answer at once."""
         self._take(_Step.WHOLE)
+        self.said_close = self._connection.closing
         self._connection.write(
-            head_bytes(status, [*headers, (
-                "Content-Length", str(len(body)))], self._connection.closing) +
+            head_bytes(status, [*headers, ("Content-Length",
+                                           str(len(body)))], self.said_close) +
             body)
         self._connection.answered()
 
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begins an answer whose length is not known."""
         self._take(_Step.START)
+        self.said_close = self._connection.closing
         self._connection.write(
             head_bytes(status, [*headers, ("Transfer-Encoding", "chunked")],
-                       self._connection.closing))
+                       self.said_close))
 
     def piece(self, data: bytes) -> None:
         """Sends a piece."""
