End each request once, whatever fails, and no stream before its end

Tests of test_stray_bytes.py that failed before: a stream that went on at a runner which began anew and ended early ended as complete; one whose events bear no ids was begun anew at a second runner; a request whose serving failed by a fault of this node was held until its caller gave up, its connection busy for ever and no end told.

--- a/cardamommill/gateway/conclusion.py
+++ b/cardamommill/gateway/conclusion.py
@@ -79,6 +79,15 @@
         self.refuse(502 if ran_maybe else 503, refused.reason,
                     refused.retry_after_ms)
 
+    def fail(self, reason: str) -> None:
+        """Ends it after a fault of this node's own; it may have run."""
+        if self._reply.ended:
+            self._told(0, f"broken off: {reason}")
+        elif self._reply.started:
+            self._break_off(reason)
+        else:
+            self.refuse(502, "a fault of this node; may have run")
+
     def refuse(self,
                status: int,
                reason: str,
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -6,7 +6,9 @@
 import math
 from typing import Any, Protocol
 
-from cardamommill import exceptions
+import logbook
+
+from cardamommill import logs
 from cardamommill.gateway import (
     admitting,
     attempts,
@@ -16,6 +18,7 @@
     endings,
     eventcutter,
     fleetview,
+    headfields,
     model,
     passedon,
     placing,
@@ -43,6 +46,8 @@
 URGENT_RANKS = 5
 DEFAULT_RETRY_AFTER_MS = admitting.DEFAULT_RETRY_AFTER_MS
 
+_LOG = logbook.Logger("requests")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
@@ -107,8 +112,10 @@
         # Those of them that count as runs: a stream runs from its first token.
         self._begun_at: list[Target] = []
         self._try_events = 0
+        # The newest event of the try, which its caller may have had before.
+        self._try_last_id: int | None = None
         self.end_ms = math.inf
-        self.last_event_id: int | None = passedon.number(
+        self.last_event_id: int | None = headfields.number(
             request.get(words.LAST_EVENT_ID))
         self.first_event_ms = 0.0
         self.events = 0
@@ -239,8 +246,11 @@
     async def _serve_and_tell(self) -> None:
         try:
             await self._serve()
-        except exceptions.AnswerOutOfOrder as error:
-            self._node.ended(self, 0, f"broken off: {error}")
+        except Exception as error:
+            # Its caller would wait until its time is over, and its connection
+            # stay busy for ever.
+            _LOG.exception(logs.line("request-failed", request=self.attempt_id))
+            self._conclusion.fail(repr(error))
 
     async def _serve(self) -> None:
         while True:
@@ -293,6 +303,7 @@
         self._node.attempt_begins(self, target, bool(self.tried))
         self.tried.append(target)
         self._try_events = 0
+        self._try_last_id = None
         runner = target.known.runner
         now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
@@ -304,7 +315,7 @@
             max(0.0, self.end_ms - now_ms) / 1000, attempt.give_up,
             attempts.Result.TIMED_OUT, "out of time")
         try:
-            outcome = await attempt.done
+            outcome = self._checked(await attempt.done)
         finally:
             timer.cancel()
             self._stay()
@@ -317,6 +328,19 @@
         self._node.attempt_ends(self, target, outcome)
         return outcome
 
+    def _checked(self, outcome: attempts.Outcome) -> attempts.Outcome:
+        """Takes a run that ended before what the caller has for a broken one.
+
+        A runner that begins anew and ends early would else end the stream as
+        complete, with events missing.
+        """
+        if (outcome.result is attempts.Result.STREAMED and
+                self._try_last_id is not None and
+                self._try_last_id < (self.last_event_id or 0)):
+            return attempts.Outcome(attempts.Result.BROKEN,
+                                    "ended before what the caller has")
+        return outcome
+
     def _try_has_begun(self) -> bool:
         """Whether a runner is at work, as far as can be seen from here.
 
@@ -329,6 +353,9 @@
     def _may_go_elsewhere(self, leaving: bool = False) -> bool:
         if self.route is None or len(self.tried) >= MAX_TRIES:
             return False
+        if self.reply.started and self.last_event_id is None:
+            # Nothing tells another runner where to go on.
+            return False
         if self.end_ms - clock.now_ms() < MIN_LEFT_MS:
             return False
         # A runner that ended meanwhile does not count.
@@ -365,6 +392,7 @@
         self._try_events += 1
         self._node.event_came(self, self._target)
         if event.id is not None:
+            self._try_last_id = event.id
             if self.last_event_id is not None:
                 if event.id <= self.last_event_id:
                     # A runner that begins anew: the caller has this one.
