Take no other exchange's answer, and end no other exchange

Tests of test_stray_bytes.py that failed before: a request's late answer was taken for an order's (the runner's own 409 never read); giving up an exchange that had ended closed the connection under the next one; an answer whose coding stands in two fields counted as whole when it was cut; a fault of this node's was told as the runner's. Numbers in fields are read in one place, which takes no digits but ASCII's and no 4,500 of them: a Last-Event-Id of such ended the connection unsaid.

--- a/cardamommill/gateway/headfields.py
+++ b/cardamommill/gateway/headfields.py
@@ -1,5 +1,8 @@
 """Fields of a message's head."""
 
+# More are no count, time or id of any kind.
+MAX_DIGITS = 18
+
 Headers = list[tuple[str, str]]
 
 
@@ -8,3 +11,12 @@
     wanted = name.lower()
     return next((value for key, value in headers if key.lower() == wanted),
                 None)
+
+
+def number(text: str | None) -> int | None:
+    """Returns the number that a field holds, if it holds one."""
+    digits = (text or "").strip()
+    if not digits.isascii() or not digits.isdigit() or (len(digits)
+                                                        > MAX_DIGITS):
+        return None
+    return int(digits)
--- a/cardamommill/gateway/passedon.py
+++ b/cardamommill/gateway/passedon.py
@@ -1,6 +1,6 @@
 """What is passed on of a request to a runner, and of its answer."""
 
-from cardamommill.gateway import callers, placing, upstream
+from cardamommill.gateway import callers, headfields, placing, upstream
 from cardamommill.platform import words
 
 _HOP_HEADERS = frozenset({
@@ -34,16 +34,14 @@
             if name.lower() not in _HOP_HEADERS]
 
 
-def number(text: str | None) -> int | None:
-    """Returns the number that a header holds, if it holds one."""
-    return int(text) if text is not None and text.strip().isdigit() else None
-
-
 def work(request: callers.CallerRequest) -> placing.Work:
     """Returns what a request says that it asks of an engine."""
     counts = (request.get(words.TOKEN_COUNTS) or "").split(",")
-    numbers = [int(each) for each in counts if each.strip().isdigit()]
-    hint = number(request.get(words.LENGTH_HINT))
+    numbers = [
+        found for each in counts
+        if (found := headfields.number(each)) is not None
+    ]
+    hint = headfields.number(request.get(words.LENGTH_HINT))
     if len(numbers) != 2:
         return placing.Work(0, hint or 0)
     return placing.Work(numbers[0], min(hint or numbers[1], numbers[1]))
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -12,6 +12,7 @@
 
 from cardamommill import logs
 from cardamommill.gateway import clock, headfields
+from cardamommill.platform import words
 
 # A connection that answers within a data centre or two answers in a few ms;
 # an opening packet that was dropped is sent again after 1 s.
@@ -82,6 +83,7 @@
         self._head = Head()
         self._skipping = False
         self._has_head = False
+        self._in_head = True
         self._framed = False
         self._tainted = False
         self._informational = False
@@ -108,6 +110,14 @@
         if transport is None or transport.is_closing():
             self._finish(Ending.NOT_SENT, "closed before it was sent")
 
+    def give_up(self, receiver: Receiver) -> None:
+        """Closes the connection if this receiver waits on it.
+
+        Closed for an exchange that had ended, it took the next one with it.
+        """
+        if self._receiver is receiver:
+            self.close()
+
     def close(self) -> None:
         """Ends the exchange, if one is under way, and the connection."""
         if self._transport is not None:
@@ -136,6 +146,12 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # What takes the answer failed: not the peer's fault.
+            _LOG.exception(logs.line("answer-not-taken"))
+            self._drop()
+            self._finish(Ending.BROKEN, "a fault of this node")
+            return
         except (httptools.HttpParserError,
                 httptools.HttpParserUpgrade) as error:
             self._drop()
@@ -166,23 +182,28 @@
             self._tell_unasked(0)
             self._tainted = True
         self._head = Head()
+        self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header; see httptools."""
+        if not self._in_head:
+            # Behind a body: its receiver has the head already.
+            return
         self._head.headers.append(
             (name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Hands over the head; see httptools."""
+        self._in_head = False
         if self._receiver is None:
             return
         self._head.status = self._parser.get_status_code()
         self._informational = self._head.status < 200
         if self._informational:
             return
-        self._framed = (self._head.get("content-length") is not None or
-                        "chunked" in (self._head.get("transfer-encoding") or
-                                      "").lower())
+        self._framed = any(
+            _frames(name.lower(), value.lower())
+            for name, value in self._head.headers)
         self._skipping = not self._receiver.on_head(self._head)
         self._has_head = not self._skipping
         self._tainted = self._tainted or self._skipping
@@ -232,11 +253,18 @@
             self._transport.abort()
 
 
+def _frames(name: str, value: str) -> bool:
+    """Whether a header says where the answer ends."""
+    return name == "content-length" or (name == "transfer-encoding" and
+                                        "chunked" in value)
+
+
 def _keep_alive_ms(head: Head) -> float:
     for part in (head.get("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return int(value) * 1000.0
+        seconds = headfields.number(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return seconds * 1000.0
     return DEFAULT_KEEP_ALIVE_MS
 
 
@@ -274,7 +302,7 @@
             receiver: Who takes the answer.
             fresh: Whether a kept connection won't do; the new one is not kept.
         """
-        exchange = Exchange()
+        exchange = Exchange(receiver)
         connection = None if fresh else self._take(address)
         # Kept though none takes them, they made a runner reset the next one.
         on_idle = Connection.close if fresh else (
@@ -337,9 +365,10 @@
 class Exchange:
     """A request that is under way."""
 
-    def __init__(self) -> None:
+    def __init__(self, receiver: Receiver) -> None:
         self.connection: Connection | None = None
         self.cancelled = False
+        self._receiver = receiver
 
     @property
     def sent(self) -> bool:
@@ -350,7 +379,7 @@
         """Gives up; the receiver hears nothing if nothing was sent."""
         self.cancelled = True
         if self.connection is not None:
-            self.connection.close()
+            self.connection.give_up(self._receiver)
 
 
 @dataclasses.dataclass(slots=True)
@@ -366,13 +395,19 @@
 class _Collector:
     """Collects one small answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, request: bytes) -> None:
+        self._has_id = words.ATTEMPT_ID.encode() in request
         self.future: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future())
         self._head = Head()
         self._body = bytearray()
 
     def on_head(self, head: Head) -> bool:
+        if not self._has_id and head.get(words.ATTEMPT_ID) is not None:
+            # A caller's request's, which came late: a 200 of one was taken for
+            # an order that is done.
+            _LOG.warning(logs.line("answer-skipped", status=head.status))
+            return False
         self._head = head
         return True
 
@@ -391,7 +426,7 @@
                 timeout_ms: float,
                 fresh: bool = False) -> Answer:
     """Returns the whole answer to a small request of this node's own."""
-    collector = _Collector()
+    collector = _Collector(request)
     exchange = pool.send(address, request, collector, fresh)
     try:
         return await asyncio.wait_for(collector.future, timeout_ms / 1000)
