Split the planner: tending what stands, choosing what to form

Callers saw nothing: planner.py held two jobs (464 lines). Now `tending` (207 lines) ends, adopts and asks about groups that stand, `choosing` (254) says which are formed and when spares are staged, and `planner` (104) runs both and takes what the shell tells. Four copies of "may ask, then a probe" and two of the grace of another planner's formation became one each. Cases of test_planner.py went to test_tending.py and test_choosing.py, word for word.

--- /dev/null
+++ b/cardamommill/gateway/choosing.py
@@ -0,0 +1,254 @@
+"""Which groups are formed of which free runners, and when spares are staged."""
+
+from collections.abc import Iterator
+
+from cardamommill.gateway import (
+    consolidation,
+    fleetview,
+    formations,
+    model,
+    planning,
+    spares,
+    strain,
+)
+
+# With this part of all places taken a model gets spares as further groups.
+BUSY_PART = 0.6
+# Part of a domain that is kept as spares when groups are first formed: two
+# runners of nine cover the loss of one member in each of two groups.
+SPARE_SHARE = 0.15
+
+
+class Choosing:
+    """Chooses for one planner; pure but for what its parts remember."""
+
+    def __init__(self, view: fleetview.FleetView, made: formations.Formations,
+                 pending: set[str], seen: strain.Strain, staged: spares.Spares,
+                 given_up: consolidation.Consolidation) -> None:
+        """Makes it.
+
+        Args:
+            view: What is believed.
+            made: Groups on their way to serving; it begins more.
+            pending: Runners with an order under way.
+            seen: Which models have too much work.
+            staged: Which spares hold which model.
+            given_up: Slow groups that quick ones take the place of.
+        """
+        self._view = view
+        self._formations = made
+        self._pending = pending
+        self._strain = seen
+        self._spares = staged
+        self._consolidation = given_up
+
+    def step(self, service: str, engine: model.Engine, scope: planning.Scope,
+             now_ms: float) -> Iterator[planning.Action]:
+        """Returns the orders that begin groups, and those that stage spares.
+
+        Args:
+            service: Whose groups.
+            engine: Of the service.
+            scope: For whom it is done.
+            now_ms: The time.
+        """
+        self._spares.forget_staged(now_ms)
+        places = self._by_place(service, scope)
+        for place in sorted(places):
+            domains = places[place]
+            for domain in sorted(domains):
+                yield from self._form(service, engine, scope, domains[domain],
+                                      now_ms)
+            whole = [each for runners in domains.values() for each in runners]
+            if len(domains) > 1:
+                yield from self._consolidation.step(service, engine,
+                                                    self._view.groups(service),
+                                                    whole, self.is_free, now_ms)
+                largest = max(map(len, domains.values()))
+                yield from self._form_far(service, engine, scope, whole,
+                                          largest, now_ms)
+            need = self._need(service, engine, whole)
+            for domain in sorted(domains):
+                yield from self._stage(engine, scope, domains[domain], need,
+                                       now_ms)
+
+    def is_free(self, known: fleetview.Known) -> bool:
+        """Whether a runner may join a group or load for one."""
+        runner_id = known.runner.id
+        if not known.usable or known.membership is not None:
+            return False
+        if not known.is_counted:
+            return False
+        return (runner_id not in self._pending and
+                not self._formations.has_member(runner_id))
+
+    def _by_place(
+            self, service: str, scope: planning.Scope
+    ) -> dict[str, dict[str, list[fleetview.Known]]]:
+        """Returns its runners by data centre and by domain."""
+        places: dict[str, dict[str, list[fleetview.Known]]] = {}
+        for known in self._view.of_service(service):
+            place = known.runner.data_centre
+            if place in scope.data_centres:
+                places.setdefault(place, {}).setdefault(known.standing.domain,
+                                                        []).append(known)
+        return places
+
+    def _stage(self, engine: model.Engine, scope: planning.Scope,
+               runners: list[fleetview.Known], need: strain.Need,
+               now_ms: float) -> Iterator[planning.Action]:
+        if scope.in_lead and any(
+                each.loads for each in self._formations.by_key.values()):
+            # Groups first: staging shares the store's bandwidth.
+            return
+        free = [each for each in runners if self.is_free(each)]
+        yield from self._spares.stage(engine, scope, free, need, now_ms)
+
+    def _need(self, service: str, engine: model.Engine,
+              runners: list[fleetview.Known]) -> strain.Need:
+        ids = {each.runner.id for each in runners}
+        holds: dict[str, int] = {}
+        for name, members in self._members_by_model(service):
+            holds[name] = holds.get(name, 0) + len(members & ids)
+        for known in runners:
+            if self.is_free(known):
+                name = self._spares.warm_model(known)
+                holds[name] = holds.get(name, 0) + 1
+        strained = frozenset(each.name
+                             for each in engine.models
+                             if self._strain.is_strained(each.name))
+        return strain.Need(strained, holds,
+                           sum(each.usable for each in runners))
+
+    def _form(self, service: str, engine: model.Engine, scope: planning.Scope,
+              runners: list[fleetview.Known],
+              now_ms: float) -> Iterator[planning.Action]:
+        while True:
+            free = [each for each in runners if self.is_free(each)]
+            for served in self._by_need(service, engine, runners):
+                picked = self._pick(engine, served, scope, runners, free,
+                                    now_ms)
+                if picked is not None:
+                    break
+            else:
+                return
+            yield from self._formations.begin(service, engine, served, scope,
+                                              picked, now_ms)
+
+    def _form_far(self, service: str, engine: model.Engine,
+                  scope: planning.Scope, runners: list[fleetview.Known],
+                  largest_domain: int,
+                  now_ms: float) -> Iterator[planning.Action]:
+        # A group over two domains is slower, but it serves; it may use up
+        # spares only while its model has fewer groups than its share.
+        for served in self._by_need(service, engine, runners):
+            if self._consolidation.is_under_way(service, served.name):
+                continue
+            if not self._is_short(service, engine, served, scope, runners):
+                continue
+            fits = served.size <= largest_domain
+            if fits and scope.in_lead:
+                continue
+            warm = [
+                each for each in runners if self.is_free(each) and
+                (not fits or planning.is_warm(each, served))
+            ]
+            if len(warm) < served.size:
+                continue
+            warm.sort(key=lambda each: planning.join_ms(each, served))
+            yield from self._formations.begin(service, engine, served, scope,
+                                              warm[:served.size], now_ms)
+
+    def _is_short(self, service: str, engine: model.Engine,
+                  served: model.ServedModel, scope: planning.Scope,
+                  runners: list[fleetview.Known]) -> bool:
+        usable = sum(each.usable for each in runners)
+        ids = {each.runner.id for each in runners}
+        wanted = max(
+            1, round(served.share * usable * (1 - SPARE_SHARE) / served.size))
+        standing = sum(group.model == served.name and group.is_open and
+                       group.head is not None and group.head.runner.id in ids
+                       for group in self._view.groups(service).values())
+        forming = sum(each.model.name == served.name and each.members[0] in ids
+                      for each in self._formations.by_key.values())
+        return standing + forming < wanted or self._is_busy(
+            service, engine, served, scope)
+
+    def _is_busy(self, service: str, engine: model.Engine,
+                 served: model.ServedModel, scope: planning.Scope) -> bool:
+        open_keys = [
+            group.key
+            for group in self._view.groups(service).values()
+            if group.model == served.name and group.serves_here
+        ]
+        load = sum(scope.load(key).all_requests for key in open_keys)
+        return load > BUSY_PART * engine.slots * len(open_keys)
+
+    def _by_need(self, service: str, engine: model.Engine,
+                 runners: list[fleetview.Known]) -> list[model.ServedModel]:
+        # The model with the fewest runners for its share of the work first,
+        # in the domain and then over all.
+        in_domain = {each.runner.id for each in runners}
+        here: dict[str, int] = {}
+        overall: dict[str, int] = {}
+        for name, members in self._members_by_model(service):
+            overall[name] = overall.get(name, 0) + len(members)
+            here[name] = here.get(name, 0) + len(members & in_domain)
+
+        def need(served: model.ServedModel) -> tuple[float, float]:
+            share = max(served.share, 1e-6)
+            return (here.get(served.name, 0) / share,
+                    overall.get(served.name, 0) / share)
+
+        return sorted(engine.models, key=need)
+
+    def _members_by_model(self, service: str) -> Iterator[tuple[str, set[str]]]:
+        """Yields the model and the members of each group, formed or forming.
+
+        A runner that is joining does not say of which model. Counted by its
+        word alone, groups that were just begun counted for none, and two of
+        the same model were begun in one domain, where one of each should be.
+        """
+        for formation in self._formations.by_key.values():
+            yield formation.model.name, set(formation.members)
+        for group in self._view.groups(service).values():
+            if group.key not in self._formations.by_key:
+                yield group.model, {
+                    each.runner.id for each in group.members.values()
+                }
+
+    def _pick(self, engine: model.Engine, served: model.ServedModel,
+              scope: planning.Scope, runners: list[fleetview.Known],
+              free: list[fleetview.Known],
+              now_ms: float) -> list[fleetview.Known] | None:
+        if len(free) < served.size:
+            return None
+        ranked = sorted(free, key=lambda each: planning.join_ms(each, served))
+        picked = ranked[:served.size]
+        cold = sum(not planning.is_warm(each, served) for each in picked)
+        has_group = any(
+            not self.is_free(each) and each.usable for each in runners)
+        if has_group and not any(each.last_model for each in picked):
+            reserve = round(SPARE_SHARE * len(runners))
+            # Spares are of no use to callers who wait, and in a large domain
+            # the survivors of two deaths make a group without any.
+            if (not self._strain.is_strained(served.name) and
+                    len(free) - served.size < reserve):
+                return None
+        if cold and not scope.in_lead:
+            # Loading takes some ten times as long as all else: spares are
+            # staged, and the group is formed once its members are warm.
+            return None
+        if cold and not self._may_load_in_lead(engine, scope, now_ms):
+            return None
+        return picked
+
+    def _may_load_in_lead(self, engine: model.Engine, scope: planning.Scope,
+                          now_ms: float) -> bool:
+        # Loads share the store's bandwidth: beyond `loads_at_once` each takes
+        # longer, and all groups would be ready only at the very end.
+        loading = sum(each.loads
+                      for each in self._formations.by_key.values()
+                      if each.loads and now_ms < each.due_ms)
+        share = engine.loads_at_once * len(scope.data_centres) / scope.count
+        return loading < max(1.0, share)
--- /dev/null
+++ b/tests/gateway/test_choosing.py
@@ -0,0 +1,56 @@
+"""Tests of which groups are formed of which runners."""
+
+import collections
+
+from cardamommill.gateway import orders, planning
+from tests.gateway import builders, planners
+
+
+def test_domain_as_large_as_a_group_forms_one():
+    bench = planners.Bench([builders.runner(number) for number in range(4)],
+                           planners.LEAD)
+    assert len(planners.ordered(bench.step(), orders.Operation.JOIN)) == 4
+
+
+def test_model_that_fits_in_no_domain_is_formed_over_two():
+    runners = [
+        builders.runner(number, domain=f"d{number % 2}") for number in range(4)
+    ]
+    bench = planners.Bench(runners, planners.LEAD)
+    assert len(planners.ordered(bench.step(), orders.Operation.JOIN)) == 4
+
+
+def test_each_model_gets_a_group_of_a_domain():
+    blank = [builders.runner(number) for number in range(1, 10)]
+    bench = planners.Bench(blank, planners.LEAD)
+    names = collections.Counter()
+    for _ in range(200):
+        for order in planners.ordered(bench.step(500), orders.Operation.JOIN):
+            bench.accept(order, planners.STATE.READY)
+            names[order.model] += 1
+    assert names == {"large": 4, "small": 3}
+
+
+def test_groups_that_are_joining_count_for_their_model():
+    """Runners of a domain join a group; they don't yet say of which model.
+
+    The next group of the domain must be of the other model: two of the same
+    left its callers half of the groups that they need.
+    """
+    lead = planning.Scope(frozenset({"a"}), 3, True, {})
+    bench = planners.Bench([builders.runner(number) for number in range(1, 10)],
+                           lead)
+    begun = []
+    for _ in range(60):
+        for order in planners.ordered(bench.step(), orders.Operation.JOIN):
+            bench.accept(order)
+            begun.append((order.group, order.model))
+    assert sorted(name for _, name in set(begun)) == ["large", "small"]
+
+
+def test_survivors_in_two_domains_make_a_slow_group_where_none_stands():
+    blank = [builders.runner(number) for number in range(20, 25)]
+    bench = planners.Bench(
+        planners.warm(2) + planners.warm(2, start=11, domain="d1") + blank)
+    joins = planners.ordered(bench.step(), orders.Operation.JOIN)
+    assert len(joins) == 4
