Split the model's runner: registration, orders, passes, requests

Three ways to look up a place in a group, and six to change its state and tell so, became one each. The test that watches closes names the new place of the method; its assertions are as they were.

--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any
 
-from cardamommill.experiment import modelrunner, oracle
+from cardamommill.experiment import oracle, rightanswers
 from cardamommill.gateway import clock, eventcutter, upstream
 from cardamommill.platform import words
 
@@ -91,8 +91,8 @@
             self.first_ms = self.first_ms or now_ms
             return
         for event in self._cutter.feed(data):
-            if event.data != modelrunner.event_bytes(self._target,
-                                                     self.next_id):
+            if event.data != rightanswers.event_bytes(self._target,
+                                                      self.next_id):
                 self._judge.broken(
                     "ORDER", f"{self._attempt}: {event.data[:20]!r} in "
                     f"place of {self.next_id}")
@@ -244,5 +244,5 @@
             if receiver.next_id - 1 != -(-answer // stride):
                 self._judge.broken(
                     "ORDER", f"{attempt}: ended after {receiver.next_id - 1}")
-        elif bytes(receiver.body) != modelrunner.plain_body(target):
+        elif bytes(receiver.body) != rightanswers.plain_body(target):
             self._judge.broken("MIXED", f"{attempt}: another body")
--- /dev/null
+++ b/cardamommill/experiment/modelfleet.py
@@ -0,0 +1,216 @@
+"""Runners of the model as the platform lists them, and what they share."""
+
+import asyncio
+import dataclasses
+import json
+import math
+from typing import Any
+
+from cardamommill.experiment import modelstore, oracle, virtualloop
+from cardamommill.gateway import callers, clock, model
+from cardamommill.platform import words
+
+PORT = 8140
+HEARTBEAT_MS = 1200.0
+# Reports that are kept, for answers that lag behind.
+REPORTS_KEPT = 20
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """What all runners of a run share."""
+
+    store: modelstore.ModelStore
+    oracle: oracle.Oracle
+    engines: dict[str, model.Engine]
+    runners: dict[str, "ListedRunner"]
+    loading: int = 0
+    in_lead: bool = True
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """A request at a head."""
+
+    request: callers.CallerRequest
+    reply: callers.Reply
+    attempt: str
+    priority: int
+    to_read: float
+    events_left: int
+    next_id: int
+    running: bool = False
+    gone: bool = False
+
+    def caller_left(self) -> None:
+        """The node closed its connection."""
+        self.gone = True
+
+    def shed(self, runner: str) -> None:
+        """Answers that it did not run at this runner."""
+        self.reply.whole(503, [(words.ATTEMPT_ID, self.attempt),
+                               (words.NOT_EXECUTED, "1"),
+                               (words.AT_SERVER, runner)], b"")
+
+
+class ListedRunner:
+    """What one life of a runner is and holds, and what it tells of it.
+
+    Attributes:
+        pace: How many times as long everything takes.
+        late_orders_ms: If not 0, orders get no answer and are carried out late.
+        begun: Its count of orders.
+        beat_ms: When the platform heard of it last.
+        jobs: The requests that it has.
+    """
+
+    def __init__(self, fleet: Fleet, runner_id: str, host: str, place: str,
+                 domain: str, service: str, slots: int) -> None:
+        self.id = runner_id
+        self.host = host
+        self.place = place
+        self.domain = domain
+        self.service = service
+        self.slots = slots
+        self.fleet = fleet
+        self.leaving = False
+        self.leaving_ms = math.inf
+        self.ended = False
+        self.store_cut = False
+        self.staged: tuple[str, ...] = ()
+        self.last_model = ""
+        self.served = ""
+        self.membership: model.Membership | None = None
+        self.members: tuple[str, ...] = ()
+        self.pace = 1.0
+        self.late_orders_ms = 0.0
+        self.begun = 0
+        self.beat_ms = clock.now_ms()
+        self.jobs: list[Job] = []
+        self._told = b""
+        self._reports: list[tuple[float, dict[str, Any]]] = []
+        fleet.runners[runner_id] = self
+
+    @property
+    def engine(self) -> model.Engine | None:
+        """The arithmetic of its service, where it works in groups."""
+        return self.fleet.engines.get(self.service)
+
+    @property
+    def network(self) -> virtualloop.Network:
+        """The network that it is in."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, virtualloop.VirtualLoop)
+        return loop.network
+
+    @property
+    def dark(self) -> bool:
+        """Whether it neither hears nor speaks."""
+        return self.ended or self.network.host(self.host).dark
+
+    @property
+    def running(self) -> int:
+        """How many of its requests run."""
+        return sum(each.running for each in self.jobs)
+
+    def is_in(self, key: model.GroupKey) -> bool:
+        """Whether it is a member of a group."""
+        return self.membership is not None and self.membership.key == key
+
+    def end(self) -> None:
+        """Ends for good; its entry lapses by itself."""
+        self.ended = True
+
+    def drain(self) -> None:
+        """Tells that it will leave."""
+        self.leaving = True
+        self.leaving_ms = clock.now_ms()
+        self.beat()
+
+    def become(self, state: model.MemberState) -> None:
+        """Changes its state in its group, and tells so."""
+        assert self.membership is not None
+        self.membership = dataclasses.replace(self.membership, state=state)
+        self.beat()
+
+    # What it tells.
+
+    def beat(self) -> None:
+        """Tells what it is; after a change at once."""
+        entry = self._entry()
+        self._reports.append((clock.now_ms(), self._report(entry)))
+        del self._reports[:-REPORTS_KEPT]
+        if self.dark or self.store_cut or self.fleet.store.fault:
+            return
+        self.beat_ms = clock.now_ms()
+        # The platform's rows change when more than the heartbeat does.
+        told = json.dumps(entry | {"seq": 0}).encode()
+        if told != self._told or self.fleet.store.get(words.SERVERS_TABLE,
+                                                      self.id) is None:
+            self._told = told
+            self.fleet.store.put(words.SERVERS_TABLE, self.id, entry)
+
+    def report(self) -> dict[str, Any]:
+        """Returns what it answers when asked: what was true a lag ago."""
+        engine = self.engine
+        lag_ms = engine.report_lag_ms if engine else 0.0
+        told = self._report(self._entry())
+        for at_ms, report in reversed(self._reports):
+            if at_ms <= clock.now_ms() - lag_ms:
+                told = report
+                break
+        return told
+
+    def answer_head(self, job: Job) -> list[tuple[str, str]]:
+        """Returns the head fields of an answer."""
+        running = self.running
+        return [(words.ATTEMPT_ID, job.attempt),
+                (words.SEAL, f"{self.id}.{job.attempt}"),
+                (words.SERVER_LOAD,
+                 f"{running},{len(self.jobs) - running},{self.slots}"),
+                ("Keep-Alive", "timeout=5")]
+
+    def _entry(self) -> dict[str, Any]:
+        entry: dict[str, Any] = {
+            "service": self.service,
+            "address": f"{self.host}:{PORT}",
+            "zone": self.place,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.leaving else "ready",
+            "coldLeftMs": 0,
+            # Heartbeats, unlike the field of this name in a report.
+            "seq": int(clock.now_ms() // HEARTBEAT_MS),
+        }
+        if self.engine is None:
+            return entry
+        entry |= {"domain": self.domain, "staged": list(self.staged)}
+        entry["models"] = [{
+            "name": self.served,
+            "version": 1
+        }] if self.served else []
+        if self.membership is not None:
+            entry["group"] = {
+                "name": self.membership.group,
+                "epoch": self.membership.epoch,
+                "rank": self.membership.rank,
+                "state": self.membership.state.value
+            }
+        return entry
+
+    def _report(self, entry: dict[str, Any]) -> dict[str, Any]:
+        return {
+            key: entry[key]
+            for key in ("domain", "staged", "models", "group")
+            if key in entry
+        } | {
+            "stage": "mixed",
+            "busy": False,
+            "seq": self.begun,
+            "queued": len(self.jobs) - self.running,
+            "active": self.running,
+            "kvUsed": 0,
+            "kvTotal": 1,
+            "handles": 0,
+            "pace": self.pace,
+        }
--- /dev/null
+++ b/cardamommill/experiment/modelpasses.py
@@ -0,0 +1,142 @@
+"""The passes of a group's engine at its head: what each takes and gives."""
+
+import asyncio
+import math
+
+from cardamommill.experiment import modelfleet, rightanswers
+from cardamommill.gateway import model
+from cardamommill.platform import words
+
+# A head whose member is gone notices after this.
+STALL_MS = 4000.0
+QUEUE_PART = 2
+
+
+class Passes:
+    """Reads prompts and makes events for the requests of one runner."""
+
+    def __init__(self, runner: modelfleet.ListedRunner) -> None:
+        self._runner = runner
+        self._passing = False
+
+    def take(self, job: modelfleet.Job) -> modelfleet.Job | None:
+        """Takes a request, or answers that it did not run."""
+        runner = self._runner
+        engine = runner.engine
+        membership = runner.membership
+        assert engine is not None
+        if (membership is None or membership.rank or
+                membership.state is not model.MemberState.OPEN):
+            job.reply.whole(421, [(words.INSTANCE_ID, runner.id),
+                                  (words.ATTEMPT_ID, job.attempt)], b"")
+            return None
+        if job.request.get(words.MODEL) != runner.served:
+            job.reply.whole(421, [(words.INSTANCE_ID, runner.id)], b"")
+            return None
+        if len(runner.jobs) >= engine.slots * (1 + QUEUE_PART):
+            job.shed(runner.id)
+            return None
+        tokens = [
+            int(each)
+            for each in (job.request.get(words.TOKEN_COUNTS) or "").split(",")
+        ]
+        last = int(job.request.get(words.LAST_EVENT_ID) or 0)
+        events = math.ceil(tokens[1] / engine.stride)
+        job.to_read = tokens[0] + last * engine.stride
+        job.next_id = last + 1
+        job.events_left = max(0, events - last)
+        runner.jobs.append(job)
+        if not self._passing:
+            self._passing = True
+            asyncio.get_running_loop().create_task(self._run(membership.key))
+        return job
+
+    def cut(self) -> None:
+        """Drops all requests; those that wait hear that they did not run."""
+        jobs, self._runner.jobs = self._runner.jobs, []
+        for job in jobs:
+            if job.gone:
+                continue
+            if job.running:
+                job.reply.break_off()
+            else:
+                job.shed(self._runner.id)
+
+    async def _run(self, key: model.GroupKey) -> None:
+        runner = self._runner
+        engine = runner.engine
+        assert engine is not None
+        served = engine.model(runner.served)
+        assert served is not None
+        while runner.jobs and not runner.ended:
+            if not runner.is_in(key):
+                self.cut()
+                break
+            if self._missing_member(key):
+                await asyncio.sleep(STALL_MS / 1000)
+                if runner.is_in(key):
+                    runner.become(model.MemberState.BROKEN)
+                self.cut()
+                break
+            await self._one_pass(engine, served, key)
+        self._passing = False
+
+    def _missing_member(self, key: model.GroupKey) -> bool:
+        members = map(self._runner.fleet.runners.__getitem__,
+                      self._runner.members)
+        return any(each.dark or not each.is_in(key) for each in members)
+
+    async def _one_pass(self, engine: model.Engine, served: model.ServedModel,
+                        key: model.GroupKey) -> None:
+        runner = self._runner
+        runner.jobs = [each for each in runner.jobs if not each.gone]
+        waiting = sorted((each for each in runner.jobs if not each.running),
+                         key=lambda each: each.priority)
+        running = [each for each in runner.jobs if each.running]
+        running += waiting[:max(0, engine.slots - len(running))]
+        if not running:
+            await asyncio.sleep(0.001)
+            return
+        budget = engine.chunk_tokens * engine.stride
+        read = 0.0
+        for job in running:
+            job.running = True
+            part = min(job.to_read, budget - read)
+            job.to_read -= part
+            read += part
+        pass_ms = (engine.stride *
+                   (engine.step_ms + len(running) * engine.per_sequence_ms) +
+                   read / engine.read_tokens_per_ms) * self._factor(
+                       engine, served)
+        await asyncio.sleep(pass_ms / 1000)
+        if self._missing_member(key) or runner.dark:
+            return
+        for job in running:
+            if job.to_read <= 0 and not job.gone:
+                self._emit(job, key, served)
+        runner.jobs = [each for each in runner.jobs if not each.reply.ended]
+
+    def _factor(self, engine: model.Engine, served: model.ServedModel) -> float:
+        """Returns how many times as long this group takes for everything."""
+        runners = self._runner.fleet.runners
+        members = [runners[each] for each in self._runner.members]
+        domains = {each.domain for each in members}
+        return served.pace * max(each.pace for each in members) * (
+            engine.far_factor if len(domains) > 1 else 1.0)
+
+    def _emit(self, job: modelfleet.Job, key: model.GroupKey,
+              served: model.ServedModel) -> None:
+        runner = self._runner
+        if not job.reply.started:
+            judge = runner.fleet.oracle
+            judge.begins(job.attempt, runner.id)
+            judge.begins_in_group(job.attempt, key, runner.members, served.size)
+            job.reply.start(200, [("Content-Type", "text/event-stream"),
+                                  *runner.answer_head(job)])
+        if job.events_left > 0:
+            job.reply.piece(
+                rightanswers.event_bytes(job.request.target, job.next_id))
+            job.next_id += 1
+            job.events_left -= 1
+        if job.events_left <= 0:
+            job.reply.end()
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -10,7 +10,7 @@
 from cardamommill.experiment import (
     deployments,
     modelclients,
-    modelrunner,
+    modelfleet,
     modelstore,
     oracle,
     virtualloop,
@@ -34,7 +34,7 @@
     deployment: deployments.Deployment
     loop: virtualloop.VirtualLoop
     chance: random.Random
-    fleet: modelrunner.Fleet
+    fleet: modelfleet.Fleet
     store: modelstore.ModelStore
     judge: oracle.Oracle
     clients: dict[str, modelclients.Clients]
@@ -49,7 +49,7 @@
         """Runs something on a host."""
 
     def add_runner(self, place: str, domain: str,
-                   service: str) -> modelrunner.ModelRunner:
+                   service: str) -> modelfleet.ListedRunner:
         """Starts a runner."""
 
     async def kill_node(self, name: str, for_s: float) -> None:
@@ -73,7 +73,7 @@
             list(self._world.clients))
 
     def _joined(self,
-                trouble: deployments.Trouble) -> list[modelrunner.ModelRunner]:
+                trouble: deployments.Trouble) -> list[modelfleet.ListedRunner]:
         place = self._place(trouble)
         found = [
             each for each in self._world.fleet.runners.values()
@@ -92,7 +92,7 @@
                 self._world.spawn("troubles",
                                   self._lighten(runner, trouble.for_s))
 
-    async def _lighten(self, runner: modelrunner.ModelRunner,
+    async def _lighten(self, runner: modelfleet.ListedRunner,
                        for_s: float) -> None:
         await asyncio.sleep(for_s)
         self._world.loop.network.host(runner.host).dark = False
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -12,6 +12,7 @@
 from cardamommill.experiment import (
     deployments,
     modelclients,
+    modelfleet,
     modelrunner,
     modelstore,
     oracle,
@@ -27,7 +28,7 @@
 PEER_PORT = 7340
 RESTART_S = 0.5
 # A runner's entry lapses after three heartbeats of silence.
-LAPSE_MS = 3 * modelrunner.HEARTBEAT_MS
+LAPSE_MS = 3 * modelfleet.HEARTBEAT_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,7 +107,7 @@
             for name, service in first.services.items()
             if service.engine is not None
         }
-        self.fleet = modelrunner.Fleet(self.store, self.judge, engines, {})
+        self.fleet = modelfleet.Fleet(self.store, self.judge, engines, {})
         self.machines: dict[str, Machine] = {}
         self.clients: dict[str, modelclients.Clients] = {}
         self.standing: list[tuple[float, dict[str, int]]] = []
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -13,7 +13,7 @@
 from cardamommill import exceptions
 from cardamommill.experiment import (
     deployments,
-    modelrunner,
+    modelorders,
     oracle,
     virtualloop,
     world,
@@ -171,13 +171,13 @@
     get their whole answers, and no runner is in two groups meanwhile.
     """
     closed = []
-    close = modelrunner.ModelRunner._close
+    close = modelorders.Orders._close
 
-    def noted(runner, order):
+    def noted(orders, order):
         closed.append(order["group"])
-        return close(runner, order)
+        return close(orders, order)
 
-    monkeypatch.setattr(modelrunner.ModelRunner, "_close", noted)
+    monkeypatch.setattr(modelorders.Orders, "_close", noted)
     deaths = [
         trouble("runners_dark", at_s=1.0 + 0.8 * number, count=2, place="a")
         for number in range(5)
