Split the simulated loop: the network, and the loop on it

The network is `virtualnetwork` now (288 lines); its transports are given loop and network, and no longer know the loop's class.

--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -6,7 +6,12 @@
 import math
 from typing import Any
 
-from cardamommill.experiment import modelstore, oracle, virtualloop
+from cardamommill.experiment import (
+    modelstore,
+    oracle,
+    virtualloop,
+    virtualnetwork,
+)
 from cardamommill.gateway import callers, clock, model
 from cardamommill.platform import words
 
@@ -97,7 +102,7 @@
         return self.fleet.engines.get(self.service)
 
     @property
-    def network(self) -> virtualloop.Network:
+    def network(self) -> virtualnetwork.Network:
         """The network that it is in."""
         loop = asyncio.get_running_loop()
         assert isinstance(loop, virtualloop.VirtualLoop)
--- /dev/null
+++ b/cardamommill/experiment/virtualnetwork.py
@@ -0,0 +1,288 @@
+"""A simulated network: hosts, connections, datagrams, delays and cuts."""
+
+import asyncio
+from collections.abc import Callable
+import contextvars
+import dataclasses
+import random
+from typing import Any
+
+from cardamommill import units
+
+Address = tuple[str, int]
+
+# Timers of one moment run in no certain order, packets do.
+NEXT_S = 1e-9
+
+# Whose code is running: connections begin at this host.
+HOST: contextvars.ContextVar[str] = contextvars.ContextVar("host",
+                                                           default="client")
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """A machine of the model.
+
+    Attributes:
+        place: Its data centre.
+        dark: Whether it neither sends nor receives.
+        life: Counts its restarts; what an earlier life sent is lost.
+    """
+
+    place: str = ""
+    dark: bool = False
+    life: int = 0
+
+
+class Network:
+    """Links between hosts, with delays and cuts."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self.hosts: dict[str, Host] = {}
+        self.listeners: dict[Address, Callable[[], asyncio.Protocol]] = {}
+        self.datagrams: dict[Address, asyncio.DatagramProtocol] = {}
+        self.transports: dict[FakeTransport, None] = {}
+        self.in_place_ms = 0.2
+        self.between_places_ms = 1.4
+        self.loss = 0.0
+        self._cut: set[frozenset[str]] = set()
+        self._chance = chance
+
+    def host(self, name: str) -> Host:
+        """Returns a host, new with its first use."""
+        return self.hosts.setdefault(name, Host())
+
+    def cut(self, one: str, other: str) -> None:
+        """Cuts two hosts from each other."""
+        self._cut.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Mends all cuts."""
+        self._cut.clear()
+
+    def reaches(self, source: str, target: str) -> bool:
+        """Whether what one host sends arrives at another."""
+        if self.host(source).dark or self.host(target).dark:
+            return False
+        return frozenset((source, target)) not in self._cut
+
+    def delay_s(self, source: str, target: str) -> float:
+        """Returns how long a packet takes."""
+        same = self.host(source).place == self.host(target).place
+        base_ms = self.in_place_ms if same else self.between_places_ms
+        return base_ms * self._chance.uniform(1.0, 1.1) / units.MS_PER_S
+
+    def lost(self) -> bool:
+        """Whether a datagram is lost."""
+        return self._chance.random() < self.loss
+
+    def reset_connections(self, name: str) -> None:
+        """Resets all connections of a host, which listens on."""
+        for transport in [
+                each for each in self.transports if each.host == name
+        ]:
+            transport.abort()
+
+    def end_processes(self, name: str) -> None:
+        """Ends all that a host has open; peers see resets unless it is dark."""
+        host = self.host(name)
+        host.life += 1
+        for address in [each for each in self.listeners if each[0] == name]:
+            del self.listeners[address]
+        for address in [each for each in self.datagrams if each[0] == name]:
+            del self.datagrams[address]
+        for transport in [
+                each for each in self.transports if each.host == name
+        ]:
+            transport.vanish(reset=not host.dark)
+
+
+class FakeTransport(asyncio.Transport):
+    """One end of a simulated connection."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, network: Network,
+                 host: str, peer_host: str,
+                 protocol: asyncio.BaseProtocol) -> None:
+        super().__init__()
+        self.host = host
+        self._loop = loop
+        self._network = network
+        self._peer_host = peer_host
+        self._protocol = protocol
+        self._peer: FakeTransport | None = None
+        self._closing = False
+        self._paused = False
+        self._held: list[bytes] = []
+        self._last_s = 0.0
+        network.transports[self] = None
+
+    def join(self, peer: "FakeTransport") -> None:
+        """Names the other end."""
+        self._peer = peer
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Knows nothing; see asyncio."""
+        del name
+        return default
+
+    def is_closing(self) -> bool:
+        """See asyncio."""
+        return self._closing
+
+    def get_write_buffer_size(self) -> int:
+        """All is sent at once; see asyncio."""
+        return 0
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """See asyncio."""
+        self._protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        """See asyncio."""
+        return self._protocol
+
+    def pause_reading(self) -> None:
+        """See asyncio."""
+        self._paused = True
+
+    def resume_reading(self) -> None:
+        """See asyncio."""
+        self._paused = False
+        held, self._held = self._held, []
+        for data in held:
+            self._loop.call_soon(self._receive, data)
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends; see asyncio."""
+        if not self._closing and data:
+            self._pass(self._deliver, bytes(data))
+
+    def close(self) -> None:
+        """Ends after what was sent; see asyncio."""
+        self._end(None)
+
+    def abort(self) -> None:
+        """Ends at once; see asyncio."""
+        self._end(ConnectionResetError("reset by peer"))
+
+    def vanish(self, reset: bool) -> None:
+        """Its process is gone: the peer hears of it, or never does."""
+        if reset:
+            self._pass(self._lose_peer, ConnectionResetError("reset by peer"))
+        self._closing = True
+        self._network.transports.pop(self, None)
+
+    def _end(self, error: Exception | None) -> None:
+        if self._closing:
+            return
+        self._closing = True
+        self._network.transports.pop(self, None)
+        self._pass(self._lose_peer, error)
+        self._loop.call_soon(self._protocol.connection_lost, None)
+
+    def _pass(self, act: Callable[[Any], None], what: Any) -> None:
+        # In order: a later packet never overtakes an earlier one.
+        at_s = max(
+            self._loop.time() +
+            self._network.delay_s(self.host, self._peer_host),
+            self._last_s + NEXT_S)
+        self._last_s = at_s
+        self._loop.call_at(at_s, self._arrive, act, what)
+
+    def _arrive(self, act: Callable[[Any], None], what: Any) -> None:
+        # Bytes that meet a cut are lost with their connection.
+        if self._network.reaches(self.host, self._peer_host):
+            act(what)
+
+    def _deliver(self, data: bytes) -> None:
+        if self._peer is not None:
+            self._peer.receive(data)
+
+    def receive(self, data: bytes) -> None:
+        """Takes bytes from the other end."""
+        if self._closing:
+            return
+        if self._paused:
+            self._held.append(data)
+            return
+        self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        if self._closing:
+            return
+        token = HOST.set(self.host)
+        try:
+            assert isinstance(self._protocol, asyncio.Protocol)
+            self._protocol.data_received(data)
+        finally:
+            HOST.reset(token)
+
+    def _lose_peer(self, error: Exception | None) -> None:
+        if self._peer is not None:
+            self._peer.lose(error)
+
+    def lose(self, error: Exception | None) -> None:
+        """Hears that the other end is gone."""
+        if self._closing:
+            return
+        token = HOST.set(self.host)
+        try:
+            if error is None and isinstance(self._protocol, asyncio.Protocol):
+                self._protocol.eof_received()
+            self._closing = True
+            self._network.transports.pop(self, None)
+            self._protocol.connection_lost(error)
+        finally:
+            HOST.reset(token)
+
+
+class FakeServer:
+    """What create_server returns."""
+
+    def __init__(self, network: Network, address: Address) -> None:
+        self._network = network
+        self._address = address
+
+    def close(self) -> None:
+        """Takes no more connections."""
+        self._network.listeners.pop(self._address, None)
+
+    def is_serving(self) -> bool:
+        """See asyncio."""
+        return self._address in self._network.listeners
+
+    async def wait_closed(self) -> None:
+        """See asyncio."""
+
+
+class FakeDatagrams(asyncio.DatagramTransport):
+    """A bound datagram socket."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, network: Network,
+                 address: Address) -> None:
+        super().__init__()
+        self._loop = loop
+        self._network = network
+        self._address = address
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        """Sends; see asyncio."""
+        source, target = self._address[0], addr[0]
+        if self._network.lost() or not self._network.reaches(source, target):
+            return
+        self._loop.call_later(self._network.delay_s(source, target),
+                              self._arrive, bytes(data), addr)
+
+    def _arrive(self, data: bytes, addr: Address) -> None:
+        protocol = self._network.datagrams.get(addr)
+        if protocol is None:
+            return
+        token = HOST.set(addr[0])
+        try:
+            protocol.datagram_received(data, self._address)
+        finally:
+            HOST.reset(token)
+
+    def close(self) -> None:
+        """See asyncio."""
+        self._network.datagrams.pop(self._address, None)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -18,6 +18,7 @@
     oracle,
     troubles,
     virtualloop,
+    virtualnetwork,
 )
 from cardamommill.gateway import clock, entrynode, entrysettings, upstream
 from cardamommill.platform import configurations, words
@@ -148,7 +149,7 @@
     def spawn(self, host: str, work: Any) -> asyncio.Task[Any]:
         """Runs something as the process of a host."""
         context = contextvars.copy_context()
-        context.run(virtualloop.HOST.set, host)
+        context.run(virtualnetwork.HOST.set, host)
         task = self.loop.create_task(work, context=context)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
