--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -1,5 +1,7 @@
 """A world with a fleet in it, for tests of the planner and its neighbours."""
 
+import dataclasses
+
 import yaml
 
 from cardamommill import (
@@ -129,3 +131,30 @@
         if each.alive and not each.paused and
         leases.may_order(each.decisions.board.lease, made.local_ms(name))
     ]
+
+
+def lose(made, vm_id):
+    """Has a VM fall silent for good."""
+    made.runners[vm_id].up = False
+
+
+def set_state(made, vm_id, state):
+    """Has the platform list a VM in another state."""
+    runner = made.runners[vm_id]
+    runner.vm = dataclasses.replace(runner.vm, state=state)
+
+
+def causes(made):
+    """Returns what happened to all replicas, in order."""
+    return [cause.event for row in replicas(made) for cause in row.causes]
+
+
+def down_ms(made, until_ms, service="assist-llm", name="n0", step_ms=100):
+    """Returns for how long some wanted replica did not serve."""
+    wanted = len(serving_now(made, service, name))
+    lost_ms = 0
+    for _ in range(0, until_ms, step_ms):
+        made.run(step_ms)
+        if len(serving_now(made, service, name)) < wanted:
+            lost_ms += step_ms
+    return lost_ms
