Forget old alarms where other old times are forgotten

The alias of what runs something beside all else is the keeper's. A new test holds that all of it is forgotten, and not sooner. Behaviour is as it was. Looked at and left: the constructors of Alarms and Dispatcher are alike in shape alone, since each keeps other collaborators; a common piece would add a layer and take nothing away.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -1,8 +1,8 @@
 """Groups that fall silent: noticed, asked, told to other nodes."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import TypeVar
 
 import logbook
 
@@ -21,6 +21,8 @@
 PROBE_AGAIN_MS = 400.0
 # News that others need is told for this long, since datagrams get lost.
 NEWS_MS = 700.0
+# Nothing that is this old is of any use here.
+FORGET_MS = 10 * NEWS_MS
 # Runners of a data centre that is heard again are asked, but not twice for the
 # return of two nodes.
 BACK_ASK_MS = 250.0
@@ -31,6 +33,7 @@
 _LOG = logbook.Logger("alarms")
 
 _Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
 
 
 class Alarms:
@@ -41,8 +44,7 @@
                  keeper: groupkeeper.GroupKeeper, figures: metrics.Metrics,
                  confirmed_ms: float, plans_for: Callable[[model.GroupKey],
                                                           bool],
-                 spread: Callable[[], None],
-                 spawn: Callable[[Coroutine[Any, Any, None]], None]) -> None:
+                 spread: Callable[[], None], spawn: groupkeeper.Spawn) -> None:
         """Makes it.
 
         Args:
@@ -80,12 +82,10 @@
 
     def forget(self, now_ms: float) -> None:
         """Forgets old alarms."""
-        for key, (at_ms, _) in list(self._alarms.items()):
-            if now_ms - at_ms > 10 * NEWS_MS:
-                del self._alarms[key]
-        _forget_old(self._probed_ms, now_ms)
-        _forget_old(self._asked_by_peer_ms, now_ms)
-        _forget_old(self._asked_again_ms, now_ms)
+        _forget_old(self._alarms, lambda alarm: alarm[0], now_ms)
+        _forget_old(self._probed_ms, float, now_ms)
+        _forget_old(self._asked_by_peer_ms, float, now_ms)
+        _forget_old(self._asked_again_ms, float, now_ms)
 
     def look(self, now_ms: float) -> None:
         """Finds groups that have newly fallen silent, or stand still."""
@@ -248,7 +248,8 @@
             self.probe(alarm.key, f"alarm of {peer}")
 
 
-def _forget_old(times: dict[_Key, float], now_ms: float) -> None:
-    for key, at_ms in list(times.items()):
-        if now_ms - at_ms > 10 * NEWS_MS:
-            del times[key]
+def _forget_old(table: dict[_Key, _Value], at_ms: Callable[[_Value], float],
+                now_ms: float) -> None:
+    for key, value in list(table.items()):
+        if now_ms - at_ms(value) > FORGET_MS:
+            del table[key]
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -281,3 +281,29 @@
     assert bench.spoken == 4
     assert sum(reason == "member does not answer"
                for reason in bench.relay.reasons) >= 2
+
+
+def test_what_is_old_is_forgotten():
+    """A node lives for months, and each group has a name of its own.
+
+    What is kept of each that ever fell silent would fill the process.
+    """
+
+    def script(bench):
+        bench.keeper.dead = {"i-0"}
+        bench.alarms.hear(peermessage.Alarm(OTHER, 10.0, False), "n2",
+                          clock.now_ms())
+        bench.fall_silent()
+
+    def kept(bench):
+        return [
+            bench.alarms._alarms, bench.alarms._probed_ms,
+            bench.alarms._asked_by_peer_ms
+        ]
+
+    bench = play(script)
+    known_ms = max(bench.alarms._probed_ms.values())
+    bench.alarms.forget(known_ms + alarms.FORGET_MS - 200)
+    assert all(kept(bench))
+    bench.alarms.forget(known_ms + alarms.FORGET_MS + 200)
+    assert not any(kept(bench))
