Measure callers' time by the clock that runs while the VM sleeps

A caller that went while the VM was suspended held its socket and what it had sent for its whole time once more, since connection.py read a clock that stands still meanwhile. It now reads CLOCK_BOOTTIME, and so does curlloop.py, so that one clock is read for such waits; the gateway's clock reads the same function, now in `boottime` (the file that is shipped holds no gateway, so the node could not read its module). libcurl keeps its own clock, which stands still: told too early that its time is over it sets its timer anew, so a transfer ends by libcurl's time as before. Awake, both clocks run alike and nothing changes.

Not changed: `loop.now_ms`, by which the node decides, still stands still.

--- a/cardamommill/connection.py
+++ b/cardamommill/connection.py
@@ -5,10 +5,9 @@
 import socket
 import ssl
 import threading
-import time
 from typing import Protocol
 
-from cardamommill import http1, settings, units
+from cardamommill import boottime, http1, settings
 
 RECEIVE_BYTES = 65_536
 
@@ -17,8 +16,12 @@
 
 
 def now_ms() -> int:
-    """Returns the local monotonic time."""
-    return int(time.monotonic() * units.MS_PER_S)
+    """Returns whole milliseconds on a clock that goes on while the VM sleeps.
+
+    On one that stands still meanwhile, callers that went
+    meanwhile would hold sockets and buffers for their whole time once more.
+    """
+    return int(boottime.now_ms())
 
 
 class Owner(Protocol):
--- a/cardamommill/curlloop.py
+++ b/cardamommill/curlloop.py
@@ -6,13 +6,12 @@
 import queue
 import selectors
 import socket
-import time
 from typing import Self
 
 import logbook
 import pycurl
 
-from cardamommill import units
+from cardamommill import boottime, units
 
 log = logbook.Logger("curlloop")
 
@@ -45,7 +44,7 @@
         self._selector = selectors.DefaultSelector()
         self._multi = pycurl.CurlMulti()
         self._done: dict[pycurl.Curl, Done] = {}
-        self._due_at_s: float | None = None
+        self._due_at_ms: float | None = None
         self._closing = False
 
     def __enter__(self) -> Self:
@@ -96,16 +95,17 @@
                 self._handle(key, mask)
             # Looked at in each round: sockets that are always ready would
             # else keep every timeout of libcurl from being seen.
-            if self._due_at_s is not None and self._wait_s() == 0:
-                self._due_at_s = None
+            if self._due_at_ms is not None and self._wait_s() == 0:
+                self._due_at_ms = None
                 self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
             self._collect()
         self._multi.close()
 
     def _wait_s(self) -> float:
-        if self._due_at_s is None:
+        if self._due_at_ms is None:
             return MAX_SLEEP_S
-        return max(0.0, min(MAX_SLEEP_S, self._due_at_s - time.monotonic()))
+        left_ms = self._due_at_ms - boottime.now_ms()
+        return max(0.0, min(MAX_SLEEP_S, left_ms / units.MS_PER_S))
 
     def _handle(self, key: selectors.SelectorKey, mask: int) -> None:
         if key.fileobj is self._wake_in:
@@ -162,5 +162,7 @@
             self._selector.register(descriptor, wanted)
 
     def _set_timer(self, timeout_ms: int) -> None:
-        self._due_at_s = (None if timeout_ms < 0 else time.monotonic() +
-                          timeout_ms / units.MS_PER_S)
+        # libcurl's own clock stands still while the VM sleeps. Told that the
+        # time is over when by its clock it is not, it sets its timer anew.
+        self._due_at_ms = (None if timeout_ms < 0 else boottime.now_ms() +
+                           timeout_ms)
--- a/cardamommill/gateway/clock.py
+++ b/cardamommill/gateway/clock.py
@@ -2,16 +2,10 @@
 
 from collections.abc import Callable, Iterator
 import contextlib
-import time
 
-from cardamommill import units
+from cardamommill import boottime
 
-
-def _boot_time_ms() -> float:
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / units.NS_PER_MS
-
-
-_read: Callable[[], float] = _boot_time_ms
+_read: Callable[[], float] = boottime.now_ms
 
 
 def now_ms() -> float:
