Give the model's kinds of requests their figures in one place

The defaults of `modelclients.Kind` repeated those of the deployment's file (`deployments.KindSpec`), which passes every one of them: they were never used and could only come apart.

--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -16,24 +16,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
-    """A kind of request; see the deployment's file."""
+    """A kind of request; see the deployment's file, which gives all figures."""
 
     name: str
     host: str
     prefix: str
     service: str
     per_s: float
-    method: str = "POST"
-    model: str = ""
-    prompt_tokens: float = 0.0
-    answer_tokens: float = 0.0
-    goal_ms: float = 200.0
-    gap_goal_ms: float = 300.0
-    deadline_ms: float = 5000.0
-    repeatable: bool = True
-    streaming: bool = True
-    worth: float = 1.0
-    late_worth: float = 0.25
+    method: str
+    model: str
+    prompt_tokens: float
+    answer_tokens: float
+    goal_ms: float
+    gap_goal_ms: float
+    deadline_ms: float
+    repeatable: bool
+    streaming: bool
+    worth: float
+    late_worth: float
 
 
 @dataclasses.dataclass(slots=True)
