Check what the platform writes by one base

The base of checked objects stood in `entries` and `configurations`, and so did the rule that an empty object means none: both are in `wire` now. Behaviour is as it was.

--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -7,20 +7,17 @@
 
 from cardamommill import exceptions, units
 from cardamommill.gateway import model
+from cardamommill.platform import wire
 
 DEFAULT_PRIORITY = 5
 
 
-class _Wire(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
-
-
-class _Backend(_Wire):
+class _Backend(wire.Wire):
     service: str
     weight: float = 1.0
 
 
-class _Route(_Wire):
+class _Route(wire.Wire):
     """A route.
 
     Attributes:
@@ -48,7 +45,7 @@
         return value or ()
 
 
-class _Model(_Wire):
+class _Model(wire.Wire):
     name: str
     size: int = 1
     share: float = 0.0
@@ -57,12 +54,12 @@
     warmS: float = 0.0  # noqa: N815
 
 
-class _Usual(_Wire):
+class _Usual(wire.Wire):
     prompt: float = 500.0
     answer: float = 100.0
 
 
-class _Engine(_Wire):
+class _Engine(wire.Wire):
     slots: int = 1
     kvCapacity: int = 0  # noqa: N815
     stride: int = 1
@@ -81,32 +78,27 @@
     far_x: float = 1.0
 
 
-class _Service(_Wire):
+class _Service(wire.Wire):
     name: str
     healthPath: str = "/"  # noqa: N815
     maxConns: int = 64  # noqa: N815
-    engine: _Engine | None = None
-
-    @pydantic.field_validator("engine", mode="before")
-    @classmethod
-    def _none_for_empty(cls, value: Any) -> Any:
-        return value or None
+    engine: Annotated[_Engine | None, wire.NONE_IF_EMPTY] = None
 
 
-class _Limits(_Wire):
+class _Limits(wire.Wire):
     headerBytes: int = 16_384  # noqa: N815
     bodyBytes: int = 4_194_304  # noqa: N815
     headerMs: int = 3000  # noqa: N815
     idleMs: int = 15_000  # noqa: N815
 
 
-class _Tenant(_Wire):
+class _Tenant(wire.Wire):
     name: str
     apiKeys: tuple[str, ...] = ()  # noqa: N815
     priority: int | None = None
 
 
-class _Configuration(_Wire):
+class _Configuration(wire.Wire):
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -7,30 +7,25 @@
 
 from cardamommill import exceptions
 from cardamommill.gateway import model
-from cardamommill.platform import words
+from cardamommill.platform import wire, words
 
 _STATES = {each.value: each for each in model.MemberState}
 
+_T = TypeVar("_T", bound=wire.Wire)
 
-class _Wire(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
-
-_T = TypeVar("_T", bound=_Wire)
-
-
-class _WireModel(_Wire):
+class _WireModel(wire.Wire):
     name: str
 
 
-class _WireGroup(_Wire):
+class _WireGroup(wire.Wire):
     name: str
     epoch: int
     rank: int
     state: str
 
 
-class _WireStanding(_Wire):
+class _WireStanding(wire.Wire):
     """What an entry and a report share.
 
     Attributes:
@@ -41,12 +36,7 @@
     domain: str | int = ""
     staged: tuple[str | _WireModel, ...] = ()
     models: tuple[_WireModel, ...] = ()
-    group: _WireGroup | None = None
-
-    @pydantic.field_validator("group", mode="before")
-    @classmethod
-    def _no_group(cls, value: Any) -> Any:
-        return value or None
+    group: Annotated[_WireGroup | None, wire.NONE_IF_EMPTY] = None
 
 
 class _WireEntry(_WireStanding):
