Check files that people write by one base

The strict base of checked objects stood in four modules (documents, settings, the gateway's settings, experiments); it is `documents.Checked` now. Behaviour is as it was.

--- a/cardamommill/documents.py
+++ b/cardamommill/documents.py
@@ -17,7 +17,9 @@
                      pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 
 
-class _Model(pydantic.BaseModel):
+class Checked(pydantic.BaseModel):
+    """An object of a file; a field that it does not know is a fault."""
+
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
@@ -35,7 +37,7 @@
     PREFER = "prefer"
 
 
-class Engine(_Model):
+class Engine(Checked):
     """What this service's backend servers can do.
 
     Attributes:
@@ -50,7 +52,7 @@
     can_resume: bool = False
 
 
-class Capacity(_Model):
+class Capacity(Checked):
     """What a service gets in one data centre.
 
     Attributes:
@@ -62,7 +64,7 @@
     spares: Annotated[int, pydantic.Field(ge=0, le=1000)] = 0
 
 
-class Route(_Model):
+class Route(Checked):
     """What holds for calls of a path.
 
     Attributes:
@@ -77,7 +79,7 @@
     repeatable: bool = True
 
 
-class Limits(_Model):
+class Limits(Checked):
     """Limits of a service on each node.
 
     Attributes:
@@ -95,7 +97,7 @@
     retry_fraction: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
 
 
-class Account(_Model):
+class Account(Checked):
     """A client account.
 
     Attributes:
@@ -118,7 +120,7 @@
     top_priority: Annotated[int, pydantic.Field(ge=1, le=9)] = 1
 
 
-class Costs(_Model):
+class Costs(Checked):
     """How the planner weighs what repair costs.
 
     Attributes:
@@ -136,7 +138,7 @@
     unshared_slowdown: Annotated[float, pydantic.Field(ge=1)] = 4.0
 
 
-class Document(_Model):
+class Document(Checked):
     """All that a team says of its service.
 
     Attributes:
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -5,15 +5,11 @@
 
 import pydantic
 
-from cardamommill import settings
+from cardamommill import documents, settings
 from cardamommill.experiment import modelclients
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class ModelSpec(_Model):
+class ModelSpec(documents.Checked):
     """A model that runs in groups; see `gateway.model.ServedModel`."""
 
     name: str
@@ -24,7 +20,7 @@
     warm_s: float = 1.6
 
 
-class EngineSpec(_Model):
+class EngineSpec(documents.Checked):
     """The engine's arithmetic, with figures of today's runners."""
 
     slots: int = 13
@@ -41,7 +37,7 @@
     far_factor: float = 2.5
 
 
-class KindSpec(_Model):
+class KindSpec(documents.Checked):
     """A kind of request; see `modelclients.Kind`."""
 
     name: str
@@ -57,7 +53,7 @@
     late_worth: float = 0.25
 
 
-class Trouble(_Model):
+class Trouble(documents.Checked):
     """Something that happens to the model.
 
     Attributes:
@@ -81,7 +77,7 @@
     factor: float = 1.0
 
 
-class Deployment(_Model):
+class Deployment(documents.Checked):
     """One experiment's world.
 
     Attributes:
--- a/cardamommill/gateway/entrysettings.py
+++ b/cardamommill/gateway/entrysettings.py
@@ -8,11 +8,7 @@
 from cardamommill import documents, settings
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class Bounds(_Model):
+class Bounds(documents.Checked):
     """What the operators promise their users; the node keeps to it.
 
     Attributes:
@@ -38,7 +34,7 @@
     pass_ms: Annotated[float, pydantic.Field(gt=0)] = 120
 
 
-class EntrySettings(_Model):
+class EntrySettings(documents.Checked):
     """All settings of the process of an entry VM.
 
     Attributes:
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -14,11 +14,7 @@
 _T = TypeVar("_T", bound=pydantic.BaseModel)
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class CallerSide(_Model):
+class CallerSide(documents.Checked):
     """Limits towards callers.
 
     Attributes:
@@ -53,7 +49,7 @@
     tls_key: str = ""
 
 
-class OperatorSide(_Model):
+class OperatorSide(documents.Checked):
     """The operators' port.
 
     Attributes:
@@ -66,7 +62,7 @@
                           pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 
 
-class PeerSide(_Model):
+class PeerSide(documents.Checked):
     """The port for other nodes.
 
     Attributes:
@@ -86,7 +82,7 @@
     tls_authority: str = ""
 
 
-class Platform(_Model):
+class Platform(documents.Checked):
     """The platform's service.
 
     Attributes:
@@ -96,7 +92,7 @@
     address: Address
 
 
-class Tracing(_Model):
+class Tracing(documents.Checked):
     """Where spans go.
 
     Attributes:
@@ -108,7 +104,7 @@
     otlp_address: str = ""
 
 
-class Logging(_Model):
+class Logging(documents.Checked):
     """What is logged.
 
     Attributes:
@@ -123,7 +119,7 @@
     file: str = ""
 
 
-class Settings(_Model):
+class Settings(documents.Checked):
     """All settings of a node.
 
     Attributes:
