--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any
 
-from cardamommill.experiment import modelrunner, oracle
+from cardamommill.experiment import oracle, rightanswers
 from cardamommill.gateway import clock, eventcutter, upstream
 from cardamommill.platform import words
 
@@ -16,24 +16,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Kind:
-    """A kind of request; see the deployment's file."""
+    """A kind of request; see the deployment's file, which gives all figures."""
 
     name: str
     host: str
     prefix: str
     service: str
     per_s: float
-    method: str = "POST"
-    model: str = ""
-    prompt_tokens: float = 0.0
-    answer_tokens: float = 0.0
-    goal_ms: float = 200.0
-    gap_goal_ms: float = 300.0
-    deadline_ms: float = 5000.0
-    repeatable: bool = True
-    streaming: bool = True
-    worth: float = 1.0
-    late_worth: float = 0.25
+    method: str
+    model: str
+    prompt_tokens: float
+    answer_tokens: float
+    goal_ms: float
+    gap_goal_ms: float
+    deadline_ms: float
+    repeatable: bool
+    streaming: bool
+    worth: float
+    late_worth: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,8 +91,8 @@
             self.first_ms = self.first_ms or now_ms
             return
         for event in self._cutter.feed(data):
-            if event.data != modelrunner.event_bytes(self._target,
-                                                     self.next_id):
+            if event.data != rightanswers.event_bytes(self._target,
+                                                      self.next_id):
                 self._judge.broken(
                     "ORDER", f"{self._attempt}: {event.data[:20]!r} in "
                     f"place of {self.next_id}")
@@ -248,5 +248,5 @@
             if receiver.next_id - 1 != -(-answer // stride):
                 self._judge.broken(
                     "ORDER", f"{attempt}: ended after {receiver.next_id - 1}")
-        elif bytes(receiver.body) != modelrunner.plain_body(target):
+        elif bytes(receiver.body) != rightanswers.plain_body(target):
             self._judge.broken("MIXED", f"{attempt}: another body")
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -12,11 +12,13 @@
 from cardamommill.experiment import (
     deployments,
     modelclients,
+    modelfleet,
     modelrunner,
     modelstore,
     oracle,
     troubles,
     virtualloop,
+    virtualnetwork,
 )
 from cardamommill.gateway import clock, entrynode, entrysettings, upstream
 from cardamommill.platform import configurations, words
@@ -27,7 +29,7 @@
 PEER_PORT = 7340
 RESTART_S = 0.5
 # A runner's entry lapses after three heartbeats of silence.
-LAPSE_MS = 3 * modelrunner.HEARTBEAT_MS
+LAPSE_MS = 3 * modelfleet.HEARTBEAT_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,7 +108,7 @@
             for name, service in first.services.items()
             if service.engine is not None
         }
-        self.fleet = modelrunner.Fleet(self.store, self.judge, engines, {})
+        self.fleet = modelfleet.Fleet(self.store, self.judge, engines, {})
         self.machines: dict[str, Machine] = {}
         self.clients: dict[str, modelclients.Clients] = {}
         self.standing: list[tuple[float, dict[str, int]]] = []
@@ -147,7 +149,7 @@
     def spawn(self, host: str, work: Any) -> asyncio.Task[Any]:
         """Runs something as the process of a host."""
         context = contextvars.copy_context()
-        context.run(virtualloop.HOST.set, host)
+        context.run(virtualnetwork.HOST.set, host)
         task = self.loop.create_task(work, context=context)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/experiment/test_modelclients.py
+++ b/tests/experiment/test_modelclients.py
@@ -6,15 +6,30 @@
 
 from cardamommill.experiment import (
     modelclients,
-    modelrunner,
     oracle,
+    rightanswers,
     virtualloop,
 )
 from cardamommill.gateway import callers, clock
 from cardamommill.platform import words
 
 ADDRESS = ("10.1.0.1", 8000)
-KIND = modelclients.Kind("drafts", "h", "/v/", "s", per_s=5.0, answer_tokens=40)
+KIND = modelclients.Kind(name="drafts",
+                         host="h",
+                         prefix="/v/",
+                         service="s",
+                         per_s=5.0,
+                         method="POST",
+                         model="",
+                         prompt_tokens=0.0,
+                         answer_tokens=40,
+                         goal_ms=200.0,
+                         gap_goal_ms=300.0,
+                         deadline_ms=5000.0,
+                         repeatable=True,
+                         streaming=True,
+                         worth=1.0,
+                         late_worth=0.25)
 
 
 class World:
@@ -39,7 +54,7 @@
         reply.start(200, [(words.ATTEMPT_ID, request.get(words.ATTEMPT_ID)),
                           (words.SEAL, "s")])
         for number in (1, 2):
-            reply.piece(modelrunner.event_bytes(request.target, number))
+            reply.piece(rightanswers.event_bytes(request.target, number))
         connection = next(iter(server.connections))
         connection.write(behind_events)
         connection.close()
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamommill.experiment import virtualloop
+from cardamommill.experiment import virtualloop, virtualnetwork
 from cardamommill.gateway import clock, upstream
 
 ADDRESS = ("10.9.0.1", 8080)
@@ -122,7 +122,7 @@
     Its first send fails: nothing was taken, so another runner may be tried.
     """
 
-    class Refusing(virtualloop.FakeTransport):
+    class Refusing(virtualnetwork.FakeTransport):
 
         def write(self, data):
             del data
