--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -132,7 +132,8 @@
         del pool
         endings = []
         connection = upstream.Connection(lambda _: None)
-        transport = Refusing(asyncio.get_running_loop(), "a", "b", connection)
+        loop = asyncio.get_running_loop()
+        transport = Refusing(loop, loop.network, "a", "b", connection)
         connection.connection_made(transport)
 
         class Receiver:
