Time the flat node's decisions by the clock that goes on while the VM sleeps

Found in a reading of clocks: leases, evidence and the look for pauses went by a clock that stands still during suspension, so the holder of a lease that slept through it took it for valid.

--- a/cardamommill/loop.py
+++ b/cardamommill/loop.py
@@ -8,7 +8,14 @@
 import types
 from typing import Any, Self, TypeVar
 
-from cardamommill import actions, events, exceptions, units, walltime
+from cardamommill import (
+    actions,
+    boottime,
+    events,
+    exceptions,
+    units,
+    walltime,
+)
 from cardamommill import board as board_lib
 from cardamommill import decisions as decisions_lib
 
@@ -18,8 +25,12 @@
 
 
 def now_ms() -> int:
-    """Returns the local monotonic time that all decisions are made by."""
-    return time.monotonic_ns() // units.NS_PER_MS
+    """Returns the local time that all decisions are made by.
+
+    It goes on while the VM sleeps: by a clock that stands still then, the
+    holder of a lease took it for valid after others had taken it over.
+    """
+    return int(boottime.now_ms())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,6 +5,7 @@
 
 from cardamommill import (
     actions,
+    boottime,
     controller,
     decisions,
     events,
@@ -82,3 +83,16 @@
         broken = control.ask(lambda decided, now_ms: 1 // 0)
         assert isinstance(broken.exception(WAIT_S), ZeroDivisionError)
         assert control.ask(lambda decided, now_ms: 5).result(WAIT_S) == 5
+
+
+def test_decisions_age_what_they_know_while_the_vm_sleeps(monkeypatch):
+    """The VM of a planner is suspended for longer than its lease.
+
+    By a clock that stands still meanwhile no time has passed: it would take
+    the lease for its own though another node has taken it over.
+    """
+    read = boottime.now_ms
+    before_ms = loop.now_ms()
+    slept_ms = 2 * periods.Periods().lease_ms
+    monkeypatch.setattr(boottime, "now_ms", lambda: read() + slept_ms)
+    assert loop.now_ms() - before_ms >= slept_ms
