--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -93,6 +93,6 @@
     """
     read = boottime.now_ms
     before_ms = loop.now_ms()
-    slept_ms = 2 * periods.Periods().lease_ms
+    slept_ms = 2 * periods.Timing().lease_ms
     monkeypatch.setattr(boottime, "now_ms", lambda: read() + slept_ms)
     assert loop.now_ms() - before_ms >= slept_ms
