--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cardamommill.experiment import oracle, rightanswers
-from cardamommill.gateway import clock, eventcutter, upstream
+from cardamommill.gateway import clock, eventcutter, fetching, upstream
 from cardamommill.platform import words
 
 CONNECT_MS = 1000.0
@@ -199,7 +199,7 @@
         if address is None:
             return 100.0
         exchange = self._pool.send(address,
-                                   upstream.request_bytes(
+                                   fetching.request_bytes(
                                        kind.method, target, headers, body),
                                    receiver,
                                    fresh=True)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -20,7 +20,13 @@
     virtualloop,
     virtualnetwork,
 )
-from cardamommill.gateway import clock, entrynode, entrysettings, upstream
+from cardamommill.gateway import (
+    clock,
+    entrynode,
+    entrysettings,
+    fetching,
+    upstream,
+)
 from cardamommill.platform import configurations, words
 
 FRONT_PORT = 8227
@@ -238,9 +244,9 @@
             await asyncio.sleep(1.0)
 
     async def _ask_ready(self, pool: upstream.Pool, machine: Machine) -> None:
-        answer = await upstream.fetch(
+        answer = await fetching.fetch(
             pool, (machine.host, READY_PORT),
-            upstream.request_bytes("GET", words.READY_PATH,
+            fetching.request_bytes("GET", words.READY_PATH,
                                    [("Host", machine.host)]), 900.0, True)
         machine.misses = 0 if answer.head.status == 200 else machine.misses + 1
 
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -7,7 +7,14 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import callers, clock, replies, tables, upstream
+from cardamommill.gateway import (
+    callers,
+    clock,
+    fetching,
+    replies,
+    tables,
+    upstream,
+)
 from cardamommill.platform import storecalls
 
 PATH = "/rows"
@@ -54,11 +61,11 @@
 
     async def _ask(self, query: dict[str, Any],
                    timeout_ms: float) -> storecalls.Rows:
-        request = upstream.request_bytes("GET",
+        request = fetching.request_bytes("GET",
                                          f"{PATH}?{parse.urlencode(query)}",
                                          [("Host", self._peer)])
         asked_ms = clock.now_ms()
-        answer = await upstream.fetch(self._pool, self._address, request,
+        answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
         if answer.ending is not upstream.Ending.COMPLETE:
             raise exceptions.StoreError(answer.reason,
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -17,6 +17,7 @@
     conclusion,
     endings,
     eventcutter,
+    fetching,
     fleetview,
     headfields,
     model,
@@ -379,7 +380,7 @@
         if self.last_event_id is not None:
             own.append((words.LAST_EVENT_ID, str(self.last_event_id)))
         request = self.request
-        return upstream.request_bytes(request.method, request.target,
+        return fetching.request_bytes(request.method, request.target,
                                       passedon.to_runner(request.headers) + own,
                                       request.body)
 
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -12,7 +12,6 @@
 
 from cardamommill import logs
 from cardamommill.gateway import clock, headfields
-from cardamommill.platform import words
 
 # A connection that answers within a data centre or two answers in a few ms;
 # an opening packet that was dropped is sent again after 1 s.
@@ -380,72 +379,3 @@
         self.cancelled = True
         if self.connection is not None:
             self.connection.give_up(self._receiver)
-
-
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """A whole answer, or why there is none (status 0)."""
-
-    ending: Ending
-    head: Head
-    body: bytes
-    reason: str
-
-
-class _Collector:
-    """Collects one small answer."""
-
-    def __init__(self, request: bytes) -> None:
-        self._has_id = words.ATTEMPT_ID.encode() in request
-        self.future: asyncio.Future[Answer] = (
-            asyncio.get_running_loop().create_future())
-        self._head = Head()
-        self._body = bytearray()
-
-    def on_head(self, head: Head) -> bool:
-        if not self._has_id and head.get(words.ATTEMPT_ID) is not None:
-            # A caller's request's, which came late: a 200 of one was taken for
-            # an order that is done.
-            _LOG.warning(logs.line("answer-skipped", status=head.status))
-            return False
-        self._head = head
-        return True
-
-    def on_body(self, data: bytes) -> None:
-        self._body += data
-
-    def on_end(self, ending: Ending, reason: str) -> None:
-        if not self.future.done():
-            self.future.set_result(
-                Answer(ending, self._head, bytes(self._body), reason))
-
-
-async def fetch(pool: Pool,
-                address: Address,
-                request: bytes,
-                timeout_ms: float,
-                fresh: bool = False) -> Answer:
-    """Returns the whole answer to a small request of this node's own."""
-    collector = _Collector(request)
-    exchange = pool.send(address, request, collector, fresh)
-    try:
-        return await asyncio.wait_for(collector.future, timeout_ms / 1000)
-    except TimeoutError:
-        was_sent = exchange.sent
-        return Answer(Ending.BROKEN if was_sent else Ending.NOT_SENT, Head(),
-                      b"", "timed out")
-    finally:
-        if not collector.future.done() or collector.future.cancelled():
-            exchange.cancel()
-
-
-def request_bytes(method: str,
-                  target: str,
-                  headers: list[tuple[str, str]],
-                  body: bytes = b"") -> bytes:
-    """Returns a request's bytes; a body gets its length."""
-    lines = [f"{method} {target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any
 
-from cardamommill.gateway import model, orders, upstream
+from cardamommill.gateway import fetching, model, orders, upstream
 from cardamommill.platform import entries, words
 
 # A runner answers in a few ms; one that is dark never does.
@@ -47,13 +47,13 @@
 async def send_order(pool: upstream.Pool, runner: model.Runner,
                      order: orders.Order) -> tuple[Reply, str]:
     """Sends an order; returns the reply, and why where it is not done."""
-    request = upstream.request_bytes("POST", words.ORDER_PATH, [
+    request = fetching.request_bytes("POST", words.ORDER_PATH, [
         ("Host", f"{runner.host}:{runner.port}"),
         (words.EXPECT_INSTANCE, runner.id),
         ("Content-Type", "application/json"),
     ],
                                      json.dumps(order_body(order)).encode())
-    answer = await upstream.fetch(pool, (runner.host, runner.port), request,
+    answer = await fetching.fetch(pool, (runner.host, runner.port), request,
                                   ORDER_TIMEOUT_MS)
     if answer.ending is upstream.Ending.NOT_SENT:
         return Reply.REFUSED, answer.reason
@@ -70,10 +70,10 @@
     Raises:
         BadPeerMessage: It answered with something else.
     """
-    request = upstream.request_bytes("GET", words.REPORT_PATH,
+    request = fetching.request_bytes("GET", words.REPORT_PATH,
                                      [("Host", f"{runner.host}:{runner.port}"),
                                       (words.EXPECT_INSTANCE, runner.id)])
-    answer = await upstream.fetch(pool, (runner.host, runner.port), request,
+    answer = await fetching.fetch(pool, (runner.host, runner.port), request,
                                   REPORT_TIMEOUT_MS)
     if answer.ending is not upstream.Ending.COMPLETE:
         return None
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -8,7 +8,7 @@
 from urllib import parse
 
 from cardamommill import exceptions
-from cardamommill.gateway import clock, upstream
+from cardamommill.gateway import clock, fetching, upstream
 from cardamommill.platform import entries, words
 
 # A store that is sixty times as slow as usual answers in 300 ms; one that has
@@ -116,7 +116,7 @@
             }],
             "remove": []
         }).encode()
-        request = upstream.request_bytes("POST", words.ROWS_TX_PATH,
+        request = fetching.request_bytes("POST", words.ROWS_TX_PATH,
                                          [("Host", self._peer),
                                           ("Content-Type", "application/json")],
                                          body)
@@ -124,7 +124,7 @@
 
     async def _get(self, path: str, query: dict[str, Any],
                    timeout_ms: float) -> tuple[dict[str, Any], float]:
-        request = upstream.request_bytes("GET",
+        request = fetching.request_bytes("GET",
                                          f"{path}?{parse.urlencode(query)}",
                                          [("Host", self._peer)])
         sent_ms = clock.now_ms()
@@ -134,7 +134,7 @@
     async def _call(self, request: bytes, timeout_ms: float,
                     step: str) -> dict[str, Any]:
         self.calls += 1
-        answer = await upstream.fetch(self._pool, self._address, request,
+        answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
         if answer.ending is not upstream.Ending.COMPLETE:
             raise exceptions.StoreError(answer.reason,
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -18,7 +18,7 @@
     virtualloop,
     world,
 )
-from cardamommill.gateway import freshness, relay, upstream
+from cardamommill.gateway import fetching, freshness, relay, upstream
 from cardamommill.platform import words
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
@@ -224,7 +224,7 @@
         await asyncio.sleep(4.0)
 
     async def ask(playing, name, tokens, status):
-        request = upstream.request_bytes("POST", f"/draft/{name}",
+        request = fetching.request_bytes("POST", f"/draft/{name}",
                                          [("Host", "model.example"),
                                           (words.ATTEMPT_ID, name),
                                           (words.DEADLINE_MS, "8000"),
@@ -237,7 +237,7 @@
             oracle.Sent(0, "POST", f"/draft/{name}", b"x", "key0", "tenant0",
                         "engine", True))
         with upstream.Pool() as pool:
-            answer = await upstream.fetch(
+            answer = await fetching.fetch(
                 pool, (playing.machines["node-a-1"].host, world.FRONT_PORT),
                 request, 8000)
         status[name] = (answer.head.status, answer.ending)
--- a/tests/gateway/test_peerrows.py
+++ b/tests/gateway/test_peerrows.py
@@ -6,7 +6,14 @@
 
 from cardamommill import exceptions
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import callers, clock, peerrows, tables, upstream
+from cardamommill.gateway import (
+    callers,
+    clock,
+    fetching,
+    peerrows,
+    tables,
+    upstream,
+)
 from cardamommill.platform import storecalls
 
 ADDRESS = ("10.1.0.2", 7340)
@@ -105,8 +112,8 @@
 
     async def script(table, pool):
         del table
-        request = upstream.request_bytes("GET", target, [("Host", "peer")])
-        return await upstream.fetch(pool, ADDRESS, request, 500.0)
+        request = fetching.request_bytes("GET", target, [("Host", "peer")])
+        return await fetching.fetch(pool, ADDRESS, request, 500.0)
 
     assert served(script).head.status == status
 
--- a/tests/gateway/test_stray_bytes.py
+++ b/tests/gateway/test_stray_bytes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import attempts, callers, upstream
+from cardamommill.gateway import attempts, callers, fetching, upstream
 from cardamommill.platform import words
 from tests.gateway import exchanges, relays, test_attempts, test_callers
 from tests.gateway.test_replies import Parsed
@@ -289,8 +289,8 @@
     own = b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
 
     async def work(pool):
-        return await upstream.fetch(pool, exchanges.ADDRESS,
-                                    upstream.request_bytes("POST", "/o", []),
+        return await fetching.fetch(pool, exchanges.ADDRESS,
+                                    fetching.request_bytes("POST", "/o", []),
                                     500)
 
     answer, _ = exchanges.run(work, [late + own])
--- a/tests/gateway/test_upstream.py
+++ b/tests/gateway/test_upstream.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamommill.experiment import virtualloop, virtualnetwork
-from cardamommill.gateway import clock, upstream
+from cardamommill.gateway import clock, fetching, upstream
 
 ADDRESS = ("10.9.0.1", 8080)
 CAP = 5
@@ -59,7 +59,7 @@
     async def script(pool):
         endings = []
         for _ in range(4 * CAP):
-            answer = await upstream.fetch(pool,
+            answer = await fetching.fetch(pool,
                                           ADDRESS,
                                           b"POST / HTTP/1.1\r\n\r\n",
                                           500.0,
@@ -75,7 +75,7 @@
 
     async def script(pool):
         for _ in range(3):
-            await upstream.fetch(pool, ADDRESS, b"GET / HTTP/1.1\r\n\r\n",
+            await fetching.fetch(pool, ADDRESS, b"GET / HTTP/1.1\r\n\r\n",
                                  500.0)
             await asyncio.sleep(0.01)
         return pool.idle_count()
@@ -107,7 +107,7 @@
 
     async def script(pool):
         began_ms = clock.now_ms()
-        answer = await upstream.fetch(pool, ADDRESS, b"POST / HTTP/1.1\r\n\r\n",
+        answer = await fetching.fetch(pool, ADDRESS, b"POST / HTTP/1.1\r\n\r\n",
                                       500.0)
         return answer.ending, clock.now_ms() - began_ms
 
