Confirm no keys after a configuration that can't be read

Found while reading how keys are confirmed. A row that this node can't read, of a newer release say, may take keys away, and is rightly no confirmation. The store's next answer without news was one: the keys in force were confirmed anew each 2.5 s, and one that was taken away would have worked until the node was replaced.

The refused row is remembered until a later one is read; meanwhile nothing is confirmed, so that after the bound for keys the node says that it is not ready. A peer that could read it is asked for it each second at most.

The test fails on the code before, and passes.

--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -43,6 +43,8 @@
 # A configuration that a peer has in force comes here by itself within this, or
 # else a peer is asked for it.
 OVERDUE_MS = 200.0
+# After one that had none which this node can take.
+CATCH_UP_AGAIN_MS = 1000.0
 
 _LOG = logbook.Logger("platform")
 
@@ -69,6 +71,8 @@
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
         self._is_catching_up = False
+        # The row of a configuration that could not be read; 0 where none is.
+        self._unread = 0
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
@@ -112,6 +116,8 @@
             await asyncio.sleep(OVERDUE_MS / 1000)
             if self._version() == version:
                 await self._read_ahead(version)
+            if self._version() == version:
+                await asyncio.sleep(CATCH_UP_AGAIN_MS / 1000)
         finally:
             self._is_catching_up = False
 
@@ -130,11 +136,15 @@
         return self.table.configuration.version if self.table else 0
 
     def _take_rows(self, rows: storecalls.Rows) -> None:
-        sound = True
         for row in rows.rows:
-            if row.key == words.CONFIGURATION_KEY and not row.deleted:
-                sound = self._take_configuration(row.value) and sound
-        if sound and self.table is not None:
+            if row.key != words.CONFIGURATION_KEY or row.deleted:
+                continue
+            version = row.version or rows.version
+            if not self._take_configuration(row.value):
+                self._unread = max(self._unread, version)
+            elif version > self._unread:
+                self._unread = 0
+        if self.table is not None and not self._unread:
             self._fresh.confirm(rows.as_of_ms)
 
     def _take_configuration(self, value: bytes) -> bool:
@@ -142,7 +152,8 @@
             configuration = configurations.decode(value)
         except exceptions.BadPeerMessage as error:
             # A version that can't be read may take keys away: the one in
-            # force is no longer known to be the newest.
+            # force is not known to be the newest until a later one is read,
+            # whatever answers without news follow.
             _LOG.error(logs.line("configuration-refused", reason=str(error)))
             return False
         before = self._version()
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cardamommill.experiment import modelstore, virtualloop
+from cardamommill.experiment import deployments, modelstore, virtualloop
 from cardamommill.gateway import (
     clock,
     fleetview,
@@ -47,9 +47,9 @@
             store, pool, sources.Sources("n1", "a", others), name,
             tables.Table()) for name in (words.OPERATOR_TABLE,
                                          words.SERVERS_TABLE))
+        self.fresh = freshness.Freshness(5000.0)
         self.reader = platformreader.PlatformReader(operator, servers,
-                                                    self.view,
-                                                    freshness.Freshness(5000.0),
+                                                    self.view, self.fresh,
                                                     DRAIN_MS,
                                                     lambda table: None)
 
@@ -76,6 +76,37 @@
         loop.run_until_complete(main())
 
 
+def test_keys_are_not_confirmed_past_a_configuration_that_can_not_be_read():
+    """A newer release's operator writes what this one can't read.
+
+    It may take keys away. The next answer of the store has no news, and was
+    taken to say that the configuration in force is still the newest: keys that
+    were taken away would have worked for as long as the node lived.
+    """
+
+    def configuration(version, **fields):
+        deployment = deployments.Deployment(name="one", models=(), kinds=())
+        return {**deployment.configuration(version, [("t", "k")]), **fields}
+
+    async def script(one):
+        row = (words.OPERATOR_TABLE, words.CONFIGURATION_KEY)
+        one.store.put(*row, configuration(3))
+        task = asyncio.get_running_loop().create_task(
+            one.reader.follow_configuration())
+        await asyncio.sleep(4.0)
+        assert one.fresh.keys_may_be_trusted(clock.now_ms())
+        one.store.put(*row, configuration(4, routes="none"))
+        await asyncio.sleep(6.0)
+        assert one.reader.table.configuration.version == 3
+        assert not one.fresh.keys_may_be_trusted(clock.now_ms())
+        one.store.put(*row, configuration(5))
+        await asyncio.sleep(0.1)
+        assert one.fresh.keys_may_be_trusted(clock.now_ms())
+        task.cancel()
+
+    follow(script)
+
+
 def test_leaving_runner_is_known_well_within_its_bound():
     """Its entry changes just after an answer; requests must soon avoid it."""
 
