Let readers ask for a newer configuration before their followers do

Where both readers of a data centre are cut off from the store, each of its nodes asked a peer of another data centre for the same rows, though their readers pass on at once what they got. Readers ask 200 ms after they heard of a newer one, their followers 400 ms after.

--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -43,6 +43,7 @@
 # A configuration that a peer has in force comes here by itself within this, or
 # else a peer is asked for it.
 OVERDUE_MS = 200.0
+FOLLOWERS_PATIENCE = 2
 # After one that had none which this node can take.
 CATCH_UP_AGAIN_MS = 1000.0
 
@@ -113,7 +114,9 @@
         version = self._version()
         self._is_catching_up = True
         try:
-            await asyncio.sleep(OVERDUE_MS / 1000)
+            # A reader that catches up passes it on to its followers.
+            patience = 1 if self._operator.is_direct else FOLLOWERS_PATIENCE
+            await asyncio.sleep(patience * OVERDUE_MS / 1000)
             if self._version() == version:
                 await self._read_ahead(version)
             if self._version() == version:
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -198,16 +198,38 @@
     assert max(found) < entrysettings.Bounds().config_apply_ms / 2
 
 
-def test_nodes_do_not_ask_each_other_while_their_sources_tell(monkeypatch):
-    """Each heartbeat may tell of a configuration some ms before the source."""
+def ahead_readings(monkeypatch):
+    """Returns which nodes ask for a newer configuration, as they do."""
     asked = []
     read_ahead = rowsource.RowSource.read_ahead
 
     async def counted(self, version):
-        asked.append(version)
+        asked.append(self._choice._node)
         return await read_ahead(self, version)
 
     monkeypatch.setattr(rowsource.RowSource, "read_ahead", counted)
+    return asked
+
+
+def test_followers_get_what_their_readers_asked_others_for(monkeypatch):
+    """Asked for by each node of a data centre, it would come as often."""
+    asked = ahead_readings(monkeypatch)
+    found = lags_ms(monkeypatch, {
+        "kind": "store_cut",
+        "at_s": 2.5,
+        "count": 2,
+        "for_s": 9.0
+    }, {
+        "kind": "configuration",
+        "at_s": 2.6
+    })
+    assert len(found) == 9
+    assert set(asked) == {"node-a-1", "node-a-2"}
+
+
+def test_nodes_do_not_ask_each_other_while_their_sources_tell(monkeypatch):
+    """Each heartbeat may tell of a configuration some ms before the source."""
+    asked = ahead_readings(monkeypatch)
     found = lags_ms(
         monkeypatch,
         *({
