--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -29,6 +29,12 @@
 # An answer without news is asked for after this part of the drain bound. What
 # changes is answered at once: a node that does not get it is cut off.
 LIST_WAIT_PART = 0.8
+# Nodes that follow one that is cut off leave it once its list is this old, and
+# have some time to ask the store before the bound is over. A sound one does not
+# wait for news for so long that its list grows older.
+OLDEST_LIST_PART = 0.9
+# Older than this the list is not followed any more.
+LIST_STALE_PART = 1.4
 # A peer that reads the configuration may have heard of it this part of the time
 # in which a key may still work ago: its feed's wait, and a lost answer.
 OLDEST_PART = 0.7
@@ -37,6 +43,9 @@
 # A configuration that a peer has in force comes here by itself within this, or
 # else a peer is asked for it.
 OVERDUE_MS = 200.0
+FOLLOWERS_PATIENCE = 2
+# After one that had none which this node can take.
+CATCH_UP_AGAIN_MS = 1000.0
 
 _LOG = logbook.Logger("platform")
 
@@ -58,11 +67,13 @@
         # Whether a change of the list is waited for.
         self.is_keen: Callable[[], bool] = bool
         self._listed: dict[str, model.Runner] = {}
-        view.list_stale_ms = (LIST_PART + LIST_WAIT_PART) * drain_ms
+        view.list_stale_ms = LIST_STALE_PART * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
         self._is_catching_up = False
+        # The row of a configuration that could not be read; 0 where none is.
+        self._unread = 0
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
@@ -103,9 +114,13 @@
         version = self._version()
         self._is_catching_up = True
         try:
-            await asyncio.sleep(OVERDUE_MS / 1000)
+            # A reader that catches up passes it on to its followers.
+            patience = 1 if self._operator.is_direct else FOLLOWERS_PATIENCE
+            await asyncio.sleep(patience * OVERDUE_MS / 1000)
             if self._version() == version:
                 await self._read_ahead(version)
+            if self._version() == version:
+                await asyncio.sleep(CATCH_UP_AGAIN_MS / 1000)
         finally:
             self._is_catching_up = False
 
@@ -124,11 +139,15 @@
         return self.table.configuration.version if self.table else 0
 
     def _take_rows(self, rows: storecalls.Rows) -> None:
-        sound = True
         for row in rows.rows:
-            if row.key == words.CONFIGURATION_KEY and not row.deleted:
-                sound = self._take_configuration(row.value) and sound
-        if sound and self.table is not None:
+            if row.key != words.CONFIGURATION_KEY or row.deleted:
+                continue
+            version = row.version or rows.version
+            if not self._take_configuration(row.value):
+                self._unread = max(self._unread, version)
+            elif version > self._unread:
+                self._unread = 0
+        if self.table is not None and not self._unread:
             self._fresh.confirm(rows.as_of_ms)
 
     def _take_configuration(self, value: bytes) -> bool:
@@ -136,7 +155,8 @@
             configuration = configurations.decode(value)
         except exceptions.BadPeerMessage as error:
             # A version that can't be read may take keys away: the one in
-            # force is no longer known to be the newest.
+            # force is not known to be the newest until a later one is read,
+            # whatever answers without news follow.
             _LOG.error(logs.line("configuration-refused", reason=str(error)))
             return False
         before = self._version()
@@ -162,8 +182,8 @@
             began_ms = clock.now_ms()
             try:
                 news = await self._servers.read(
-                    int(LIST_WAIT_PART * self._drain_ms),
-                    self._view.list_stale_ms)
+                    self._list_wait_ms(began_ms),
+                    OLDEST_LIST_PART * self._drain_ms)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="servers"))
                 continue
@@ -181,6 +201,12 @@
             if self._servers.is_direct:
                 await self._wait(began_ms)
 
+    def _list_wait_ms(self, now_ms: float) -> int:
+        most_ms = LIST_WAIT_PART * self._drain_ms
+        age_ms = now_ms - self._view.list_as_of_ms
+        left_ms = OLDEST_LIST_PART * self._drain_ms - age_ms
+        return int(min(most_ms, left_ms) if left_ms > 0 else most_ms)
+
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
         self._wanted.set()
