Look through peers only when one of them is due

A node that has nothing to do spent most of its time looking, fifty times a second, through all its peers for whom it tells something now: two passes, with times worked out anew from the last message of each. That grew with the nodes of the fleet and with every node that did it.

It now notes when the first of them is due, and looks no sooner, unless something was learned that may have another peer due: a new address, a peer that was silent, a planner's beginning, a peer that was forgotten. What follows from a message (how long its sender is believed, whether it is near) is worked out when it comes, not when it is asked for. Who is told what, and when, stays as it was: a test plays a fleet whose nodes come and go against looking at all.

--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -35,35 +35,58 @@
 SETTLE_MS = 500.0
 # Two that began to plan within this did not hear of each other in time.
 TOGETHER_MS = 500.0
+# A float's last digit must not have a peer told a tick late.
+LOOK_MARGIN_MS = 1.0
 # How long in-flight counts of a peer are worth something.
 LOAD_AGE_MS = 1500.0
 LOAD_INTERVALS = 2.5
 
 
+def _alive_ms(interval_ms: float) -> float:
+    return ALIVE_INTERVALS * interval_ms + ALIVE_MARGIN_MS
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """Another node."""
+    """Another node.
+
+    Attributes:
+        address: Where it is.
+        heard_ms: When it was last heard.
+        sent_ms: When it was last told something.
+        last: Its newest message.
+        counted: Whether the requests of that message are in the sum of all.
+        is_near: Whether it stands in this node's data centre.
+        interval_ms: How often it speaks to this node.
+        alive_ms: How long it is believed to live without a word.
+        forgotten_ms: When it is no longer spoken to, unless it is heard.
+    """
 
     address: Address
     heard_ms: float = float("-inf")
     sent_ms: float = float("-inf")
     last: peermessage.PeerMessage | None = None
     counted: bool = False
-
-    @property
-    def interval_ms(self) -> float:
-        """How often it speaks to this node."""
-        return self.last.interval_ms if self.last else HEARTBEAT_MS
-
-    @property
-    def alive_ms(self) -> float:
-        """How long it is believed to live without a word."""
-        return ALIVE_INTERVALS * self.interval_ms + ALIVE_MARGIN_MS
+    is_near: bool = False
+    interval_ms: float = HEARTBEAT_MS
+    alive_ms: float = _alive_ms(HEARTBEAT_MS)
+    forgotten_ms: float = float("inf")
 
     def is_alive(self, now_ms: float) -> bool:
         """Whether it was heard of late."""
         return now_ms - self.heard_ms < self.alive_ms
 
+    def hear(self, message: peermessage.PeerMessage, data_centre: str,
+             now_ms: float) -> None:
+        """Takes its newest message, heard in a data centre."""
+        self.heard_ms = now_ms
+        self.last = message
+        self.is_near = message.data_centre == data_centre
+        self.interval_ms = message.interval_ms
+        self.alive_ms = _alive_ms(message.interval_ms)
+        self.forgotten_ms = now_ms + max(FORGOTTEN_MS,
+                                         FORGOTTEN_ALIVES * self.alive_ms)
+
 
 class Peers:
     """Membership by datagrams alone; each node decides for itself."""
@@ -79,12 +102,17 @@
         self._plans_since_ms: dict[str, float] = {}
         self._loads: dict[model.GroupKey, flights.GroupLoad] = {}
         self.peers: dict[Address, Peer] = {}
+        # Until then, and until something is heard that changes it, nobody is
+        # due. Looked through in each tick, 79 peers took half of what a node
+        # spent while nothing happened.
+        self._idle_until_ms = float("-inf")
 
     def learn(self, address: Address) -> bool:
         """Notes an address where a node may be; True where it is new."""
         if address == self._address or address in self.peers:
             return False
         self.peers[address] = Peer(address)
+        self._look_soon()
         return True
 
     def take(self, message: peermessage.PeerMessage, address: Address,
@@ -99,11 +127,12 @@
                                       message.sent_ms < peer.last.sent_ms):
             # Overtaken on its way.
             return False
-        was_alive = peer.is_alive(now_ms)
+        was_alive, was_near = peer.is_alive(now_ms), peer.is_near
         self._discount(peer)
-        peer.heard_ms = now_ms
-        peer.last = message
+        peer.hear(message, self._data_centre, now_ms)
         self._count(peer)
+        if not was_alive or peer.is_near != was_near:
+            self._look_soon()
         return not was_alive
 
     def due(self,
@@ -118,30 +147,36 @@
         Returns:
             Each with how soon it will be sent to again, in ms.
         """
+        if now_ms < self._idle_until_ms and not at_once:
+            return []
         found = []
         intervals_ms = self._intervals_ms()
+        next_ms = now_ms + FORGOTTEN_MS
         for peer in list(self.peers.values()):
-            quiet_ms = now_ms - peer.heard_ms
-            if peer.last is not None and quiet_ms > max(
-                    FORGOTTEN_MS, FORGOTTEN_ALIVES * peer.alive_ms):
+            if now_ms > peer.forgotten_ms:
                 self._discount(peer)
                 del self.peers[peer.address]
+                # The others are told more often now.
+                next_ms = now_ms
                 continue
-            interval_ms = intervals_ms[self._is_near(peer)]
-            if quiet_ms > 2 * peer.alive_ms:
+            interval_ms = intervals_ms[peer.is_near]
+            if now_ms - peer.heard_ms > 2 * peer.alive_ms:
                 interval_ms = max(interval_ms, SEED_INTERVAL_MS)
             if at_once or now_ms - peer.sent_ms >= interval_ms:
                 peer.sent_ms = now_ms
                 found.append((peer, interval_ms))
+            next_ms = min(next_ms, peer.sent_ms + interval_ms,
+                          peer.forgotten_ms)
+        self._idle_until_ms = next_ms - LOOK_MARGIN_MS
         return found
 
-    def _is_near(self, peer: Peer) -> bool:
-        return (peer.last is not None and
-                peer.last.data_centre == self._data_centre)
+    def _look_soon(self) -> None:
+        """Has the next look for who is due go through all peers."""
+        self._idle_until_ms = float("-inf")
 
     def _intervals_ms(self) -> dict[bool, float]:
         """Returns how often near peers are told, and all others."""
-        near = sum(map(self._is_near, self.peers.values()))
+        near = sum(each.is_near for each in self.peers.values())
         far = len(self.peers) - near
         near_ms = max(HEARTBEAT_MS, 1000 * near / NEAR_PER_S)
         if self._plans_since_ms:
@@ -197,11 +232,14 @@
         if now_ms - self._started_ms < SETTLE_MS:
             return frozenset()
         alive = [each.last for each in self.alive(now_ms) if each.last]
+        planned = self.plans
         for data_centre in data_centres:
             if self._should_plan(data_centre, alive, now_ms):
                 self._plans_since_ms.setdefault(data_centre, now_ms)
             else:
                 self._plans_since_ms.pop(data_centre, None)
+        if self.plans != planned:
+            self._look_soon()
         return frozenset(self._plans_since_ms)
 
     def _should_plan(self, data_centre: str,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,5 +1,8 @@
 """Tests of who the other nodes are and who plans."""
 
+import copy
+import random
+
 from cardamommill.gateway import flights, model, peermessage, peers
 
 PLACES = ("a", "b")
@@ -200,3 +203,84 @@
 
     assert 18 <= sent_far_per_s(4) <= 20.5
     assert sent_far_per_s(80) <= 8.5
+
+
+def looked_through(who, now_ms):
+    """Returns who is due when each peer is looked at, and who is left."""
+    every = copy.deepcopy(who)
+    every._idle_until_ms = float("-inf")
+    due = [(each.address, again_ms) for each, again_ms in every.due(now_ms)]
+    return due, set(every.peers)
+
+
+def test_peers_are_due_in_the_same_tick_as_if_all_were_looked_at():
+    """Nodes come, fall silent for a while or for good, and begin to plan.
+
+    A node skips looking through its peers until the first of them is due; one
+    that it skipped wrongly would hear nothing and take the node for dead.
+    """
+    chance = random.Random(5)
+    who, quiet_until_ms = node(), {}
+    for now_ms in range(0, 40_000, 20):
+        for number in range(2, 32):
+            name = f"{'a' if number % 4 else 'b'}-{number}"
+            if chance.random() < 0.0004:
+                quiet_until_ms[name] = now_ms + chance.choice(
+                    (900, 4000, 25_000))
+            if (now_ms > quiet_until_ms.get(name, 100 * number) and
+                    chance.random() < 0.05):
+                hear(who, now_ms,
+                     message(name, name[0], now_ms + 1.0, interval_ms=400.0))
+        expected = looked_through(who, now_ms)
+        due = [(each.address, again_ms) for each, again_ms in who.due(now_ms)]
+        assert (due, set(who.peers)) == expected
+
+
+def fleet(near, far=0):
+    """Returns a node that has told all its peers at 1,000 ms."""
+    who = node()
+    hear(who, 1000, *(message(f"a-{2 + each}", "a") for each in range(near)),
+         *(message(f"b-{1 + each}", "b") for each in range(far)))
+    assert len(who.due(1000)) == near + far
+    return who
+
+
+def test_nobody_is_looked_at_until_a_peer_is_due():
+    """Looked at in each tick, 79 peers took half of an idle node's time."""
+    who = fleet(near=19, far=60)
+    who.peers = None
+    assert not who.due(1300)
+
+
+def test_address_that_was_just_learned_is_told_in_the_next_tick():
+    who = fleet(near=30)
+    who.learn(("10.0.9.9", 7340))
+    assert [peer.address for peer, _ in who.due(1020)] == [("10.0.9.9", 7340)]
+
+
+def test_planner_that_just_began_is_heard_sooner():
+    who = fleet(near=30)
+    assert not who.due(1400)
+    who.planned_data_centres(("a",), 1400)
+    assert len(who.due(1400)) == 30
+
+
+def test_peers_are_told_sooner_once_others_are_forgotten():
+    who = fleet(near=60)
+    for now_ms in range(1100, 16_000, 100):
+        hear(who, now_ms,
+             *(message(f"a-{2 + each}", "a", now_ms) for each in range(20)))
+        who.due(now_ms)
+    assert len(who.due(16_000)) == 60
+    assert not who.due(16_020)
+    assert len(who.peers) == 20
+    assert not who.due(16_320)
+    assert len(who.due(16_340)) == 20
+
+
+def test_peer_that_is_heard_again_is_told_as_often_as_before():
+    who = fleet(near=1)
+    assert len(who.due(4000)) == 1
+    assert not who.due(4300)
+    hear(who, 4300, message("a-2", "a", 2.0))
+    assert len(who.due(4300)) == 1
