Work out once what each look at peers asks of them

Sixteen times a second a node asks which peers live, who plans for each data centre, and whose counts of requests are too old. Each question went through all peers with a call and a maximum for each, and through them once more for every data centre, though a few at most plan and, while nothing happens, none has a count.

How long a peer's counts are worth something is worked out when it is heard; who plans is looked for among those that plan for somebody; without any counts there are none to forget. What is asked is the same, in the same order, so that all answers are the same.

--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -59,6 +59,7 @@
         is_near: Whether it stands in this node's data centre.
         interval_ms: How often it speaks to this node.
         alive_ms: How long it is believed to live without a word.
+        worth_ms: For how long its counts of requests are worth something.
         forgotten_ms: When it is no longer spoken to, unless it is heard.
     """
 
@@ -70,6 +71,7 @@
     is_near: bool = False
     interval_ms: float = HEARTBEAT_MS
     alive_ms: float = _alive_ms(HEARTBEAT_MS)
+    worth_ms: float = LOAD_AGE_MS
     forgotten_ms: float = float("inf")
 
     def is_alive(self, now_ms: float) -> bool:
@@ -84,6 +86,7 @@
         self.is_near = message.data_centre == data_centre
         self.interval_ms = message.interval_ms
         self.alive_ms = _alive_ms(message.interval_ms)
+        self.worth_ms = max(LOAD_AGE_MS, LOAD_INTERVALS * self.interval_ms)
         self.forgotten_ms = now_ms + max(FORGOTTEN_MS,
                                          FORGOTTEN_ALIVES * self.alive_ms)
 
@@ -205,8 +208,9 @@
     def alive(self, now_ms: float) -> list[Peer]:
         """Returns the peers that were heard of late."""
         return [
-            each for each in self.peers.values() if each.last is not None and
-            each.is_alive(now_ms) and not each.last.stopping
+            each for each in self.peers.values()
+            if now_ms - each.heard_ms < each.alive_ms and
+            each.last is not None and not each.last.stopping
         ]
 
     def nodes(self, now_ms: float) -> int:
@@ -232,9 +236,10 @@
         if now_ms - self._started_ms < SETTLE_MS:
             return frozenset()
         alive = [each.last for each in self.alive(now_ms) if each.last]
+        planners = [each for each in alive if each.plans_ms]
         planned = self.plans
         for data_centre in data_centres:
-            if self._should_plan(data_centre, alive, now_ms):
+            if self._should_plan(data_centre, alive, planners, now_ms):
                 self._plans_since_ms.setdefault(data_centre, now_ms)
             else:
                 self._plans_since_ms.pop(data_centre, None)
@@ -244,10 +249,11 @@
 
     def _should_plan(self, data_centre: str,
                      alive: list[peermessage.PeerMessage],
+                     planners: list[peermessage.PeerMessage],
                      now_ms: float) -> bool:
         since_ms = self._plans_since_ms.get(data_centre)
         others = [(each.plans_ms[data_centre], each.node)
-                  for each in alive
+                  for each in planners
                   if data_centre in each.plans_ms]
         if since_ms is not None:
             # The longest plans on; of two that began together, the lowest.
@@ -276,11 +282,14 @@
 
     def in_flight(self,
                   now_ms: float) -> dict[model.GroupKey, flights.GroupLoad]:
-        """Returns what the peers have at each group; kept up to date."""
-        for peer in self.peers.values():
-            worth_ms = max(LOAD_AGE_MS, LOAD_INTERVALS * peer.interval_ms)
-            if peer.counted and now_ms - peer.heard_ms > worth_ms:
-                self._discount(peer)
+        """Returns what the peers have at each group; kept up to date.
+
+        Without any there is none to forget.
+        """
+        if self._loads:
+            for peer in self.peers.values():
+                if peer.counted and now_ms - peer.heard_ms > peer.worth_ms:
+                    self._discount(peer)
         return self._loads
 
     def confirmed_ms(self, config_version: int) -> float:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -284,3 +284,21 @@
     assert not who.due(4300)
     hear(who, 4300, message("a-2", "a", 2.0))
     assert len(who.due(4300)) == 1
+
+
+def test_load_of_a_peer_that_speaks_seldom_counts_for_longer():
+    key = model.GroupKey("g", 1)
+    who = node()
+    load = flights.GroupLoad(2, 0, 10)
+    hear(who, 1000, message("a-2", "a", in_flight={key: load}),
+         message("b-1", "b", interval_ms=2400.0, in_flight={key: load}))
+    assert who.in_flight(2500)[key] == load.plus(load)
+    assert who.in_flight(2520) == {key: load}
+    assert who.in_flight(7000) == {key: load}
+    assert not who.in_flight(7020)
+
+
+def test_nobody_is_looked_at_for_old_loads_while_there_are_none():
+    who = fleet(near=19, far=60)
+    who.peers = None
+    assert not who.in_flight(9000)
