Show that heads that fail all at once draw the traffic of all nodes

Callers of streams saw own failures of runners at 24 to 40 in 100 for as long as a part of the heads failed at once all that they got, with good health.

--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import hashlib
 import json
 import math
@@ -20,6 +21,16 @@
 QUEUE_PART = 2
 
 
+class Fault(enum.Enum):
+    """How a runner fails each request at once, while it looks well."""
+
+    NONE = "none"
+    # By an answer of its own.
+    ERROR = "error"
+    # By ending the connection without one.
+    RESET = "reset"
+
+
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """What all runners of a run share."""
@@ -79,6 +90,7 @@
         self.membership: model.Membership | None = None
         self.members: tuple[str, ...] = ()
         self.pace = 1.0
+        self.fault = Fault.NONE
         # Whether orders get no answer and are carried out late.
         self.late_orders_ms = 0.0
         self.begun = 0
@@ -227,10 +239,20 @@
             self._fleet.oracle.broken("DRAIN", f"{attempt} at {self.id}")
         job = Job(request, reply, attempt,
                   int(request.get(words.REQUEST_PRIORITY) or 5), 0.0, 1, 1)
+        if self.fault is not Fault.NONE:
+            self._fail(job)
+            return None
         if self.engine is None:
             return self._take_plain(job)
         return self._take_generation(job)
 
+    def _fail(self, job: Job) -> None:
+        self._fleet.oracle.begins(job.attempt, self.id)
+        if self.fault is Fault.ERROR:
+            job.reply.whole(500, self._answer_head(job), b"")
+        else:
+            job.reply.break_off()
+
     def _shed(self, job: Job, at_server: str = "") -> None:
         job.reply.whole(503, [(words.ATTEMPT_ID, job.attempt),
                               (words.NOT_EXECUTED, "1"),
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -116,6 +116,27 @@
             runner.end()
             self._world.loop.network.end_processes(runner.host)
 
+    async def _heads_fail(self, trouble: deployments.Trouble) -> None:
+        await self._fail_heads(trouble, modelrunner.Fault.ERROR)
+
+    async def _heads_reset(self, trouble: deployments.Trouble) -> None:
+        await self._fail_heads(trouble, modelrunner.Fault.RESET)
+
+    async def _fail_heads(self, trouble: deployments.Trouble,
+                          fault: modelrunner.Fault) -> None:
+        """Has heads of open groups fail all they are sent, and look well."""
+        heads = [
+            each for each in self._world.fleet.runners.values()
+            if each.membership and not each.membership.rank and not each.dark
+        ]
+        failing = self._world.chance.sample(heads, min(trouble.count,
+                                                       len(heads)))
+        for runner in failing:
+            runner.fault = fault
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for runner in failing:
+            runner.fault = modelrunner.Fault.NONE
+
     async def _new_runners(self, trouble: deployments.Trouble) -> None:
         place = self._place(trouble)
         for _ in range(trouble.count):
--- /dev/null
+++ b/tests/experiment/test_failing_heads.py
@@ -0,0 +1,52 @@
+"""Plays heads of groups that fail all that they are sent, and look well."""
+
+import pytest
+
+from cardamommill.experiment import deployments, world
+from tests.experiment import test_sharing, test_world
+
+FROM_S = 2.0
+# By then some tries have failed at each of them, and nodes have told so.
+KNOWN_S = 3.0
+UNTIL_S = 9.0
+STREAMS = [
+    each.model_copy(update={"per_s": 3 * each.per_s})
+    for each in test_world.KINDS
+    if each.model
+]
+
+
+def play(kind, count, seed):
+    """Plays more nodes than one's own tries could teach in time."""
+    deployment = deployments.Deployment(name="failing",
+                                        lead_s=9,
+                                        length_s=12.0,
+                                        places={
+                                            "a": 8,
+                                            "b": 4
+                                        },
+                                        models=test_world.MODELS,
+                                        kinds=STREAMS,
+                                        troubles=[
+                                            deployments.Trouble(kind=kind,
+                                                                at_s=FROM_S,
+                                                                count=count,
+                                                                for_s=UNTIL_S -
+                                                                FROM_S)
+                                        ])
+    return world.play(deployment, seed)
+
+
+@pytest.mark.parametrize("kind", ["heads_fail", "heads_reset"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_heads_that_fail_all_at_once_get_few_requests(kind, seed):
+    """Two heads of eight fail what they get at once; their health is good.
+
+    Nothing is in flight there, so that every node finds them the quickest and
+    sends them most of what comes; a second try meets the other one, or is not
+    allowed, since the repeats of all nodes are used up by then.
+    """
+    outcome = play(kind, 2, seed)
+    assert not outcome.violations
+    assert test_sharing.served(outcome, KNOWN_S, UNTIL_S) > 0.97
+    assert test_sharing.served(outcome, UNTIL_S, 12.0) > 0.97
