Have nodes tell each other which runners fail what they get

Callers of streams got own failures of runners, 24 to 40 in 100 for seven seconds, while a part of the heads failed at once all that they were sent, with good health; a second try often met another such head, until repeats were used up.

Cause: a head that fails at once has nothing in flight, and placing took it for the quickest. A failure that the runner told left no trace for groups; a broken connection made it avoided for 0.3 s, until its members answered. With 80 nodes each sends a head a request only every few seconds, so none learns that by itself. Ruled out: the list and health (both say well), and requests that fail by their own doing (the same heads failed all, others none).

Each node now keeps which requests each runner failed of late, and what went well since, and nodes tell each other in their datagrams (format 3; 2 requests of 12 runners at most). A failure is a request at a runner, so it counts once however it comes, and a request that fails everywhere counts as one failure however often it is tried. Likely failures cost in placing; a runner that is more likely to fail than not gets only what no other takes, and rests 0.5 s after each failure. Nodes forget in times of their own, so that one tries again and not all; a few tries that go well make up for the failures. Requests that run there are left alone. For plain services the same replaces the second of avoidance after a failure that the runner told; an answer that does not come is avoided as before.

--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable, Coroutine
 import random
 from typing import Any
+import zlib
 
 import logbook
 
 from cardamommill import logs, metrics
 from cardamommill.gateway import (
     attempts,
+    callers,
     clock,
     entrysettings,
     fleetview,
@@ -19,20 +21,28 @@
     placing,
     platformreader,
     relay,
+    reliability,
     retrybudget,
     routetable,
     silence,
     standing,
     upstream,
 )
+from cardamommill.platform import words
 
 # A group that failed a request is left alone until its members were asked.
 FAULT_AVOID_MS = 300.0
-# A runner that failed a request comes last for this long.
+# A runner that gave no answer of its own, or refused a request, comes last for
+# this long. Failures that it told come with the request more often than not.
 RUNNER_FAULT_MS = 1000.0
+# How likely a runner fails counts like two requests in flight a step.
+FAIL_STEPS = 4
 # A peer is asked for its confirmation once the own one is this old.
 OWN_CONFIRMATION_MS = 1500.0
 
+_WELL = frozenset({attempts.Result.ANSWERED, attempts.Result.STREAMED})
+_FINE = _WELL | {attempts.Result.ABANDONED}
+
 _LOG = logbook.Logger("requests")
 
 
@@ -63,6 +73,9 @@
         self.flights = flights.Flights()
         self.standing = standing.StandingGroups(view)
         self.silence = silence.SilenceDetector()
+        self.reliability = reliability.Reliability(self._chance)
+        # Requests whose try has brought nothing yet, and since when.
+        self._unproven_ms: dict[relay.Relay, float] = {}
         # Who looks into a group that failed a request.
         self.on_fault: Callable[[model.GroupKey, str], None] = _nobody
         # Who looks into a group that refused one.
@@ -95,6 +108,7 @@
         for runner, at_ms in list(self._runner_faults_ms.items()):
             if now_ms - at_ms > 10 * RUNNER_FAULT_MS:
                 del self._runner_faults_ms[runner]
+        self.reliability.forget(now_ms)
 
     def table(self) -> routetable.RouteTable | None:
         """Returns the configuration in force."""
@@ -151,10 +165,12 @@
             heads[each.key] = each.head
             load = self.flights.load(each.key).plus(
                 self._peer_load.get(each.key, flights.NO_LOAD))
+            head = each.head.runner.id
+            odds = self.reliability.fail_odds(head, now_ms)
             candidates.append(
                 placing.Candidate(
                     key=each.key,
-                    head=each.head.runner.id,
+                    head=head,
                     in_flight=load.requests,
                     patient=load.patient,
                     places=engine.slots,
@@ -163,9 +179,11 @@
                         engine.far_factor if each.is_far else 1.0),
                     away=(each.head.runner.data_centre
                           != self._settings.data_centre),
-                    avoided=(each.retiring or
+                    avoided=(each.retiring or odds > reliability.DOUBTED or
                              self.standing.is_avoided(each.key, now_ms)),
-                    reading_tokens=load.unread_tokens))
+                    reading_tokens=load.unread_tokens,
+                    fail_odds=odds,
+                    rests=self.reliability.rests(head, now_ms)))
         excluded = frozenset(
             each.key for each in one.tried if each.key is not None)
         placed = placing.place(engine, one.work, candidates, excluded,
@@ -187,11 +205,14 @@
         if not usable:
             return placing.Refused("no runner", relay.DEFAULT_RETRY_AFTER_MS)
 
-        def cost(known: fleetview.Known) -> tuple[bool, float, bool, float]:
+        def cost(known: fleetview.Known) -> tuple[bool, int, bool, float]:
             runner = known.runner
             fault_ms = self._runner_faults_ms.get(runner.id, float("-inf"))
-            return (now_ms - fault_ms < RUNNER_FAULT_MS,
-                    self._own_runners.get(runner.id, 0) // 2, runner.data_centre
+            odds = self.reliability.fail_odds(runner.id, now_ms)
+            return (now_ms - fault_ms < RUNNER_FAULT_MS or
+                    odds > reliability.DOUBTED,
+                    self._own_runners.get(runner.id, 0) // 2 +
+                    int(FAIL_STEPS * odds), runner.data_centre
                     != self._settings.data_centre, self._chance.random())
 
         return relay.Target(min(usable, key=cost))
@@ -222,6 +243,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._own_runners[runner_id] = self._own_runners.get(runner_id, 0) + 1
+        self._unproven_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
         self._relays.setdefault(target.key, {})[one] = None
@@ -232,6 +254,8 @@
 
     def event_came(self, one: relay.Relay, target: relay.Target) -> None:
         """Notes an event of a stream."""
+        if self._unproven_ms.pop(one, None) is not None:
+            self.reliability.went_well(target.known.runner.id, clock.now_ms())
         if target.key is None:
             return
         self.flights.event(target.key, one.attempt_id)
@@ -256,24 +280,33 @@
                 self._relays.pop(target.key, None)
             self.flights.ends(target.key, one.attempt_id)
             self.silence.ended(target.key, one.attempt_id)
-        self._note_fault(one, target, outcome)
+        self._note_ending(one, target, outcome)
 
-    def _note_fault(self, one: relay.Relay, target: relay.Target,
-                    outcome: attempts.Outcome) -> None:
-        fine = (attempts.Result.ANSWERED, attempts.Result.STREAMED,
-                attempts.Result.ABANDONED)
-        if outcome.result in fine:
-            return
+    def _note_ending(self, one: relay.Relay, target: relay.Target,
+                     outcome: attempts.Outcome) -> None:
         now_ms = clock.now_ms()
+        runner = target.known.runner.id
+        sent_ms = self._unproven_ms.pop(one, None)
+        if outcome.result in _FINE:
+            if outcome.result in _WELL and sent_ms is not None:
+                self.reliability.went_well(runner, now_ms)
+            return
+        if sent_ms is not None and self._is_to_blame(one, target, outcome,
+                                                     now_ms - sent_ms):
+            self.reliability.failed(runner, _mark(one.request), now_ms)
         _LOG.info(
             logs.line("attempt-failed",
                       request=one.attempt_id,
                       target=target.name,
+                      runner=runner,
                       result=outcome.result.value,
                       reason=outcome.reason,
                       events=one.events,
+                      fail_odds=round(
+                          self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
-        self._runner_faults_ms[target.known.runner.id] = now_ms
+        if outcome.result is not attempts.Result.FAILED:
+            self._runner_faults_ms[runner] = now_ms
         if target.key is None:
             return
         look_into = {
@@ -285,6 +318,19 @@
             self.standing.avoid(target.key, now_ms + FAULT_AVOID_MS)
             look_into(target.key, outcome.reason)
 
+    def _is_to_blame(self, one: relay.Relay, target: relay.Target,
+                     outcome: attempts.Outcome, took_ms: float) -> bool:
+        """Whether a try that brought nothing failed by the runner's own doing.
+
+        One that waits at a group, or leaves it, doesn't say so: that happens at
+        high load, and where a member died whose head is soon well in another.
+        """
+        if outcome.result in (attempts.Result.FAILED, attempts.Result.BROKEN):
+            return True
+        return (outcome.result is attempts.Result.TIMED_OUT and
+                target.key is None and one.route is not None and
+                took_ms > one.route.goal_ms)
+
     def ended(self, one: relay.Relay, status: int, reason: str) -> None:
         """Notes the end of a request."""
         now_ms = clock.now_ms()
@@ -312,6 +358,13 @@
                 version=table.configuration.version if table else 0))
 
 
+def _mark(request: callers.CallerRequest) -> int:
+    """Returns what is the same when the same request is sent again."""
+    counts = request.get(words.TOKEN_COUNTS) or ""
+    named = f"{request.method} {request.target} {counts}"
+    return zlib.crc32(request.body, zlib.crc32(named.encode()))
+
+
 def _nobody(key: model.GroupKey, reason: str) -> None:
     del key, reason
 
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -216,6 +216,7 @@
                               peer=message.node))
         for alarm in message.alarms:
             self._alarms.hear(alarm, message.node, now_ms)
+        self._requests.reliability.hear(message.tries, message.node, now_ms)
 
     def _on_return(self, data_centre: str) -> None:
         self._alarms.ask_again(clock.now_ms(), data_centre)
@@ -238,6 +239,7 @@
             in_flight=self._requests.flights.loads(),
             alarms=self._alarms.news(now_ms),
             opened=opened,
+            tries=self._requests.reliability.news(now_ms),
             requests_seen=self._requests_seen,
             stopping=bool(self._stopping_ms),
             plans_ms=self._peers.plans_ms(now_ms))
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/peermessage.py
@@ -7,11 +7,11 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import flights, model
+from cardamommill.gateway import flights, model, reliability
 
 # Larger datagrams are cut into fragments, and one lost loses all.
 MAX_BYTES = 1400
-FORMAT = 2
+FORMAT = 3
 # The format, and what differs between receivers: `echo_ms`, `interval_ms`. All
 # else is packed once for all of them: for each it took a node of 71 some 3 ms
 # a heartbeat.
@@ -53,6 +53,7 @@
         in_flight: What the sender has at each group.
         alarms: Groups found silent of late.
         opened: Groups opened of late.
+        tries: Runners that failed requests of late.
         requests_seen: Whether any caller's request has come.
         stopping: Whether the sender is about to end.
         plans_ms: For how long it has planned for which data centres.
@@ -69,6 +70,7 @@
     in_flight: dict[model.GroupKey, flights.GroupLoad]
     alarms: tuple[Alarm, ...]
     opened: tuple[OpenedGroup, ...]
+    tries: tuple[reliability.Tries, ...]
     requests_seen: bool
     stopping: bool
     plans_ms: dict[str, float]
@@ -105,9 +107,13 @@
         [[each.key.name, each.key.epoch,
           int(each.age_ms), each.confirmed] for each in message.alarms],
         [[each.key.name, each.key.epoch, each.model, each.head]
-         for each in message.opened], message.requests_seen, message.stopping, {
-             name: int(age) for name, age in message.plans_ms.items()
-         }
+         for each in message.opened],
+        [[
+            each.runner, each.well,
+            [[request, int(age_ms)] for request, age_ms in each.failures]
+        ] for each in message.tries], message.requests_seen, message.stopping, {
+            name: int(age) for name, age in message.plans_ms.items()
+        }
     ])
     return packed
 
@@ -123,7 +129,7 @@
         if form != FORMAT:
             raise ValueError(f"format {form}")
         (node, incarnation, data_centre, sent_ms, version, age, in_flight,
-         alarms, opened, requests_seen, stopping,
+         alarms, opened, tries, requests_seen, stopping,
          plans) = msgpack.unpackb(memoryview(data)[_HEAD.size:])
         return PeerMessage(
             str(node), int(incarnation), str(data_centre), float(sent_ms),
@@ -139,7 +145,13 @@
             tuple(
                 OpenedGroup(model.GroupKey(str(name), int(epoch)), str(served),
                             str(head)) for name, epoch, served, head in opened),
-            bool(requests_seen), bool(stopping), {
+            tuple(
+                reliability.Tries(
+                    str(runner), int(well),
+                    tuple((int(request), float(age_ms))
+                          for request, age_ms in failures))
+                for runner, well, failures in tries), bool(requests_seen),
+            bool(stopping), {
                 str(name): float(age) for name, age in plans.items()
             })
     except (ValueError, TypeError, AttributeError, struct.error,
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -3,13 +3,16 @@
 from collections.abc import Callable, Iterable
 import dataclasses
 
-from cardamommill.gateway import model, silence
+from cardamommill.gateway import model, reliability, silence
 
 # Requests that wait at a group though they will be late, as a part of its
 # places: more would not be served before their callers leave.
 PATIENT_PART = 0.5
 # A group that somebody found silent is used only where no other stands.
 AVOIDED_COST_MS = 100_000.0
+# What a try that fails costs: about a request's objective, since the next one
+# begins later, meets a runner that was second choice, and uses up repeats.
+FAILED_COST_MS = 300.0
 # What going to another data centre costs beyond its delay: bytes are dear.
 AWAY_COST_MS = 6.0
 # Answers that tell a peer's in-flight requests are this old at most.
@@ -32,9 +35,11 @@
         places: Requests that it runs at once.
         pace: Factor on all times, of its model and of slow members.
         away: Whether it is in another data centre.
-        avoided: Whether somebody found it silent a moment ago.
+        avoided: Whether somebody found it silent a moment ago, or doubts it.
         reading_tokens: Prompt tokens that were sent to it and not yet read.
         patient: Requests that wait behind those that can be in time.
+        fail_odds: How likely its head fails the next try.
+        rests: Whether its head failed a moment ago.
     """
 
     key: model.GroupKey
@@ -46,6 +51,13 @@
     avoided: bool
     reading_tokens: float = 0.0
     patient: int = 0
+    fail_odds: float = 0.0
+    rests: bool = False
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether it is likely to fail what it gets."""
+        return self.fail_odds > reliability.DOUBTED
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -138,6 +150,11 @@
     domains, with 180 ms between events, no answer of 50 events and more became
     whole, and of the largest tenth 0.27 were served where of all 0.58 were.
 
+    One whose head is likely to fail it gets it only where no other takes it,
+    not even to wait: a head that fails at once is always the least loaded. And
+    it rests a moment after each failure: where all others were full, it got as
+    many requests as they did, and used up the repeats of all.
+
     Args:
         engine: Its arithmetic.
         work: What the request asks.
@@ -148,6 +165,22 @@
     """
     standing = [each for each in candidates if each.key not in excluded]
     placed = [_expect(engine, work, each) for each in standing]
+    sound = [each for each in placed if not each.candidate.is_doubted]
+    doubted = [
+        each for each in placed
+        if each.candidate.is_doubted and not (sound and each.candidate.rests)
+    ]
+    chosen = _best(sound, wish) or _best(doubted, wish)
+    if chosen is not None:
+        return chosen
+    if placed:
+        return Refused("all groups are full",
+                       _worked_off_ms(sound or placed, wish))
+    wait_ms = min(max(form_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+    return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
+
+
+def _best(placed: list[Placed], wish: Wish) -> Placed | None:
     in_time = [each for each in placed if each.first_event_ms <= wish.goal_ms]
     patient = [
         each for each in placed if each.candidate.patient < PATIENT_PART *
@@ -161,10 +194,7 @@
         if chosen:
             return dataclasses.replace(min(chosen, key=_patient_cost),
                                        patient=True)
-    if placed:
-        return Refused("all groups are full", _worked_off_ms(placed, wish))
-    wait_ms = min(max(form_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-    return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
+    return None
 
 
 def _worked_off_ms(placed: list[Placed], wish: Wish) -> float:
@@ -189,7 +219,7 @@
 
 def _cost_ms(placed: Placed) -> float:
     candidate = placed.candidate
-    return (placed.first_event_ms +
+    return (placed.first_event_ms + FAILED_COST_MS * candidate.fail_odds +
             (AVOIDED_COST_MS if candidate.avoided else 0.0) +
             (AWAY_COST_MS if candidate.away else 0.0))
 
@@ -197,7 +227,7 @@
 def _patient_cost(placed: Placed) -> tuple[bool, float]:
     candidate = placed.candidate
     return (candidate.avoided, (candidate.in_flight + candidate.patient) *
-            candidate.pace / candidate.places)
+            candidate.pace / candidate.places + candidate.fail_odds)
 
 
 def _expect(engine: model.Engine, work: Work, candidate: Candidate) -> Placed:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -17,6 +17,7 @@
                    in_flight={},
                    alarms=(),
                    opened=(),
+                   tries=(),
                    requests_seen=False,
                    stopping=False,
                    plans_ms={})
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -114,3 +114,39 @@
     long = placing.place(ENGINE, placing.Work(5000, 10), [candidate()],
                          frozenset(), WISH, 0)
     assert long.first_event_ms > short.first_event_ms + 90
+
+
+def test_idle_head_that_fails_all_is_left_for_a_busy_sound_one():
+    """A head fails each request at once, and so has nothing in flight.
+
+    By load alone it is the quickest and gets most of what comes.
+    """
+    failing = candidate("failing", 0, fail_odds=0.7)
+    assert place(failing, candidate("b", 12)).candidate.key.name == "b"
+    # Late in the queue of a sound one rather than failed.
+    late = place(failing, candidate("b", 18))
+    assert late.candidate.key.name == "b" and late.patient
+
+
+def test_head_that_is_likely_to_fail_is_the_last_resort():
+    failing = candidate("failing", 0, fail_odds=0.7)
+    full = candidate("full", 13, patient=13, reading_tokens=40_000)
+    assert place(failing).candidate.key.name == "failing"
+    assert place(failing, full).candidate.key.name == "failing"
+    # A moment after it failed one more is told to come back.
+    rests = dataclasses.replace(failing, rests=True)
+    assert isinstance(place(rests, full), placing.Refused)
+    assert place(rests).candidate.key.name == "failing"
+
+
+def test_one_failure_costs_a_head_little():
+    once = candidate("once", 1, fail_odds=0.05)
+    assert place(once, candidate("b", 14)).candidate.key.name == "once"
+    assert place(once, candidate("b", 1)).candidate.key.name == "b"
+
+
+def test_refused_callers_come_back_by_what_sound_groups_have_to_do():
+    idle = candidate("failing", 0, fail_odds=0.7, rests=True)
+    full = candidate("full", 13, patient=13, reading_tokens=60_000)
+    refused = place(idle, full)
+    assert refused == place(full)
