--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import json
 import math
 from typing import Any
@@ -21,6 +22,16 @@
 REPORTS_KEPT = 20
 
 
+class Fault(enum.Enum):
+    """How a runner fails each request at once, while it looks well."""
+
+    NONE = "none"
+    # By an answer of its own.
+    ERROR = "error"
+    # By ending the connection without one.
+    RESET = "reset"
+
+
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """What all runners of a run share."""
@@ -63,6 +74,7 @@
 
     Attributes:
         pace: How many times as long everything takes.
+        fault: How it fails all that it is sent.
         late_orders_ms: If not 0, orders get no answer and are carried out late.
         begun: Its count of orders.
         beat_ms: When the platform heard of it last.
@@ -88,6 +100,7 @@
         self.membership: model.Membership | None = None
         self.members: tuple[str, ...] = ()
         self.pace = 1.0
+        self.fault = Fault.NONE
         self.late_orders_ms = 0.0
         self.begun = 0
         self.beat_ms = clock.now_ms()
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -79,10 +79,20 @@
         job = modelfleet.Job(request, reply, attempt,
                              int(request.get(words.REQUEST_PRIORITY) or 5), 0.0,
                              1, 1)
+        if self.fault is not modelfleet.Fault.NONE:
+            self._fail(job)
+            return None
         if self.engine is None:
             return self._take_plain(job)
         return self._passes.take(job)
 
+    def _fail(self, job: modelfleet.Job) -> None:
+        self.fleet.oracle.begins(job.attempt, self.id)
+        if self.fault is modelfleet.Fault.ERROR:
+            job.reply.whole(500, self.answer_head(job), b"")
+        else:
+            job.reply.break_off()
+
     def _take_plain(self, job: modelfleet.Job) -> modelfleet.Job | None:
         if len(self.jobs) >= self.slots * PLAIN_QUEUE:
             job.shed(self.id)
