Have a node whose own way to the runners is harmed tell nothing of them

A node whose link resets its connections sees all heads fail. It told so, and all nodes doubted heads that served everybody else; these rested after each further failure that it told. Found by reading; the test fails without the check. A node that more runners failed than served of late now tells nothing; one failing runner is always told. Its own failures still count for itself. A call that had too little time itself no longer speaks against its runner.

--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -329,7 +329,7 @@
             return True
         return (outcome.result is attempts.Result.TIMED_OUT and
                 target.key is None and one.route is not None and
-                took_ms > one.route.goal_ms)
+                0 < one.route.goal_ms < took_ms)
 
     def ended(self, one: relay.Relay, status: int, reason: str) -> None:
         """Notes the end of a request."""
--- a/cardamommill/gateway/reliability.py
+++ b/cardamommill/gateway/reliability.py
@@ -73,7 +73,9 @@
         self._chance = chance
         # When tries of this node went well, by runner.
         self._well_ms: dict[str, collections.deque[float]] = {}
-        # When each request failed, by runner.
+        # When a try of this node failed last, by runner.
+        self._own_failed_ms: dict[str, float] = {}
+        # When each request failed, by runner; of all nodes.
         self._failures: dict[str, dict[int, float]] = {}
         # Factor on how long failures are remembered here, by runner.
         self._memory: dict[str, float] = {}
@@ -93,6 +95,7 @@
             request: The same for the same request, whoever tries it again.
             now_ms: The time.
         """
+        self._own_failed_ms[runner] = now_ms
         self._note(runner, request, now_ms)
 
     def fail_odds(self, runner: str, now_ms: float) -> float:
@@ -120,6 +123,8 @@
 
     def news(self, now_ms: float) -> tuple[Tries, ...]:
         """Returns what other nodes should hear, the newest first."""
+        if self._may_be_cut_off(now_ms):
+            return ()
         told = []
         for runner, failures in self._failures.items():
             young = sorted((now_ms - at_ms, request)
@@ -135,6 +140,18 @@
         told.sort(key=lambda each: each.failures[0][1])
         return tuple(told[:MAX_TOLD_RUNNERS])
 
+    def _may_be_cut_off(self, now_ms: float) -> bool:
+        """Whether some runners failed this node and fewer served it of late.
+
+        Then its own way to them may be harmed: told of all of them, its
+        failures made all nodes leave heads that served everybody else.
+        """
+        failed = sum(
+            now_ms - at_ms < TOLD_MS for at_ms in self._own_failed_ms.values())
+        served = sum(
+            now_ms - times[-1] < TOLD_MS for times in self._well_ms.values())
+        return failed > max(1, served)
+
     def hear(self, told: Iterable[Tries], peer: str, now_ms: float) -> None:
         """Takes what a peer tells.
 
@@ -155,6 +172,9 @@
             if not failures:
                 del self._failures[runner], self._memory[runner]
                 self._peers_well.pop(runner, None)
+        for runner, at_ms in list(self._own_failed_ms.items()):
+            if now_ms - at_ms > FORGOTTEN_MS:
+                del self._own_failed_ms[runner]
         for runner, times in list(self._well_ms.items()):
             if now_ms - times[-1] > FORGOTTEN_MS:
                 del self._well_ms[runner]
--- a/tests/gateway/test_reliability.py
+++ b/tests/gateway/test_reliability.py
@@ -112,6 +112,28 @@
     assert 0.1 < one.fail_odds(HEAD, 1030) < 0.25
 
 
+def test_node_whose_own_way_is_harmed_tells_nothing():
+    """A node's link resets all its connections, so that each head fails it.
+
+    Told of by that node, all heads would be doubted by all nodes, and rest,
+    though they serve everybody else.
+    """
+    cut, other = node(1), node(2)
+    for number in range(40):
+        cut.failed(f"i-{number % 8}", number, 1000.0 + number)
+    assert cut.fail_odds("i-1", 1050) > DOUBTED
+    tell(cut, other, now_ms=1050)
+    assert not any(other.fail_odds(f"i-{number}", 1050) for number in range(8))
+    # It is served again, all but by one head.
+    for number in range(1, 8):
+        cut.went_well(f"i-{number}", 5000.0)
+    cut.failed("i-0", 41, 5000)
+    cut.failed("i-0", 42, 5000)
+    tell(cut, other, now_ms=5010)
+    assert other.fail_odds("i-0", 5010) > DOUBTED
+    assert not other.fail_odds("i-1", 5010)
+
+
 def test_runner_that_is_well_again_is_tried_and_trusted_soon():
     one = node()
     for number in range(20):
