--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -93,8 +93,16 @@
         return list(self._relays.get(key, ()))
 
     def look_at_peers(self, now_ms: float) -> None:
-        """Takes what peers told last of their load."""
+        """Takes what peers told last of their load, and tells of doubts."""
         self._peer_load = self._peers.in_flight(now_ms)
+        for runner, odds in self.reliability.turned(now_ms):
+            is_doubted = odds > reliability.DOUBTED
+            _LOG.warning(
+                logs.line("runner-doubted" if is_doubted else "runner-trusted",
+                          runner=runner,
+                          fail_odds=round(odds, 2)))
+            if is_doubted:
+                self._metrics.count("runners_doubted_total")
 
     def loads(self) -> dict[model.GroupKey, flights.GroupLoad]:
         """Returns the requests of all nodes at each group."""
--- a/cardamommill/gateway/reliability.py
+++ b/cardamommill/gateway/reliability.py
@@ -79,6 +79,7 @@
         self._failures: dict[str, dict[int, float]] = {}
         # Factor on how long failures are remembered here, by runner.
         self._memory: dict[str, float] = {}
+        self._doubted: set[str] = set()
         # What peers last told of tries that went well, by runner and peer.
         self._peers_well: dict[str, dict[str, int]] = {}
 
@@ -114,6 +115,16 @@
         since_ms = min(self._failures[runner].values())
         return sum(at_ms >= since_ms for at_ms in self._well_ms.get(runner, ()))
 
+    def turned(self, now_ms: float) -> list[tuple[str, float]]:
+        """Returns runners newly doubted, or no longer, with the odds."""
+        found = []
+        for runner in sorted(self._doubted | self._failures.keys()):
+            odds = self.fail_odds(runner, now_ms)
+            if (odds > DOUBTED) is not (runner in self._doubted):
+                self._doubted ^= {runner}
+                found.append((runner, odds))
+        return found
+
     def rests(self, runner: str, now_ms: float) -> bool:
         """Whether a runner failed a moment ago."""
         failures = self._failures.get(runner)
--- a/tests/gateway/test_reliability.py
+++ b/tests/gateway/test_reliability.py
@@ -165,6 +165,19 @@
     assert len(set(ends_ms)) > 8
 
 
+def test_doubts_are_told_once_and_when_they_end():
+    one = node()
+    one.failed(HEAD, 1, 1000)
+    assert not one.turned(1000)
+    one.failed(HEAD, 2, 1010)
+    ((runner, odds),) = one.turned(1010)
+    assert runner == HEAD and odds > DOUBTED
+    assert not one.turned(1020)
+    one.forget(1010 + 2 * reliability.FORGOTTEN_MS)
+    assert one.turned(1010 + 2 * reliability.FORGOTTEN_MS) == [(HEAD, 0.0)]
+    assert not one.turned(1010 + 2 * reliability.FORGOTTEN_MS)
+
+
 def test_runner_rests_only_a_moment():
     one = node()
     assert not one.rests(HEAD, 1000)
