--- a/cardamommill/gateway/passedon.py
+++ b/cardamommill/gateway/passedon.py
@@ -1,8 +1,23 @@
 """What is passed on of a request to a runner, and of its answer."""
 
-from cardamommill.gateway import callers, headfields, placing, upstream
+import dataclasses
+
+from cardamommill.gateway import (
+    callers,
+    fetching,
+    headfields,
+    placing,
+    upstream,
+)
 from cardamommill.platform import words
 
+# Before a try that ends at the caller's time the runner is told less, so that
+# its own answer is back in time.
+DEADLINE_MARGIN_MS = 5.0
+# Ranks of the runner's queue: those that can be in time come before all that
+# can't.
+URGENT_RANKS = 5
+
 _HOP_HEADERS = frozenset({
     "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
     "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
@@ -27,6 +42,47 @@
     ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """On what terms a runner gets a request.
+
+    Attributes:
+        runner: The only one that may run it.
+        left_ms: How much time its caller has left.
+        tenant: Whose it is; None where it needs no key.
+        rank: In the runner's queue, 0 is first; None for a plain service.
+        last_event_id: Where a stream goes on; None for its beginning.
+    """
+
+    runner: str
+    left_ms: float
+    tenant: str | None
+    rank: int | None
+    last_event_id: int | None
+
+
+def queue_rank(priority: int, patient: bool) -> int:
+    """Returns the rank in a runner's queue of a request of a priority."""
+    urgent = min(URGENT_RANKS - 1, priority)
+    return urgent + URGENT_RANKS if patient else urgent
+
+
+def request_bytes(request: callers.CallerRequest, terms: Terms) -> bytes:
+    """Returns a request as a runner gets it."""
+    left_ms = max(1, int(terms.left_ms - DEADLINE_MARGIN_MS))
+    own = [(words.DEADLINE_MS, str(left_ms)),
+           (words.EXPECT_INSTANCE, terms.runner)]
+    if terms.tenant is not None:
+        own.append((words.TENANT, terms.tenant))
+    if terms.rank is not None:
+        own.append((words.REQUEST_PRIORITY, str(terms.rank)))
+    if terms.last_event_id is not None:
+        own.append((words.LAST_EVENT_ID, str(terms.last_event_id)))
+    return fetching.request_bytes(request.method, request.target,
+                                  to_runner(request.headers) + own,
+                                  request.body)
+
+
 def to_caller(head: upstream.Head) -> list[tuple[str, str]]:
     """Returns the headers of a runner's answer that its caller gets."""
     return [(name, value)
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -17,7 +17,6 @@
     conclusion,
     endings,
     eventcutter,
-    fetching,
     fleetview,
     headfields,
     model,
@@ -33,18 +32,12 @@
 MAX_TRIES = 4
 # An answer that is not a stream is tried elsewhere only with this much left.
 MIN_LEFT_MS = 20.0
-# Before a try that ends at the caller's time the runner is told less, so that
-# its own answer is back in time.
-DEADLINE_MARGIN_MS = 5.0
 # How long a stream that has begun waits for a group to go on at: callers
 # leave after a pause of two seconds.
 RESUME_PATIENCE_MS = 1500.0
 RESUME_LOOK_MS = 40.0
 # Callers leave after two seconds without an event.
 PATIENCE_MS = 1600.0
-# Ranks of the runner's queue: those that can be in time come before all that
-# can't.
-URGENT_RANKS = 5
 DEFAULT_RETRY_AFTER_MS = admitting.DEFAULT_RETRY_AFTER_MS
 
 _LOG = logbook.Logger("requests")
@@ -367,22 +360,15 @@
         return self._node.may_repeat(self.service)
 
     def _bytes(self, target: Target, now_ms: float) -> bytes:
-        left_ms = max(1, int(self.end_ms - now_ms - DEADLINE_MARGIN_MS))
-        own = [(words.DEADLINE_MS, str(left_ms)),
-               (words.EXPECT_INSTANCE, target.known.runner.id)]
-        if self.tenant is not None:
-            own.append((words.TENANT, self.tenant.name))
+        rank = None
         if target.key is not None:
-            rank = min(URGENT_RANKS - 1, self.priority)
-            if target.placed is not None and target.placed.patient:
-                rank += URGENT_RANKS
-            own.append((words.REQUEST_PRIORITY, str(rank)))
-        if self.last_event_id is not None:
-            own.append((words.LAST_EVENT_ID, str(self.last_event_id)))
-        request = self.request
-        return fetching.request_bytes(request.method, request.target,
-                                      passedon.to_runner(request.headers) + own,
-                                      request.body)
+            patient = target.placed is not None and target.placed.patient
+            rank = passedon.queue_rank(self.priority, patient)
+        return passedon.request_bytes(
+            self.request,
+            passedon.Terms(target.known.runner.id, self.end_ms - now_ms,
+                           self.tenant.name if self.tenant else None, rank,
+                           self.last_event_id))
 
     # Events.
 
