--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamommill.experiment import deployments, troubles, world
+from cardamommill.experiment import deployments, modelrunner, troubles, world
 from cardamommill.gateway import (
     clock,
     entrysettings,
@@ -238,3 +238,55 @@
         } for number in range(10)))
     assert max(found) < 100.0
     assert not asked
+
+
+def leaving_lags_ms(monkeypatch, **fields):
+    """Returns how long followers took to know that runners leave."""
+    left_ms, found = {}, []
+    drain = modelrunner.ModelRunner.drain
+    take = platformreader.PlatformReader._take_list
+
+    def noted(runner):
+        drain(runner)
+        left_ms[runner.id] = clock.now_ms()
+
+    def timed(self, rows, whole):
+        take(self, rows, whole)
+        if self._servers._choice._node in ("node-a-1", "node-a-2"):
+            return
+        for known in self._view.known.values():
+            mark = (self, known.runner.id)
+            if known.leaving_ms and mark not in seen:
+                seen.add(mark)
+                found.append(clock.now_ms() - left_ms[known.runner.id])
+
+    seen = set()
+    monkeypatch.setattr(modelrunner.ModelRunner, "drain", noted)
+    monkeypatch.setattr(platformreader.PlatformReader, "_take_list", timed)
+    play({
+        "kind": "store_cut",
+        "at_s": 2.5,
+        "count": 2,
+        "for_s": 9.0
+    }, {
+        "kind": "runners_drain",
+        "at_s": 2.55,
+        "count": 4,
+        "place": "a"
+    },
+         nodes=8,
+         **fields)
+    return found
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_followers_of_cut_off_readers_keep_the_drain_bound(monkeypatch, seed):
+    """Runners begin to leave just after both readers lost the store.
+
+    Their followers, whom the store would answer, read on what these had. It
+    was left when it was 2.8 s old, up to half a second later still, and
+    requests went to runners that had left 2 s before.
+    """
+    found = leaving_lags_ms(monkeypatch, seed=seed)
+    assert len(found) == 4 * 7
+    assert max(found) < entrysettings.Bounds().drain_ms
