Count a run at a head that holds a request whose members all answer

More requests ran at more runners than their routes allow where runners hold what they get. A try that is left without an event counts as a run now unless its group is known to have lost a member, in which case nothing has begun.

The test failed before (three runs where two may be); what groups that lost a member use up is as before.

--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -106,6 +106,8 @@
         # Those of them that count as runs: a stream runs from its first token.
         self._begun_at: list[Target] = []
         self._try_events = 0
+        # Whether the group that the try is at lost a member.
+        self._is_dead = False
         # The newest event of the try, which its caller may have had before.
         self._try_last_id: int | None = None
         self.end_ms = math.inf
@@ -205,23 +207,23 @@
         if not self.route.repeatable:
             return
         self._stay()
-        self._leave(self._attempt, reason, is_dead)
+        self._is_dead = is_dead
+        self._leave(self._attempt, reason)
 
-    def _leave(self, attempt: attempts.Attempt, reason: str,
-               is_dead: bool) -> None:
+    def _leave(self, attempt: attempts.Attempt, reason: str) -> None:
         if attempt is not self._attempt or attempt.done.done():
             return
         target = self._way_on()
-        if target is not None or (is_dead and not self.reply.started):
+        if target is not None or (self._is_dead and not self.reply.started):
             self._reserved = target
             attempt.give_up(attempts.Result.DIVERTED, reason)
             return
         self._leaving = asyncio.get_running_loop().call_later(
-            RESUME_LOOK_MS / 1000, self._leave, attempt, reason, is_dead)
+            RESUME_LOOK_MS / 1000, self._leave, attempt, reason)
 
     def _way_on(self) -> Target | None:
         """Returns where a try that is left goes on, if it may and can."""
-        if not self._may_go_elsewhere(leaving=self._try_has_begun()):
+        if not self._may_go_elsewhere(leaving=self._may_be_at_work()):
             return None
         if not self.key_still_holds():
             return None
@@ -298,6 +300,7 @@
         self.tried.append(target)
         self._try_events = 0
         self._try_last_id = None
+        self._is_dead = False
         runner = target.known.runner
         now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
@@ -317,7 +320,7 @@
         if endings.may_have_run(outcome.result):
             self.ran_at.append(target)
             diverted = outcome.result is attempts.Result.DIVERTED
-            if self._try_has_begun() or not diverted:
+            if self._may_be_at_work() or not diverted:
                 self._begun_at.append(target)
         self._node.attempt_ends(self, target, outcome)
         return outcome
@@ -335,14 +338,15 @@
                                     "ended before what the caller has")
         return outcome
 
-    def _try_has_begun(self) -> bool:
-        """Whether a runner is at work, as far as can be seen from here.
+    def _may_be_at_work(self) -> bool:
+        """Whether the runner that is left may be at work on the request.
 
-        A group that stands still has given no event: it would have come long
+        A group that lost a member has given no event: it would have come long
         before the silence was noticed. Counted as runs all the same, two dead
         groups in a row used up the attempts of a request that none had begun.
+        One whose members all answer may hold what it runs.
         """
-        return not self.streaming or self._try_events > 0
+        return (not self.streaming or self._try_events > 0 or not self._is_dead)
 
     def _may_go_elsewhere(self, leaving: bool = False) -> bool:
         if self.route is None or len(self.tried) >= MAX_TRIES:
