--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TypeVar
 
 import logbook
 
@@ -32,9 +31,6 @@
 
 _LOG = logbook.Logger("alarms")
 
-_Key = TypeVar("_Key")
-_Value = TypeVar("_Value")
-
 
 class Alarms:
     """Looks into silent groups and moves requests away from dead ones."""
@@ -82,10 +78,11 @@
 
     def forget(self, now_ms: float) -> None:
         """Forgets old alarms."""
-        _forget_old(self._alarms, lambda alarm: alarm[0], now_ms)
-        _forget_old(self._probed_ms, float, now_ms)
-        _forget_old(self._asked_by_peer_ms, float, now_ms)
-        _forget_old(self._asked_again_ms, float, now_ms)
+        clock.forget_old(self._alarms, lambda alarm: alarm[0], FORGET_MS,
+                         now_ms)
+        clock.forget_old(self._probed_ms, float, FORGET_MS, now_ms)
+        clock.forget_old(self._asked_by_peer_ms, float, FORGET_MS, now_ms)
+        clock.forget_old(self._asked_again_ms, float, FORGET_MS, now_ms)
 
     def look(self, now_ms: float) -> None:
         """Finds groups that have newly fallen silent, or stand still."""
@@ -246,10 +243,3 @@
         if self._plans_for(alarm.key) and not any(
                 each.down_ms for each in self._view.members(alarm.key)):
             self.probe(alarm.key, f"alarm of {peer}")
-
-
-def _forget_old(table: dict[_Key, _Value], at_ms: Callable[[_Value], float],
-                now_ms: float) -> None:
-    for key, value in list(table.items()):
-        if now_ms - at_ms(value) > FORGET_MS:
-            del table[key]
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -228,9 +228,10 @@
         self.idle_since_ms = clock.now_ms()
         if self._transport is None:
             return
-        if self._reply is not None and self._reply.said_close:
+        said_close = self._reply is not None and self._reply.said_close
+        if said_close:
             self._waiting.clear()
-        if self.closing or (self._reply is not None and self._reply.said_close):
+        if said_close or self.closing:
             self._close_soon()
             return
         self._tell_to_go_on()
--- a/cardamommill/gateway/clock.py
+++ b/cardamommill/gateway/clock.py
@@ -2,9 +2,13 @@
 
 from collections.abc import Callable, Iterator
 import contextlib
+from typing import TypeVar
 
 from cardamommill import boottime
 
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
+
 _read: Callable[[], float] = boottime.now_ms
 
 
@@ -26,3 +30,18 @@
         yield
     finally:
         _read = before
+
+
+def forget_old(table: dict[_Key, _Value], at_ms: Callable[[_Value], float],
+               age_ms: float, now: float) -> None:
+    """Drops from a table what is older than an age.
+
+    Args:
+        table: Changed in place.
+        at_ms: Returns a value's time.
+        age_ms: The greatest that is kept.
+        now: The time, in ms.
+    """
+    for key, value in list(table.items()):
+        if now - at_ms(value) > age_ms:
+            del table[key]
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 
 from cardamommill import logs, metrics
 from cardamommill.gateway import (
+    admitting,
     attempts,
     callers,
     clock,
@@ -113,9 +114,8 @@
 
     def forget(self, now_ms: float) -> None:
         """Forgets old faults."""
-        for runner, at_ms in list(self._runner_faults_ms.items()):
-            if now_ms - at_ms > 10 * RUNNER_FAULT_MS:
-                del self._runner_faults_ms[runner]
+        clock.forget_old(self._runner_faults_ms, float, 10 * RUNNER_FAULT_MS,
+                         now_ms)
         self.reliability.forget(now_ms)
 
     def table(self) -> routetable.RouteTable | None:
@@ -145,7 +145,8 @@
         """Returns where a request goes next."""
         table = self._reader.table
         assert table is not None and one.route is not None
-        refused = placing.Refused("no service", relay.DEFAULT_RETRY_AFTER_MS)
+        refused = placing.Refused("no service",
+                                  admitting.DEFAULT_RETRY_AFTER_MS)
         for name in routetable.backends_in_order(one.route, self._chance):
             service = table.configuration.services.get(name)
             if service is None:
@@ -166,7 +167,7 @@
         served = engine.model(one.model_name)
         if served is None:
             return placing.Refused("no such model",
-                                   relay.DEFAULT_RETRY_AFTER_MS)
+                                   admitting.DEFAULT_RETRY_AFTER_MS)
         heads: dict[model.GroupKey, fleetview.Known] = {}
         candidates = []
         for each in self.standing.of_model(service.name, served.name):
@@ -211,7 +212,8 @@
             if each.usable and each.runner.id not in tried
         ]
         if not usable:
-            return placing.Refused("no runner", relay.DEFAULT_RETRY_AFTER_MS)
+            return placing.Refused("no runner",
+                                   admitting.DEFAULT_RETRY_AFTER_MS)
 
         def cost(known: fleetview.Known) -> tuple[bool, int, bool, float]:
             runner = known.runner
@@ -378,4 +380,4 @@
 
 
 def _soon() -> float:
-    return relay.DEFAULT_RETRY_AFTER_MS
+    return admitting.DEFAULT_RETRY_AFTER_MS
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -306,9 +306,8 @@
         self._speak_at_once()
 
     def _forget_opened(self, now_ms: float) -> None:
-        for key, (at_ms, _, _) in list(self._opened.items()):
-            if now_ms - at_ms > 10 * alarms.NEWS_MS:
-                del self._opened[key]
+        clock.forget_old(self._opened, lambda opened: opened[0],
+                         10 * alarms.NEWS_MS, now_ms)
 
     def _on_table(self, table: routetable.RouteTable) -> None:
         self._server.limits = table.configuration.limits
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -67,18 +67,7 @@
         asked_ms = clock.now_ms()
         answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
-        if answer.ending is not upstream.Ending.COMPLETE:
-            raise exceptions.StoreError(answer.reason,
-                                        step=_STEP,
-                                        peer=self._peer)
-        if answer.head.status == _GONE:
-            raise storecalls.HistoryLost("forgotten",
-                                         step=_STEP,
-                                         peer=self._peer)
-        if answer.head.status != _OK:
-            raise exceptions.StoreError(f"status {answer.head.status}",
-                                        step=_STEP,
-                                        peer=self._peer)
+        storecalls.check(answer, _STEP, self._peer)
         return self._decoded(answer.body, asked_ms)
 
     def _decoded(self, body: bytes, asked_ms: float) -> storecalls.Rows:
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -38,7 +38,6 @@
 RESUME_LOOK_MS = 40.0
 # Callers leave after two seconds without an event.
 PATIENCE_MS = 1600.0
-DEFAULT_RETRY_AFTER_MS = admitting.DEFAULT_RETRY_AFTER_MS
 
 _LOG = logbook.Logger("requests")
 
@@ -289,7 +288,8 @@
     def _find_target(self) -> Target | placing.Refused:
         reserved, self._reserved = self._reserved, None
         if not self.key_still_holds():
-            return placing.Refused("key not confirmed", DEFAULT_RETRY_AFTER_MS)
+            return placing.Refused("key not confirmed",
+                                   admitting.DEFAULT_RETRY_AFTER_MS)
         return reserved or self._node.find_target(self)
 
     async def _try(self, target: Target) -> attempts.Outcome:
--- a/cardamommill/gateway/reliability.py
+++ b/cardamommill/gateway/reliability.py
@@ -17,6 +17,8 @@
 import math
 import random
 
+from cardamommill.gateway import clock
+
 # A try weighs half after this long, so that whoever failed is tried again.
 HALF_LIFE_MS = 3000.0
 FORGOTTEN_MS = 5 * HALF_LIFE_MS
@@ -177,18 +179,13 @@
     def forget(self, now_ms: float) -> None:
         """Forgets what weighs next to nothing."""
         for runner, failures in list(self._failures.items()):
-            for request, at_ms in list(failures.items()):
-                if now_ms - at_ms > FORGOTTEN_MS:
-                    del failures[request]
+            clock.forget_old(failures, float, FORGOTTEN_MS, now_ms)
             if not failures:
                 del self._failures[runner], self._memory[runner]
                 self._peers_well.pop(runner, None)
-        for runner, at_ms in list(self._own_failed_ms.items()):
-            if now_ms - at_ms > FORGOTTEN_MS:
-                del self._own_failed_ms[runner]
-        for runner, times in list(self._well_ms.items()):
-            if now_ms - times[-1] > FORGOTTEN_MS:
-                del self._well_ms[runner]
+        clock.forget_old(self._own_failed_ms, float, FORGOTTEN_MS, now_ms)
+        clock.forget_old(self._well_ms, lambda times: times[-1], FORGOTTEN_MS,
+                         now_ms)
 
     def _note(self, runner: str, request: int, at_ms: float) -> None:
         if runner not in self._failures:
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -17,6 +17,8 @@
 # What a feed's answer may take beyond the time that it was asked to wait: with
 # more, one lost answer would leave keys unconfirmed for too long.
 FEED_MARGIN_MS = 500
+_OK = 200
+_GONE = 410
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,16 +138,7 @@
         self.calls += 1
         answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
-        if answer.ending is not upstream.Ending.COMPLETE:
-            raise exceptions.StoreError(answer.reason,
-                                        step=step,
-                                        peer=self._peer)
-        if answer.head.status == 410:
-            raise HistoryLost("history gone", step=step, peer=self._peer)
-        if answer.head.status != 200:
-            raise exceptions.StoreError(f"status {answer.head.status}",
-                                        step=step,
-                                        peer=self._peer)
+        check(answer, step, self._peer)
         try:
             return entries.json_body(answer.body, step, self._peer)
         except exceptions.BadPeerMessage as error:
@@ -167,6 +160,23 @@
         return Rows(rows, version, max(as_of_ms, sent_ms))
 
 
+def check(answer: fetching.Answer, step: str, peer: str) -> None:
+    """Takes only a whole answer that gives what was asked for.
+
+    Raises:
+        HistoryLost: The history asked for is gone.
+        StoreError: It is none that can be used.
+    """
+    if answer.ending is not upstream.Ending.COMPLETE:
+        raise exceptions.StoreError(answer.reason, step=step, peer=peer)
+    if answer.head.status == _GONE:
+        raise HistoryLost("history gone", step=step, peer=peer)
+    if answer.head.status != _OK:
+        raise exceptions.StoreError(f"status {answer.head.status}",
+                                    step=step,
+                                    peer=peer)
+
+
 def _row(wire: dict[str, Any]) -> Row:
     deleted = bool(wire.get("deleted"))
     return Row(key=str(wire["key"]),
