Send nothing on once its caller's time is over or its close was read

Callers saw nothing; runners worked for callers who had left.

Cause, two ways to it. A stream that has begun waits up to 1.5 s for a group or its key, and the end of its caller's time was looked at only where none was found: a target found after that was used. And a close that is read in the same turn of the event loop as the end of the try was told only in the next turn, after the request had gone on: asyncio closes a transport one turn after its end of stream.

Ruled out: a connection that is being opened when the caller leaves (its exchange is cancelled and looked at again), requests that wait behind another on the same connection (dropped with it).

Change: no target is looked for once the time is over; the end of stream is told at once; a request that was tried yields one turn to the loop before it goes on. Both ways have a test that failed before.

--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -121,6 +121,9 @@
 
     def eof_received(self) -> bool:
         """A caller that closes has left; see asyncio.Protocol."""
+        # Told at once: the loop closes the transport only in its next turn,
+        # and until then the request would go on to another runner.
+        self._tell_left()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -128,6 +131,9 @@
         del exc
         self._transport = None
         self._server.connections.pop(self, None)
+        self._tell_left()
+
+    def _tell_left(self) -> None:
         serving, self._serving = self._serving, None
         self._waiting.clear()
         if serving is not None:
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -272,15 +272,22 @@
 
     async def _next_target(self) -> Target | placing.Refused | None:
         waited_from_ms = clock.now_ms()
+        if self.tried:
+            # A caller's close that was read in the same turn of the loop as
+            # the end of the try is told only now; a run would be for nobody.
+            await asyncio.sleep(0)
         while True:
+            now_ms = clock.now_ms()
             if self.left:
                 return None
+            if now_ms >= self.end_ms:
+                # Its caller has left, also where the close is still under way.
+                return placing.Refused("out of time",
+                                       admitting.DEFAULT_RETRY_AFTER_MS)
             found = self._find_target()
             if isinstance(found, Target) or not self.reply.started:
                 return found
-            now_ms = clock.now_ms()
             if (now_ms - waited_from_ms > RESUME_PATIENCE_MS or
-                    now_ms > self.end_ms or
                 (self.tenant is not None and not self._key_is_known())):
                 return found
             await asyncio.sleep(RESUME_LOOK_MS / 1000)
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -112,6 +112,26 @@
     assert left == [True]
 
 
+def test_caller_that_closes_is_told_of_in_the_same_turn_of_the_loop():
+    """The end of a run, read next, would have the request go on elsewhere."""
+    left = []
+
+    class Serving:
+
+        def caller_left(self):
+            left.append(True)
+
+    async def script(client, server):
+        client.transport.write(GET)
+        await asyncio.sleep(0.1)
+        (connection,) = server.connections
+        assert not connection.eof_received()
+        assert left == [True]
+
+    play(script, lambda request, reply: Serving())
+    assert left == [True]
+
+
 def test_answer_that_is_broken_off_does_not_look_whole():
 
     def handler(request, reply):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamommill.gateway import callers, model, placing, relay
+from cardamommill.gateway import callers, clock, model, placing, relay
 from tests.gateway import builders, relays
 
 REFUSED = placing.Refused("all groups are full", 1300.0)
@@ -289,3 +289,43 @@
     if is_dead:
         assert reply.status == 502
         assert "Retry-After" in dict(reply.headers)
+
+
+def test_stream_that_waited_until_its_time_was_over_goes_nowhere():
+    """Its run is cut while its key is not confirmed; its caller's time ends.
+
+    The key is confirmed after that, a group stands, and the request was sent
+    there: work for a caller who had left, whose leaving this node had not seen.
+    """
+
+    async def play(node, one):
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        node.keys_hold = False
+        one.end_ms = clock.now_ms() + 1.2 * relay.RESUME_LOOK_MS
+        first.cut()
+        await asyncio.sleep(1.5 * relay.RESUME_LOOK_MS / 1000)
+        node.keys_hold = True
+        await asyncio.sleep(0.1)
+
+    reply, node = played(play)
+    assert len(node.exchanges) == 1
+    assert reply.ending == "broken off"
+
+
+def test_caller_that_left_unseen_gets_no_second_run():
+    """Run cut and connection closed are read in one turn of the event loop.
+
+    The cut came first, and its follow-up was sent before the loop got to the
+    caller's close.
+    """
+
+    async def play(node, one):
+        loop = asyncio.get_running_loop()
+        node.exchanges[0].cut()
+        loop.call_soon(one.caller_left)
+        await asyncio.sleep(0.05)
+
+    _, node = played(play)
+    assert len(node.exchanges) == 1
