Tell other data centres sums and pass news on there

Cause: nodes times nodes. Each node told each other one its loads, and each group that was opened, found silent or found down was told at once to all nodes of all data centres.

Ruled out: fewer heartbeats alone, which make the loads older still; no loads at all from elsewhere, with which groups far away look empty to everybody.

Change: the first two nodes of a data centre by name report. They tell the reporters of the others the sums of their data centre by group, twice a second, and pass on to their own nodes what came from elsewhere. News goes at once to the own data centre and to two nodes of each other, which pass it on. Single nodes tell far ones only that they live and what is in force. Where nodes are few all stays as it was, since each is heard often enough. A node of the former version is understood, and hears nothing of new ones until it is replaced.

Why it holds: each data centre has two reporters, both tell both, and the next by name takes over where one dies; sums that come no more end after 1.75 s. A data centre whose reporters have all fallen silent for 20 s is planned for by another, where single nodes, told seldom, were missed only after a minute.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -221,19 +221,41 @@
                 if not self._requests.silence.moves(each, now_ms):
                     self.probe(each, f"{place} may be cut off")
 
-    def hear(self, alarm: peermessage.Alarm, peer: str, now_ms: float) -> None:
-        """Takes the alarm of another node."""
+    def hear(self,
+             alarm: peermessage.Alarm,
+             peer: str,
+             now_ms: float,
+             is_far: bool = False) -> bool:
+        """Takes the alarm of another node; True where it is heeded as news.
+
+        Args:
+            alarm: What it told.
+            peer: Its name.
+            now_ms: The time.
+            is_far: Whether it stands in another data centre: only a few nodes
+                here hear it, and these pass it on.
+        """
         since_ms = now_ms - alarm.age_ms
-        if not alarm.confirmed:
-            self._asked_by_peer_ms[alarm.key] = since_ms
-            return
+        is_news = (self._hear_confirmed(alarm, peer, since_ms, now_ms)
+                   if alarm.confirmed else self._hear_question(alarm, since_ms))
+        if is_news and is_far:
+            self._alarms[alarm.key] = (since_ms, alarm.confirmed)
+        return is_news
+
+    def _hear_question(self, alarm: peermessage.Alarm, since_ms: float) -> bool:
+        before_ms = self._asked_by_peer_ms.get(alarm.key, float("-inf"))
+        self._asked_by_peer_ms[alarm.key] = since_ms
+        return since_ms - before_ms > standing.SUSPECT_MS
+
+    def _hear_confirmed(self, alarm: peermessage.Alarm, peer: str,
+                        since_ms: float, now_ms: float) -> bool:
         if self._requests.silence.moves(alarm.key, now_ms):
             # The peer may be cut off itself.
-            return
+            return False
         until_ms = since_ms + self._confirmed_ms
         if self._requests.standing.is_avoided(alarm.key,
                                               until_ms - TOGETHER_MS):
-            return
+            return False
         _LOG.info(
             logs.line("alarm-heard",
                       group=alarm.key,
@@ -243,3 +265,4 @@
         if self._plans_for(alarm.key) and not any(
                 each.down_ms for each in self._view.members(alarm.key)):
             self.probe(alarm.key, f"alarm of {peer}")
+        return True
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -23,6 +23,7 @@
     platformreader,
     relay,
     reliability,
+    reporting,
     retrybudget,
     routetable,
     silence,
@@ -71,6 +72,7 @@
         self._own_runners: dict[str, int] = {}
         self._runner_faults_ms: dict[str, float] = {}
         self._peer_load: dict[model.GroupKey, flights.GroupLoad] = {}
+        self._far_load: reporting.Loads = {}
         self.flights = flights.Flights()
         self.standing = standing.StandingGroups(view)
         self.silence = silence.SilenceDetector()
@@ -93,8 +95,15 @@
         """Returns this node's requests at a group."""
         return list(self._relays.get(key, ()))
 
-    def look_at_peers(self, now_ms: float) -> None:
-        """Takes what peers told last of their load, and tells of doubts."""
+    def look_at_peers(self, far_load: reporting.Loads, now_ms: float) -> None:
+        """Takes what peers told last of their load, and tells of doubts.
+
+        Args:
+            far_load: What nodes of other data centres have, where they don't
+                tell it each for itself.
+            now_ms: The time.
+        """
+        self._far_load = far_load
         self._peer_load = self._peers.in_flight(now_ms)
         for runner, odds in self.reliability.turned(now_ms):
             is_doubted = odds > reliability.DOUBTED
@@ -105,12 +114,20 @@
             if is_doubted:
                 self._metrics.count("runners_doubted_total")
 
+    def load(self, key: model.GroupKey) -> flights.GroupLoad:
+        """Returns the requests of all nodes at a group."""
+        others = self._peer_load.get(key, flights.NO_LOAD).plus(
+            self._far_load.get(key.mark, flights.NO_LOAD))
+        return self.flights.load(key).plus(others)
+
     def loads(self) -> dict[model.GroupKey, flights.GroupLoad]:
-        """Returns the requests of all nodes at each group."""
-        found = dict(self._peer_load)
-        for key, load in self.flights.loads().items():
-            found[key] = found.get(key, flights.NO_LOAD).plus(load)
-        return found
+        """Returns the requests of all nodes at each group that is known."""
+        table = self._reader.table
+        return {
+            key: self.load(key)
+            for service in (table.configuration.services if table else ())
+            for key in self._view.groups(service)
+        }
 
     def forget(self, now_ms: float) -> None:
         """Forgets old faults."""
@@ -172,8 +189,7 @@
         candidates = []
         for each in self.standing.of_model(service.name, served.name):
             heads[each.key] = each.head
-            load = self.flights.load(each.key).plus(
-                self._peer_load.get(each.key, flights.NO_LOAD))
+            load = self.load(each.key)
             head = each.head.runner.id
             odds = self.reliability.fail_odds(head, now_ms)
             candidates.append(
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -28,6 +28,7 @@
     platformreader,
     relay,
     replies,
+    reporting,
     routetable,
     rowsource,
     sources,
@@ -72,6 +73,7 @@
         self._peers = peers.Peers(settings.node, settings.data_centre,
                                   self._incarnation,
                                   (settings.ip, settings.peer_port), now_ms)
+        self._far_loads = reporting.FarLoads()
         self._requests_seen = False
         self._stopping_ms = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -211,25 +213,42 @@
                     now_ms: float) -> None:
         if self._reader.misses(message.config_version):
             self.spawn(self._reader.catch_up())
+        is_far = message.data_centre != self._settings.data_centre
+        if message.sums is not None:
+            self._far_loads.hear(message.sums,
+                                 message.data_centre if is_far else None,
+                                 now_ms)
+        is_news = False
         for opened in message.opened:
-            if self.view.take_open(opened.head, opened.key, opened.model):
-                _LOG.info(
-                    logs.line("group-open-heard",
-                              group=opened.key,
-                              peer=message.node))
+            is_news |= self._hear_opened(opened, message.node, is_far, now_ms)
         for alarm in message.alarms:
-            self._alarms.hear(alarm, message.node, now_ms)
+            is_news |= self._alarms.hear(alarm, message.node, now_ms, is_far)
         self._requests.reliability.hear(message.tries, message.node, now_ms)
+        if is_far and is_news:
+            # Only reporters of this data centre are told of it at once.
+            self._link.tell_news(now_ms, far=False)
+
+    def _hear_opened(self, opened: peermessage.OpenedGroup, peer: str,
+                     is_far: bool, now_ms: float) -> bool:
+        if not self.view.take_open(opened.head, opened.key, opened.model):
+            return False
+        _LOG.info(logs.line("group-open-heard", group=opened.key, peer=peer))
+        if is_far:
+            self._opened[opened.key] = (now_ms, opened.model, opened.head)
+        return True
 
     def _on_return(self, data_centre: str) -> None:
         self._alarms.ask_again(clock.now_ms(), data_centre)
 
-    def _compose(self, now_ms: float) -> peermessage.PeerMessage:
+    def _compose(self, now_ms: float,
+                 audience: peers.Audience) -> peermessage.PeerMessage:
         table = self._reader.table
         opened = tuple(
             peermessage.OpenedGroup(key, name, head)
             for key, (at_ms, name, head) in self._opened.items()
             if now_ms - at_ms < alarms.NEWS_MS)
+        is_near = audience is peers.Audience.NEAR
+        reliability = self._requests.reliability
         return peermessage.PeerMessage(
             node=self._settings.node,
             incarnation=self._incarnation,
@@ -239,16 +258,27 @@
             interval_ms=0.0,
             config_version=table.configuration.version if table else 0,
             confirmed_age_ms=self._freshness.age_ms(now_ms),
-            in_flight=self._requests.flights.loads(),
+            in_flight=self._requests.flights.loads() if is_near else {},
             alarms=self._alarms.news(now_ms),
             opened=opened,
-            tries=self._requests.reliability.news(now_ms),
+            tries=reliability.news(now_ms) if is_near else (),
             requests_seen=self._requests_seen,
             stopping=bool(self._stopping_ms),
-            plans_ms=self._peers.plans_ms(now_ms))
+            plans_ms=self._peers.plans_ms(now_ms),
+            sums=self._sums(now_ms, audience))
+
+    def _sums(self, now_ms: float,
+              audience: peers.Audience) -> reporting.Sums | None:
+        if not self._peers.is_reporter or audience is peers.Audience.FAR:
+            return None
+        if audience is peers.Audience.NEAR:
+            return self._far_loads.to_pass_on(now_ms)
+        own = reporting.marked(self._requests.flights.loads())
+        return reporting.Sums(0.0,
+                              reporting.added((own, self._peers.near_loads())))
 
     def _speak_at_once(self) -> None:
-        self._link.speak(clock.now_ms(), at_once=True)
+        self._link.tell_news(clock.now_ms(), far=True)
 
     def _plans_for(self, key: model.GroupKey) -> bool:
         ours = self._peers.planned_data_centres(self._settings.data_centres,
@@ -273,7 +303,7 @@
         self._alarms.look(now_ms)
         self._link.speak(now_ms)
         if self._ticks % PLAN_EVERY_TICKS == 0:
-            self._requests.look_at_peers(now_ms)
+            self._requests.look_at_peers(self._far_loads.loads(now_ms), now_ms)
             self._plan(now_ms)
         if self._ticks % SWEEP_EVERY_TICKS == 0:
             self._server.sweep(now_ms)
@@ -285,6 +315,7 @@
             self._alarms.ask_again(now_ms)
             self._requests.forget(now_ms)
             self._forget_opened(now_ms)
+            self._peers.choose_reporters(now_ms)
         if self._stopping_ms:
             self._maybe_end(now_ms)
 
--- a/cardamommill/gateway/model.py
+++ b/cardamommill/gateway/model.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import enum
+import functools
+import zlib
 
 
 class MemberState(enum.Enum):
@@ -24,6 +26,16 @@
     def __str__(self) -> str:
         return f"{self.name}:{self.epoch}"
 
+    @property
+    def mark(self) -> int:
+        """A short name, for sums of which a datagram must hold many."""
+        return _mark(self)
+
+
+@functools.lru_cache(maxsize=4096)
+def _mark(key: GroupKey) -> int:
+    return zlib.crc32(str(key).encode())
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Membership:
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -25,7 +25,8 @@
 
     def __init__(self, settings: entrysettings.EntrySettings,
                  others: peers.Peers,
-                 compose: Callable[[float], peermessage.PeerMessage],
+                 compose: Callable[[float, peers.Audience],
+                                   peermessage.PeerMessage],
                  heard: Callable[[peermessage.PeerMessage, float],
                                  None], came_back: Callable[[str],
                                                             None]) -> None:
@@ -34,7 +35,7 @@
         Args:
             settings: Where to listen, and seeds.
             others: What is known of other nodes.
-            compose: Returns the message for all peers.
+            compose: Returns the message for peers of one kind.
             heard: Takes a message.
             came_back: Takes the data centre of a node that was not heard of.
         """
@@ -74,16 +75,28 @@
             self._came_back(message.data_centre)
         self._heard(message, now_ms)
 
-    def speak(self, now_ms: float, at_once: bool = False) -> None:
-        """Tells peers what is due, or all of them at once."""
+    def speak(self, now_ms: float) -> None:
+        """Tells peers what is due."""
+        self._tell(self._peers.due(now_ms), now_ms)
+
+    def tell_news(self, now_ms: float, far: bool) -> None:
+        """Tells news at once; see `peers.Peers.at_once`."""
+        self._tell(self._peers.at_once(now_ms, far), now_ms)
+
+    def _tell(self, told: list[tuple[peers.Peer, float]],
+              now_ms: float) -> None:
         if self._udp is None:
             return
-        body = b""
-        for peer, interval_ms in self._peers.due(now_ms, at_once):
-            body = body or peermessage.encode_body(self._compose(now_ms))
+        bodies: dict[peers.Audience, bytes] = {}
+        for peer, interval_ms in told:
+            audience = self._peers.audience(peer)
+            if audience not in bodies:
+                bodies[audience] = peermessage.encode_body(
+                    self._compose(now_ms, audience))
             echo_ms = peer.last.sent_ms if peer.last else 0.0
-            self._udp.sendto(peermessage.datagram(echo_ms, interval_ms, body),
-                             peer.address)
+            self._udp.sendto(
+                peermessage.datagram(echo_ms, interval_ms, bodies[audience]),
+                peer.address)
 
     async def find_nodes(self, store: storecalls.Store) -> None:
         """Keeps finding nodes by the platform's table; never ends."""
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/peermessage.py
@@ -7,11 +7,13 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import flights, model, reliability
+from cardamommill.gateway import flights, model, reliability, reporting
 
 # Larger datagrams are cut into fragments, and one lost loses all.
 MAX_BYTES = 1400
-FORMAT = 3
+FORMAT = 4
+# Of nodes of the former version, which tell neither sums nor of the store.
+FORMER_FORMAT = 3
 # The format, and what differs between receivers: `echo_ms`, `interval_ms`. All
 # else is packed once for all of them: for each it took a node of 71 some 3 ms
 # a heartbeat.
@@ -57,6 +59,9 @@
         requests_seen: Whether any caller's request has come.
         stopping: Whether the sender is about to end.
         plans_ms: For how long it has planned for which data centres.
+        sums: From a reporter: to another data centre the sums of its own, to
+            its own those of all others.
+        store_lost: Whether the store fails it.
     """
 
     node: str
@@ -74,6 +79,8 @@
     requests_seen: bool
     stopping: bool
     plans_ms: dict[str, float]
+    sums: reporting.Sums | None = None
+    store_lost: bool = False
 
 
 def datagram(echo_ms: float, interval_ms: float, body: bytes) -> bytes:
@@ -89,17 +96,25 @@
 
 def encode_body(message: PeerMessage) -> bytes:
     """Returns what all receivers get; loads that do not fit are left out."""
-    in_flight = [[
-        key.name, key.epoch, load.requests, load.patient, load.unread_tokens
-    ] for key, load in message.in_flight.items()]
+    in_flight = [[key.name, key.epoch, *_numbers(load)]
+                 for key, load in message.in_flight.items()]
+    sums = [[
+        mark, *_numbers(load)
+    ] for mark, load in (message.sums.loads.items() if message.sums else ())]
     while True:
-        data = _packed(message, in_flight)
-        if len(data) <= MAX_BYTES - _HEAD.size or not in_flight:
+        data = _packed(message, in_flight, sums)
+        if len(data) <= MAX_BYTES - _HEAD.size or not (in_flight or sums):
             return data
         in_flight = in_flight[:len(in_flight) * 3 // 4]
+        sums = sums[:len(sums) * 3 // 4]
 
 
-def _packed(message: PeerMessage, in_flight: list[list[Any]]) -> bytes:
+def _numbers(load: flights.GroupLoad) -> list[int]:
+    return [load.requests, load.patient, load.unread_tokens]
+
+
+def _packed(message: PeerMessage, in_flight: list[list[Any]],
+            sums: list[list[int]]) -> bytes:
     packed: bytes = msgpack.packb([
         message.node, message.incarnation, message.data_centre, message.sent_ms,
         message.config_version,
@@ -113,7 +128,8 @@
             [[request, int(age_ms)] for request, age_ms in each.failures]
         ] for each in message.tries], message.requests_seen, message.stopping, {
             name: int(age) for name, age in message.plans_ms.items()
-        }
+        }, [message.sums.age_ms, sums] if message.sums else None,
+        message.store_lost
     ])
     return packed
 
@@ -126,17 +142,19 @@
     """
     try:
         form, echo_ms, interval_ms = _HEAD.unpack_from(data)
-        if form != FORMAT:
+        fields = msgpack.unpackb(memoryview(data)[_HEAD.size:])
+        if form == FORMER_FORMAT:
+            fields += [None, False]
+        elif form != FORMAT:
             raise ValueError(f"format {form}")
         (node, incarnation, data_centre, sent_ms, version, age, in_flight,
-         alarms, opened, tries, requests_seen, stopping,
-         plans) = msgpack.unpackb(memoryview(data)[_HEAD.size:])
+         alarms, opened, tries, requests_seen, stopping, plans, sums,
+         store_lost) = fields
         return PeerMessage(
             str(node), int(incarnation), str(data_centre), float(sent_ms),
             echo_ms, interval_ms, int(version), float(age), {
-                model.GroupKey(str(name), int(epoch)):
-                    flights.GroupLoad(int(count), int(patient), int(tokens))
-                for name, epoch, count, patient, tokens in in_flight
+                model.GroupKey(str(name), int(epoch)): _load(numbers)
+                for name, epoch, *numbers in in_flight
             },
             tuple(
                 Alarm(model.GroupKey(str(name), int(epoch)), float(age_ms),
@@ -153,10 +171,24 @@
                 for runner, well, failures in tries), bool(requests_seen),
             bool(stopping), {
                 str(name): float(age) for name, age in plans.items()
-            })
+            }, _sums(sums), bool(store_lost))
     except (ValueError, TypeError, AttributeError, struct.error,
             msgpack.exceptions.UnpackException,
             msgpack.exceptions.ExtraData) as error:
         raise exceptions.BadPeerMessage(f"no message: {error!r}",
                                         step="peer datagram",
                                         peer=peer) from None
+
+
+def _load(numbers: list[Any]) -> flights.GroupLoad:
+    requests, patient, unread_tokens = map(int, numbers)
+    return flights.GroupLoad(requests, patient, unread_tokens)
+
+
+def _sums(told: Any) -> reporting.Sums | None:
+    if told is None:
+        return None
+    age_ms, loads = told
+    return reporting.Sums(float(age_ms), {
+        int(mark): _load(numbers) for mark, *numbers in loads
+    })
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -1,8 +1,10 @@
 """Who the other nodes are, what they told last, and who plans for whom."""
 
 import dataclasses
+import enum
+import heapq
 
-from cardamommill.gateway import flights, model, peermessage
+from cardamommill.gateway import flights, model, peermessage, reporting
 
 Address = tuple[str, int]
 
@@ -16,11 +18,10 @@
 NEAR_PER_S = 60.0
 FAR_PER_S = 20.0
 # Bytes between data centres are dear and grow with the nodes that send them, so
-# beyond this many nodes each sends fewer, down to the least. With 81 nodes, 60
-# and 8 a second in place of 40 and 20: prices 0.071 and 0.062 of the worth, and
-# requests are placed by younger loads (credit 0.926 and 0.949, one quiet day).
+# beyond this many nodes each sends fewer, down to the least: what is told so
+# seldom is who lives, and sums tell the rest.
 FEW_NODES = 6
-LEAST_FAR_PER_S = 8.0
+LEAST_FAR_PER_S = 2.0
 # Whoever plans is heard this often at least, so that its death is noticed.
 PLANNER_HEARTBEAT_MS = 400.0
 # Three heartbeats that don't come, and some for a busy node.
@@ -31,6 +32,9 @@
 FORGOTTEN_ALIVES = 3.0
 # To an address from which nothing came, to find nodes that start.
 SEED_INTERVAL_MS = 1000.0
+# ... and at least this often while nothing has ever come: in a large fleet the
+# first datagram to a node that was still starting was the only one for minutes.
+UNHEARD_MS = 3000.0
 # Nothing is planned before the other nodes had time to be heard.
 SETTLE_MS = 500.0
 # Two that began to plan within this did not hear of each other in time.
@@ -40,6 +44,20 @@
 # How long in-flight counts of a peer are worth something.
 LOAD_AGE_MS = 1500.0
 LOAD_INTERVALS = 2.5
+# A data centre of which no reporter is heard for so long has no living node for
+# whoever plans, though single ones may not be missed yet.
+DARK_MS = 20_000.0
+
+
+class Audience(enum.Enum):
+    """What a peer is told."""
+
+    # All that this node knows; with the sums of other data centres.
+    NEAR = "near"
+    # The sums of this data centre in place of this node's loads.
+    REPORTER = "reporter"
+    # No loads: that it lives, and what is in force.
+    FAR = "far"
 
 
 def _alive_ms(interval_ms: float) -> float:
@@ -105,6 +123,12 @@
         self._plans_since_ms: dict[str, float] = {}
         self._loads: dict[model.GroupKey, flights.GroupLoad] = {}
         self.peers: dict[Address, Peer] = {}
+        # Whether this node speaks for its data centre, and to whom it does.
+        self.is_reporter = False
+        self._far_reporters: frozenset[Address] = frozenset()
+        self._near_ms = self._far_ms = HEARTBEAT_MS
+        # When a reporter of a data centre was last heard.
+        self._reported_ms: dict[str, float] = {}
         # Until then, and until something is heard that changes it, nobody is
         # due. Looked through in each tick, 79 peers took half of what a node
         # spent while nothing happened.
@@ -134,26 +158,22 @@
         self._discount(peer)
         peer.hear(message, self._data_centre, now_ms)
         self._count(peer)
+        if message.sums is not None and not peer.is_near:
+            self._reported_ms[message.data_centre] = now_ms
         if not was_alive or peer.is_near != was_near:
             self._look_soon()
         return not was_alive
 
-    def due(self,
-            now_ms: float,
-            at_once: bool = False) -> list[tuple[Peer, float]]:
+    def due(self, now_ms: float) -> list[tuple[Peer, float]]:
         """Returns the peers to send to now, and notes that it is done.
 
-        Args:
-            now_ms: The time.
-            at_once: Whether all are told now.
-
         Returns:
             Each with how soon it will be sent to again, in ms.
         """
-        if now_ms < self._idle_until_ms and not at_once:
+        if now_ms < self._idle_until_ms:
             return []
         found = []
-        intervals_ms = self._intervals_ms()
+        self._settle_intervals()
         next_ms = now_ms + FORGOTTEN_MS
         for peer in list(self.peers.values()):
             if now_ms > peer.forgotten_ms:
@@ -162,10 +182,8 @@
                 # The others are told more often now.
                 next_ms = now_ms
                 continue
-            interval_ms = intervals_ms[peer.is_near]
-            if now_ms - peer.heard_ms > 2 * peer.alive_ms:
-                interval_ms = max(interval_ms, SEED_INTERVAL_MS)
-            if at_once or now_ms - peer.sent_ms >= interval_ms:
+            interval_ms = self._interval_ms(peer, now_ms)
+            if now_ms - peer.sent_ms >= interval_ms:
                 peer.sent_ms = now_ms
                 found.append((peer, interval_ms))
             next_ms = min(next_ms, peer.sent_ms + interval_ms,
@@ -173,20 +191,85 @@
         self._idle_until_ms = next_ms - LOOK_MARGIN_MS
         return found
 
+    def at_once(self, now_ms: float, far: bool) -> list[tuple[Peer, float]]:
+        """Returns the peers that hear news now, and notes that it is done.
+
+        Told to each node of each data centre, the news of a fleet were most of
+        the bytes between data centres. Reporters pass them on.
+
+        Args:
+            now_ms: The time.
+            far: Whether reporters of other data centres hear them, too.
+
+        Returns:
+            As `due` does.
+        """
+        self._settle_intervals()
+        found = []
+        for peer in self.peers.values():
+            if peer.is_near or (far and peer.address in self._far_reporters):
+                peer.sent_ms = now_ms
+                found.append((peer, self._interval_ms(peer, now_ms)))
+        return found
+
+    def audience(self, peer: Peer) -> Audience:
+        """Returns what a peer is told."""
+        if peer.is_near or self._far_ms <= LOAD_AGE_MS:
+            return Audience.NEAR
+        if self.is_reporter and peer.address in self._far_reporters:
+            return Audience.REPORTER
+        return Audience.FAR
+
+    def choose_reporters(self, now_ms: float) -> None:
+        """Settles who speaks for each data centre: the first by name."""
+        places = {self._data_centre: [(self._node, self._address)]}
+        for each in self.alive(now_ms):
+            if each.last is not None:
+                places.setdefault(each.last.data_centre, []).append(
+                    (each.last.node, each.address))
+        first = {
+            place:
+                frozenset(address for _, address in heapq.nsmallest(
+                    reporting.REPORTERS, nodes))
+            for place, nodes in places.items()
+        }
+        before = self.is_reporter, self._far_reporters
+        self.is_reporter = self._address in first.pop(self._data_centre)
+        self._far_reporters = frozenset().union(*first.values())
+        if before != (self.is_reporter, self._far_reporters):
+            self._look_soon()
+
+    def near_loads(self) -> reporting.Loads:
+        """Returns the sums of what the other nodes of this place have."""
+        return reporting.added(
+            reporting.marked(each.last.in_flight)
+            for each in self.peers.values()
+            if each.counted and each.is_near and each.last is not None)
+
     def _look_soon(self) -> None:
         """Has the next look for who is due go through all peers."""
         self._idle_until_ms = float("-inf")
 
-    def _intervals_ms(self) -> dict[bool, float]:
-        """Returns how often near peers are told, and all others."""
+    def _settle_intervals(self) -> None:
+        """Settles how often near peers are told, and all others."""
         near = sum(each.is_near for each in self.peers.values())
         far = len(self.peers) - near
-        near_ms = max(HEARTBEAT_MS, 1000 * near / NEAR_PER_S)
+        self._near_ms = max(HEARTBEAT_MS, 1000 * near / NEAR_PER_S)
         if self._plans_since_ms:
-            near_ms = min(near_ms, PLANNER_HEARTBEAT_MS)
+            self._near_ms = min(self._near_ms, PLANNER_HEARTBEAT_MS)
         nodes = 1 + len(self.peers)
         far_per_s = max(LEAST_FAR_PER_S, FAR_PER_S * min(1, FEW_NODES / nodes))
-        return {True: near_ms, False: max(HEARTBEAT_MS, 1000 * far / far_per_s)}
+        self._far_ms = max(HEARTBEAT_MS, 1000 * far / far_per_s)
+
+    def _interval_ms(self, peer: Peer, now_ms: float) -> float:
+        if peer.last is None:
+            return min(max(SEED_INTERVAL_MS, self._far_ms), UNHEARD_MS)
+        interval_ms = self._near_ms if peer.is_near else self._far_ms
+        if self.audience(peer) is Audience.REPORTER:
+            interval_ms = reporting.REPORT_MS
+        if now_ms - peer.heard_ms > 2 * peer.alive_ms:
+            interval_ms = max(interval_ms, SEED_INTERVAL_MS)
+        return interval_ms
 
     def _count(self, peer: Peer) -> None:
         assert peer.last is not None
@@ -235,7 +318,11 @@
         """
         if now_ms - self._started_ms < SETTLE_MS:
             return frozenset()
-        alive = [each.last for each in self.alive(now_ms) if each.last]
+        alive = [
+            each.last
+            for each in self.alive(now_ms)
+            if each.last and not self._is_dark(each.last.data_centre, now_ms)
+        ]
         planners = [each for each in alive if each.plans_ms]
         planned = self.plans
         for data_centre in data_centres:
@@ -247,6 +334,16 @@
             self._look_soon()
         return frozenset(self._plans_since_ms)
 
+    def _is_dark(self, data_centre: str, now_ms: float) -> bool:
+        """Whether a data centre that reported does so no more.
+
+        Its single nodes speak so seldom that they are not missed for minutes,
+        and its groups were not mended by anybody meanwhile.
+        """
+        reported_ms = self._reported_ms.get(data_centre)
+        return (self.is_reporter and reported_ms is not None and
+                now_ms - reported_ms > DARK_MS)
+
     def _should_plan(self, data_centre: str,
                      alive: list[peermessage.PeerMessage],
                      planners: list[peermessage.PeerMessage],
--- /dev/null
+++ b/tests/experiment/test_reporting.py
@@ -0,0 +1,101 @@
+"""Plays data centres that tell each other their loads and news as a whole."""
+
+import asyncio
+
+from cardamommill.experiment import deployments, world
+from cardamommill.gateway import (
+    clock,
+    dispatcher,
+    entrynode,
+    model,
+    nodelink,
+    peers,
+)
+from tests.experiment import test_world
+
+# A datagram with its headers, without loads.
+LIGHT_BYTES = 200
+
+
+def play(nodes=12, *troubles, seed=1, length_s=4.0):
+    deployment = deployments.Deployment(
+        name="reporting",
+        lead_s=9,
+        length_s=length_s,
+        places={
+            "a": nodes,
+            "b": nodes
+        },
+        models=test_world.MODELS,
+        kinds=test_world.KINDS,
+        troubles=[deployments.Trouble(**each) for each in troubles])
+    return world.play(deployment, seed)
+
+
+def test_news_of_one_data_centre_reaches_all_nodes_of_the_other(monkeypatch):
+    """A planner tells two nodes of the other one, and these the rest.
+
+    Known by the list alone, a new group gets no requests for seconds.
+    """
+    nodes, known = [], []
+    begin, opened = entrynode.EntryNode.__init__, entrynode.EntryNode._on_opened
+
+    def noted(self, *args):
+        begin(self, *args)
+        nodes.append(self)
+
+    def told(self, key, name, head):
+        opened(self, key, name, head)
+        asyncio.get_running_loop().call_later(0.06, look, key, head)
+
+    def look(key, head):
+        for each in nodes:
+            place = each.view.known[head].membership
+            known.append(place is not None and place.key == key and
+                         place.state is model.MemberState.OPEN)
+
+    monkeypatch.setattr(entrynode.EntryNode, "__init__", noted)
+    monkeypatch.setattr(entrynode.EntryNode, "_on_opened", told)
+    assert not play().violations
+    assert len(known) >= 8 * 24
+    assert all(known)
+
+
+def test_loads_of_the_other_data_centre_are_known_to_all_nodes(monkeypatch):
+    """Told by each node to each, they came so late that they said little."""
+    seen = {}
+    look = dispatcher.Dispatcher.look_at_peers
+
+    def noted(self, far_load, now_ms):
+        look(self, far_load, now_ms)
+        node = self._settings.node
+        seen[node] = max(seen.get(node, 0),
+                         sum(load.requests for load in far_load.values()))
+
+    monkeypatch.setattr(dispatcher.Dispatcher, "look_at_peers", noted)
+    assert not play().violations
+    assert len(seen) == 24
+    assert min(seen.values()) > 2
+
+
+def test_bytes_between_data_centres_follow_reports_not_pairs(monkeypatch):
+    """Twice the nodes are four times the pairs; reporters stay as many."""
+
+    def far_bytes_per_s(nodes):
+        sent = []
+        tell = nodelink.NodeLink._tell
+
+        def counted(self, told, now_ms):
+            tell(self, told, now_ms)
+            if now_ms - started[0] > 6000:
+                sent.extend(
+                    LIGHT_BYTES for peer, _ in told if not peer.is_near and
+                    self._peers.audience(peer) is not peers.Audience.REPORTER)
+
+        started = [clock.now_ms()]
+        with monkeypatch.context() as patched:
+            patched.setattr(nodelink.NodeLink, "_tell", counted)
+            play(nodes, length_s=2.0)
+        return sum(sent)
+
+    assert far_bytes_per_s(16) < 2.5 * far_bytes_per_s(8)
--- a/tests/gateway/test_peermessage.py
+++ b/tests/gateway/test_peermessage.py
@@ -1,11 +1,20 @@
 """Tests of datagrams between nodes."""
 
+import struct
+
 import hypothesis
 from hypothesis import strategies
+import msgpack
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import flights, model, peermessage, reliability
+from cardamommill.gateway import (
+    flights,
+    model,
+    peermessage,
+    reliability,
+    reporting,
+)
 from tests.gateway import test_peers
 
 KEYS = strategies.builds(model.GroupKey, strategies.text(max_size=20),
@@ -32,7 +41,11 @@
         alarms=(peermessage.Alarm(key, 40.0, True),),
         opened=(peermessage.OpenedGroup(key, "large", "i-1"),),
         tries=(reliability.Tries("i-2", 3, ((2**32 - 1, 40.0), (0, 7.0))),),
-        plans_ms={"a": 10.0})
+        plans_ms={"a": 10.0},
+        sums=reporting.Sums(120.0, {
+            key.mark: load for key, load in in_flight.items()
+        }),
+        store_lost=stopping)
     assert peermessage.decode(encoded(sent), "peer") == sent
 
 
@@ -42,6 +55,25 @@
         peermessage.decode(data, "10.0.0.9")
 
 
+def test_node_of_the_former_version_is_understood():
+    """A roll-out replaces nodes one by one; new ones know those that live."""
+    sent = test_peers.message("n", "a", in_flight={})
+    fields = msgpack.unpackb(encoded(sent)[17:])[:-2]
+    former = struct.pack("!Bdd", peermessage.FORMER_FORMAT, 0.0, 200.0)
+    assert peermessage.decode(former + msgpack.packb(fields), "peer") == sent
+
+
+@pytest.mark.parametrize("sums",
+                         [[1.0], [1.0, [[3, 1]]], [1.0, [["x", 1, 0, 0]]],
+                          ["x", []], 7, [1.0, [[3, 1, 0, 0, 9]]]])
+def test_sums_that_are_cut_or_no_sums_are_refused_whole(sums):
+    fields = msgpack.unpackb(encoded(test_peers.message("n", "a"))[17:])
+    fields[-2] = sums
+    with pytest.raises(exceptions.BadPeerMessage):
+        peermessage.decode(
+            peermessage.datagram(0.0, 200.0, msgpack.packb(fields)), "peer")
+
+
 def test_message_fits_a_datagram_however_many_groups_there_are():
     many = {
         model.GroupKey(f"group-{number}", number): flights.GroupLoad(1)
@@ -51,7 +83,12 @@
         reliability.Tries(f"i-{number:010x}", 30, ((2**32 - 1, 2900.0),) *
                           reliability.MAX_TOLD_FAILURES)
         for number in range(reliability.MAX_TOLD_RUNNERS))
-    sent = test_peers.message("n", "a", in_flight=many, tries=failing)
+    sums = reporting.Sums(40.0, {key.mark: load for key, load in many.items()})
+    sent = test_peers.message("n",
+                              "a",
+                              in_flight=many,
+                              tries=failing,
+                              sums=sums)
     data = encoded(sent)
     assert len(data) <= peermessage.MAX_BYTES
     assert peermessage.decode(data, "peer").in_flight
