Have the next nodes read where readers lost the store, and leave old lists

Cause of the first: a follower left a list only at 1.4 of the drain bound, since a sound reader's may be that old while it waits for news. Cause of the second: a follower that leaves its reader asks the store, and whoever lost that asks it again each 1.5 s, however many do.

Heartbeats tell whether the store fails a node; the first two by name that it does not fail read. Where it fails all, the first two go on asking it each 1.5 s and the others so seldom that all together ask about three times as often as two.

Why it holds: who reads is decided by each node from the same words, and each follows only nodes before it in that order. A node that lost the store becomes a reader again after 30 s, so the order comes back by itself.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -265,7 +265,8 @@
             requests_seen=self._requests_seen,
             stopping=bool(self._stopping_ms),
             plans_ms=self._peers.plans_ms(now_ms),
-            sums=self._sums(now_ms, audience))
+            sums=self._sums(now_ms, audience),
+            store_lost=self._reader.lost_store(now_ms))
 
     def _sums(self, now_ms: float,
               audience: peers.Audience) -> reporting.Sums | None:
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -29,6 +29,12 @@
 # An answer without news is asked for after this part of the drain bound. What
 # changes is answered at once: a node that does not get it is cut off.
 LIST_WAIT_PART = 0.8
+# Whoever follows a node that is cut off leaves it once its list is this old,
+# and has some time to ask the store before the bound is over. A sound one does
+# not wait for news for so long that its list grows older.
+OLDEST_LIST_PART = 0.9
+# Older than this the list is not followed any more.
+LIST_STALE_PART = 1.4
 # A peer that reads the configuration may have heard of it this part of the time
 # in which a key may still work ago: its feed's wait, and a lost answer.
 OLDEST_PART = 0.7
@@ -61,7 +67,7 @@
         # Whether a change of the list is waited for.
         self.is_keen: Callable[[], bool] = bool
         self._listed: dict[str, model.Runner] = {}
-        view.list_stale_ms = (LIST_PART + LIST_WAIT_PART) * drain_ms
+        view.list_stale_ms = LIST_STALE_PART * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
         self._wanted = asyncio.Event()
@@ -95,6 +101,11 @@
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
+    def lost_store(self, now_ms: float) -> bool:
+        """Whether the store fails this node, for one table at least."""
+        return (self._operator.lost_store(now_ms) or
+                self._servers.lost_store(now_ms))
+
     def misses(self, version: int) -> bool:
         """Whether a peer's configuration is newer, and nobody asks for it."""
         return version > self._version() and not self._is_catching_up
@@ -176,8 +187,8 @@
             began_ms = clock.now_ms()
             try:
                 news = await self._servers.read(
-                    int(LIST_WAIT_PART * self._drain_ms),
-                    self._view.list_stale_ms)
+                    self._list_wait_ms(began_ms),
+                    OLDEST_LIST_PART * self._drain_ms)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="servers"))
                 continue
@@ -192,9 +203,17 @@
                 # One row that this version can't take must not end the
                 # reading of all later lists.
                 _LOG.exception(logs.line("list-failed"))
-            if self._servers.is_direct:
+            if self._servers.is_direct and news.rows:
+                # Without news it was listening, and goes on with that.
                 await self._wait(began_ms)
 
+    def _list_wait_ms(self, now_ms: float) -> int:
+        """Returns for how long news is waited for."""
+        most_ms = LIST_WAIT_PART * self._drain_ms
+        age_ms = now_ms - self._view.list_as_of_ms
+        left_ms = OLDEST_LIST_PART * self._drain_ms - age_ms
+        return int(min(most_ms, left_ms) if left_ms > 0 else most_ms)
+
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
         self._wanted.set()
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -12,6 +12,9 @@
 # A peer is asked to wait for news for this long: each answer says anew how old
 # what it tells is, and a dead one is noticed so much later.
 PEER_WAIT_MS = 450
+# ... and sooner, but for this long at least, where what was told is nearly too
+# old: a peer that is cut off is left as soon as it is.
+PEER_LEAST_WAIT_MS = 50.0
 
 _LOG = logbook.Logger("platform")
 
@@ -58,6 +61,10 @@
         """Whether the store itself was asked last."""
         return self._last == sources.STORE
 
+    def lost_store(self, now_ms: float) -> bool:
+        """Whether the store failed this node of late, more than once."""
+        return self._choice.lost_store(now_ms)
+
     async def read(self, wait_ms: int, oldest_ms: float) -> News:
         """Returns the table, and later what changed in it, when something has.
 
@@ -119,7 +126,9 @@
         asked: storecalls.Store | peerrows.PeerRows = self._store
         if source.peer is not None:
             asked = peerrows.PeerRows(self._pool, source.peer)
-            wait_ms = min(wait_ms, PEER_WAIT_MS)
+            left_ms = oldest_ms - (clock.now_ms() - self._copy.as_of_ms)
+            wait_ms = int(
+                min(wait_ms, PEER_WAIT_MS, max(PEER_LEAST_WAIT_MS, left_ms)))
         if after:
             rows = await asked.feed(self._name, after, wait_ms)
         else:
--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import heapq
 import zlib
 
 from cardamommill.gateway import peers
@@ -15,14 +16,19 @@
 # One may die while the other still reads.
 READERS = 2
 # The store is left after this many failures in a row and asked again so long
-# after the last; a peer is left after one.
+# after the last, later where many have lost it; a peer is left after one.
 STORE_FAILURES = 2
 STORE_AGAIN_MS = 1500.0
 PEER_AGAIN_MS = 3000.0
+# Whoever lost the store reads for nobody for so long, unless all have lost it.
+LOST_MS = 30_000.0
 # Of peers that confirmed the configuration within this the nearest is asked, as
 # bytes between data centres are dear; others know no more than this node does.
 YOUNG_MS = 1500.0
 
+# Whether a node lost the store, its name, and where it is.
+_Near = tuple[bool, str, peers.Address]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
@@ -82,11 +88,17 @@
         failures = self._failures.get(STORE)
         return failures is not None and failures.count >= STORE_FAILURES
 
+    def lost_store(self, now_ms: float) -> bool:
+        """Whether the store failed this node of late, more than once."""
+        return self.store_is_lost and self._failed_lately(
+            STORE, now_ms, LOST_MS)
+
     def choose(self, now_ms: float) -> Source:
         """Returns whom to ask now."""
-        reader = self._reader(now_ms)
-        if self.store_is_lost and self._failed_lately(STORE, now_ms,
-                                                      STORE_AGAIN_MS):
+        near = self._near(now_ms)
+        reader = self._reader(near, now_ms)
+        if self.store_is_lost and self._failed_lately(
+                STORE, now_ms, self._store_again_ms(near)):
             # A reader that is cut off too has nothing new, but asking it costs
             # nothing: of eighty nodes each would call the store all the while.
             return self._young(now_ms) or reader or STORE
@@ -99,23 +111,40 @@
         failures = self._failures.get(source)
         return failures is not None and now_ms - failures.last_ms < for_ms
 
-    def _reader(self, now_ms: float) -> Source | None:
+    def _near(self, now_ms: float) -> list[_Near]:
+        """Returns the living nodes of this data centre."""
+        return [(each.last.store_lost, each.last.node, each.address)
+                for each in self._peers.alive(now_ms)
+                if each.last and each.last.data_centre == self._data_centre]
+
+    def _store_again_ms(self, near: list[_Near]) -> float:
+        """Returns when a node that lost the store asks it again.
+
+        Where all of a data centre have lost it, each asks so seldom that all
+        together ask little more than its readers: eighty nodes called the
+        store fifty times a second for as long as it was away.
+        """
+        if sum(name < self._node for _, name, _ in near) < READERS:
+            return STORE_AGAIN_MS
+        return STORE_AGAIN_MS * max(1.0, (1 + len(near)) / (1 + READERS))
+
+    def _reader(self, near: list[_Near], now_ms: float) -> Source | None:
         """Returns the reader that this node follows; None for a reader.
 
-        Each follows only nodes with lower names, so that no two follow each
-        other. A planner reads for itself: it waits for news of its members.
+        The first by name read, of those that have not lost the store: nodes
+        that followed one that had got what changed when its list was too old,
+        or asked the store each for itself. Each follows only nodes before it,
+        so that no two follow each other. A planner reads for itself: it waits
+        for news of its members.
         """
         if self._peers.plans:
             return None
-        readers = sorted(
-            (each.last.node, each.address)
-            for each in self._peers.alive(now_ms)
-            if each.last and each.last.data_centre == self._data_centre)
-        readers = readers[:READERS]
-        if len(readers) < READERS or self._node < readers[-1][0]:
+        own = (self.lost_store(now_ms), self._node)
+        readers = heapq.nsmallest(READERS, near)
+        if len(readers) < READERS or own < readers[-1][:2]:
             return None
         mine = zlib.crc32(self._node.encode()) % READERS
-        return Source(readers[mine][1])
+        return Source(readers[mine][-1])
 
     def ahead(self, version: int, now_ms: float) -> Source | None:
         """Returns the nearest peer with a newer configuration in force."""
