Have nodes that start follow a reader, and wait for its first copy

Cause: a node read at once, before it had heard anybody; and a peer that had read nothing yet answered so at once, which made the asker turn to the store.

Ruled out: asking seeds for the table of nodes (they may be stale or down, and each node writes its row anyway); a longer wait, which a restart of all nodes would pay for.

Change: a node that starts waits up to 120 ms until it has heard two near nodes or all that there are; a peer that is asked for its first copy waits up to 200 ms for it.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -149,16 +149,20 @@
         with self.pool:
             try:
                 await self._listen()
-                self.spawn(self._reader.follow_configuration())
-                self.spawn(self._reader.follow_list())
                 self.spawn(self._link.find_nodes(self._store))
                 self.spawn(self._tick())
+                self.spawn(self._follow())
                 await self._done.wait()
             finally:
                 for task in list(self._tasks):
                     task.cancel()
         _LOG.info(logs.line("stop", busy=self._server.busy))
 
+    async def _follow(self) -> None:
+        await self._link.first_contact(sources.READERS)
+        self.spawn(self._reader.follow_configuration())
+        self.spawn(self._reader.follow_list())
+
     async def _listen(self) -> None:
         settings = self._settings
         await self._server.listen(*entrysettings.address(settings.callers))
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -16,6 +16,10 @@
 FIND_TOGETHER_MS = 3300.0
 FIND_ALONE_MS = 2000.0
 FIND_RETRY_MS = 1000.0
+# A node that starts waits for so long at most to hear whom it can follow, and
+# looks this often. Datagrams are answered within a tick or two.
+FIRST_CONTACT_MS = 120.0
+CONTACT_LOOK_MS = 10.0
 
 _LOG = logbook.Logger("peers")
 
@@ -45,6 +49,7 @@
         self._heard = heard
         self._came_back = came_back
         self._udp: asyncio.DatagramTransport | None = None
+        self._has_found = False
 
     async def listen(self) -> None:
         """Begins to hear and to speak."""
@@ -98,6 +103,20 @@
                 peermessage.datagram(echo_ms, interval_ms, bodies[audience]),
                 peer.address)
 
+    async def first_contact(self, enough: int) -> None:
+        """Returns once so many near nodes were heard, or all that there are.
+
+        Each node that began by itself read the whole list of the fleet from
+        the store, though two of its data centre read it for all.
+        """
+        until_ms = clock.now_ms() + FIRST_CONTACT_MS
+        while clock.now_ms() < until_ms:
+            heard = [each for each in self._peers.peers.values() if each.last]
+            is_all = self._has_found and len(heard) == len(self._peers.peers)
+            if is_all or sum(each.is_near for each in heard) >= enough:
+                return
+            await asyncio.sleep(CONTACT_LOOK_MS / 1000)
+
     async def find_nodes(self, store: storecalls.Store) -> None:
         """Keeps finding nodes by the platform's table; never ends."""
         registered = False
@@ -117,6 +136,7 @@
                            self._settings.peer_port)
                 if self._peers.learn(address):
                     _LOG.info(logs.line("node-found", node=row.key))
+            self._has_found = True
             await asyncio.sleep(
                 _find_again_ms(len(self._peers.alive(clock.now_ms()))) / 1000)
 
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -22,6 +22,8 @@
 # A peer answers from its memory; one that has fallen silent is left for the
 # store soon, since what is known of leaving runners must stay young.
 ANSWER_MS = 250.0
+# A peer that has just started may read its first copy within this.
+FIRST_COPY_MS = 200.0
 # The longest that anybody waits for news in one call.
 MOST_WAIT_MS = 2000.0
 
@@ -121,8 +123,9 @@
             return None
         table = self._copies.table(name)
         if not table.version:
-            reply.whole(_UNREADY, [], b"not read yet\n")
-            return None
+            waiting = _Waiting()
+            self._spawn(_answer_first(reply, table, waiting))
+            return waiting
         if not after:
             _answer(reply, table, table.whole())
             return None
@@ -131,6 +134,22 @@
         return waiting
 
 
+async def _answer_first(reply: replies.Reply, table: tables.Table,
+                        waiting: _Waiting) -> None:
+    """Answers once there is a copy.
+
+    Of nodes that start together those that read are no sooner than those that
+    follow them; told that there is nothing yet, all turned to the store.
+    """
+    await table.changed(FIRST_COPY_MS)
+    if waiting.left:
+        return
+    if table.version:
+        _answer(reply, table, table.whole())
+    else:
+        reply.whole(_UNREADY, [], b"not read yet\n")
+
+
 async def _answer_changes(reply: replies.Reply, table: tables.Table, after: int,
                           wait_ms: float, waiting: _Waiting) -> None:
     until_ms = clock.now_ms() + wait_ms
