Ask a domain, not its data centre, where two of its groups are down

Cause: two groups down within 0.5 s counted as a sign of a cut, also where they share a domain, whose loss is the commoner cause.

Change: groups that share a domain have the groups with members in that domain asked; only those that share none have the whole data centre asked.

Ruled out: asking nobody, with which requests go from one dead group of a domain to the next until their callers leave (a test holds that).

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 import logbook
 
@@ -32,6 +33,19 @@
 _LOG = logbook.Logger("alarms")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Down:
+    """A group that was found down, when, and its fabric domains."""
+
+    at_ms: float
+    key: model.GroupKey
+    domains: frozenset[str]
+
+
+def _domains(members: list[fleetview.Known]) -> frozenset[str]:
+    return frozenset(each.standing.domain for each in members)
+
+
 class Alarms:
     """Looks into silent groups and moves requests away from dead ones."""
 
@@ -66,8 +80,8 @@
         self._asked_again_ms: dict[str, float] = {}
         # When a peer told that it asks the members of a group.
         self._asked_by_peer_ms: dict[model.GroupKey, float] = {}
-        # When the last group of another data centre was found down.
-        self._place_down_ms: dict[str, tuple[float, model.GroupKey]] = {}
+        # The last group of each data centre that was found down.
+        self._place_down: dict[str, _Down] = {}
 
     def news(self, now_ms: float) -> tuple[peermessage.Alarm, ...]:
         """Returns what other nodes should hear."""
@@ -207,19 +221,27 @@
 
     def _look_around(self, key: model.GroupKey, members: list[fleetview.Known],
                      now_ms: float) -> None:
-        """Asks all groups of a data centre where a second one is down.
+        """Asks the groups that may be down for the same cause as two others.
 
         A data centre that is cut off has all its groups down at once; requests
-        went from each to the next until their time was over.
+        went from each to the next until their time was over. Two groups that
+        share a fabric domain tell only of that: with each domain that fell
+        dark, all runners of its data centre were asked.
         """
+        domains = _domains(members)
         for place in {each.runner.data_centre for each in members}:
-            at_ms, other = self._place_down_ms.get(place, (float("-inf"), key))
-            self._place_down_ms[place] = (now_ms, key)
-            if other == key or now_ms - at_ms > TOGETHER_MS:
+            last = self._place_down.get(place)
+            self._place_down[place] = _Down(now_ms, key, domains)
+            if (last is None or last.key == key or
+                    now_ms - last.at_ms > TOGETHER_MS):
                 continue
+            shared = domains & last.domains
             for each in self._view.groups_in(place):
+                if shared and not shared & _domains(self._view.members(each)):
+                    continue
                 if not self._requests.silence.moves(each, now_ms):
-                    self.probe(each, f"{place} may be cut off")
+                    where = "domain" if shared else place
+                    self.probe(each, f"{where} may be cut off")
 
     def hear(self,
              alarm: peermessage.Alarm,
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -3,6 +3,8 @@
 import asyncio
 import types
 
+import pytest
+
 from cardamommill import metrics
 from cardamommill.experiment import virtualloop
 from cardamommill.gateway import (
@@ -22,10 +24,11 @@
 STATE = model.MemberState
 
 
-def members(key, first, place="a"):
+def members(key, first, place="a", domain="d0"):
     return [
         builders.runner(first + rank,
                         place=place,
+                        domain=domain,
                         served="large",
                         membership=builders.member(
                             key, rank, STATE.READY if rank else STATE.OPEN))
@@ -69,12 +72,13 @@
         spoken: How often all peers were told.
     """
 
-    def __init__(self, plans):
-        self.view = builders.view(*members(KEY, 0), *members(OTHER,
-                                                             4,
-                                                             place="b"),
-                                  *members(THIRD, 8, place="b"),
-                                  *members(FOURTH, 12, place="b"))
+    def __init__(self, plans, domains=("d0", "d0", "d0")):
+        keys = (OTHER, THIRD, FOURTH)
+        elsewhere = [
+            member for number, key in enumerate(keys)
+            for member in members(key, 4 + 4 * number, "b", domains[number])
+        ]
+        self.view = builders.view(*members(KEY, 0), *elsewhere)
         self.keeper = Keeper(self.view)
         self.relay = Relay()
         self.spoken = 0
@@ -108,10 +112,10 @@
         }
 
 
-def play(script, plans=False, then=None):
+def play(script, plans=False, then=None, **fields):
 
     async def main():
-        bench = Bench(plans)
+        bench = Bench(plans, **fields)
         script(bench)
         await asyncio.sleep(0.1)
         if then is not None:
@@ -202,6 +206,28 @@
     assert "i-0" not in bench.keeper.asked
 
 
+@pytest.mark.parametrize("domains,is_asked", [
+    (("d0", "d0", "d1"), False),
+    (("d0", "d0", "d0"), True),
+    (("d0", "d1", "d2"), True),
+])
+def test_two_groups_down_in_a_domain_have_that_domain_asked(domains, is_asked):
+    """A fabric domain falls dark and two of its groups are found down.
+
+    All runners of the data centre were asked, by each node that found two.
+    Where the two share no domain, the data centre may be cut off.
+    """
+
+    def script(bench):
+        bench.keeper.dead = {f"i-{number}" for number in range(4, 16)}
+        bench.fall_silent(OTHER)
+        bench.fall_silent(THIRD)
+
+    bench = play(script, domains=domains)
+    assert ("i-12" in bench.keeper.asked) is is_asked
+    assert bench.is_avoided(FOURTH) is is_asked
+
+
 def test_alarm_of_a_peer_is_no_reason_to_leave_a_group_that_moves():
     """The peer is cut off itself, and finds every group down."""
 
