Take back that a request is placed nearby where it is in time with some to spare

A group far away that is idle is the better place as long as its load is known, which the sums see to.

--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -13,10 +13,8 @@
 # What a try that fails costs: about a request's objective, since the next one
 # begins later, meets a runner that was second choice, and uses up repeats.
 FAILED_COST_MS = 300.0
-# What going to another data centre costs, as a part of the time until the first
-# event is due: bytes between data centres are dear, and what is known of groups
-# there is older. A group nearby that is in time with some to spare is as good.
-AWAY_PART = 0.2
+# What going to another data centre costs beyond its delay: bytes are dear.
+AWAY_COST_MS = 6.0
 # Answers that tell a peer's in-flight requests are this old at most.
 MIN_RETRY_AFTER_MS = 120.0
 MAX_RETRY_AFTER_MS = 1500.0
@@ -191,7 +189,7 @@
     for wanted in (_finishing(wish), _any):
         chosen = [each for each in in_time if wanted(each)]
         if chosen:
-            return min(chosen, key=lambda each: _cost_ms(each, wish))
+            return min(chosen, key=_cost_ms)
         chosen = [each for each in patient if wanted(each)]
         if chosen:
             return dataclasses.replace(min(chosen, key=_patient_cost),
@@ -219,11 +217,11 @@
     return True
 
 
-def _cost_ms(placed: Placed, wish: Wish) -> float:
+def _cost_ms(placed: Placed) -> float:
     candidate = placed.candidate
-    away_ms = AWAY_PART * wish.goal_ms if candidate.away else 0.0
     return (placed.first_event_ms + FAILED_COST_MS * candidate.fail_odds +
-            (AVOIDED_COST_MS if candidate.avoided else 0.0) + away_ms)
+            (AVOIDED_COST_MS if candidate.avoided else 0.0) +
+            (AWAY_COST_MS if candidate.away else 0.0))
 
 
 def _patient_cost(placed: Placed) -> tuple[bool, float]:
