Look at the list when members are due, and follow a reader that has no copy yet

Causes: a planner had the list read each 120 ms from 100 ms before any group's members were due, and as often for a group that waits for a lost order. At a start most nodes asked a reader that had nothing yet, were told so after 200 ms, and turned to the store.

Change: the list is looked at when members are due, after 120 ms, 240 ms and then each 480 ms; a peer without a copy is asked again and not left. A node that has just started is answered in the next tick, not at the next heartbeat.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -106,7 +106,6 @@
             standing.confirmed_alarm_ms(settings.heartbeat_ms,
                                         settings.bounds.drain_ms),
             self._plans_for, self._speak_at_once, self.spawn)
-        self._reader.is_keen = self._keeper.awaits_news
         self._requests.on_fault = self._alarms.probe
         self._requests.on_refusal = self._alarms.refused
         self._requests.expected_ms = self._keeper.expected_ms
@@ -159,7 +158,7 @@
         _LOG.info(logs.line("stop", busy=self._server.busy))
 
     async def _follow(self) -> None:
-        await self._link.first_contact(sources.READERS)
+        await self._link.first_contact()
         self.spawn(self._reader.follow_configuration())
         self.spawn(self._reader.follow_list())
 
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -23,9 +23,6 @@
 USUAL_REPAIR_MS = 700.0
 # Between two lines about all runners of a planner.
 SUMMARY_INTERVAL_MS = 1000.0
-# Members of a group are looked for in the list from so long before they should
-# be ready.
-SOON_MS = 100.0
 # A runner answers in a few ms; one that has not after this is asked once more.
 ASK_AGAIN_MS = 60.0
 # Beyond the lag of reports, before one tells what an order made.
@@ -52,12 +49,6 @@
         self._told_ms = float("-inf")
         self.planner = planner.Planner(view, name)
 
-    def awaits_news(self) -> bool:
-        """Whether members of a group should be ready by now, or soon."""
-        soon_ms = clock.now_ms() + SOON_MS
-        return any(
-            each.due_ms < soon_ms for each in self.planner.formations.values())
-
     def expected_ms(self) -> float:
         """Returns when a group that is missing should stand again."""
         now_ms = clock.now_ms()
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -6,7 +6,13 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import clock, entrysettings, peermessage, peers
+from cardamommill.gateway import (
+    clock,
+    entrysettings,
+    peermessage,
+    peers,
+    sources,
+)
 from cardamommill.platform import storecalls, words
 
 # The table of nodes is read again this often, by all nodes together where they
@@ -20,6 +26,8 @@
 # looks this often. Datagrams are answered within a tick or two.
 FIRST_CONTACT_MS = 120.0
 CONTACT_LOOK_MS = 10.0
+# Up to so many others a node that starts need not wait for any.
+FEW_NODES = 10
 
 _LOG = logbook.Logger("peers")
 
@@ -103,17 +111,20 @@
                 peermessage.datagram(echo_ms, interval_ms, bodies[audience]),
                 peer.address)
 
-    async def first_contact(self, enough: int) -> None:
-        """Returns once so many near nodes were heard, or all that there are.
+    async def first_contact(self) -> None:
+        """Returns once it is known whom this node follows, or soon after.
 
         Each node that began by itself read the whole list of the fleet from
-        the store, though two of its data centre read it for all.
+        the store, though two of its data centre read it for all. Where nodes
+        are few none waits: reading for itself is soonest.
         """
         until_ms = clock.now_ms() + FIRST_CONTACT_MS
         while clock.now_ms() < until_ms:
-            heard = [each for each in self._peers.peers.values() if each.last]
-            is_all = self._has_found and len(heard) == len(self._peers.peers)
-            if is_all or sum(each.is_near for each in heard) >= enough:
+            others = self._peers.peers.values()
+            if self._has_found and len(others) <= FEW_NODES:
+                return
+            near = sum(each.is_near for each in others)
+            if near >= sources.READERS:
                 return
             await asyncio.sleep(CONTACT_LOOK_MS / 1000)
 
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -34,6 +34,10 @@
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
+class PeerUnready(exceptions.StoreError):
+    """A peer has no copy of a table yet."""
+
+
 class PeerRows:
     """The tables of one peer; asked like the store."""
 
@@ -69,6 +73,10 @@
         asked_ms = clock.now_ms()
         answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
+        if answer.head.status == _UNREADY:
+            raise PeerUnready(f"status {_UNREADY}: not read yet",
+                              step=_STEP,
+                              peer=self._peer)
         storecalls.check(answer, _STEP, self._peer)
         return self._decoded(answer.body, asked_ms)
 
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -155,6 +155,10 @@
             # Overtaken on its way.
             return False
         was_alive, was_near = peer.is_alive(now_ms), peer.is_near
+        if peer.last is None or peer.last.incarnation != message.incarnation:
+            # It has just started, and follows whomever it hears first.
+            was_alive = False
+            peer.sent_ms = float("-inf")
         self._discount(peer)
         peer.hear(message, self._data_centre, now_ms)
         self._count(peer)
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -21,11 +21,9 @@
 # what they confirmed.
 FEED_PART = 0.5
 # What changed in the list is asked for each such part of the drain bound,
-# however much changes, so that it is known well within it...
+# however much changes, so that it is known well within it; whoever waits for a
+# change that is due has it asked for sooner.
 LIST_PART = 0.6
-# ... and as often as this while a group is on its way: its members are ready
-# one shortly after the other, and one answer should tell of all.
-KEEN_LIST_MS = 120.0
 # An answer without news is asked for after this part of the drain bound. What
 # changes is answered at once: a node that does not get it is cut off.
 LIST_WAIT_PART = 0.8
@@ -64,8 +62,6 @@
         self._fresh = fresh
         self._on_table = on_table
         self._drain_ms = drain_ms
-        # Whether a change of the list is waited for.
-        self.is_keen: Callable[[], bool] = bool
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_PART * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
@@ -219,9 +215,7 @@
         self._wanted.set()
 
     async def _wait(self, began_ms: float) -> None:
-        interval_ms = KEEN_LIST_MS if self.is_keen() else (LIST_PART *
-                                                           self._drain_ms)
-        left_ms = interval_ms - (clock.now_ms() - began_ms)
+        left_ms = LIST_PART * self._drain_ms - (clock.now_ms() - began_ms)
         try:
             await asyncio.wait_for(self._wanted.wait(),
                                    max(0.0, left_ms) / 1000)
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -94,6 +94,10 @@
         except storecalls.HistoryLost:
             self._known = 0
             raise
+        except peerrows.PeerUnready:
+            # It reads on; asked by each of its followers in its place, the
+            # store gave the whole list once for each node of a fleet.
+            raise
         except exceptions.StoreError:
             self._choice.failed(source, clock.now_ms())
             raise
--- a/tests/experiment/test_reporting.py
+++ b/tests/experiment/test_reporting.py
@@ -4,7 +4,6 @@
 
 from cardamommill.experiment import deployments, world
 from cardamommill.gateway import (
-    clock,
     dispatcher,
     entrynode,
     model,
@@ -87,12 +86,13 @@
 
         def counted(self, told, now_ms):
             tell(self, told, now_ms)
+            started.append(now_ms)
             if now_ms - started[0] > 6000:
                 sent.extend(
                     LIGHT_BYTES for peer, _ in told if not peer.is_near and
                     self._peers.audience(peer) is not peers.Audience.REPORTER)
 
-        started = [clock.now_ms()]
+        started = []
         with monkeypatch.context() as patched:
             patched.setattr(nodelink.NodeLink, "_tell", counted)
             play(nodes, length_s=2.0)
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -159,9 +159,9 @@
     monkeypatch.setattr(peerrows.PeerRows, "table", counted)
     outcome = play(FOUR_CUT, length_s=10.0)
     assert not outcome.violations
-    # What the four that follow a reader from their start have it send.
-    assert len(whole) <= 8, whole
-    assert max(whole) < outcome.started_ms
+    # What nodes that start later than their reader have it send.
+    assert len(whole) <= 4, whole
+    assert all(at_ms < outcome.started_ms for at_ms in whole)
 
 
 def lags_ms(monkeypatch, *happening):
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -80,3 +80,26 @@
     bench = planners.Bench(
         [builders.runner(number, place="b") for number in range(9)])
     assert not bench.step()
+
+
+def test_list_is_looked_at_when_members_are_due_and_then_ever_more_seldom():
+    """One member's order was lost; the group waits for it, for seconds.
+
+    Read each 120 ms from before they were due, the list of large fleets cost
+    more calls than all else that a planner does.
+    """
+    bench = planners.Bench(planners.warm(4))
+    bench.view.list_as_of_ms = 1e9
+    joins = planners.ordered(bench.step(), orders.Operation.JOIN)
+    for order in joins:
+        bench.accept(order)
+    (formation,) = bench.planner.formations.values()
+    looked_ms = []
+    while bench.now_ms < formation.due_ms + 2500:
+        if any(
+                isinstance(each, planning.ReadList)
+                for each in bench.step(20.0)):
+            looked_ms.append(bench.now_ms - formation.due_ms)
+    assert 0 <= looked_ms[0] <= 20
+    assert looked_ms[1] < 160
+    assert 5 <= len(looked_ms) <= 8
--- a/tests/gateway/test_reporting.py
+++ b/tests/gateway/test_reporting.py
@@ -134,3 +134,11 @@
     assert who.planned_data_centres(("a", "b"), 3000) == {"a"}
     later_ms = 2000 + peers.DARK_MS + 1
     assert who.planned_data_centres(("a", "b"), later_ms) == {"a", "b"}
+
+
+def test_node_that_has_just_started_is_told_in_the_next_tick():
+    """It follows whom it hears first; heartbeats are up to a second apart."""
+    who = fleet("a-1")
+    assert not who.due(1020)
+    test_peers.hear(who, 1030, test_peers.message("a-5", "a", incarnation=2))
+    assert "a-5" in names(who.due(1040))
