Start an entry node without what it never uses

Cause: an entry node imported the whole command line with its stand-ins, the operators' client, and the documents, settings and periods of the older node (by way of the log's settings).

Change: the words with which a node is started lead to it directly, all others to the command line as before; what checks files stands in a module of its own, beside the documents and settings that use it.

Ruled out: lazy imports within the node, which move the cost to its first request.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -203,13 +203,7 @@
         Args:
             settings: Its settings, a YAML file.
         """
-        settings_lib = importlib.import_module(
-            "cardamommill.gateway.entrysettings")
-        path = pathlib.Path(settings)
-        checked = settings_lib.load(path)
-        node_lib = importlib.import_module("cardamommill.gateway.entrynode")
-        with node_lib.EntryNode(checked, path) as node:
-            node.run()
+        importlib.import_module("cardamommill.gateway.starting").run(settings)
 
     def status(self, json: bool = False) -> str:
         """Prints what a node knows of its data centre.
--- a/cardamommill/documents.py
+++ b/cardamommill/documents.py
@@ -6,21 +6,10 @@
 
 import pydantic
 
-from cardamommill import exceptions, yamltext
+from cardamommill import checking, exceptions, yamltext
 
 MAX_REPLICA_VMS = 32
 MAX_DOCUMENT_BYTES = 262_144
-MAX_FAULTS = 50
-
-Name = Annotated[str,
-                 pydantic.StringConstraints(
-                     pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
-
-
-class Checked(pydantic.BaseModel):
-    """An object of a file; a field that it does not know is a fault."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
 class ServiceKind(enum.StrEnum):
@@ -37,7 +26,7 @@
     PREFER = "prefer"
 
 
-class Engine(Checked):
+class Engine(checking.Checked):
     """What this service's backend servers can do.
 
     Attributes:
@@ -52,7 +41,7 @@
     can_resume: bool = False
 
 
-class Capacity(Checked):
+class Capacity(checking.Checked):
     """What a service gets in one data centre.
 
     Attributes:
@@ -64,7 +53,7 @@
     spares: Annotated[int, pydantic.Field(ge=0, le=1000)] = 0
 
 
-class Route(Checked):
+class Route(checking.Checked):
     """What holds for calls of a path.
 
     Attributes:
@@ -79,7 +68,7 @@
     repeatable: bool = True
 
 
-class Limits(Checked):
+class Limits(checking.Checked):
     """Limits of a service on each node.
 
     Attributes:
@@ -97,7 +86,7 @@
     retry_fraction: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
 
 
-class Account(Checked):
+class Account(checking.Checked):
     """A client account.
 
     Attributes:
@@ -110,7 +99,7 @@
         top_priority: The most urgent priority that its requests may ask for.
     """
 
-    name: Name
+    name: checking.Name
     key_sha256: Annotated[str,
                           pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
     requests_per_s: Annotated[float, pydantic.Field(gt=0)] = 100.0
@@ -120,7 +109,7 @@
     top_priority: Annotated[int, pydantic.Field(ge=1, le=9)] = 1
 
 
-class Costs(Checked):
+class Costs(checking.Checked):
     """How the planner weighs what repair costs.
 
     Attributes:
@@ -138,7 +127,7 @@
     unshared_slowdown: Annotated[float, pydantic.Field(ge=1)] = 4.0
 
 
-class Document(Checked):
+class Document(checking.Checked):
     """All that a team says of its service.
 
     Attributes:
@@ -159,16 +148,16 @@
         costs: What repair costs.
     """
 
-    service: Name
+    service: checking.Name
     kind: ServiceKind = ServiceKind.MODEL
     priority: Annotated[int, pydantic.Field(ge=1, le=9)] = 5
-    pool: Name
+    pool: checking.Name
     model: str = ""
     version: str = ""
     adapters: tuple[str, ...] = ()
     replica_vms: Annotated[int, pydantic.Field(ge=1, le=MAX_REPLICA_VMS)] = 1
     fabric: FabricRule = FabricRule.REQUIRE
-    capacity: dict[Name, Capacity]
+    capacity: dict[checking.Name, Capacity]
     engine: Engine = Engine()
     routes: tuple[Route, ...] = ()
     limits: Limits = Limits()
@@ -235,31 +224,10 @@
     except pydantic.ValidationError as error:
         # Not "from error": pydantic's text shows what it found, and a key
         # written into the wrong field would reach the log with a traceback.
-        raise exceptions.DocumentError(faults(error),
+        raise exceptions.DocumentError(checking.faults(error),
                                        step="document",
                                        peer=source) from None
     except ValueError as error:
         raise exceptions.DocumentError(f"not YAML: {error}",
                                        step="document",
                                        peer=source) from error
-
-
-def faults(error: pydantic.ValidationError) -> str:
-    """Returns a line per fault: the field's path, what was found, what may be.
-
-    Args:
-        error: What pydantic found.
-    """
-    lines = []
-    found_faults = error.errors()
-    for fault in found_faults[:MAX_FAULTS]:
-        path = ".".join(str(part) for part in fault["loc"]) or "(whole)"
-        # A wrong key of an account must not reach a log or a terminal.
-        hidden = "key" in path or isinstance(fault["input"], dict)
-        found = "(hidden)" if hidden else repr(fault["input"])[:80]
-        if fault["type"] == "missing":
-            found = "nothing"
-        lines.append(f"{path}: found {found}: {fault['msg']}")
-    if len(found_faults) > MAX_FAULTS:
-        lines.append(f"and {len(found_faults) - MAX_FAULTS} more")
-    return "\n".join(lines)
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -5,11 +5,11 @@
 
 import pydantic
 
-from cardamommill import documents, settings
+from cardamommill import checking
 from cardamommill.experiment import modelclients
 
 
-class ModelSpec(documents.Checked):
+class ModelSpec(checking.Checked):
     """A model that runs in groups; see `gateway.model.ServedModel`."""
 
     name: str
@@ -20,7 +20,7 @@
     warm_s: float = 1.6
 
 
-class EngineSpec(documents.Checked):
+class EngineSpec(checking.Checked):
     """The engine's arithmetic, with figures of today's runners."""
 
     slots: int = 13
@@ -37,7 +37,7 @@
     far_factor: float = 2.5
 
 
-class KindSpec(documents.Checked):
+class KindSpec(checking.Checked):
     """A kind of request; see `modelclients.Kind`."""
 
     name: str
@@ -53,7 +53,7 @@
     late_worth: float = 0.25
 
 
-class Trouble(documents.Checked):
+class Trouble(checking.Checked):
     """Something that happens to the model.
 
     Attributes:
@@ -78,7 +78,7 @@
     factor: float = 1.0
 
 
-class Deployment(documents.Checked):
+class Deployment(checking.Checked):
     """One experiment's world.
 
     Attributes:
@@ -211,4 +211,4 @@
     Raises:
         SettingsError: Lists every fault in the file.
     """
-    return settings.load_as(Deployment, path, "experiment")
+    return checking.load_as(Deployment, path, "experiment")
--- a/cardamommill/gateway/entrysettings.py
+++ b/cardamommill/gateway/entrysettings.py
@@ -5,10 +5,10 @@
 
 import pydantic
 
-from cardamommill import documents, settings
+from cardamommill import checking
 
 
-class Bounds(documents.Checked):
+class Bounds(checking.Checked):
     """What the operators promise their users; the node keeps to it.
 
     Attributes:
@@ -34,7 +34,7 @@
     pass_ms: Annotated[float, pydantic.Field(gt=0)] = 120
 
 
-class EntrySettings(documents.Checked):
+class EntrySettings(checking.Checked):
     """All settings of the process of an entry VM.
 
     Attributes:
@@ -53,21 +53,21 @@
         logging: What is logged.
     """
 
-    node: documents.Name
-    data_centre: documents.Name
-    data_centres: tuple[documents.Name, ...]
+    node: checking.Name
+    data_centre: checking.Name
+    data_centres: tuple[checking.Name, ...]
     ip: Annotated[str,
                   pydantic.StringConstraints(
                       pattern=r"^(\d{1,3}\.){3}\d{1,3}$")]
-    callers: settings.Address
-    ready: settings.Address
+    callers: checking.Address
+    ready: checking.Address
     peer_port: Annotated[int, pydantic.Field(ge=1, le=65_535)]
-    seeds: tuple[settings.Address, ...] = ()
-    platform: settings.Address
+    seeds: tuple[checking.Address, ...] = ()
+    platform: checking.Address
     metrics_port: Annotated[int, pydantic.Field(ge=0, le=65_535)] = 9464
     heartbeat_ms: Annotated[float, pydantic.Field(gt=0)] = 1200
     bounds: Bounds = Bounds()
-    logging: settings.Logging = settings.Logging()
+    logging: checking.Logging = checking.Logging()
 
 
 def address(text: str) -> tuple[str, int]:
@@ -82,4 +82,4 @@
     Raises:
         SettingsError: Lists every fault in the file.
     """
-    return settings.load_as(EntrySettings, path)
+    return checking.load_as(EntrySettings, path)
--- a/cardamommill/logs.py
+++ b/cardamommill/logs.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from cardamommill import settings as settings_lib
+from cardamommill import checking
 
 MAX_BACKLOG = 10_000
 MAX_VALUE_CHARS = 2000
@@ -76,7 +76,7 @@
     records are dropped and the next line that gets through says how many.
     """
 
-    def __init__(self, settings: settings_lib.Logging, node: str) -> None:
+    def __init__(self, settings: checking.Logging, node: str) -> None:
         """Makes it.
 
         Args:
--- a/cardamommill/operators.py
+++ b/cardamommill/operators.py
@@ -16,6 +16,7 @@
 from werkzeug import routing, wrappers
 
 from cardamommill import (
+    checking,
     documents,
     exceptions,
     explaining,
@@ -142,8 +143,8 @@
             return _problem(error.code or 500, error.description or "",
                             "operators")
         except pydantic.ValidationError as error:
-            return _problem(http.HTTPStatus.BAD_REQUEST,
-                            documents.faults(error), "operators")
+            return _problem(http.HTTPStatus.BAD_REQUEST, checking.faults(error),
+                            "operators")
         except exceptions.CardamommillError as error:
             return _failed(error)
         except futures.TimeoutError:
--- a/cardamommill/settings.py
+++ b/cardamommill/settings.py
@@ -1,20 +1,14 @@
 """The settings of a node: one YAML file, checked whole."""
 
 import pathlib
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import pydantic
 
-from cardamommill import documents, exceptions, fleet, periods, yamltext
+from cardamommill import checking, fleet, periods
 
-Address = Annotated[str,
-                    pydantic.StringConstraints(
-                        pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 
-_T = TypeVar("_T", bound=pydantic.BaseModel)
-
-
-class CallerSide(documents.Checked):
+class CallerSide(checking.Checked):
     """Limits towards callers.
 
     Attributes:
@@ -34,7 +28,7 @@
         tls_key: A PEM file.
     """
 
-    address: Address
+    address: checking.Address
     requests_in_progress: Annotated[int, pydantic.Field(ge=1, le=4096)] = 256
     header_bytes: Annotated[int, pydantic.Field(ge=256)] = 16_384
     body_bytes: Annotated[int, pydantic.Field(ge=1)] = 8_388_608
@@ -49,7 +43,7 @@
     tls_key: str = ""
 
 
-class OperatorSide(documents.Checked):
+class OperatorSide(checking.Checked):
     """The operators' port.
 
     Attributes:
@@ -57,12 +51,12 @@
         key_sha256: The hexadecimal SHA-256 of the operators' key.
     """
 
-    address: Address
+    address: checking.Address
     key_sha256: Annotated[str,
                           pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
 
 
-class PeerSide(documents.Checked):
+class PeerSide(checking.Checked):
     """The port for other nodes.
 
     Attributes:
@@ -74,25 +68,25 @@
         tls_authority: A PEM file with the authority that signs nodes.
     """
 
-    address: Address
-    known: tuple[Address, ...] = ()
+    address: checking.Address
+    known: tuple[checking.Address, ...] = ()
     message_bytes: Annotated[int, pydantic.Field(ge=1024)] = 1_048_576
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
 
 
-class Platform(documents.Checked):
+class Platform(checking.Checked):
     """The platform's service.
 
     Attributes:
         address: Its tables, objects and list of VMs.
     """
 
-    address: Address
+    address: checking.Address
 
 
-class Tracing(documents.Checked):
+class Tracing(checking.Checked):
     """Where spans go.
 
     Attributes:
@@ -104,22 +98,7 @@
     otlp_address: str = ""
 
 
-class Logging(documents.Checked):
-    """What is logged.
-
-    Attributes:
-        level: The least severe level that is written.
-        file: A file to append to; empty for standard output.
-    """
-
-    level: Annotated[
-        str,
-        pydantic.StringConstraints(
-            pattern=r"^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
-    file: str = ""
-
-
-class Settings(documents.Checked):
+class Settings(checking.Checked):
     """All settings of a node.
 
     Attributes:
@@ -135,15 +114,15 @@
         timing: Periods that differ from `periods.PERIODS`, in milliseconds.
     """
 
-    node: documents.Name
-    data_centre: documents.Name
-    region: documents.Name
+    node: checking.Name
+    data_centre: checking.Name
+    region: checking.Name
     callers: CallerSide
     operators: OperatorSide
     peers: PeerSide
     platform: Platform
     tracing: Tracing = Tracing()
-    logging: Logging = Logging()
+    logging: checking.Logging = checking.Logging()
     timing: dict[str, int] = {}
 
     @pydantic.field_validator("timing")
@@ -183,33 +162,4 @@
     Raises:
         SettingsError: Lists every fault in the file.
     """
-    return load_as(Settings, path)
-
-
-def load_as(kind: type[_T], path: pathlib.Path, step: str = "settings") -> _T:
-    """Returns what a YAML file holds, checked whole.
-
-    Args:
-        kind: The model that it is checked against.
-        path: The file.
-        step: What it is read for; errors carry it.
-
-    Raises:
-        SettingsError: Lists every fault in the file.
-    """
-    try:
-        return kind.model_validate(yamltext.load(path.read_text("utf-8")))
-    except OSError as error:
-        raise exceptions.SettingsError(f"can't be read: {error.strerror}",
-                                       step=step,
-                                       peer=str(path)) from error
-    except pydantic.ValidationError as error:
-        # Not "from error": pydantic's text shows what it found, and a key
-        # written into the wrong field would reach the log with a traceback.
-        raise exceptions.SettingsError(documents.faults(error),
-                                       step=step,
-                                       peer=str(path)) from None
-    except ValueError as error:
-        raise exceptions.SettingsError(f"not YAML: {error}",
-                                       step=step,
-                                       peer=str(path)) from error
+    return checking.load_as(Settings, path)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,7 +7,7 @@
 import logbook
 import pytest
 
-from cardamommill import logs, settings
+from cardamommill import checking, logs
 
 log = logbook.Logger("trial")
 
@@ -15,7 +15,7 @@
 def written(tmp_path, act, level="INFO"):
     """Returns the lines that `act` leaves in a log file."""
     path = tmp_path / "node.log"
-    with logs.LogHandler(settings.Logging(level=level, file=str(path)), "n1"):
+    with logs.LogHandler(checking.Logging(level=level, file=str(path)), "n1"):
         act()
     return path.read_text("utf-8").splitlines()
 
@@ -67,7 +67,7 @@
     """
     monkeypatch.setattr(logs, "MAX_BACKLOG", 2)
     path = tmp_path / "node.log"
-    handler = logs.LogHandler(settings.Logging(file=str(path)), "n1")
+    handler = logs.LogHandler(checking.Logging(file=str(path)), "n1")
     for _ in range(5):
         record = logbook.LogRecord("trial", logbook.INFO, "event=x")
         record.heavy_init()
