--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -4,11 +4,12 @@
 
 from cardamommill.gateway import fleetview, loads, model, orders, planning
 
-# Between two looks at members that should be ready by now: doubled after each,
-# up to the last, since a group that is late once mostly waits for an order that
-# was lost or a member that died.
+# Between two looks at members that should be ready by now, and between two once
+# they are long overdue: such a group mostly waits for an order that was lost or
+# a member that died, and no look hastens that.
 LOOK_AGAIN_MS = 120.0
-MAX_LOOK_AGAIN_MS = 480.0
+LATE_LOOK_AGAIN_MS = 480.0
+OVERDUE_MS = 600.0
 # A formation that takes this many times what it should is given up.
 PATIENCE = 3.0
 PATIENCE_FLOOR_MS = 3000.0
@@ -74,10 +75,9 @@
         assert head is not None and head.membership is not None or unready
         if unready:
             if now_ms >= max(formation.due_ms, formation.probe_ms):
-                again_ms = min(LOOK_AGAIN_MS * 2**formation.looks,
-                               MAX_LOOK_AGAIN_MS)
-                formation.looks += 1
-                formation.probe_ms = now_ms + again_ms
+                is_late = now_ms > formation.due_ms + OVERDUE_MS
+                formation.probe_ms = now_ms + (LATE_LOOK_AGAIN_MS
+                                               if is_late else LOOK_AGAIN_MS)
                 yield from self._look(unready, now_ms)
             return
         assert head is not None and head.membership is not None
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -47,7 +47,6 @@
     due_ms: float
     loads: int = 0
     probe_ms: float = 0.0
-    looks: int = 0
     open_sent_ms: float = 0.0
     open_accepted_ms: float = 0.0
     open_tries: int = 0
