Ask for the list often while runners come back into it

Cause: entries that lapsed are back within two seconds of the store's return, and a list is read each 0.6 of the drain bound. Planners had it read each 120 ms as long as any group was on its way, however late it was, which hid that; since they look only when members are due, everybody waited for the next reading.

Change: for 2.5 s after a list that did not come it is asked for each 200 ms by whoever reads it.

--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -24,6 +24,11 @@
 # however much changes, so that it is known well within it; whoever waits for a
 # change that is due has it asked for sooner.
 LIST_PART = 0.6
+# Runners whose entries lapsed while the store was away write them anew within
+# this of its return; until then the list is asked for this often, since nobody
+# is sent to a runner that it does not name.
+BACK_MS = 2500.0
+BACK_LIST_MS = 200.0
 # An answer without news is asked for after this part of the drain bound. What
 # changes is answered at once: a node that does not get it is cut off.
 LIST_WAIT_PART = 0.8
@@ -66,6 +71,7 @@
         view.list_stale_ms = LIST_STALE_PART * drain_ms
         self._refused: set[tuple[str, bytes]] = set()
         self._lost: set[str] = set()
+        self._back_until_ms = float("-inf")
         self._wanted = asyncio.Event()
         self._is_catching_up = False
         # The row of a configuration that could not be read; 0 where none is.
@@ -215,7 +221,10 @@
         self._wanted.set()
 
     async def _wait(self, began_ms: float) -> None:
-        left_ms = LIST_PART * self._drain_ms - (clock.now_ms() - began_ms)
+        now_ms = clock.now_ms()
+        interval_ms = (BACK_LIST_MS if now_ms < self._back_until_ms else
+                       LIST_PART * self._drain_ms)
+        left_ms = interval_ms - (now_ms - began_ms)
         try:
             await asyncio.wait_for(self._wanted.wait(),
                                    max(0.0, left_ms) / 1000)
@@ -262,4 +271,5 @@
     def _regain(self, what: str) -> None:
         if what in self._lost:
             self._lost.discard(what)
+            self._back_until_ms = clock.now_ms() + BACK_MS
             _LOG.info(logs.line("store-regained", what=what))
