Order a member's join again where it was not answered

Groups were not formed for as long as workers left orders unanswered.

Cause: the first join without an answer within 0.6 s ended the whole formation. Of 16 members all answer with odds of 0.65 to the 16th, of 32 practically never.

Ruled out: a longer wait for answers (a late order is carried out 2 to 12 s later); other members in place of the silent one (its order may be carried out all the same, and the next one is lost as likely).

Change: the member is asked what it has done, and unless it joined the same order is sent to it again, six times at most, with the count that it reports.

Why it holds: the runner takes the same join twice for one; one that is carried out late names an old count and is refused. A refusal that says more than an unfit count ends the formation as before.

--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -15,6 +15,10 @@
 PATIENCE_FLOOR_MS = 3000.0
 # Loads take this part of their time before the first request.
 LEAD_LOAD_FACTOR = 0.1
+# A member's join is ordered so often at most. Given up for the first that was
+# not answered, no group of many members was formed while one order in three is
+# lost; with this nearly all are.
+JOIN_TRIES = 6
 # From the end of a join to its word in the list.
 DUE_MARGIN_MS = 20.0
 
@@ -73,6 +77,7 @@
         ]
         head = members[0]
         assert head is not None and head.membership is not None or unready
+        yield from self._join_again(formation)
         if unready:
             if now_ms >= max(formation.due_ms, formation.probe_ms):
                 is_late = now_ms > formation.due_ms + OVERDUE_MS
@@ -133,6 +138,7 @@
                     membership.state is model.MemberState.BROKEN):
                 return "broken"
             if (membership is None and runner_id not in self._pending and
+                    runner_id not in formation.unanswered and
                     now_ms > formation.due_ms and
                     known.report_ms > formation.begun_ms):
                 return f"{runner_id} did not join"
@@ -182,14 +188,57 @@
     def _joins(self,
                formation: planning.Formation) -> Iterator[planning.Action]:
         for member in formation.members:
+            yield self._join(formation, member, "new group")
+
+    def _join(self, formation: planning.Formation, member: str,
+              reason: str) -> orders.Order:
+        return orders.Order(member,
+                            orders.Operation.JOIN,
+                            formation.key,
+                            formation.model.name,
+                            formation.members,
+                            expected_seq=self._view.known[member].orders_begun,
+                            reason=reason)
+
+    def _join_again(self,
+                    formation: planning.Formation) -> Iterator[planning.Action]:
+        """Orders members again whose join may not have come through.
+
+        The runner takes the same join twice for one, and names the count that
+        it has by now: one that is carried out late is refused.
+        """
+        for member in list(formation.unanswered):
             known = self._view.known[member]
-            yield orders.Order(member,
-                               orders.Operation.JOIN,
-                               formation.key,
-                               formation.model.name,
-                               formation.members,
-                               expected_seq=known.orders_begun,
-                               reason="new group")
+            place = known.membership
+            if place is not None and place.key == formation.key:
+                # The answer was lost, or the order carried out late.
+                del formation.unanswered[member]
+            elif member not in self._pending and place is None:
+                yield self._join(formation, member, "no answer to the last")
+
+    def join_refused(self, formation: planning.Formation, runner: str,
+                     reason: str, may_repeat: bool) -> None:
+        """Notes that a member did not answer, or refused.
+
+        Args:
+            formation: Its group.
+            runner: The member.
+            reason: What it said.
+            may_repeat: Whether it may accept the same order later.
+        """
+        tries = formation.unanswered.get(runner, 0) + 1
+        formation.unanswered[runner] = tries
+        if not may_repeat or tries >= JOIN_TRIES:
+            formation.refused = f"{runner} refused: {reason}"
+
+    def join_accepted(self, formation: planning.Formation, runner: str,
+                      now_ms: float) -> None:
+        """Notes that a member joins; the group is due later if it is late."""
+        if formation.unanswered.pop(runner, 0):
+            known = self._view.known[runner]
+            takes_ms = planning.join_ms(known, formation.model)
+            formation.due_ms = max(formation.due_ms,
+                                   now_ms + takes_ms + DUE_MARGIN_MS)
 
     def leave(self, key: model.GroupKey,
               members: list[fleetview.Known] | list[fleetview.Known | None],
--- a/cardamommill/gateway/groupkeeper.py
+++ b/cardamommill/gateway/groupkeeper.py
@@ -28,6 +28,11 @@
 # Beyond the lag of reports, before one tells what an order made.
 LAG_MARGIN_MS = 30.0
 
+# After these the same order may be accepted, once it is known what the runner
+# has done meanwhile.
+_MAY_COME_THROUGH = frozenset(
+    {ordercalls.Reply.UNKNOWN, ordercalls.Reply.UNFIT})
+
 _LOG = logbook.Logger("groups")
 
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
@@ -111,7 +116,10 @@
             self.planner.accepted(order, now_ms)
         else:
             self._view.take_refusal(order.runner, now_ms)
-            self.planner.refused(order, reply.value, now_ms)
+            self.planner.refused(order,
+                                 reply.value,
+                                 now_ms,
+                                 may_repeat=reply in _MAY_COME_THROUGH)
         _LOG.info(
             logs.line("order",
                       runner=order.runner,
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -76,20 +76,35 @@
         """Notes that an order was accepted."""
         self._pending.discard(order.runner)
         formation = self._formations.of(order)
-        if formation is not None and order.operation is orders.Operation.OPEN:
+        if formation is None:
+            return
+        if order.operation is orders.Operation.OPEN:
             formation.open_accepted_ms = now_ms
+        if order.operation is orders.Operation.JOIN:
+            self._formations.join_accepted(formation, order.runner, now_ms)
 
-    def refused(self, order: orders.Order, reason: str, now_ms: float) -> None:
+    def refused(self,
+                order: orders.Order,
+                reason: str,
+                now_ms: float,
+                may_repeat: bool = False) -> None:
         """Notes that an order was not accepted, or perhaps not.
 
         The runner gets no other order until `settled`: what is believed of it
         is wrong, and its report tells only later what is true.
+
+        Args:
+            order: The order.
+            reason: What the runner said.
+            now_ms: The time.
+            may_repeat: Whether the same order may be accepted later.
         """
         if order.operation is orders.Operation.STAGE:
             self._spares.give_up(order.runner, now_ms)
         formation = self._formations.of(order)
         if formation is not None and order.operation is orders.Operation.JOIN:
-            formation.refused = f"{order.runner} refused: {reason}"
+            self._formations.join_refused(formation, order.runner, reason,
+                                          may_repeat)
 
     def settled(self, order: orders.Order) -> None:
         """Notes that a runner was asked after an order that it refused."""
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -51,6 +51,8 @@
     open_accepted_ms: float = 0.0
     open_tries: int = 0
     refused: str = ""
+    # Members that did not answer their join, and how often.
+    unanswered: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -1,6 +1,6 @@
 """Tests of how groups are kept standing."""
 
-from cardamommill.gateway import orders, planning
+from cardamommill.gateway import formations, orders, planning
 from tests.gateway import builders, planners
 
 
@@ -103,3 +103,61 @@
     assert 0 <= looked_ms[0] <= 20
     assert sum(at_ms < 600 for at_ms in looked_ms) >= 5
     assert len(looked_ms) <= 10
+
+
+def begun_with_one_unanswered(times):
+    """Returns a bench whose first member left so many joins unanswered."""
+    bench = planners.Bench(planners.warm(4))
+    joins = planners.ordered(bench.step(), orders.Operation.JOIN)
+    for order in joins[1:]:
+        bench.accept(order, planners.STATE.READY)
+    order = joins[0]
+    for _ in range(times):
+        bench.planner.sent(order.runner)
+        bench.planner.refused(order, "unknown", bench.now_ms, may_repeat=True)
+        assert not planners.ordered(bench.step(), orders.Operation.JOIN)
+        bench.planner.settled(order)
+        again = planners.ordered(bench.step(), orders.Operation.JOIN)
+        if not again:
+            return bench, None
+        (order,) = again
+        assert order.runner == joins[0].runner
+        assert order.group == joins[0].group
+    return bench, order
+
+
+def test_join_that_was_not_answered_is_ordered_again():
+    """Workers leave one order in three unanswered for some seconds.
+
+    A group of 32 needs as many answers: given up for the first that is missing
+    its members were all ordered to leave, and the next ones fared no better.
+    """
+    bench, order = begun_with_one_unanswered(2)
+    (formation,) = bench.planner.formations.values()
+    bench.accept(order)
+    assert formation.due_ms >= bench.now_ms + 1000
+    bench.become(order, planners.STATE.READY)
+    assert planners.ordered(bench.step(), orders.Operation.OPEN)
+
+
+def test_join_that_was_carried_out_without_an_answer_is_not_ordered_again():
+    bench = planners.Bench(planners.warm(4))
+    joins = planners.ordered(bench.step(), orders.Operation.JOIN)
+    for order in joins[1:]:
+        bench.accept(order, planners.STATE.READY)
+    bench.planner.sent(joins[0].runner)
+    bench.planner.refused(joins[0], "unknown", bench.now_ms, may_repeat=True)
+    bench.become(joins[0], planners.STATE.READY)
+    bench.planner.settled(joins[0])
+    actions = bench.step()
+    assert not planners.ordered(actions, orders.Operation.JOIN)
+    assert planners.ordered(actions, orders.Operation.OPEN)
+
+
+def test_group_is_given_up_for_a_member_that_never_answers():
+    bench, order = begun_with_one_unanswered(formations.JOIN_TRIES)
+    assert order is None
+    assert not [
+        each for each in bench.planner.formations.values()
+        if "i-1" in each.members
+    ]
