--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -7,8 +7,8 @@
 from cardamommill.gateway import fetching, model, orders, upstream
 from cardamommill.platform import entries, words
 
-# A runner answers in a few ms; one that is dark never does. An order that was not
-# answered is sent again, and one that is late refused by its count.
+# A runner answers in a few ms; one that is dark never does. An order that was
+# not answered is sent again, and one that is late refused by its count.
 ORDER_TIMEOUT_MS = 300
 REPORT_TIMEOUT_MS = 150
 
