Tell who of a group did not answer, and ask only those

Cause: an alarm said that a member did not answer, and not which.

Change: it names two of them, and a planner asks these. Where they answer, the alarm is taken back as before.

Ruled out: taking the peer's word without asking: the peer may be cut off itself.

--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -26,6 +26,9 @@
 # Runners of a data centre that is heard again are asked, but not twice for the
 # return of two nodes.
 BACK_ASK_MS = 250.0
+# Of the members that did not answer so many are told: enough for whoever plans
+# to ask, while the datagram holds the alarms of a whole domain.
+MAX_TOLD_SILENT = 2
 # Two groups of a data centre that are found down within this may have one
 # cause.
 TOGETHER_MS = 500.0
@@ -33,6 +36,15 @@
 _LOG = logbook.Logger("alarms")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Told:
+    """What is told of a group, since when, and who of it did not answer."""
+
+    at_ms: float
+    confirmed: bool
+    silent: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Down:
     """A group that was found down, when, and its fabric domains."""
@@ -75,7 +87,7 @@
         self._plans_for = plans_for
         self._spread = spread
         self._spawn = spawn
-        self._alarms: dict[model.GroupKey, tuple[float, bool]] = {}
+        self._alarms: dict[model.GroupKey, _Told] = {}
         self._probed_ms: dict[model.GroupKey, float] = {}
         self._asked_again_ms: dict[str, float] = {}
         # When a peer told that it asks the members of a group.
@@ -86,13 +98,14 @@
     def news(self, now_ms: float) -> tuple[peermessage.Alarm, ...]:
         """Returns what other nodes should hear."""
         return tuple(
-            peermessage.Alarm(key, now_ms - at_ms, confirmed)
-            for key, (at_ms, confirmed) in self._alarms.items()
-            if now_ms - at_ms < NEWS_MS)
+            peermessage.Alarm(key, now_ms -
+                              told.at_ms, told.confirmed, told.silent)
+            for key, told in self._alarms.items()
+            if now_ms - told.at_ms < NEWS_MS)
 
     def forget(self, now_ms: float) -> None:
         """Forgets old alarms."""
-        clock.forget_old(self._alarms, lambda alarm: alarm[0], FORGET_MS,
+        clock.forget_old(self._alarms, lambda told: told.at_ms, FORGET_MS,
                          now_ms)
         clock.forget_old(self._probed_ms, float, FORGET_MS, now_ms)
         clock.forget_old(self._asked_by_peer_ms, float, FORGET_MS, now_ms)
@@ -155,7 +168,7 @@
         asked_ms = self._asked_by_peer_ms.get(key, float("-inf"))
         if now_ms - asked_ms < standing.SUSPECT_MS:
             return
-        self._alarms[key] = (now_ms, False)
+        self._alarms[key] = _Told(now_ms, False)
         self.probe(key, "silent")
         self._spread()
 
@@ -176,13 +189,25 @@
         for one in self._requests.relays_at(key):
             one.divert(reason, is_dead)
 
-    def probe(self, key: model.GroupKey, reason: str) -> None:
-        """Asks all members of a group, unless it was done just now."""
+    def probe(self,
+              key: model.GroupKey,
+              reason: str,
+              told: tuple[str, ...] = ()) -> None:
+        """Asks members of a group, unless it was done just now.
+
+        Args:
+            key: The group.
+            reason: Why, for the log.
+            told: Those that a peer found silent: they alone are asked. Empty
+                for all members.
+        """
         now_ms = clock.now_ms()
         if now_ms - self._probed_ms.get(key, float("-inf")) < PROBE_AGAIN_MS:
             return
         self._probed_ms[key] = now_ms
-        self._spawn(self._probe_members(key, reason))
+        members = self._view.members(key)
+        chosen = [each for each in members if each.runner.id in told]
+        self._spawn(self._probe_members(key, chosen or members, reason))
 
     def refused(self, key: model.GroupKey, reason: str) -> None:
         """Looks into a group that refused a request, if this node plans for it.
@@ -193,8 +218,9 @@
         if self._plans_for(key):
             self.probe(key, reason)
 
-    async def _probe_members(self, key: model.GroupKey, reason: str) -> None:
-        members = self._view.members(key)
+    async def _probe_members(self, key: model.GroupKey,
+                             members: list[fleetview.Known],
+                             reason: str) -> None:
         was_up = {each.runner.id for each in members if not each.down_ms}
         answers = await asyncio.gather(
             *(self._keeper.ask(each.runner.id, reason) for each in members))
@@ -213,7 +239,8 @@
             # dead groups had all nodes ask and tell without an end.
             self._leave(key, "member does not answer", is_dead=True)
             return
-        self._alarms[key] = (now_ms, True)
+        self._alarms[key] = _Told(now_ms, True,
+                                  tuple(sorted(silent))[:MAX_TOLD_SILENT])
         self._give_up(key, "member does not answer",
                       now_ms + self._confirmed_ms)
         self._spread()
@@ -261,7 +288,8 @@
         is_news = (self._hear_confirmed(alarm, peer, since_ms, now_ms)
                    if alarm.confirmed else self._hear_question(alarm, since_ms))
         if is_news and is_far:
-            self._alarms[alarm.key] = (since_ms, alarm.confirmed)
+            self._alarms[alarm.key] = _Told(since_ms, alarm.confirmed,
+                                            alarm.silent)
         return is_news
 
     def _hear_question(self, alarm: peermessage.Alarm, since_ms: float) -> bool:
@@ -286,5 +314,5 @@
         self._give_up(alarm.key, "a peer found a member down", until_ms)
         if self._plans_for(alarm.key) and not any(
                 each.down_ms for each in self._view.members(alarm.key)):
-            self.probe(alarm.key, f"alarm of {peer}")
+            self.probe(alarm.key, f"alarm of {peer}", alarm.silent)
         return True
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/peermessage.py
@@ -22,11 +22,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Alarm:
-    """A group that a node found silent, or down, a while ago."""
+    """A group that a node found silent, or down, a while ago.
+
+    Attributes:
+        key: The group.
+        age_ms: How long ago.
+        confirmed: Whether a member did not answer.
+        silent: Some of those that did not.
+    """
 
     key: model.GroupKey
     age_ms: float
     confirmed: bool
+    silent: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,8 +127,10 @@
         message.node, message.incarnation, message.data_centre, message.sent_ms,
         message.config_version,
         int(min(message.confirmed_age_ms, 1e9)), in_flight,
-        [[each.key.name, each.key.epoch,
-          int(each.age_ms), each.confirmed] for each in message.alarms],
+        [[
+            each.key.name, each.key.epoch,
+            int(each.age_ms), each.confirmed, each.silent
+        ] for each in message.alarms],
         [[each.key.name, each.key.epoch, each.model, each.head]
          for each in message.opened],
         [[
@@ -158,8 +168,11 @@
             },
             tuple(
                 Alarm(model.GroupKey(str(name), int(epoch)), float(age_ms),
-                      bool(confirmed))
-                for name, epoch, age_ms, confirmed in alarms),
+                      bool(confirmed),
+                      tuple(str(each)
+                            for told in silent
+                            for each in told))
+                for name, epoch, age_ms, confirmed, *silent in alarms),
             tuple(
                 OpenedGroup(model.GroupKey(str(name), int(epoch)), str(served),
                             str(head)) for name, epoch, served, head in opened),
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/test_alarms.py
@@ -106,6 +106,7 @@
 
     def look_back(self):
         """Keeps which groups are avoided while the run's clock is read."""
+        self.news = self.alarms.news(clock.now_ms())
         self.avoided = {
             key for key in (KEY, OTHER, THIRD, FOURTH)
             if self.requests.standing.is_avoided(key, clock.now_ms())
@@ -253,6 +254,21 @@
     assert bench.is_avoided()
 
 
+def test_planner_asks_whom_a_peer_found_silent():
+    """Asked by the peer a moment ago, 31 of 32 members have answered it."""
+
+    def script(bench):
+        bench.keeper.dead = {"i-2"}
+        bench.alarms.hear(peermessage.Alarm(KEY, 10.0, True, ("i-2",)), "n2",
+                          clock.now_ms())
+
+    bench = play(script, plans=True)
+    assert bench.keeper.asked == ["i-2"]
+    assert bench.view.known["i-2"].down_ms
+    (told,) = bench.news
+    assert told.silent == ("i-2",)
+
+
 def test_runners_of_a_data_centre_that_is_heard_again_are_asked():
     """It was cut off; this node plans for no data centre and found all down.
 
--- a/tests/gateway/test_peermessage.py
+++ b/tests/gateway/test_peermessage.py
@@ -38,7 +38,7 @@
         "a",
         in_flight=in_flight,
         stopping=stopping,
-        alarms=(peermessage.Alarm(key, 40.0, True),),
+        alarms=(peermessage.Alarm(key, 40.0, True, ("i-1", "i-7")),),
         opened=(peermessage.OpenedGroup(key, "large", "i-1"),),
         tries=(reliability.Tries("i-2", 3, ((2**32 - 1, 40.0), (0, 7.0))),),
         plans_ms={"a": 10.0},
@@ -57,8 +57,12 @@
 
 def test_node_of_the_former_version_is_understood():
     """A roll-out replaces nodes one by one; new ones know those that live."""
-    sent = test_peers.message("n", "a", in_flight={})
+    key = model.GroupKey("g", 3)
+    sent = test_peers.message("n",
+                              "a",
+                              alarms=(peermessage.Alarm(key, 40.0, True),))
     fields = msgpack.unpackb(encoded(sent)[17:])[:-2]
+    fields[7][0] = fields[7][0][:4]
     former = struct.pack("!Bdd", peermessage.FORMER_FORMAT, 0.0, 200.0)
     assert peermessage.decode(former + msgpack.packb(fields), "peer") == sent
 
