Hold what comes in the first moment of a node until it can serve it

A caller that was told to come back has lost 0.25 s and mostly its only other try.

Cause: a node listens before it has read the configuration and the list.

Ruled out: listening later, which costs callers their try just as well.

Change: such a request waits until both are read, 250 ms at most.

Why it holds: it is not known that it can't be served; where the store is away it is answered after the 250 ms, as before.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -19,6 +19,7 @@
     fleetview,
     freshness,
     groupkeeper,
+    holding,
     model,
     nodelink,
     peermessage,
@@ -200,6 +201,17 @@
                 logs.line("request-refused-stopping",
                           request=request.get(words.ATTEMPT_ID)))
             return None
+        if self._knows_what_it_serves():
+            return self._serve(request, reply)
+        held = holding.Held(lambda: self._serve(request, reply))
+        self.spawn(held.wait(self._knows_what_it_serves))
+        return held
+
+    def _knows_what_it_serves(self) -> bool:
+        return self._reader.table is not None and self.view.list_as_of_ms > 0
+
+    def _serve(self, request: callers.CallerRequest,
+               reply: replies.Reply) -> callers.Serving | None:
         one = relay.Relay(self._requests, request, reply)
         if not one.begin():
             return None
@@ -350,8 +362,7 @@
     # The node's own life.
 
     def _ready(self) -> bool:
-        return (self._reader.table is not None and not self._stopping_ms and
-                self.view.list_as_of_ms > 0 and
+        return (self._knows_what_it_serves() and not self._stopping_ms and
                 self._requests.keys_may_be_trusted())
 
     def _on_question(self, request: callers.CallerRequest,
