Ask for the list often only after it was away for long

Entries lapse only after seconds without the store, and so does the list that a node follows: that is what is looked at now.

--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 import logbook
 
@@ -199,6 +200,7 @@
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._regain("list")
+            self._note_return()
             try:
                 self._take_list(news.rows, news.whole)
             except Exception:
@@ -209,6 +211,13 @@
                 # Without news it was listening, and goes on with that.
                 await self._wait(began_ms)
 
+    def _note_return(self) -> None:
+        """Notes that the list comes again after it was away for long."""
+        now_ms = clock.now_ms()
+        age_ms = now_ms - self._view.list_as_of_ms
+        if self._view.list_stale_ms < age_ms < math.inf:
+            self._back_until_ms = now_ms + BACK_MS
+
     def _list_wait_ms(self, now_ms: float) -> int:
         """Returns for how long news is waited for."""
         most_ms = LIST_WAIT_PART * self._drain_ms
@@ -271,5 +280,4 @@
     def _regain(self, what: str) -> None:
         if what in self._lost:
             self._lost.discard(what)
-            self._back_until_ms = clock.now_ms() + BACK_MS
             _LOG.info(logs.line("store-regained", what=what))
