--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -15,8 +15,8 @@
 FAILED_COST_MS = 300.0
 # What going to another data centre costs beyond its delay: bytes are dear.
 AWAY_COST_MS = 6.0
-# What a new connection costs: a round trip, a handshake at the head, and a place
-# among the connections that it takes. Less than a forecast is uncertain by, so it
+# What a new connection costs: a round trip, a handshake at the head, and one of
+# the connections that it takes. Less than a forecast is uncertain by, so it
 # decides between groups that are as good.
 NEW_CONNECTION_MS = 8.0
 # Answers that tell a peer's in-flight requests are this old at most.
