Date what a peer passes on by its age when it was asked

Cause, two parts. An asker dates an answer by its question, the earliest time at which the peer can have answered, and took off the age as of the answer: one that had waited 450 ms for news counted as 450 ms older than it was. And a reader let its list grow to the very age at which followers leave.

Readers ask anew at 0.8 of the drain bound, followers leave at 0.9.

Why it holds: a question comes to the peer no sooner than it was asked, so the date is still no later than the truth; a peer that reads it late tells a greater age.

Ruled out: leaving later, which is what kept followers of a reader that is cut off with lists of 2.1 to 2.9 s.

--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -130,15 +130,14 @@
             reply.whole(404, [], b"no such page\n")
             return None
         table = self._copies.table(name)
-        if not table.version:
-            waiting = _Waiting()
-            self._spawn(_answer_first(reply, table, waiting))
-            return waiting
-        if not after:
-            _answer(reply, table, table.whole())
+        asked_ms = clock.now_ms()
+        if table.version and not after:
+            _answer(reply, table, table.whole(), asked_ms)
             return None
         waiting = _Waiting()
-        self._spawn(_answer_changes(reply, table, after, wait_ms, waiting))
+        self._spawn(
+            _answer_changes(reply, table, after, wait_ms, waiting) if table.
+            version else _answer_first(reply, table, waiting))
         return waiting
 
 
@@ -149,18 +148,20 @@
     Of nodes that start together those that read are no sooner than those that
     follow them; told that there is nothing yet, all turned to the store.
     """
+    asked_ms = clock.now_ms()
     await table.changed(FIRST_COPY_MS)
     if waiting.left:
         return
     if table.version:
-        _answer(reply, table, table.whole())
+        _answer(reply, table, table.whole(), asked_ms)
     else:
         reply.whole(_UNREADY, [], b"not read yet\n")
 
 
 async def _answer_changes(reply: replies.Reply, table: tables.Table, after: int,
                           wait_ms: float, waiting: _Waiting) -> None:
-    until_ms = clock.now_ms() + wait_ms
+    asked_ms = clock.now_ms()
+    until_ms = asked_ms + wait_ms
     while not waiting.left:
         rows = table.since(after)
         if rows is None:
@@ -168,14 +169,20 @@
             return
         left_ms = until_ms - clock.now_ms()
         if rows or left_ms <= 0:
-            _answer(reply, table, rows)
+            _answer(reply, table, rows, asked_ms)
             return
         await table.changed(left_ms)
 
 
 def _answer(reply: replies.Reply, table: tables.Table,
-            rows: tuple[storecalls.Row, ...]) -> None:
-    age_ms = clock.now_ms() - table.as_of_ms
+            rows: tuple[storecalls.Row, ...], asked_ms: float) -> None:
+    """Answers with rows, and their age as of the question.
+
+    The asker dates them by its question, which came here no sooner: by their
+    age as of the answer, the time that it waited here made them that much too
+    old, and followers left sound readers.
+    """
+    age_ms = asked_ms - table.as_of_ms
     body = msgpack.packb([
         table.version, age_ms,
         [[each.key, each.value, each.version, each.deleted] for each in rows]
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -30,12 +30,13 @@
 # is sent to a runner that it does not name.
 BACK_MS = 2500.0
 BACK_LIST_MS = 200.0
-# An answer without news is asked for after this part of the drain bound. What
-# changes is answered at once: a node that does not get it is cut off.
+# An answer without news is asked for before the list is older than this part of
+# the drain bound. What changes is answered at once: a node that does not get it
+# is cut off.
 LIST_WAIT_PART = 0.8
 # Whoever follows a node that is cut off leaves it once its list is this old,
-# and has some time to ask the store before the bound is over. A sound one does
-# not wait for news for so long that its list grows older.
+# which no sound one lets it become, and has some time to ask the store before
+# the bound is over.
 OLDEST_LIST_PART = 0.9
 # Older than this the list is not followed any more.
 LIST_STALE_PART = 1.4
@@ -221,9 +222,8 @@
     def _list_wait_ms(self, now_ms: float) -> int:
         """Returns for how long news is waited for."""
         most_ms = LIST_WAIT_PART * self._drain_ms
-        age_ms = now_ms - self._view.list_as_of_ms
-        left_ms = OLDEST_LIST_PART * self._drain_ms - age_ms
-        return int(min(most_ms, left_ms) if left_ms > 0 else most_ms)
+        left_ms = most_ms - (now_ms - self._view.list_as_of_ms)
+        return int(left_ms if left_ms > 0 else most_ms)
 
     def read_list_now(self) -> None:
         """Has the list read sooner than it would be."""
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -133,9 +133,9 @@
     })
     assert not play(*troubles, length_s=11.0).violations
 
-    def answer_as_if_new(reply, table, rows):
+    def answer_as_if_new(reply, table, rows, asked_ms):
         table.as_of_ms = clock.now_ms()
-        answer(reply, table, rows)
+        answer(reply, table, rows, asked_ms)
 
     answer = peerrows._answer
     monkeypatch.setattr(peerrows, "_answer", answer_as_if_new)
@@ -308,3 +308,22 @@
     found = leaving_lags_ms(monkeypatch, seed=seed)
     assert len(found) == 4 * 7
     assert max(found) < entrysettings.Bounds().drain_ms
+
+
+def test_followers_stay_with_sound_readers_of_a_list_without_news(monkeypatch):
+    """A list that is waited for grows as old as the wait.
+
+    Readers let it grow to the very age at which their followers left them, so
+    these went to the store each for itself, again and again, in calm times.
+    """
+    left = []
+    failed = sources.Sources.failed
+
+    def noted(self, source, now_ms):
+        failed(self, source, now_ms)
+        left.append(source)
+
+    monkeypatch.setattr(sources.Sources, "failed", noted)
+    outcome = play(nodes=12, length_s=6.0)
+    assert not outcome.violations
+    assert not left
--- a/tests/gateway/test_peerrows.py
+++ b/tests/gateway/test_peerrows.py
@@ -84,6 +84,26 @@
     assert age_ms >= AGE_MS + 400
 
 
+def test_answer_that_waited_is_no_older_than_it_is():
+    """Its copy was confirmed while it waited.
+
+    Dated by the question alone, an answer to a question of half a second ago
+    was taken for that much older.
+    """
+
+    async def script(table, pool):
+        peer = peerrows.PeerRows(pool, ADDRESS)
+        asking = asyncio.get_running_loop().create_task(
+            peer.feed("t", 5, wait_ms=400))
+        await asyncio.sleep(0.3)
+        table.take(storecalls.Rows((), 5, clock.now_ms()), False)
+        rows = await asking
+        return rows.as_of_ms, table.as_of_ms
+
+    as_of_ms, confirmed_ms = served(script)
+    assert confirmed_ms - 20 < as_of_ms <= confirmed_ms
+
+
 def test_version_from_before_the_copy_is_lost_history():
 
     async def script(table, pool):
