--- a/tests/gateway/test_planner_machine.py
+++ b/tests/gateway/test_planner_machine.py
@@ -130,7 +130,11 @@
         view = self.views[which]
         if fate != "done" or status not in (200, 202):
             view.take_refusal(order.runner, self.now_ms)
-            self.planners[which].refused(order, "no", self.now_ms)
+            self.planners[which].refused(order,
+                                         "no",
+                                         self.now_ms,
+                                         may_repeat=status in (0, 409) or
+                                         fate == "unanswered")
             self.now_ms += 230
             self.report(which, order.runner)
             self.planners[which].settled(order)
