Stage spares once the last group has loaded, not once it is open

Cause: a knife's edge in the lead. Staging waits while any group is on its way whose members loaded; the last one opened 0.06 s before the first request, or 0.04 s after it, and then four spares of a data centre loaded for 16 s in place of 1.6 s (log: stage orders at -0.069 s and 0.045 s, spares free at 2 s and 18 s). Since planners look at the list only when members are due, the lead took 0.1 s longer.

Change: staging begins when the last load is done; what is left is a look and an order. The first look is 0.1 s before members are due again, for loads that share the store with fewer others than was thought.

Ruled out: how trouble was met later (joins again, lists): the difference stands before the first fault.

--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -97,9 +97,10 @@
     def _stage(self, engine: model.Engine, scope: planning.Scope,
                runners: list[fleetview.Known], need: strain.Need,
                now_ms: float) -> Iterator[planning.Action]:
-        if scope.in_lead and any(
-                each.loads for each in self._formations.by_key.values()):
-            # Groups first: staging shares the store's bandwidth.
+        if scope.in_lead and self._loading(now_ms):
+            # Groups first: staging shares the store's bandwidth. Not until they
+            # are open: a spare whose load begins just after the first request
+            # takes ten times as long.
             return
         free = [each for each in runners if self.is_free(each)]
         yield from self._spares.stage(engine, scope, free, need, now_ms)
@@ -247,8 +248,11 @@
                           now_ms: float) -> bool:
         # Loads share the store's bandwidth: beyond `loads_at_once` each takes
         # longer, and all groups would be ready only at the very end.
-        loading = sum(each.loads
-                      for each in self._formations.by_key.values()
-                      if each.loads and now_ms < each.due_ms)
         share = engine.loads_at_once * len(scope.data_centres) / scope.count
-        return loading < max(1.0, share)
+        return self._loading(now_ms) < max(1.0, share)
+
+    def _loading(self, now_ms: float) -> int:
+        """Returns how many runners load for groups on their way."""
+        return sum(each.loads
+                   for each in self._formations.by_key.values()
+                   if now_ms < each.due_ms)
--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -8,6 +8,9 @@
 # they are long overdue: such a group mostly waits for an order that was lost or
 # a member that died, and no look hastens that.
 LOOK_AGAIN_MS = 120.0
+# The first look: loads that share the store with fewer others than was thought
+# are done this much sooner.
+SOON_MS = 100.0
 LATE_LOOK_AGAIN_MS = 480.0
 OVERDUE_MS = 600.0
 # A formation that takes this many times what it should is given up.
@@ -79,7 +82,7 @@
         assert head is not None and head.membership is not None or unready
         yield from self._join_again(formation)
         if unready:
-            if now_ms >= max(formation.due_ms, formation.probe_ms):
+            if now_ms >= max(formation.due_ms - SOON_MS, formation.probe_ms):
                 is_late = now_ms > formation.due_ms + OVERDUE_MS
                 formation.probe_ms = now_ms + (LATE_LOOK_AGAIN_MS
                                                if is_late else LOOK_AGAIN_MS)
--- a/tests/gateway/test_choosing.py
+++ b/tests/gateway/test_choosing.py
@@ -54,3 +54,24 @@
         planners.warm(2) + planners.warm(2, start=11, domain="d1") + blank)
     joins = planners.ordered(bench.step(), orders.Operation.JOIN)
     assert len(joins) == 4
+
+
+def test_spares_are_staged_once_the_last_group_has_loaded():
+    """Loads are quick until the first request; the last group opens just then.
+
+    Spares that waited for it to open were loaded 16 s later, and groups that
+    lost a member meanwhile had none.
+    """
+    lead = planning.Scope(frozenset({"a"}), 1, True, {})
+    bench = planners.Bench([builders.runner(number) for number in range(1, 10)],
+                           lead)
+    staged = []
+    while len(bench.planner.formations) < 2:
+        for order in planners.ordered(bench.step(), orders.Operation.JOIN):
+            bench.accept(order)
+    due_ms = max(each.due_ms for each in bench.planner.formations.values())
+    while not staged and bench.now_ms < due_ms + 1000:
+        staged = planners.ordered(bench.step(20.0), orders.Operation.STAGE)
+    assert len(bench.planner.formations) == 2
+    assert due_ms <= bench.now_ms <= due_ms + 40
+    assert staged
