--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/alarms.py
@@ -154,7 +154,7 @@
         Its requests stay. After a restart of all nodes, with the prompts of
         all callers being read at once, nearly every group was silent for some
         node; its requests left, were read again elsewhere, and the next groups
-        fell silent: two seconds earned 0.36 and 0.54 of what they should.
+        fell silent, until hardly any answer came in time.
         """
         _LOG.warning(
             logs.line("group-silent",
--- a/cardamommill/gateway/consolidation.py
+++ b/cardamommill/gateway/consolidation.py
@@ -40,10 +40,9 @@
     """Gives up groups over two domains where a whole one can be made.
 
     Survivors in two domains make a group that takes some 2.5 times as long
-    for everything. Formed in need, such groups stayed for good: in the second
-    half of a day of high load all groups of the larger model were of that
-    kind, with a first event after 400 to 850 ms. Without any of this a day of
-    high load earned 0.23 where it earned 0.45.
+    for everything. Formed in need, such groups stayed for good: after some
+    time of high load all groups of the larger model were of that kind, and
+    their first events came too late for most callers.
     """
 
     def __init__(self, made: formations.Formations) -> None:
--- a/cardamommill/gateway/loads.py
+++ b/cardamommill/gateway/loads.py
@@ -3,8 +3,8 @@
 from cardamommill.gateway import model, planning
 
 # Part of the permitted rate of loads that the planners use together. A planner
-# that takes over does not know what the one before began: with 0.55 even two of
-# each data centre within one window stay below the bound and its tenth above.
+# that takes over does not know what the one before began: with little more than
+# half, even two of each data centre within one window stay within the bound.
 LOAD_SHARE = 0.55
 LOAD_WINDOW_MS = 5000.0
 
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -8,13 +8,11 @@
 
 Address = tuple[str, int]
 
-# Five a second to each peer tell a change of load in time for a placement,
-# and cost 1.5 KB/s a peer.
+# Five a second to each peer tell a change of load in time for a placement.
 HEARTBEAT_MS = 200.0
 # With more peers each is told less often: these many datagrams a second go to
-# peers of this node's data centre, and to all others. Five a second to each of
-# 70 peers took most of a node's processor time (0.075 of a core, and the
-# bytes between data centres a fifteenth of what requests earned).
+# peers of this node's data centre, and to all others. Told each as often, a
+# large fleet takes most of a node's processor time for that alone.
 NEAR_PER_S = 60.0
 FAR_PER_S = 20.0
 # Bytes between data centres are dear and grow with the nodes that send them, so
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -149,12 +149,10 @@
 
     One that can be in time goes where it will be first. One that can't waits
     behind all that can, in a short queue: with all in one queue, demand above
-    the capacity made nearly every request late (51 of 2,800 in time in the
-    worst 20 s of a day of high load).
+    the capacity makes nearly every request late.
 
-    A group that can't finish it by its deadline comes last: at groups over two
-    domains, with 180 ms between events, no answer of 50 events and more became
-    whole, and of the largest tenth 0.27 were served where of all 0.58 were.
+    A group that can't finish it by its deadline comes last: long answers were
+    sent to slow groups for their first event, and hardly one became whole.
 
     One whose head is likely to fail it gets it only where no other takes it,
     not even to wait: a head that fails at once is always the least loaded. And
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -184,8 +184,8 @@
     async def follow_list(self) -> None:
         """Keeps the list of runners; ends only with the node.
 
-        Read whole 1.25 times a second by each of 71 nodes, 225 rows took a
-        seventh of their processor time and a fiftieth of what requests earned.
+        It is read whole once and then followed by what changed: decoding rows
+        that did not change was most of what a node of a large fleet did.
         """
         while True:
             began_ms = clock.now_ms()
--- a/cardamommill/gateway/tending.py
+++ b/cardamommill/gateway/tending.py
@@ -135,8 +135,7 @@
 
         While the store is away the list is silent, and once keys can't be
         confirmed no stream is there to fall silent: groups that died in an
-        outage of eight seconds were found and formed anew only after it, and
-        four windows of two seconds earned 0.24 to 0.74.
+        outage were found and formed anew only after it, while callers waited.
         """
         is_stale = (now_ms - self._view.list_as_of_ms
                     > self._view.list_stale_ms)
