--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -2,8 +2,8 @@
 
 The store has a bound for all nodes together, and each call is paid for. So a
 few nodes of a data centre read the list and the configuration, and the others
-ask these, which answer with the age of what they tell. Whoever is turned away by
-the store asks a peer that has confirmed the configuration of late.
+ask these, which answer with the age of what they tell. Whoever is turned away
+by the store asks a peer that has confirmed the configuration of late.
 """
 
 import dataclasses
