Order a runner to leave under its count, and once in a look

Callers of an open group lost a member of it.

Cause: a runner that is in another group by then has nothing to leave and answers done; the planner took that for an order that counted. Twice in one look (its own formation failed, and the remains looked like a foreign one that was never whole) made up for the two orders of the planner that had it joined elsewhere, and the next join's count was right by chance.

Ruled out, by the trace: old rows of the list, late orders, a join without a count.

Change: leaves name the count; a runner gets one order in a look. The machine of two planners has runners that answer done before they look at the count.

--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -257,7 +257,13 @@
             membership = known.membership
             if membership is None or membership.key != key:
                 continue
+            # A runner that is in another group by now has nothing to leave and
+            # answers as if it were done. Taken for an order that counted, two
+            # of them made up for what another planner had ordered, and the
+            # next join took it out of an open group.
+            count = known.orders_begun if known.is_counted else None
             yield orders.Order(known.runner.id,
                                orders.Operation.LEAVE,
                                key,
+                               expected_seq=count,
                                reason=reason)
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -5,6 +5,8 @@
 refused, and names of groups are never used twice. No lease is needed.
 """
 
+from collections.abc import Iterable, Iterator
+
 from cardamommill.gateway import (
     choosing,
     consolidation,
@@ -64,7 +66,7 @@
         actions += self._tending.step(groups, service.name, engine, scope,
                                       now_ms)
         actions += self._choosing.step(service.name, engine, scope, now_ms)
-        return actions
+        return list(_one_order_each(actions))
 
     # What the shell tells.
 
@@ -117,3 +119,19 @@
             self._view.of_service(service), service,
             fleetsummary.Judges(lambda group: tending.is_ours(group, scope),
                                 self._choosing.is_free, self._spares), scope)
+
+
+def _one_order_each(
+        actions: Iterable[planning.Action]) -> Iterator[planning.Action]:
+    """Yields actions without a second order to a runner in one step.
+
+    A group that is given up may be seen once more in the same step, as one
+    that another planner never finished; each order names the count before it.
+    """
+    ordered = set()
+    for action in actions:
+        if isinstance(action, orders.Order):
+            if action.runner in ordered:
+                continue
+            ordered.add(action.runner)
+        yield action
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/test_planner.py
@@ -161,3 +161,30 @@
         each for each in bench.planner.formations.values()
         if "i-1" in each.members
     ]
+
+
+def test_leaving_is_ordered_once_and_under_the_count_that_is_believed():
+    """Two planners hear none of each other; each thinks the group its own.
+
+    One gives its formation up, which the same look finds again as one that was
+    never whole. The other has long formed the members anew: a leave that leaves
+    nothing was counted twice, made up for the other's orders, and the next join
+    took a member out of the other's open group.
+    """
+    bench = planners.Bench(planners.warm(4))
+    joins = planners.ordered(bench.step(), orders.Operation.JOIN)
+    for order in joins:
+        bench.accept(order, planners.STATE.READY)
+    counts = {
+        each.runner.id: each.orders_begun for each in bench.view.known.values()
+    }
+    bench.step(3000)
+    bench.view.take_silence("i-4", bench.now_ms)
+    actions = bench.step(3000)
+    leaves = planners.ordered(actions, orders.Operation.LEAVE)
+    assert sorted(each.runner for each in leaves) == ["i-1", "i-2", "i-3"]
+    assert all(each.expected_seq == counts[each.runner] for each in leaves)
+    ordered = [
+        each.runner for each in actions if isinstance(each, orders.Order)
+    ]
+    assert len(ordered) == len(set(ordered))
--- a/tests/gateway/test_planner_machine.py
+++ b/tests/gateway/test_planner_machine.py
@@ -188,6 +188,12 @@
 
     def carry_out(self, order):
         runner = self.runners[order.runner]
+        is_leave = order.operation is orders.Operation.LEAVE
+        if is_leave and (runner.place is None or
+                         runner.place.key != order.group):
+            # The state already holds; the pages leave open whether a runner
+            # looks at the count before that.
+            return 200
         if order.expected_seq is not None and (order.expected_seq
                                                != runner.begun):
             return 409
