End a held request whose serving fails

Its caller would have waited until its time is over: the handler's guard ends with the handler, and a held request is served in a task of its own.

--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -203,7 +203,7 @@
             return None
         if self._knows_what_it_serves():
             return self._serve(request, reply)
-        held = holding.Held(lambda: self._serve(request, reply))
+        held = holding.Held(lambda: self._serve(request, reply), reply)
         self.spawn(held.wait(self._knows_what_it_serves))
         return held
 
--- a/cardamommill/gateway/holding.py
+++ b/cardamommill/gateway/holding.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from cardamommill.gateway import callers
+import logbook
+
+from cardamommill import logs
+from cardamommill.gateway import callers, replies
 
 # A node reads the configuration and the list within some ms of its start, and
 # callers whose connections broke are back before that. Told to come back, they
@@ -11,6 +14,8 @@
 HELD_MS = 250.0
 LOOK_MS = 5.0
 
+_LOG = logbook.Logger("callers")
+
 
 class Held:
     """One request, until its node can serve it or for a short while.
@@ -19,13 +24,16 @@
         left: Whether its caller has gone.
     """
 
-    def __init__(self, serve: Callable[[], callers.Serving | None]) -> None:
+    def __init__(self, serve: Callable[[], callers.Serving | None],
+                 reply: replies.Reply) -> None:
         """Makes it.
 
         Args:
             serve: Begins to serve the request, or answers it.
+            reply: Its answer; broken off where serving it fails.
         """
         self._serve = serve
+        self._reply = reply
         self._serving: callers.Serving | None = None
         self.left = False
 
@@ -41,5 +49,12 @@
         while looks and not may_serve():
             looks -= 1
             await asyncio.sleep(LOOK_MS / 1000)
-        if not self.left:
+        if self.left:
+            return
+        try:
             self._serving = self._serve()
+        except Exception:
+            # Its caller would wait for an answer until its time is over.
+            _LOG.exception(logs.line("held-request-failed"))
+            if not self._reply.ended:
+                self._reply.break_off()
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -4,6 +4,7 @@
 
 from cardamommill.experiment import virtualloop
 from cardamommill.gateway import clock, holding
+from tests.gateway import relays
 
 
 class Serving:
@@ -16,9 +17,10 @@
         self.left = True
 
 
-def play(known_after_ms, left_after_ms=1e9, length_ms=400.0):
+def play(known_after_ms, left_after_ms=1e9, length_ms=400.0, fails=False):
     """Returns what became of a request, and after how long it was served."""
     served = []
+    reply = relays.Reply()
 
     async def main():
         began_ms = clock.now_ms()
@@ -26,16 +28,19 @@
 
         def serve():
             served.append(clock.now_ms() - began_ms)
+            if fails:
+                raise ValueError("a fault of the program")
             return serving
 
         def may_serve():
             return clock.now_ms() - began_ms >= known_after_ms
 
-        held = holding.Held(serve)
+        held = holding.Held(serve, reply)
         loop = asyncio.get_running_loop()
         loop.call_later(left_after_ms / 1000, held.caller_left)
         loop.create_task(held.wait(may_serve))
         await asyncio.sleep(length_ms / 1000)
+        serving.reply = reply
         return serving
 
     with virtualloop.running(1) as loop:
@@ -65,3 +70,9 @@
 def test_caller_that_leaves_later_is_told_to_whoever_serves():
     _, serving = play(known_after_ms=20.0, left_after_ms=100.0)
     assert serving.left
+
+
+def test_request_whose_serving_fails_is_not_left_without_an_end():
+    """An error in a task of its own would reach nobody who answers."""
+    _, serving = play(known_after_ms=20.0, fails=True)
+    assert serving.reply.ending == "broken off"
