--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/formations.py
@@ -8,11 +8,11 @@
 # they are long overdue: such a group mostly waits for an order that was lost or
 # a member that died, and no look hastens that.
 LOOK_AGAIN_MS = 120.0
-# The first look: loads that share the store with fewer others than was thought
-# are done this much sooner.
-SOON_MS = 100.0
 LATE_LOOK_AGAIN_MS = 480.0
 OVERDUE_MS = 600.0
+# The first look is so long before they are due: loads that share the store with
+# fewer others than was thought are done sooner.
+SOON_MS = 100.0
 # A formation that takes this many times what it should is given up.
 PATIENCE = 3.0
 PATIENCE_FLOOR_MS = 3000.0
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -19,7 +19,8 @@
 # the connections that it takes. Less than a forecast is uncertain by, so it
 # decides between groups that are as good.
 NEW_CONNECTION_MS = 8.0
-# Answers that tell a peer's in-flight requests are this old at most.
+# Where no group stands callers come back when one should, within these: sooner
+# none is open, and later many have left.
 MIN_RETRY_AFTER_MS = 120.0
 MAX_RETRY_AFTER_MS = 1500.0
 # Where all groups are full, at least about what a request takes, and at most
--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -130,11 +130,12 @@
     def _reader(self, near: list[_Near], now_ms: float) -> Source | None:
         """Returns the reader that this node follows; None for a reader.
 
-        The first by name read, of those that have not lost the store: nodes
-        that followed one that had got what changed when its list was too old,
-        or asked the store each for itself. Each follows only nodes before it,
-        so that no two follow each other. A planner reads for itself: it waits
-        for news of its members.
+        The first by name read, of those that have not lost the store: the
+        followers of one that had heard too late that runners leave, or asked
+        the store each for itself. Each follows only nodes before it in that
+        order, so that no two follow each other for longer than it takes to
+        hear who lost the store. A planner reads for itself: it waits for news
+        of its members.
         """
         if self._peers.plans:
             return None
