End an entry node's process by the command line's own rules

The quick way to start a node had written the ends of a process again, and left out two: a fault of the program ended it with 1 and a traceback in place of 70 and a line, and an interruption said nothing. Its page said that the codes are the command line's.

Change: exitcodes.told is one piece, which both use. A test holds the code and the line. Ruled out: starting through the command line, whose imports are what was saved.

--- a/cardamommill/gateway/starting.py
+++ b/cardamommill/gateway/starting.py
@@ -1,14 +1,10 @@
 """Starts an entry node, with no more of the product than it needs."""
 
 import pathlib
-import sys
 
-from cardamommill import exceptions
+from cardamommill import exitcodes
 from cardamommill.gateway import entrynode, entrysettings
 
-EXIT_FAILED = 1
-EXIT_INTERRUPTED = 130
-
 
 def run(settings: str) -> None:
     """Runs a node until it is told to end.
@@ -26,11 +22,6 @@
 
 
 def main(settings: str) -> None:
-    """Runs a node as a process; its exit codes are the command line's."""
-    try:
+    """Runs a node as a process; see `exitcodes.told`."""
+    with exitcodes.told():
         run(settings)
-    except exceptions.CardamommillError as error:
-        print(f"cardamommill: {error}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-    except KeyboardInterrupt:
-        sys.exit(EXIT_INTERRUPTED)
--- a/tests/gateway/test_starting.py
+++ b/tests/gateway/test_starting.py
@@ -33,3 +33,13 @@
     done = run(sys.executable, "-m", "cardamommill", "entry", "--setting", "x")
     assert done.returncode == 2
     assert "settings" in done.stderr
+
+
+def test_fault_of_the_program_ends_the_process_as_the_command_line_does():
+    """Its code tells operators such a fault from faulty settings."""
+    text = ("from cardamommill.gateway import starting; "
+            "starting.run = lambda settings: 1 / 0; starting.main('x')")
+    done = run(sys.executable, "-c", text)
+    assert done.returncode == 70
+    assert "a fault of this program" in done.stderr
+    assert "Traceback" not in done.stderr
