Add up other data centres' sums once for what was heard

A reporter added them anew in each tick and for each datagram to its data centre, some sixty times a second, while reports come twice a second. Now when one came or grew too old. What is told is the same.

--- a/cardamommill/gateway/reporting.py
+++ b/cardamommill/gateway/reporting.py
@@ -53,6 +53,9 @@
     def __init__(self) -> None:
         # By data centre, from its reporters; known to reporters alone.
         self._told: dict[str, tuple[float, Loads]] = {}
+        # The sum of those that are young, and of which it is.
+        self._added: Loads = {}
+        self._added_of: dict[str, tuple[float, Loads]] = {}
         # Of all other data centres, from a reporter of this one.
         self._passed_on: tuple[float, Loads] = (float("-inf"), {})
 
@@ -73,13 +76,19 @@
 
     def to_pass_on(self, now_ms: float) -> Sums | None:
         """Returns what this node's data centre should hear of the others."""
-        young = [(as_of_ms, loads)
-                 for as_of_ms, loads in self._told.values()
-                 if now_ms - as_of_ms < SUMS_AGE_MS]
+        young = {
+            place: told
+            for place, told in self._told.items()
+            if now_ms - told[0] < SUMS_AGE_MS
+        }
         if not young:
             return None
-        oldest_ms = min(as_of_ms for as_of_ms, _ in young)
-        return Sums(now_ms - oldest_ms, added(loads for _, loads in young))
+        if young != self._added_of:
+            # Asked for in each tick, while reports come twice a second.
+            self._added_of = young
+            self._added = added(loads for _, loads in young.values())
+        oldest_ms = min(as_of_ms for as_of_ms, _ in young.values())
+        return Sums(now_ms - oldest_ms, self._added)
 
     def loads(self, now_ms: float) -> Loads:
         """Returns the newest that is known, without what is too old."""
