--- a/tests/experiment/test_deaf_nodes.py
+++ b/tests/experiment/test_deaf_nodes.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from cardamommill.experiment import deployments, world
 from cardamommill.gateway import nodelink
 from tests.experiment import test_world
 
@@ -15,24 +14,17 @@
     counts of orders keep a member of an open group out of the next one.
     """
     monkeypatch.setattr(nodelink.NodeLink, "_tell", lambda *_: None)
-    deployment = deployments.Deployment(
-        name="deaf",
-        lead_s=9,
-        length_s=8.0,
-        places={
-            "a": 3,
-            "b": 2
-        },
-        models=test_world.MODELS,
-        kinds=test_world.KINDS,
-        troubles=[
-            deployments.Trouble(kind="node_kill",
-                                at_s=1.0,
-                                for_s=2.0,
-                                place="a"),
-            deployments.Trouble(kind="runners_dark",
-                                at_s=2.0,
-                                count=3,
-                                for_s=3.0)
-        ])
-    assert not world.play(deployment, seed).violations
+    outcome = test_world.play(test_world.trouble("node_kill",
+                                                 1.0,
+                                                 for_s=2.0,
+                                                 place="a"),
+                              test_world.trouble("runners_dark",
+                                                 2.0,
+                                                 count=3,
+                                                 for_s=3.0),
+                              places={
+                                  "a": 3,
+                                  "b": 2
+                              },
+                              seed=seed)
+    assert not outcome.violations
--- a/tests/experiment/test_failing_heads.py
+++ b/tests/experiment/test_failing_heads.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from cardamommill.experiment import deployments, world
 from tests.experiment import test_sharing, test_world
 
 FROM_S = 2.0
@@ -18,23 +17,17 @@
 
 def play(kind, count, seed):
     """Plays more nodes than one's own tries could teach in time."""
-    deployment = deployments.Deployment(name="failing",
-                                        lead_s=9,
-                                        length_s=12.0,
-                                        places={
-                                            "a": 16,
-                                            "b": 8
-                                        },
-                                        models=test_world.MODELS,
-                                        kinds=STREAMS,
-                                        troubles=[
-                                            deployments.Trouble(kind=kind,
-                                                                at_s=FROM_S,
-                                                                count=count,
-                                                                for_s=UNTIL_S -
-                                                                FROM_S)
-                                        ])
-    return world.play(deployment, seed)
+    return test_world.play(test_world.trouble(kind,
+                                              FROM_S,
+                                              count=count,
+                                              for_s=UNTIL_S - FROM_S),
+                           places={
+                               "a": 16,
+                               "b": 8
+                           },
+                           kinds=STREAMS,
+                           length_s=12.0,
+                           seed=seed)
 
 
 @pytest.mark.parametrize("kind", ["heads_fail", "heads_reset"])
--- a/tests/experiment/test_reporting.py
+++ b/tests/experiment/test_reporting.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from cardamommill.experiment import deployments, world
 from cardamommill.gateway import (
     dispatcher,
     entrynode,
@@ -16,19 +15,8 @@
 LIGHT_BYTES = 200
 
 
-def play(nodes=12, *troubles, seed=1, length_s=4.0):
-    deployment = deployments.Deployment(
-        name="reporting",
-        lead_s=9,
-        length_s=length_s,
-        places={
-            "a": nodes,
-            "b": nodes
-        },
-        models=test_world.MODELS,
-        kinds=test_world.KINDS,
-        troubles=[deployments.Trouble(**each) for each in troubles])
-    return world.play(deployment, seed)
+def play(nodes=12, length_s=4.0):
+    return test_world.play(places={"a": nodes, "b": nodes}, length_s=length_s)
 
 
 def test_news_of_one_data_centre_reaches_all_nodes_of_the_other(monkeypatch):
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamommill.experiment import deployments, modelrunner, troubles, world
+from cardamommill.experiment import modelrunner, troubles
 from cardamommill.gateway import (
     clock,
     entrysettings,
@@ -18,18 +18,13 @@
 
 
 def play(*troubles, nodes=6, length_s=8.0, seed=1):
-    deployment = deployments.Deployment(
-        name="sharing",
-        lead_s=9,
-        length_s=length_s,
-        places={
-            "a": nodes,
-            "b": 1
-        },
-        models=test_world.MODELS,
-        kinds=test_world.KINDS,
-        troubles=[deployments.Trouble(**each) for each in troubles])
-    return world.play(deployment, seed)
+    return test_world.play(*troubles,
+                           places={
+                               "a": nodes,
+                               "b": 1
+                           },
+                           length_s=length_s,
+                           seed=seed)
 
 
 def served(outcome, from_s, to_s):
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -22,6 +22,7 @@
 from cardamommill.platform import words
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
+PLACES = {"a": 2, "b": 1}
 MODELS = (deployments.ModelSpec(name="large", size=4, share=0.57),
           deployments.ModelSpec(name="small",
                                 size=3,
@@ -51,17 +52,15 @@
                               deadline_ms=1500))
 
 
-def play(*troubles, seed=1, length_s=8.0):
+def play(*troubles, seed=1, length_s=8.0, places=PLACES, kinds=KINDS):
+    """Plays a deployment, two data centres if nothing else is said."""
     deployment = deployments.Deployment(
         name="test",
         lead_s=9,
         length_s=length_s,
-        places={
-            "a": 2,
-            "b": 1
-        },
+        places=places,
         models=MODELS,
-        kinds=KINDS,
+        kinds=kinds,
         troubles=[deployments.Trouble(**each) for each in troubles])
     return world.play(deployment, seed)
 
