Have one piece where the gateway had two

* callers.served guards whoever serves a request; a held one had a guard of its own.
* Sources looks for the nearest peer in one place, and asks a peer whether it is near in place of comparing data centres itself, so it needs no data centre.
* A question for rows is dated once, when it comes.
* Peer.interval_ms was kept and read nowhere.
* FEW_NODES meant two numbers in two modules; the one of starting nodes is SMALL_FLEET.

--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -51,6 +51,23 @@
 Handler = Callable[[CallerRequest, replies.Reply], Serving | None]
 
 
+def served(handler: Handler, request: CallerRequest,
+           reply: replies.Reply) -> Serving | None:
+    """Has a request served; one whose handler fails is broken off.
+
+    Without that its caller would wait until its time is over, or the parser,
+    where it called, would have it refused as malformed: a second answer, or one
+    to a request that may have run.
+    """
+    try:
+        return handler(request, reply)
+    except Exception:
+        _LOG.exception(logs.line("handler-failed", target=request.target))
+        if not reply.ended:
+            reply.break_off()
+        return None
+
+
 class CallerConnection(asyncio.Protocol):
     """One caller's connection; httptools calls its ``on_...`` methods."""
 
@@ -215,15 +232,7 @@
         self._busy = True
         request = self._waiting.popleft()
         self._reply = reply = replies.Reply(self)
-        try:
-            serving = self._server.handler(request, reply)
-        except Exception:
-            # The parser, which called, would have it refused as malformed: a
-            # second answer, or one to a request that may have run.
-            _LOG.exception(logs.line("handler-failed", target=request.target))
-            if not reply.ended:
-                reply.break_off()
-            return
+        serving = served(self._server.handler, request, reply)
         if not reply.ended:
             self._serving = serving
 
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -115,8 +115,7 @@
         self._done: asyncio.Event
 
     def _source(self, table: str, copies: tables.Tables) -> rowsource.RowSource:
-        choice = sources.Sources(self._settings.node,
-                                 self._settings.data_centre, self._peers)
+        choice = sources.Sources(self._settings.node, self._peers)
         return rowsource.RowSource(self._store, self.pool, choice, table,
                                    copies.table(table))
 
@@ -203,7 +202,7 @@
             return None
         if self._knows_what_it_serves():
             return self._serve(request, reply)
-        held = holding.Held(lambda: self._serve(request, reply), reply)
+        held = holding.Held(self._serve, request, reply)
         self.spawn(held.wait(self._knows_what_it_serves))
         return held
 
--- a/cardamommill/gateway/holding.py
+++ b/cardamommill/gateway/holding.py
@@ -3,9 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import logbook
-
-from cardamommill import logs
 from cardamommill.gateway import callers, replies
 
 # A node reads the configuration and the list within some ms of its start, and
@@ -14,8 +11,6 @@
 HELD_MS = 250.0
 LOOK_MS = 5.0
 
-_LOG = logbook.Logger("callers")
-
 
 class Held:
     """One request, until its node can serve it or for a short while.
@@ -24,15 +19,17 @@
         left: Whether its caller has gone.
     """
 
-    def __init__(self, serve: Callable[[], callers.Serving | None],
+    def __init__(self, handler: callers.Handler, request: callers.CallerRequest,
                  reply: replies.Reply) -> None:
         """Makes it.
 
         Args:
-            serve: Begins to serve the request, or answers it.
-            reply: Its answer; broken off where serving it fails.
+            handler: Serves the request, or answers it.
+            request: The request.
+            reply: Its answer.
         """
-        self._serve = serve
+        self._handler = handler
+        self._request = request
         self._reply = reply
         self._serving: callers.Serving | None = None
         self.left = False
@@ -49,12 +46,6 @@
         while looks and not may_serve():
             looks -= 1
             await asyncio.sleep(LOOK_MS / 1000)
-        if self.left:
-            return
-        try:
-            self._serving = self._serve()
-        except Exception:
-            # Its caller would wait for an answer until its time is over.
-            _LOG.exception(logs.line("held-request-failed"))
-            if not self._reply.ended:
-                self._reply.break_off()
+        if not self.left:
+            self._serving = callers.served(self._handler, self._request,
+                                           self._reply)
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -30,7 +30,7 @@
 # once no more come. By the first two heard, half of a fleet took itself for it.
 QUIET_MS = 30.0
 # Up to so many others a node that starts need not wait for any.
-FEW_NODES = 10
+SMALL_FLEET = 10
 
 _LOG = logbook.Logger("peers")
 
@@ -125,7 +125,7 @@
         heard = 0
         while clock.now_ms() - began_ms < FIRST_CONTACT_MS:
             others = self._peers.peers.values()
-            if self._has_found and len(others) <= FEW_NODES:
+            if self._has_found and len(others) <= SMALL_FLEET:
                 return
             near = sum(each.is_near for each in others)
             if near > heard:
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -135,20 +135,22 @@
             _answer(reply, table, table.whole(), asked_ms)
             return None
         waiting = _Waiting()
-        self._spawn(
-            _answer_changes(reply, table, after, wait_ms, waiting) if table.
-            version else _answer_first(reply, table, waiting))
+        if table.version:
+            later = _answer_changes(reply, table, after, wait_ms, waiting,
+                                    asked_ms)
+        else:
+            later = _answer_first(reply, table, waiting, asked_ms)
+        self._spawn(later)
         return waiting
 
 
 async def _answer_first(reply: replies.Reply, table: tables.Table,
-                        waiting: _Waiting) -> None:
+                        waiting: _Waiting, asked_ms: float) -> None:
     """Answers once there is a copy.
 
     Of nodes that start together those that read are no sooner than those that
     follow them; told that there is nothing yet, all turned to the store.
     """
-    asked_ms = clock.now_ms()
     await table.changed(FIRST_COPY_MS)
     if waiting.left:
         return
@@ -159,8 +161,8 @@
 
 
 async def _answer_changes(reply: replies.Reply, table: tables.Table, after: int,
-                          wait_ms: float, waiting: _Waiting) -> None:
-    asked_ms = clock.now_ms()
+                          wait_ms: float, waiting: _Waiting,
+                          asked_ms: float) -> None:
     until_ms = asked_ms + wait_ms
     while not waiting.left:
         rows = table.since(after)
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -73,7 +73,6 @@
         last: Its newest message.
         counted: Whether the requests of that message are in the sum of all.
         is_near: Whether it stands in this node's data centre.
-        interval_ms: How often it speaks to this node.
         alive_ms: How long it is believed to live without a word.
         worth_ms: For how long its counts of requests are worth something.
         forgotten_ms: When it is no longer spoken to, unless it is heard.
@@ -85,7 +84,6 @@
     last: peermessage.PeerMessage | None = None
     counted: bool = False
     is_near: bool = False
-    interval_ms: float = HEARTBEAT_MS
     alive_ms: float = _alive_ms(HEARTBEAT_MS)
     worth_ms: float = LOAD_AGE_MS
     forgotten_ms: float = float("inf")
@@ -100,9 +98,8 @@
         self.heard_ms = now_ms
         self.last = message
         self.is_near = message.data_centre == data_centre
-        self.interval_ms = message.interval_ms
         self.alive_ms = _alive_ms(message.interval_ms)
-        self.worth_ms = max(LOAD_AGE_MS, LOAD_INTERVALS * self.interval_ms)
+        self.worth_ms = max(LOAD_AGE_MS, LOAD_INTERVALS * message.interval_ms)
         self.forgotten_ms = now_ms + max(FORGOTTEN_MS,
                                          FORGOTTEN_ALIVES * self.alive_ms)
 
--- a/cardamommill/gateway/sources.py
+++ b/cardamommill/gateway/sources.py
@@ -6,6 +6,7 @@
 by the store asks a peer that has confirmed the configuration of late.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import heapq
 import zlib
@@ -54,10 +55,8 @@
 class Sources:
     """Keeps who failed of late, for one table."""
 
-    def __init__(self, node: str, data_centre: str,
-                 others: peers.Peers) -> None:
+    def __init__(self, node: str, others: peers.Peers) -> None:
         self._node = node
-        self._data_centre = data_centre
         self._peers = others
         self._failures: dict[Source, _Failures] = {}
 
@@ -114,7 +113,7 @@
         """Returns the living nodes of this data centre."""
         return [(each.last.store_lost, each.last.node, each.address)
                 for each in self._peers.alive(now_ms)
-                if each.last and each.last.data_centre == self._data_centre]
+                if each.last and each.is_near]
 
     def _store_again_ms(self, near: list[_Near]) -> float:
         """Returns when a node that lost the store asks it again.
@@ -148,26 +147,30 @@
 
     def ahead(self, version: int, now_ms: float) -> Source | None:
         """Returns the nearest peer with a newer configuration in force."""
-        found = []
-        for each in self._peers.alive(now_ms):
-            source = Source(each.address)
-            if (each.last is None or each.last.config_version <= version or
-                    self._failed_lately(source, now_ms, PEER_AGAIN_MS)):
-                continue
-            is_far = each.last.data_centre != self._data_centre
-            found.append((is_far, now_ms - each.heard_ms, each.address))
-        return Source(min(found)[-1]) if found else None
+        return self._nearest(
+            ((each, now_ms - each.heard_ms)
+             for each in self._peers.alive(now_ms)
+             if each.last and each.last.config_version > version), now_ms)
 
     def _young(self, now_ms: float) -> Source | None:
         """Returns the nearest peer that confirmed the configuration of late."""
-        found = []
-        for each in self._peers.alive(now_ms):
-            source = Source(each.address)
-            if each.last is None or self._failed_lately(source, now_ms,
-                                                        PEER_AGAIN_MS):
-                continue
-            age_ms = each.last.confirmed_age_ms + now_ms - each.heard_ms
-            if age_ms < YOUNG_MS:
-                is_far = each.last.data_centre != self._data_centre
-                found.append((is_far, age_ms, each.address))
+        aged = ((each, each.last.confirmed_age_ms + now_ms - each.heard_ms)
+                for each in self._peers.alive(now_ms)
+                if each.last)
+        return self._nearest(
+            ((each, age_ms) for each, age_ms in aged if age_ms < YOUNG_MS),
+            now_ms)
+
+    def _nearest(self, aged: Iterable[tuple[peers.Peer, float]],
+                 now_ms: float) -> Source | None:
+        """Returns the nearest peer that has not failed of late.
+
+        Args:
+            aged: Peers, each with its age in ms; of those as near the youngest.
+            now_ms: The time.
+        """
+        found = [
+            (not each.is_near, age_ms, each.address) for each, age_ms in aged if
+            not self._failed_lately(Source(each.address), now_ms, PEER_AGAIN_MS)
+        ]
         return Source(min(found)[-1]) if found else None
--- a/tests/gateway/test_holding.py
+++ b/tests/gateway/test_holding.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import clock, holding
+from cardamommill.gateway import callers, clock, holding
 from tests.gateway import relays
 
 
@@ -26,7 +26,8 @@
         began_ms = clock.now_ms()
         serving = Serving()
 
-        def serve():
+        def serve(request, reply):
+            del request, reply
             served.append(clock.now_ms() - began_ms)
             if fails:
                 raise ValueError("a fault of the program")
@@ -35,7 +36,8 @@
         def may_serve():
             return clock.now_ms() - began_ms >= known_after_ms
 
-        held = holding.Held(serve, reply)
+        held = holding.Held(
+            serve, callers.CallerRequest("GET", "/x", [], b"", began_ms), reply)
         loop = asyncio.get_running_loop()
         loop.call_later(left_after_ms / 1000, held.caller_left)
         loop.create_task(held.wait(may_serve))
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -43,10 +43,11 @@
         self.view = fleetview.FleetView()
         others = peers.Peers("n1", "a", 1, ("10.1.0.1", 7000), clock.now_ms())
         store = storecalls.Store(pool, modelstore.ADDRESS)
-        operator, servers = (rowsource.RowSource(
-            store, pool, sources.Sources("n1", "a", others), name,
-            tables.Table()) for name in (words.OPERATOR_TABLE,
-                                         words.SERVERS_TABLE))
+        operator, servers = (rowsource.RowSource(store, pool,
+                                                 sources.Sources("n1", others),
+                                                 name, tables.Table())
+                             for name in (words.OPERATOR_TABLE,
+                                          words.SERVERS_TABLE))
         self.fresh = freshness.Freshness(5000.0)
         self.reader = platformreader.PlatformReader(operator, servers,
                                                     self.view, self.fresh,
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -25,7 +25,7 @@
     """Returns what node `own` of data centre a chooses by, and its peers."""
     known = peers.Peers(f"n{own}", "a", 1, address(own), 0.0)
     hear(known, *others)
-    return sources.Sources(f"n{own}", "a", known), known
+    return sources.Sources(f"n{own}", known), known
 
 
 def lose_store(one):
