Follow a store that is restored from a backup

What callers would have seen: a key that was taken away works on, a runner that left is sent requests, one that came is unknown, for as long as nodes live. Fed with a table at version 100, a whole reading at 97 and a feed at 130, a copy kept the row that the backup had lost and never held the one written again at 97.

Cause: versions were compared as numbers alone, and a restored store gives them out a second time.

Change: a position is era and version, in copies, feeds, peers' rows and entries of the list; the first answer of a newer era ends waiting feeds and has each table read whole, through the readers. The configuration in force stays; its keys are confirmed again once the store holds it or a newer one, no peer tells of a newer one, and the operator has had 2 s to write again. Of a restored list only what was written since counts at once; missing entries are waited for 2 s. Nodes write their rows again. Followers of the former format are answered as before.

Ruled out: waiting for the operator's row for as long as it takes (where nothing was lost it never comes), and confirming at once (a revocation that was lost before any node heard of it would be confirmed away).

Without the look at what peers tell, a node that starts after the restore runs requests with a revoked key (CONFIG).

--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -19,6 +19,9 @@
 from cardamommill.gateway import clock
 from cardamommill.platform import words
 
+# The longest that the operator takes to write again after a restore.
+OPERATOR_RETURNS_S = 1.8
+
 
 class Machine(Protocol):
     """An entry VM."""
@@ -248,6 +251,26 @@
         await asyncio.sleep(trouble.for_s)
         self._world.store.slow_factor = 1.0
 
+    async def _store_restored(self, trouble: deployments.Trouble) -> None:
+        """Loses the last seconds that the store acknowledged.
+
+        It is away first; the factor says how many seconds are lost. Runners
+        write again with their next heartbeat, the operator some time later.
+        """
+        store = self._world.store
+        self._world.judge.counts_loads = False
+        store.fault = "silent"
+        await asyncio.sleep(trouble.for_s)
+        store.restore(trouble.factor * 1000)
+        store.fault = ""
+        await asyncio.sleep(self._world.chance.uniform(0.1, OPERATOR_RETURNS_S))
+        store.put(
+            words.OPERATOR_TABLE, words.CONFIGURATION_KEY,
+            self._world.deployment.configuration(self._world.version,
+                                                 self._world.keys))
+        await asyncio.sleep(3.0)
+        self._world.judge.counts_loads = True
+
     async def _store_cut(self, trouble: deployments.Trouble) -> None:
         """Cuts nodes off from the store alone, over all data centres."""
         network = self._world.loop.network
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -167,7 +167,7 @@
             yield runner.id, "listed"
         if not known.listed:
             yield runner.id, "listed again"
-        is_news = runner.row_version > known.runner.row_version
+        is_news = runner.row_position > known.runner.row_position
         read_before_ms = known.listed_ms
         known.runner = runner
         known.listed = True
--- a/cardamommill/gateway/model.py
+++ b/cardamommill/gateway/model.py
@@ -96,6 +96,7 @@
 
     Attributes:
         row_version: Of its row, which changes with what the row says.
+        row_era: Of the store, in which that version was given out.
     """
 
     id: str
@@ -107,6 +108,12 @@
     slots: int
     row_version: int
     standing: Standing
+    row_era: int = 0
+
+    @property
+    def row_position(self) -> tuple[int, int]:
+        """Orders what rows of this runner say, the newest last."""
+        return self.row_era, self.row_version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/nodelink.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 import logbook
 
@@ -22,6 +23,9 @@
 FIND_TOGETHER_MS = 3300.0
 FIND_ALONE_MS = 2000.0
 FIND_RETRY_MS = 1000.0
+# After the store was restored nodes write themselves there again, one after
+# the other.
+REGISTER_EACH_MS = 20.0
 # A node that starts waits for so long at most to hear whom it can follow, and
 # looks this often. Datagrams are answered within a tick or two.
 FIRST_CONTACT_MS = 120.0
@@ -137,13 +141,13 @@
 
     async def find_nodes(self, store: storecalls.Store) -> None:
         """Keeps finding nodes by the platform's table; never ends."""
-        registered = False
+        registered_era = None
         while True:
             try:
-                if not registered:
+                if registered_era != store.eras.newest:
                     await store.put(words.NODES_TABLE, self._settings.node,
                                     self._settings.ip.encode())
-                    registered = True
+                    registered_era = store.eras.newest
                 rows = await store.table(words.NODES_TABLE)
             except exceptions.StoreError as error:
                 _LOG.warning(logs.line("nodes-unread", reason=str(error)))
@@ -155,8 +159,12 @@
                 if self._peers.learn(address):
                     _LOG.info(logs.line("node-found", node=row.key))
             self._has_found = True
-            await asyncio.sleep(
-                _find_again_ms(len(self._peers.alive(clock.now_ms()))) / 1000)
+            others = len(self._peers.alive(clock.now_ms()))
+            if await store.eras.newer_than(registered_era,
+                                           _find_again_ms(others)):
+                # All nodes write their rows again, but not at once.
+                spread_ms = REGISTER_EACH_MS * (1 + others)
+                await asyncio.sleep(random.uniform(0, spread_ms) / 1000)
 
 
 def _find_again_ms(others: int) -> float:
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -1,6 +1,7 @@
 """Tables of the store as nodes pass them on to each other."""
 
 from collections.abc import Callable, Coroutine
+import dataclasses
 from typing import Any
 from urllib import parse
 
@@ -10,6 +11,7 @@
 from cardamommill.gateway import (
     callers,
     clock,
+    eras,
     fetching,
     replies,
     tables,
@@ -41,9 +43,20 @@
 class PeerRows:
     """The tables of one peer; asked like the store."""
 
-    def __init__(self, pool: upstream.Pool, address: upstream.Address) -> None:
+    def __init__(self,
+                 pool: upstream.Pool,
+                 address: upstream.Address,
+                 known: eras.Eras | None = None) -> None:
+        """Makes it.
+
+        Args:
+            pool: Connections.
+            address: Of the peer.
+            known: The store's eras; kept up to date.
+        """
         self._pool = pool
         self._address = address
+        self._eras = known or eras.Eras()
         self._peer = f"{address[0]}:{address[1]}"
 
     async def table(self, table: str) -> storecalls.Rows:
@@ -52,9 +65,10 @@
         Raises:
             StoreError: No answer that can be used.
         """
-        return await self._ask({"table": table}, ANSWER_MS)
+        query = {"table": table, "era": self._eras.newest}
+        return await self._ask(query, ANSWER_MS)
 
-    async def feed(self, table: str, after: int,
+    async def feed(self, table: str, after: eras.Position,
                    wait_ms: int) -> storecalls.Rows:
         """Returns what changed in a table, when something has.
 
@@ -62,8 +76,18 @@
             HistoryLost: The table must be read whole.
             StoreError: No answer that can be used.
         """
-        query = {"table": table, "after": after, "wait_ms": wait_ms}
-        return await self._ask(query, wait_ms + ANSWER_MS)
+        query = {
+            "table": table,
+            "era": after.era,
+            "after": after.version,
+            "wait_ms": wait_ms
+        }
+        rows = await self._ask(query, wait_ms + ANSWER_MS)
+        if rows.era != after.era:
+            raise storecalls.Restored(f"era {rows.era} in place of {after.era}",
+                                      step=_STEP,
+                                      peer=self._peer)
+        return rows
 
     async def _ask(self, query: dict[str, Any],
                    timeout_ms: float) -> storecalls.Rows:
@@ -78,24 +102,53 @@
                               step=_STEP,
                               peer=self._peer)
         storecalls.check(answer, _STEP, self._peer)
-        return self._decoded(answer.body, asked_ms)
+        rows = self._decoded(answer.body, asked_ms)
+        self._eras.see(rows.era)
+        if rows.era < self._eras.newest:
+            raise PeerUnready(f"of era {rows.era}, not {self._eras.newest}",
+                              step=_STEP,
+                              peer=self._peer)
+        return rows
 
     def _decoded(self, body: bytes, asked_ms: float) -> storecalls.Rows:
         try:
-            version, age_ms, rows = msgpack.unpackb(body)
+            version, age_ms, rows, *era = msgpack.unpackb(body)
             found = tuple(
                 storecalls.Row(str(key), bytes(value), int(number), bool(gone))
                 for key, value, number, gone in rows)
             # The peer answered after it was asked, so the time at which this
             # was true is not later than this.
             return storecalls.Rows(found, int(version),
-                                   asked_ms - float(age_ms))
+                                   asked_ms - float(age_ms),
+                                   int(era[0]) if era else self._eras.first)
         except (TypeError, ValueError, msgpack.UnpackException) as error:
             raise exceptions.StoreError(f"malformed rows: {error!r}",
                                         step=_STEP,
                                         peer=self._peer) from error
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    """What a follower asks.
+
+    Attributes:
+        after: The version up to which it knows all; None for none.
+        era: Of that version; None from a follower of the former format, which
+            is not told of eras.
+        wait_ms: How long it waits for news.
+        asked_ms: When it asked.
+    """
+
+    after: int | None
+    era: int | None
+    wait_ms: float
+    asked_ms: float
+
+    def is_of_other_era(self, era: int) -> bool:
+        """Whether its version was given out in another era than this."""
+        return self.era is not None and self.era != era
+
+
 class _Waiting:
     """An answer that waits for news."""
 
@@ -121,8 +174,11 @@
         fields = dict(parse.parse_qsl(query))
         try:
             name = fields["table"]
-            after = int(fields.get("after", 0))
-            wait_ms = min(MOST_WAIT_MS, float(fields.get("wait_ms", 0)))
+            question = _Question(
+                int(fields["after"]) if "after" in fields else None,
+                int(fields["era"]) if "era" in fields else None,
+                min(MOST_WAIT_MS, float(fields.get("wait_ms", 0))),
+                clock.now_ms())
         except (KeyError, ValueError):
             reply.whole(400, [], b"no table, or no number\n")
             return None
@@ -130,22 +186,20 @@
             reply.whole(404, [], b"no such page\n")
             return None
         table = self._copies.table(name)
-        asked_ms = clock.now_ms()
-        if table.version and not after:
-            _answer(reply, table, table.whole(), asked_ms)
+        if table.is_read and question.after is None:
+            _answer(reply, table, table.whole(), question)
             return None
         waiting = _Waiting()
-        if table.version:
-            later = _answer_changes(reply, table, after, wait_ms, waiting,
-                                    asked_ms)
+        if table.is_read:
+            later = _answer_changes(reply, table, waiting, question)
         else:
-            later = _answer_first(reply, table, waiting, asked_ms)
+            later = _answer_first(reply, table, waiting, question)
         self._spawn(later)
         return waiting
 
 
 async def _answer_first(reply: replies.Reply, table: tables.Table,
-                        waiting: _Waiting, asked_ms: float) -> None:
+                        waiting: _Waiting, question: _Question) -> None:
     """Answers once there is a copy.
 
     Of nodes that start together those that read are no sooner than those that
@@ -154,39 +208,40 @@
     await table.changed(FIRST_COPY_MS)
     if waiting.left:
         return
-    if table.version:
-        _answer(reply, table, table.whole(), asked_ms)
+    if table.is_read:
+        _answer(reply, table, table.whole(), question)
     else:
         reply.whole(_UNREADY, [], b"not read yet\n")
 
 
-async def _answer_changes(reply: replies.Reply, table: tables.Table, after: int,
-                          wait_ms: float, waiting: _Waiting,
-                          asked_ms: float) -> None:
-    until_ms = asked_ms + wait_ms
+async def _answer_changes(reply: replies.Reply, table: tables.Table,
+                          waiting: _Waiting, question: _Question) -> None:
+    until_ms = question.asked_ms + question.wait_ms
     while not waiting.left:
-        rows = table.since(after)
-        if rows is None:
+        rows = table.since(question.after or 0)
+        if rows is None or question.is_of_other_era(table.era):
             reply.whole(_GONE, [], b"forgotten\n")
             return
         left_ms = until_ms - clock.now_ms()
         if rows or left_ms <= 0:
-            _answer(reply, table, rows, asked_ms)
+            _answer(reply, table, rows, question)
             return
         await table.changed(left_ms)
 
 
 def _answer(reply: replies.Reply, table: tables.Table,
-            rows: tuple[storecalls.Row, ...], asked_ms: float) -> None:
+            rows: tuple[storecalls.Row, ...], question: _Question) -> None:
     """Answers with rows, and their age as of the question.
 
     The asker dates them by its question, which came here no sooner: by their
     age as of the answer, the time that it waited here made them that much too
     old, and followers left sound readers.
     """
-    age_ms = asked_ms - table.as_of_ms
-    body = msgpack.packb([
-        table.version, age_ms,
+    told = [
+        table.version, question.asked_ms - table.as_of_ms,
         [[each.key, each.value, each.version, each.deleted] for each in rows]
-    ])
+    ]
+    if question.era is not None:
+        told.append(table.era)
+    body = msgpack.packb(told)
     reply.whole(_OK, [("Content-Type", "application/msgpack")], body)
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -1,7 +1,7 @@
 """Follows the configuration and the list of runners in the platform's store."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import math
 
 import logbook
@@ -12,6 +12,7 @@
     fleetview,
     freshness,
     model,
+    restoration,
     routetable,
     rowsource,
 )
@@ -78,6 +79,18 @@
         self._is_catching_up = False
         # The row of a configuration that could not be read; 0 where none is.
         self._unread = 0
+        # The version of the configuration that the store holds.
+        self._stored = 0
+        # In which the configuration was read last; None before the first time.
+        self._operator_era: int | None = None
+        # Of the first reading in that era.
+        self._restored_version = 0
+        # What was read before this time says nothing of newer configurations.
+        self._confirmed_from_ms = float("-inf")
+        # The newest configuration that any peer has in force.
+        self._told_version = 0
+        self._list_era: int | None = None
+        self._restoration: restoration.Restoration | None = None
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration; ends only with the node."""
@@ -85,7 +98,7 @@
         while True:
             revoke_ms = self._fresh.revoke_ms
             try:
-                news = await self._operator.read(int(FEED_PART * revoke_ms),
+                news = await self._operator.read(self._feed_wait_ms(revoke_ms),
                                                  OLDEST_PART * revoke_ms)
             except storecalls.HistoryLost:
                 _LOG.info(logs.line("history-lost", table="op"))
@@ -99,12 +112,19 @@
             has_failed = False
             self._regain("configuration")
             try:
-                self._take_rows(news.rows)
+                self._take_rows(news.rows, news.whole)
             except Exception:
                 _LOG.exception(logs.line("configuration-failed"))
             if self.table is None:
                 await asyncio.sleep(RETRY_MS / 1000)
 
+    def _feed_wait_ms(self, revoke_ms: float) -> int:
+        """Returns for how long news of the configuration is waited for."""
+        unconfirmed_ms = self._confirmed_from_ms - clock.now_ms()
+        if unconfirmed_ms > 0:
+            return int(min(FEED_PART * revoke_ms, unconfirmed_ms + 1))
+        return int(FEED_PART * revoke_ms)
+
     def lost_store(self, now_ms: float) -> bool:
         """Whether the store fails this node, for one table at least."""
         return (self._operator.lost_store(now_ms) or
@@ -112,6 +132,7 @@
 
     def misses(self, version: int) -> bool:
         """Whether a peer's configuration is newer, and nobody asks for it."""
+        self._told_version = max(self._told_version, version)
         return version > self._version() and not self._is_catching_up
 
     async def catch_up(self) -> None:
@@ -140,25 +161,62 @@
             _LOG.info(logs.line("catch-up-failed", reason=str(error)))
             return
         if news is not None:
-            self._take_rows(news.rows)
+            self._take_rows(news.rows, news.whole)
             _LOG.info(
                 logs.line("caught-up", before=version, now=self._version()))
 
     def _version(self) -> int:
         return self.table.configuration.version if self.table else 0
 
-    def _take_rows(self, rows: storecalls.Rows) -> None:
+    def _take_rows(self, rows: storecalls.Rows, whole: bool) -> None:
+        self._see_operator_era(rows)
+        if whole:
+            self._stored = 0
         for row in rows.rows:
-            if row.key != words.CONFIGURATION_KEY or row.deleted:
-                continue
-            version = row.version or rows.version
-            if not self._take_configuration(row.value):
-                self._unread = max(self._unread, version)
-            elif version > self._unread:
-                self._unread = 0
-        if self.table is not None and not self._unread:
+            if row.key == words.CONFIGURATION_KEY:
+                self._take_row(row, row.version or rows.version)
+        if self._is_newest(rows):
             self._fresh.confirm(rows.as_of_ms)
 
+    def _take_row(self, row: storecalls.Row, version: int) -> None:
+        if version > self._restored_version:
+            # The operator has written since the store was restored.
+            self._confirmed_from_ms = float("-inf")
+        if row.deleted:
+            self._stored = 0
+        elif not self._take_configuration(row.value):
+            self._unread = max(self._unread, version)
+        elif version > self._unread:
+            self._unread = 0
+
+    def _is_newest(self, rows: storecalls.Rows) -> bool:
+        """Whether an answer says that the configuration in force is newest.
+
+        A restored store that holds an older one has lost it, and may have lost
+        a newer one too.
+        """
+        return (self.table is not None and not self._unread and
+                self._stored >= self._version() >= self._told_version and
+                rows.as_of_ms >= self._confirmed_from_ms)
+
+    def _see_operator_era(self, rows: storecalls.Rows) -> None:
+        """Notes in which era the configuration was read.
+
+        After a restore the one that is read may be older than one that was
+        accepted, which no node heard of; the operator writes that again.
+        """
+        before, self._operator_era = self._operator_era, rows.era
+        if before is None or before == rows.era:
+            return
+        self._unread = 0
+        self._restored_version = rows.version
+        self._confirmed_from_ms = clock.now_ms() + restoration.REWRITTEN_MS
+        _LOG.warning(
+            logs.line("configuration-unconfirmed",
+                      era=rows.era,
+                      version=self._version(),
+                      for_ms=restoration.REWRITTEN_MS))
+
     def _take_configuration(self, value: bytes) -> bool:
         try:
             configuration = configurations.decode(value)
@@ -168,6 +226,7 @@
             # whatever answers without news follow.
             _LOG.error(logs.line("configuration-refused", reason=str(error)))
             return False
+        self._stored = configuration.version
         before = self._version()
         if configuration.version <= before:
             return True
@@ -243,19 +302,21 @@
             self._wanted.clear()
 
     def _take_list(self, rows: storecalls.Rows, whole: bool) -> None:
+        self._see_list_era(rows)
         if whole:
             self._listed.clear()
         for row in rows.rows:
             # A row that can't be taken names no runner, whatever it said.
             self._listed.pop(row.key, None)
             if row.deleted:
+                self._note_removal(row.key)
                 continue
             try:
                 self._listed[row.key] = entries.decode_entry(
-                    row.key, row.value, row.version)
+                    row.key, row.value, row.version, rows.era)
             except exceptions.BadPeerMessage as error:
                 self._refuse_entry(row, error)
-        changes = self._view.take_list(self._listed.values(), rows.as_of_ms)
+        changes = self._view.take_list(self._counted(), rows.as_of_ms)
         for runner_id, change in changes:
             _LOG.info(
                 logs.line("runner",
@@ -263,6 +324,34 @@
                           change=change,
                           list_version=rows.version))
 
+    def _see_list_era(self, rows: storecalls.Rows) -> None:
+        before, self._list_era = self._list_era, rows.era
+        if before is None or before == rows.era:
+            return
+        now_ms = clock.now_ms()
+        known = {each.id: each for each in self._counted()}
+        self._restoration = restoration.Restoration(now_ms, rows.position,
+                                                    known)
+        self._back_until_ms = now_ms + BACK_MS
+        _LOG.warning(
+            logs.line("list-restored",
+                      era=rows.era,
+                      list_version=rows.version,
+                      known=len(known)))
+
+    def _note_removal(self, runner: str) -> None:
+        if self._restoration is not None:
+            self._restoration.removed(runner)
+
+    def _counted(self) -> Iterable[model.Runner]:
+        """Returns the entries of the list that count."""
+        restored = self._restoration
+        now_ms = clock.now_ms()
+        if restored is None or restored.is_over(now_ms):
+            self._restoration = None
+            return tuple(self._listed.values())
+        return tuple(restored.entries(self._listed, now_ms))
+
     def _refuse_entry(self, row: storecalls.Row,
                       error: exceptions.BadPeerMessage) -> None:
         # Once for each text: the list is read again each second.
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -6,7 +6,14 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import clock, peerrows, sources, tables, upstream
+from cardamommill.gateway import (
+    clock,
+    eras,
+    peerrows,
+    sources,
+    tables,
+    upstream,
+)
 from cardamommill.platform import storecalls
 
 # A peer is asked to wait for news for this long: each answer says anew how old
@@ -53,8 +60,8 @@
         self._name = name
         self._copy = copy
         self._last = sources.STORE
-        # The version up to which all is known; 0 where the whole is needed.
-        self._known = 0
+        # Up to where all is known; None where the whole is needed.
+        self._known: eras.Position | None = None
 
     @property
     def is_direct(self) -> bool:
@@ -84,15 +91,16 @@
             # no key could be trusted; the whole table comes at once. A peer
             # answers often, and goes on from what is known: it passed whole
             # tables between data centres for as long as a cut lasted.
-            after = 0
+            after = None
         return await self._read_from(source, after, wait_ms, oldest_ms)
 
-    async def _read_from(self, source: sources.Source, after: int, wait_ms: int,
+    async def _read_from(self, source: sources.Source,
+                         after: eras.Position | None, wait_ms: int,
                          oldest_ms: float) -> News:
         try:
             rows = await self._ask(source, after, wait_ms, oldest_ms)
         except storecalls.HistoryLost:
-            self._known = 0
+            self._known = None
             raise
         except peerrows.PeerUnready:
             # It reads on; asked by each of its followers in its place, the
@@ -103,9 +111,9 @@
             raise
         self._choice.worked(source)
         # A peer may tell of an older time than who was asked before it.
-        self._known = max(after, rows.version)
-        self._copy.take(rows, whole=not after)
-        return News(rows, whole=not after)
+        self._known = max(after or rows.position, rows.position)
+        self._copy.take(rows, whole=after is None)
+        return News(rows, whole=after is None)
 
     async def read_ahead(self, version: int) -> News | None:
         """Returns at once what a peer tells that has a newer configuration.
@@ -125,15 +133,15 @@
             return None
         return await self._read_from(source, self._known, 0, math.inf)
 
-    async def _ask(self, source: sources.Source, after: int, wait_ms: int,
-                   oldest_ms: float) -> storecalls.Rows:
+    async def _ask(self, source: sources.Source, after: eras.Position | None,
+                   wait_ms: int, oldest_ms: float) -> storecalls.Rows:
         asked: storecalls.Store | peerrows.PeerRows = self._store
         if source.peer is not None:
-            asked = peerrows.PeerRows(self._pool, source.peer)
+            asked = peerrows.PeerRows(self._pool, source.peer, self._store.eras)
             left_ms = oldest_ms - (clock.now_ms() - self._copy.as_of_ms)
             wait_ms = int(
                 min(wait_ms, PEER_WAIT_MS, max(PEER_LEAST_WAIT_MS, left_ms)))
-        if after:
+        if after is not None:
             rows = await asked.feed(self._name, after, wait_ms)
         else:
             rows = await asked.table(self._name)
--- a/cardamommill/gateway/tables.py
+++ b/cardamommill/gateway/tables.py
@@ -4,6 +4,7 @@
 from collections import deque
 import dataclasses
 
+from cardamommill.gateway import eras
 from cardamommill.platform import storecalls
 
 # Who follows a copy asks several times a second; of a burst of changes this
@@ -16,6 +17,8 @@
 
     def __init__(self) -> None:
         self.version = 0
+        # Of the store, in which all versions here were given out.
+        self.era = 0
         self.as_of_ms = float("-inf")
         self._rows: dict[str, storecalls.Row] = {}
         self._changes: deque[storecalls.Row] = deque()
@@ -26,11 +29,18 @@
     def take(self, rows: storecalls.Rows, whole: bool) -> None:
         """Takes an answer: the whole table, or what changed in it.
 
-        One that is older than the copy only says less; it is left.
+        One that is older than the copy only says less; it is left. So is what
+        changed in an era of which the copy does not hold the beginning.
         """
-        if rows.version < self.version:
+        if rows.position < self.position:
             return
-        if not self.version:
+        is_first = not self.is_read
+        if rows.era != self.era:
+            if not whole:
+                return
+            self._begin_era(rows.era)
+            is_first = True
+        if is_first:
             self._kept_from = rows.version
         changes = self._news(rows) if whole else rows.rows
         self.version = rows.version
@@ -39,9 +49,30 @@
             # One without a version of its own changed by that of the answer.
             version = row.version or rows.version
             self._change(dataclasses.replace(row, version=version))
-        if changes:
+        if changes or is_first:
             self._wake()
 
+    @property
+    def is_read(self) -> bool:
+        """Whether any answer was taken."""
+        return self.as_of_ms > float("-inf")
+
+    @property
+    def position(self) -> eras.Position:
+        """How far this copy is known."""
+        return eras.Position(self.era, self.version)
+
+    def _begin_era(self, era: int) -> None:
+        """Drops all that was said in the last era.
+
+        Versions are given out again: what a follower knows by its version may
+        be another row by now, so each reads the copy whole.
+        """
+        self.era = era
+        self.version = 0
+        self._rows.clear()
+        self._changes.clear()
+
     def _news(self, rows: storecalls.Rows) -> tuple[storecalls.Row, ...]:
         """Returns what a whole table says that the copy does not.
 
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -60,13 +60,17 @@
     pace: float = 1.0
 
 
-def decode_entry(runner: str, value: bytes, row_version: int) -> model.Runner:
+def decode_entry(runner: str,
+                 value: bytes,
+                 row_version: int,
+                 row_era: int = 0) -> model.Runner:
     """Returns the runner that a row of the list of runners describes.
 
     Args:
         runner: The row's key, the id of this life of the runner.
         value: The row's value, JSON.
         row_version: Of the row.
+        row_era: Of the store, in which that version was given out.
 
     Raises:
         BadPeerMessage: The row is no entry of a runner, or its state is none
@@ -86,7 +90,8 @@
                         leaving=entry.state == words.DRAINING,
                         slots=max(1, entry.slots),
                         row_version=row_version,
-                        standing=_standing(entry, runner))
+                        standing=_standing(entry, runner),
+                        row_era=row_era)
 
 
 def decode_report(runner: str, body: bytes) -> model.Report:
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -1,5 +1,6 @@
 """Calls to the platform's store."""
 
+import asyncio
 import base64
 import binascii
 import dataclasses
@@ -7,8 +8,10 @@
 from typing import Any
 from urllib import parse
 
-from cardamommill import exceptions
-from cardamommill.gateway import clock, fetching, upstream
+import logbook
+
+from cardamommill import exceptions, logs
+from cardamommill.gateway import clock, eras, fetching, headfields, upstream
 from cardamommill.platform import entries, words
 
 # A store that is sixty times as slow as usual answers in 300 ms; one that has
@@ -20,6 +23,8 @@
 _OK = 200
 _GONE = 410
 
+_LOG = logbook.Logger("platform")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -40,27 +45,51 @@
         version: The store's newest version then.
         as_of_ms: A time on this node's clock, not later than that at which
             the store answered.
+        era: In which the store gave out all these versions.
     """
 
     rows: tuple[Row, ...]
     version: int
     as_of_ms: float
+    era: int = 0
+
+    @property
+    def position(self) -> eras.Position:
+        """How far a table is known by this answer."""
+        return eras.Position(self.era, self.version)
 
 
 class HistoryLost(exceptions.StoreError):
     """The feed's history is gone; the whole table must be read."""
 
 
+class Restored(HistoryLost):
+    """The store is in a newer era than the one that was asked about."""
+
+
 class Store:
     """The store as one node sees it."""
 
-    def __init__(self, pool: upstream.Pool, address: upstream.Address) -> None:
+    def __init__(self,
+                 pool: upstream.Pool,
+                 address: upstream.Address,
+                 known: eras.Eras | None = None) -> None:
+        """Makes it.
+
+        Args:
+            pool: Connections.
+            address: Of the store.
+            known: The store's eras; kept up to date.
+        """
         self._pool = pool
         self._address = address
+        self.eras = known or eras.Eras()
+        self._refused_era: str | None = None
         self._peer = f"{address[0]}:{address[1]}"
         # This node's clock less the store's, never more than it is: a call
-        # was answered after it was sent.
+        # was answered after it was sent. A restored store's may have jumped.
         self._offset_ms = float("-inf")
+        self._offset_era = 0
         self.calls = 0
 
     async def table(self, table: str, part: str = "") -> Rows:
@@ -69,6 +98,7 @@
         What changes while the rest is read comes again with the feed.
 
         Raises:
+            HistoryLost: The store was restored meanwhile.
             StoreError: No answer that can be used.
         """
         found: list[Row] = []
@@ -86,21 +116,42 @@
             rows = self._rows(answer, sent_ms)
             found += rows.rows
             first = first or rows
+            self._expect_era(rows.era, first.era)
             if not answer.get("hasMore") or not rows.rows:
-                return Rows(tuple(found), first.version, first.as_of_ms)
+                return dataclasses.replace(first, rows=tuple(found))
             after = rows.rows[-1].key + "\0"
 
-    async def feed(self, table: str, after: int, wait_ms: int) -> Rows:
+    async def feed(self, table: str, after: eras.Position,
+                   wait_ms: int) -> Rows:
         """Returns what changed in a table, when something has.
 
         Raises:
             HistoryLost: The table must be read whole.
             StoreError: No answer that can be used.
         """
-        query = {"table": table, "sinceRev": after, "waitMs": wait_ms}
-        answer, sent_ms = await self._get(words.ROWS_FEED_PATH, query,
-                                          wait_ms + FEED_MARGIN_MS)
-        return self._rows(answer, sent_ms)
+        self._expect_era(self.eras.newest, after.era)
+        query = {"table": table, "sinceRev": after.version, "waitMs": wait_ms}
+        timeout_ms = wait_ms + FEED_MARGIN_MS
+        asked = asyncio.ensure_future(
+            self._get(words.ROWS_FEED_PATH, query, timeout_ms))
+        restored = asyncio.ensure_future(
+            self.eras.newer_than(after.era, timeout_ms))
+        try:
+            await asyncio.wait((asked, restored),
+                               return_when=asyncio.FIRST_COMPLETED)
+            self._expect_era(self.eras.newest, after.era)
+            rows = self._rows(*await asked)
+        finally:
+            asked.cancel()
+            restored.cancel()
+        self._expect_era(rows.era, after.era)
+        return rows
+
+    def _expect_era(self, era: int, expected: int) -> None:
+        if era != expected:
+            raise Restored(f"era {era} in place of {expected}",
+                           step="rows",
+                           peer=self._peer)
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row, whatever it was.
@@ -138,6 +189,8 @@
         self.calls += 1
         answer = await fetching.fetch(self._pool, self._address, request,
                                       timeout_ms)
+        if answer.ending is upstream.Ending.COMPLETE:
+            self._see_era(answer.head.get(words.STORE_ERA), step)
         check(answer, step, self._peer)
         try:
             return entries.json_body(answer.body, step, self._peer)
@@ -146,6 +199,42 @@
                                         step=step,
                                         peer=self._peer) from error
 
+    def _see_era(self, text: str | None, step: str) -> None:
+        """Takes the era of an answer.
+
+        One without an era that can be read counts as of the newest. One of an
+        older era was on its way when the store was restored.
+
+        Raises:
+            StoreError: The answer is of an older era.
+        """
+        newest = self.eras.newest
+        era = headfields.number(text)
+        if era is None:
+            if text is not None or newest:
+                self._refuse_era(text, step)
+            return
+        if era < newest:
+            self._refuse_era(text, step)
+            raise exceptions.StoreError(f"of era {era}, not {newest}",
+                                        step=step,
+                                        peer=self._peer)
+        self._refused_era = None
+        if self.eras.see(era):
+            _LOG.warning(
+                logs.line("store-restored", era=era, before=newest, step=step))
+
+    def _refuse_era(self, text: str | None, step: str) -> None:
+        told = text or "none"
+        if told == self._refused_era:
+            return
+        self._refused_era = told
+        _LOG.warning(
+            logs.line("store-era-refused",
+                      told=told[:20],
+                      newest=self.eras.newest,
+                      step=step))
+
     def _rows(self, answer: dict[str, Any], sent_ms: float) -> Rows:
         try:
             rows = tuple(map(_row, answer.get("rows") or ()))
@@ -155,9 +244,13 @@
             raise exceptions.StoreError(f"malformed rows: {error!r}",
                                         step="rows",
                                         peer=self._peer) from error
+        era = self.eras.newest
+        if era != self._offset_era:
+            self._offset_ms = float("-inf")
+            self._offset_era = era
         self._offset_ms = max(self._offset_ms, sent_ms - store_ms)
         as_of_ms = min(self._offset_ms + store_ms, clock.now_ms())
-        return Rows(rows, version, max(as_of_ms, sent_ms))
+        return Rows(rows, version, max(as_of_ms, sent_ms), era)
 
 
 def check(answer: fetching.Answer, step: str, peer: str) -> None:
--- a/cardamommill/platform/words.py
+++ b/cardamommill/platform/words.py
@@ -16,6 +16,8 @@
 # "IN,OUT": tokens of the prompt, and the most that may be written.
 TOKEN_COUNTS = "X-Cardamommill-Token-Counts"
 LENGTH_HINT = "X-Cardamommill-Length-Hint"
+# In answers of the store: rises by one each time it is restored.
+STORE_ERA = "Store-Era"
 # The runner at fault in a 421 or 503 of a group's head.
 AT_SERVER = "At-Server"
 
--- a/tests/experiment/test_mixes.py
+++ b/tests/experiment/test_mixes.py
@@ -10,6 +10,11 @@
     assert not mixes.play(seed).violations
 
 
+@pytest.mark.parametrize("seed", range(3000, 3004))
+def test_no_rule_is_broken_in_a_mix_with_a_restored_store(seed):
+    assert not mixes.play(seed, restored=True).violations
+
+
 def test_mixes_differ_and_repeat():
     drawn = [mixes.draw(seed) for seed in range(30)]
     assert drawn == [mixes.draw(seed) for seed in range(30)]
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -15,10 +15,17 @@
     deployments,
     modelorders,
     oracle,
+    troubles,
     virtualloop,
     world,
 )
-from cardamommill.gateway import fetching, freshness, relay, upstream
+from cardamommill.gateway import (
+    fetching,
+    freshness,
+    platformreader,
+    relay,
+    upstream,
+)
 from cardamommill.platform import words
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
@@ -96,6 +103,13 @@
     ([trouble("store_slow", for_s=4, factor=50)], 0.8),
     ([trouble("store_compact"),
       trouble("configuration", 2.1)], 0.9),
+    ([trouble("store_restored", for_s=0.5, factor=3)], 0.9),
+    ([
+        trouble("revoke", 1.6, count=2),
+        trouble("runners_drain", 1.7, count=2),
+        trouble("runners_dark", 1.8, count=2),
+        trouble("store_restored", 2.0, for_s=1.0, factor=2)
+    ], 0.6),
     ([trouble("configuration", 1.0 + 0.2 * number) for number in range(10)
      ], 0.9),
     ([trouble("place_cut", place="b", for_s=3)], 0.5),
@@ -260,3 +274,24 @@
     path.write_text("name: x\nmodels: []\nkinds: []\nunheard: 1\n")
     with pytest.raises(exceptions.SettingsError, match="unheard"):
         deployments.load(path)
+
+
+def _play_lost_revocation(monkeypatch):
+    monkeypatch.setattr(troubles, "OPERATOR_RETURNS_S", 60.0)
+    return play(trouble("revoke", 1.9, count=6),
+                trouble("store_restored", 2.0, for_s=0.3, factor=2),
+                trouble("node_kill", 2.6, place="a"),
+                length_s=14,
+                seed=2)
+
+
+def test_revoked_keys_stay_out_when_the_store_loses_the_revocation(monkeypatch):
+    """A node that starts afterwards reads the configuration from before it."""
+    assert not _play_lost_revocation(monkeypatch).violations
+
+
+def test_word_of_peers_is_what_keeps_lost_revocations_in_force(monkeypatch):
+    monkeypatch.setattr(platformreader.PlatformReader, "_is_newest",
+                        lambda self, rows: self.table is not None)
+    outcome = _play_lost_revocation(monkeypatch)
+    assert {each.rule for each in outcome.violations} == {"CONFIG"}
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -9,6 +9,7 @@
     freshness,
     peers,
     platformreader,
+    restoration,
     rowsource,
     sources,
     tables,
@@ -186,3 +187,115 @@
         assert one.store.calls - before <= 80
 
     follow(script)
+
+
+def configuration(version):
+    deployment = deployments.Deployment(name="one", models=(), kinds=())
+    return deployment.configuration(version, [("t", "k")])
+
+
+def follow_configuration(script):
+    """Plays a script beside a reader that follows both tables."""
+
+    async def both(one):
+        one.store.put(*CONFIG, configuration(3))
+        task = asyncio.get_running_loop().create_task(
+            one.reader.follow_configuration())
+        await asyncio.sleep(4.0)
+        await script(one)
+        task.cancel()
+
+    follow(both)
+
+
+CONFIG = (words.OPERATOR_TABLE, words.CONFIGURATION_KEY)
+
+
+def test_configuration_stays_in_force_when_the_store_has_lost_it():
+    """The store comes back with the one before; keys wait for the operator."""
+
+    async def script(one):
+        one.store.put(*CONFIG, configuration(4))
+        await asyncio.sleep(0.5)
+        one.store.restore(1000)
+        await asyncio.sleep(5.5)
+        assert one.reader.table.configuration.version == 4
+        assert not one.fresh.keys_may_be_trusted(clock.now_ms())
+        one.store.put(*CONFIG, configuration(4))
+        await asyncio.sleep(0.1)
+        assert one.fresh.keys_may_be_trusted(clock.now_ms())
+
+    follow_configuration(script)
+
+
+def test_configuration_that_no_node_heard_of_is_waited_for_after_a_restore():
+    """It may have taken a key away, and the operator writes it again."""
+
+    async def script(one):
+        confirmed_ms = one.fresh.confirmed_ms
+        one.store.restore(0)
+        await asyncio.sleep(restoration.REWRITTEN_MS / 1000 - 0.1)
+        assert one.fresh.confirmed_ms < confirmed_ms + 600
+        one.store.put(*CONFIG, configuration(5))
+        await asyncio.sleep(0.1)
+        assert one.reader.table.configuration.version == 5
+        assert clock.now_ms() - one.fresh.confirmed_ms < 200
+
+    follow_configuration(script)
+
+
+def test_keys_work_on_where_nothing_was_lost():
+
+    async def script(one):
+        one.store.restore(0)
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            assert one.fresh.keys_may_be_trusted(clock.now_ms())
+
+    follow_configuration(script)
+
+
+def test_runners_that_a_restored_list_lacks_are_waited_for():
+
+    async def script(one):
+        one.put("i-3")
+        await asyncio.sleep(KNOWN_S)
+        one.store.restore(10_000)
+        await asyncio.sleep(restoration.REWRITTEN_MS / 1000 - 0.3)
+        assert one.view.known["i-3"].listed
+        one.put("i-3", slots=7)
+        one.put("i-1")
+        await asyncio.sleep(2 * KNOWN_S)
+        assert one.view.known["i-3"].runner.slots == 7
+        assert not one.view.known["i-2"].listed
+
+    follow(script)
+
+
+def test_runner_that_was_leaving_does_not_come_back_with_the_backup():
+
+    async def script(one):
+        await asyncio.sleep(1.0)
+        one.put("i-1", state="draining")
+        one.store.drop(words.SERVERS_TABLE, "i-2")
+        await asyncio.sleep(KNOWN_S)
+        one.store.restore(2000)
+        for _ in range(18):
+            await asyncio.sleep(0.1)
+            assert one.view.known["i-1"].runner.leaving
+            assert not one.view.known["i-2"].listed
+
+    follow(script)
+
+
+def test_runner_that_leaves_before_the_first_reading_is_known_to():
+    """It wrote so again between the restore and the reading."""
+
+    async def script(one):
+        await asyncio.sleep(1.0)
+        one.store.restore(500)
+        one.put("i-1", state="draining")
+        await asyncio.sleep(KNOWN_S)
+        assert one.view.known["i-1"].runner.leaving
+
+    follow(script)
