Move groups, and lend spares, to the model whose groups are busier

Callers of the smaller model of a deployment whose work had shifted came late for seconds after each trigger: it has 85 of 100 requests and half of the runners, as declared. With all groups standing its places are 45% taken and the other's 15%; the loss of a domain and two deaths leave it less than is asked.

demand: requests at each model's groups, a mean over 4 s; by it, not below half of what is declared, runners are shared out (choosing, spares, strain). rebalancing: where the idle model's groups would still be emptier by a quarter, one group a data centre loads the other model while it serves; once all members hold it, it is closed as slow groups are, and its members form new ones. Planners of all data centres see the same need: each takes the moves of those before it for done. One group of each model stays in each data centre. spares: all spares held the idle model after the lead (free=m0:6), so five survivors of each of the busier one's deaths waited for a whole load. A spare is lent to a busier model that lacks few to a group or has no spare; each keeps one.

--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -4,10 +4,12 @@
 
 from cardamommill.gateway import (
     consolidation,
+    demand,
     fleetview,
     formations,
     model,
     planning,
+    rebalancing,
     spares,
     strain,
 )
@@ -24,7 +26,8 @@
 
     def __init__(self, view: fleetview.FleetView, made: formations.Formations,
                  pending: set[str], seen: strain.Strain, staged: spares.Spares,
-                 given_up: consolidation.Consolidation) -> None:
+                 given_up: consolidation.Consolidation,
+                 moves: rebalancing.Rebalancing, work: demand.Demand) -> None:
         """Makes it.
 
         Args:
@@ -34,6 +37,8 @@
             seen: Which models have too much work.
             staged: Which spares hold which model.
             given_up: Slow groups that quick ones take the place of.
+            moves: Groups that change their model.
+            work: How the work divides between models.
         """
         self._view = view
         self._formations = made
@@ -41,6 +46,8 @@
         self._strain = seen
         self._spares = staged
         self._consolidation = given_up
+        self._rebalancing = moves
+        self._demand = work
 
     def step(self, service: str, engine: model.Engine, scope: planning.Scope,
              now_ms: float) -> Iterator[planning.Action]:
@@ -60,13 +67,16 @@
                 yield from self._form(service, engine, scope, domains[domain],
                                       now_ms)
             whole = [each for runners in domains.values() for each in runners]
+            yield from self._consolidation.step(service, engine,
+                                                self._view.groups(service),
+                                                whole, self.is_free, now_ms)
             if len(domains) > 1:
-                yield from self._consolidation.step(service, engine,
-                                                    self._view.groups(service),
-                                                    whole, self.is_free, now_ms)
                 largest = max(map(len, domains.values()))
                 yield from self._form_far(service, engine, scope, whole,
                                           largest, now_ms)
+            yield from self._rebalancing.step(service, engine, scope,
+                                              self._view.groups(service), place,
+                                              now_ms)
             need = self._need(service, engine, whole)
             for domain in sorted(domains):
                 yield from self._stage(engine, scope, domains[domain], need,
@@ -119,7 +129,18 @@
                              for each in engine.models
                              if self._strain.is_strained(each.name))
         return strain.Need(strained, holds,
-                           sum(each.usable for each in runners))
+                           sum(each.usable for each in runners),
+                           self._fullness(service, engine))
+
+    def _fullness(self, service: str, engine: model.Engine) -> dict[str, float]:
+        places = dict.fromkeys((each.name for each in engine.models), 0)
+        for group in self._view.groups(service).values():
+            if group.serves_here and group.model in places:
+                places[group.model] += engine.slots
+        return {
+            name: self._demand.requests(service, name) / max(1, count)
+            for name, count in places.items()
+        }
 
     def _form(self, service: str, engine: model.Engine, scope: planning.Scope,
               runners: list[fleetview.Known],
@@ -188,7 +209,7 @@
     def _by_need(self, service: str, engine: model.Engine,
                  runners: list[fleetview.Known]) -> list[model.ServedModel]:
         # The model with the fewest runners for its share of the work first,
-        # in the domain and then over all.
+        # in the domain and then over all; last one that has a group too many.
         in_domain = {each.runner.id for each in runners}
         here: dict[str, int] = {}
         overall: dict[str, int] = {}
@@ -196,10 +217,14 @@
             overall[name] = overall.get(name, 0) + len(members)
             here[name] = here.get(name, 0) + len(members & in_domain)
 
-        def need(served: model.ServedModel) -> tuple[float, float]:
+        total = sum(overall.values())
+        shares = sum(each.share for each in engine.models)
+
+        def need(served: model.ServedModel) -> tuple[bool, float, float]:
             share = max(served.share, 1e-6)
-            return (here.get(served.name, 0) / share,
-                    overall.get(served.name, 0) / share)
+            held = overall.get(served.name, 0)
+            is_ahead = held - served.size > total * share / shares
+            return (is_ahead, here.get(served.name, 0) / share, held / share)
 
         return sorted(engine.models, key=need)
 
--- a/cardamommill/gateway/consolidation.py
+++ b/cardamommill/gateway/consolidation.py
@@ -22,6 +22,7 @@
 LEAST_GAIN = 0.5
 # A close that was lost on its way is sent again.
 CLOSE_AGAIN_MS = 1500.0
+QUICKER = "a quick group can be made"
 
 IsFree = Callable[[fleetview.Known], bool]
 
@@ -54,6 +55,13 @@
         self._formations = made
         self._given_up: dict[model.GroupKey, _GivenUp] = {}
 
+    def give_up(self, service: str, group: fleetview.Group, reason: str,
+                now_ms: float) -> Iterator[planning.Action]:
+        """Closes a group; its members leave once it has finished."""
+        self._given_up[group.key] = _GivenUp(service, group.model, now_ms,
+                                             now_ms)
+        yield _close(group, reason)
+
     def has(self, key: model.GroupKey) -> bool:
         """Whether a group is being given up."""
         return key in self._given_up
@@ -104,7 +112,7 @@
             is_told = state is model.MemberState.CLOSING
             if not is_told and now_ms - given_up.sent_ms > CLOSE_AGAIN_MS:
                 given_up.sent_ms = now_ms
-                yield _close(group)
+                yield _close(group, "not closed yet")
             return
         yield from self._formations.leave(group.key,
                                           list(group.members.values()),
@@ -128,19 +136,17 @@
             for known in runners
             if is_free(known) and planning.is_warm(known, served))
         for group in _worth_it(slow, warm, served.size, engine.far_factor):
-            self._given_up[group.key] = _GivenUp(service, served.name, now_ms,
-                                                 now_ms)
-            yield _close(group)
+            yield from self.give_up(service, group, QUICKER, now_ms)
 
 
-def _close(group: fleetview.Group) -> orders.Order:
+def _close(group: fleetview.Group, reason: str) -> orders.Order:
     head = group.head
     assert head is not None
     return orders.Order(head.runner.id,
                         orders.Operation.CLOSE,
                         group.key,
                         expected_seq=head.orders_begun,
-                        reason="a quick group can be made")
+                        reason=reason)
 
 
 def _all_in(group: fleetview.Group, ids: set[str]) -> bool:
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -10,6 +10,7 @@
 from cardamommill.gateway import (
     choosing,
     consolidation,
+    demand,
     fleetsummary,
     fleetview,
     formations,
@@ -17,6 +18,7 @@
     model,
     orders,
     planning,
+    rebalancing,
     spares,
     strain,
     tending,
@@ -39,12 +41,15 @@
         self._formations = formations.Formations(view, name, self._pending,
                                                  ledger)
         self._strain = strain.Strain()
+        self._demand = demand.Demand()
         self._spares = spares.Spares(view, ledger)
         slow = consolidation.Consolidation(self._formations)
         self._tending = tending.Tending(view, self._formations, slow)
+        self._rebalancing = rebalancing.Rebalancing(self._demand, ledger, slow)
         self._choosing = choosing.Choosing(view, self._formations,
                                            self._pending, self._strain,
-                                           self._spares, slow)
+                                           self._spares, slow,
+                                           self._rebalancing, self._demand)
 
     @property
     def formations(self) -> dict[model.GroupKey, planning.Formation]:
@@ -61,6 +66,8 @@
         for key in groups:
             self._formations.see_epoch(key.epoch)
         self._strain.see(service.name, engine, groups, scope, now_ms)
+        self._demand.see(service.name, engine, groups, scope, now_ms)
+        engine = self._demand.engine(service.name, engine, now_ms)
         actions: list[planning.Action] = []
         actions += self._formations.advance(service.name, engine, now_ms)
         actions += self._tending.step(groups, service.name, engine, scope,
@@ -103,6 +110,7 @@
         """
         if order.operation is orders.Operation.STAGE:
             self._spares.give_up(order.runner, now_ms)
+            self._rebalancing.refused(order.runner, now_ms)
         formation = self._formations.of(order)
         if formation is not None and order.operation is orders.Operation.JOIN:
             self._formations.join_refused(formation, order.runner, reason,
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -64,12 +64,14 @@
         count: How many data centres there are; they share limits.
         in_lead: Whether no request has come yet: loads are cheap then.
         loads: Requests of all nodes per group.
+        places: All data centres, in the same order for each planner.
     """
 
     data_centres: frozenset[str]
     count: int
     in_lead: bool
     loads: dict[model.GroupKey, flights.GroupLoad]
+    places: tuple[str, ...] = ()
 
     def load(self, key: model.GroupKey) -> flights.GroupLoad:
         """Returns what is at a group."""
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/spares.py
@@ -80,25 +80,51 @@
               held: dict[str, int], need: strain.Need) -> list[fleetview.Known]:
         """Returns runners whose host may load something else, blank ones first.
 
-        One that holds a model may load another only for a strained one, and
-        where enough runners are free for a group of either and no whole group
-        can be made: it would wait for ever for partners. Where nothing is
-        strained it is worth more as a spare: one that was turned into a third
-        group of the idle model was missing a second later.
+        One that holds a model may load a busier one that lacks few to a group,
+        or has no spare here: the survivors of its next death would wait for a
+        whole load. And it may load a strained one where enough runners are free
+        for a group of either and no whole group can be made: it would wait for
+        ever for partners. Else it is worth more as the spare that it is.
         """
         blank = [each for each in free if not self.warm_model(each)]
         sizes = {each.name: each.size for each in engine.models}
         stuck = len(free) >= min(sizes.values()) and all(
             count < sizes[name] for name, count in held.items())
         first = [each.name for each in engine.models if need.comes_first(each)]
-        if blank or not stuck or not first or any(
-                each.runner.id in self._staging for each in free):
+        if blank or any(each.runner.id in self._staging for each in free):
             return blank
+        for served in engine.models:
+            lent = self._lent(served, free, held, need)
+            if lent:
+                return lent
+        if not stuck or not first:
+            return []
         best = max(first, key=lambda name: (held[name] / sizes[name], name))
         missing = sizes[best] - held[best]
         others = [each for each in free if self.warm_model(each) != best]
         return others[:missing] if len(others) >= missing else []
 
+    def _lent(self, served: model.ServedModel, free: list[fleetview.Known],
+              held: dict[str, int], need: strain.Need) -> list[fleetview.Known]:
+        """Returns spares of idler models that would make a group, or a spare.
+
+        Each model that has any keeps one.
+        """
+        missing = served.size - held[served.name] if held[served.name] else 1
+        if missing <= 0 or not need.holds.get(served.name):
+            return []
+        kept = {name for name, count in held.items() if count}
+        found = []
+        for known in free:
+            name = self.warm_model(known)
+            if not need.is_busier(served.name, name):
+                continue
+            if name in kept:
+                kept.discard(name)
+                continue
+            found.append(known)
+        return found[:missing] if len(found) >= missing else []
+
     def _wanted(self, engine: model.Engine, held: dict[str, int], free: int,
                 need: strain.Need) -> model.ServedModel:
         # A model whose requests wait comes first: by the fewest runners alone
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/strain.py
@@ -20,11 +20,17 @@
         strained: Models that need more groups.
         holds: Runners that each has: members, spares, and those that load.
         usable: Runners that there are.
+        fullness: Requests for each place of a model's groups.
     """
 
     strained: frozenset[str]
     holds: dict[str, int]
     usable: int
+    fullness: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def is_busier(self, one: str, other: str) -> bool:
+        """Whether a model's groups are fuller than another's."""
+        return self.fullness.get(one, 0.0) > self.fullness.get(other, 0.0)
 
     def comes_first(self, served: model.ServedModel) -> bool:
         """Whether the next load is for a model, whatever else is near a group.
--- a/tests/gateway/test_spares.py
+++ b/tests/gateway/test_spares.py
@@ -1,6 +1,6 @@
 """Tests of which spares are kept and what they load."""
 
-from cardamommill.gateway import loads, model, orders, planning
+from cardamommill.gateway import flights, loads, model, orders, planning
 from tests.gateway import builders, planners
 
 
@@ -117,3 +117,54 @@
     bench.planner.settled(order)
     assert not planners.ordered(bench.step(250), orders.Operation.STAGE)
     assert planners.ordered(bench.step(2500), orders.Operation.STAGE)
+
+
+def busy_small(spares, requests=12):
+    """A group of each model, the smaller one's fuller, and these spares."""
+    large, small = model.GroupKey("g1", 1), model.GroupKey("g2", 2)
+    runners = [
+        builders.runner(number,
+                        served=name,
+                        staged=(name,),
+                        membership=builders.member(
+                            key, rank, model.MemberState.OPEN
+                            if rank == 0 else model.MemberState.READY))
+        for key, name, numbers in ((large, "large", range(1, 5)),
+                                   (small, "small", range(5, 8)))
+        for rank, number in enumerate(numbers)
+    ]
+    for name, count in spares.items():
+        runners += planners.warm(count, name, start=20 + len(runners))
+    scope = planning.Scope(frozenset({"a"}), 1, False, {
+        large: flights.GroupLoad(4),
+        small: flights.GroupLoad(requests)
+    })
+    bench = planners.Bench(runners, scope)
+    staged = []
+    for _ in range(4):
+        for order in planners.ordered(bench.step(1000.0),
+                                      orders.Operation.STAGE):
+            staged.append(order.model)
+            bench.accept(order)
+    return staged
+
+
+def test_busier_model_without_a_spare_gets_one_of_several():
+    """All spares hold the idle model.
+
+    The survivors of the next death in the busy one would wait for a whole load.
+    """
+    assert busy_small({"large": 2}) == ["small"]
+
+
+def test_last_spare_of_a_model_is_kept():
+    assert not busy_small({"large": 1})
+
+
+def test_spares_are_not_lent_to_a_model_that_is_idler():
+    assert not busy_small({"large": 2}, requests=2)
+
+
+def test_survivors_get_the_one_that_they_lack():
+    """Two survivors of a group of three stood idle beside other spares."""
+    assert busy_small({"large": 2, "small": 2}) == ["small"]
