Share requests out by what other nodes have placed unseen, and learn first events' overhead

placing: loads of other nodes are some 0.4 s old in a fleet of 76 nodes, in which 60 requests are placed. By the lowest cost alone nodes send them to the same groups. Now the unseen requests (by Little's law, from the told load and its age) are thought of as poured over the groups up to one level of cost, and a group is taken with the odds of its part; with nothing unseen it is the cheapest. A request in flight counts as a quarter of the reading of its prompt.

forecast: first events came some 0.1 s later than the engine's published arithmetic says, of an objective of 0.3 s, so a queue that was thought short enough had all that waited in it come late. Each node takes the lower quartile of what its last 40 first events took longer, and adds it to what it expects.

--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -1,6 +1,7 @@
 """Finds each request its runner and keeps count of what is under way."""
 
 from collections.abc import Callable, Coroutine
+import dataclasses
 import random
 from typing import Any
 import zlib
@@ -16,10 +17,13 @@
     entrysettings,
     fleetview,
     flights,
+    forecast,
     freshness,
+    grouploads,
     model,
     peers,
     placing,
+    plainrunners,
     platformreader,
     relay,
     reliability,
@@ -34,11 +38,6 @@
 
 # A group that failed a request is left alone until its members were asked.
 FAULT_AVOID_MS = 300.0
-# A runner that gave no answer of its own, or refused a request, comes last for
-# this long. Failures that it told come with the request more often than not.
-RUNNER_FAULT_MS = 1000.0
-# How likely a runner fails counts like two requests in flight a step.
-FAIL_STEPS = 4
 # A peer is asked for its confirmation once the own one is this old.
 OWN_CONFIRMATION_MS = 1500.0
 
@@ -69,14 +68,15 @@
         self._chance = random.Random(settings.node)
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
         self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
-        self._own_runners: dict[str, int] = {}
-        self._runner_faults_ms: dict[str, float] = {}
-        self._peer_load: dict[model.GroupKey, flights.GroupLoad] = {}
-        self._far_load: reporting.Loads = {}
-        self.flights = flights.Flights()
+        self._group_loads = grouploads.GroupLoads()
+        self.flights = self._group_loads.own
         self.standing = standing.StandingGroups(view)
         self.silence = silence.SilenceDetector()
+        self.forecast = forecast.Forecast()
         self.reliability = reliability.Reliability(self._chance)
+        self._plain_runners = plainrunners.PlainRunners(self.reliability,
+                                                        settings.data_centre,
+                                                        self._chance)
         # Requests whose try has brought nothing yet, and since when.
         self._unproven_ms: dict[relay.Relay, float] = {}
         # Who looks into a group that failed a request.
@@ -103,8 +103,8 @@
                 tell it each for itself.
             now_ms: The time.
         """
-        self._far_load = far_load
-        self._peer_load = self._peers.in_flight(now_ms)
+        self._group_loads.hear(self._peers.in_flight(now_ms), far_load,
+                               self._peers.load_age_ms())
         for runner, odds in self.reliability.turned(now_ms):
             is_doubted = odds > reliability.DOUBTED
             _LOG.warning(
@@ -114,25 +114,18 @@
             if is_doubted:
                 self._metrics.count("runners_doubted_total")
 
-    def load(self, key: model.GroupKey) -> flights.GroupLoad:
-        """Returns the requests of all nodes at a group."""
-        others = self._peer_load.get(key, flights.NO_LOAD).plus(
-            self._far_load.get(key.mark, flights.NO_LOAD))
-        return self.flights.load(key).plus(others)
-
     def loads(self) -> dict[model.GroupKey, flights.GroupLoad]:
         """Returns the requests of all nodes at each group that is known."""
         table = self._reader.table
         return {
-            key: self.load(key)
+            key: self._group_loads.load(key)
             for service in (table.configuration.services if table else ())
             for key in self._view.groups(service)
         }
 
     def forget(self, now_ms: float) -> None:
         """Forgets old faults."""
-        clock.forget_old(self._runner_faults_ms, float, 10 * RUNNER_FAULT_MS,
-                         now_ms)
+        self._plain_runners.forget(now_ms)
         self.reliability.forget(now_ms)
 
     def table(self) -> routetable.RouteTable | None:
@@ -187,9 +180,11 @@
                                    admitting.DEFAULT_RETRY_AFTER_MS)
         heads: dict[model.GroupKey, fleetview.Known] = {}
         candidates = []
+        others = 0
         for each in self.standing.of_model(service.name, served.name):
             heads[each.key] = each.head
-            load = self.load(each.key)
+            others += self._group_loads.others(each.key).all_requests
+            load = self._group_loads.load(each.key)
             head = each.head.runner.id
             odds = self.reliability.fail_odds(head, now_ms)
             candidates.append(
@@ -213,8 +208,12 @@
                         (each.head.runner.host, each.head.runner.port))))
         excluded = frozenset(
             each.key for each in one.tried if each.key is not None)
-        placed = placing.place(engine, one.work, candidates, excluded,
-                               one.wish(self._chance.random()),
+        wish = dataclasses.replace(
+            one.wish(self._chance.random()),
+            unseen=placing.unseen(engine, served.pace, others,
+                                  self._group_loads.age_ms),
+            overhead_ms=self.forecast.overhead_ms(service.name))
+        placed = placing.place(engine, one.work, candidates, excluded, wish,
                                self.expected_ms())
         if isinstance(placed, placing.Refused):
             return placed
@@ -233,17 +232,7 @@
             return placing.Refused("no runner",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
 
-        def cost(known: fleetview.Known) -> tuple[bool, int, bool, float]:
-            runner = known.runner
-            fault_ms = self._runner_faults_ms.get(runner.id, float("-inf"))
-            odds = self.reliability.fail_odds(runner.id, now_ms)
-            return (now_ms - fault_ms < RUNNER_FAULT_MS or
-                    odds > reliability.DOUBTED,
-                    self._own_runners.get(runner.id, 0) // 2 +
-                    int(FAIL_STEPS * odds), runner.data_centre
-                    != self._settings.data_centre, self._chance.random())
-
-        return relay.Target(min(usable, key=cost))
+        return relay.Target(self._plain_runners.best(usable, now_ms))
 
     def may_repeat(self, service: str) -> bool:
         """Whether the retry budget allows one more."""
@@ -270,7 +259,7 @@
         else:
             budget.request(now_ms)
         runner_id = target.known.runner.id
-        self._own_runners[runner_id] = self._own_runners.get(runner_id, 0) + 1
+        self._plain_runners.begins(runner_id)
         self._unproven_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
@@ -282,22 +271,28 @@
 
     def event_came(self, one: relay.Relay, target: relay.Target) -> None:
         """Notes an event of a stream."""
-        if self._unproven_ms.pop(one, None) is not None:
-            self.reliability.went_well(target.known.runner.id, clock.now_ms())
+        now_ms = clock.now_ms()
+        sent_ms = self._unproven_ms.pop(one, None)
+        if sent_ms is not None:
+            self.reliability.went_well(target.known.runner.id, now_ms)
+            self._note_first_event(one, target, now_ms - sent_ms)
         if target.key is None:
             return
         self.flights.event(target.key, one.attempt_id)
-        self.silence.event(target.key, one.attempt_id, clock.now_ms())
+        self.silence.event(target.key, one.attempt_id, now_ms)
+
+    def _note_first_event(self, one: relay.Relay, target: relay.Target,
+                          took_ms: float) -> None:
+        placed = target.placed
+        if placed is not None and not placed.patient:
+            self.forecast.came(one.service, took_ms,
+                               placed.first_event_ms - placed.overhead_ms)
 
     def attempt_ends(self, one: relay.Relay, target: relay.Target,
                      outcome: attempts.Outcome) -> None:
         """Notes the end of a try."""
         runner_id = target.known.runner.id
-        left = self._own_runners.get(runner_id, 1) - 1
-        if left > 0:
-            self._own_runners[runner_id] = left
-        else:
-            self._own_runners.pop(runner_id, None)
+        self._plain_runners.ends(runner_id)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
@@ -334,7 +329,7 @@
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
         if outcome.result is not attempts.Result.FAILED:
-            self._runner_faults_ms[runner] = now_ms
+            self._plain_runners.failed(runner, now_ms)
         if target.key is None:
             return
         look_into = {
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -388,6 +388,19 @@
                     self._discount(peer)
         return self._loads
 
+    def load_age_ms(self) -> float:
+        """Returns how old told loads are in the mean, by how often peers tell.
+
+        Sums of other data centres wait for two tellings.
+        """
+        if not self.peers:
+            return 0.0
+        self._settle_intervals()
+        told_ms = self._near_ms / 2
+        if self._far_ms > LOAD_AGE_MS:
+            told_ms += reporting.REPORT_MS / 2
+        return told_ms
+
     def confirmed_ms(self, config_version: int) -> float:
         """Returns as of when a peer knows our configuration as the newest.
 
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -19,6 +19,9 @@
 # the connections that it takes. Less than a forecast is uncertain by, so it
 # decides between groups that are as good.
 NEW_CONNECTION_MS = 8.0
+# A request in flight counts as this part of the reading of its prompt, also
+# once that is done: it holds a place.
+HELD_PART = 0.25
 # Where no group stands callers come back when one should, within these: sooner
 # none is open, and later many have left.
 MIN_RETRY_AFTER_MS = 120.0
@@ -82,12 +85,14 @@
     Attributes:
         expected: What the group should do with it.
         finish_ms: When its last event should come.
+        overhead_ms: What of that the engine's arithmetic leaves out.
         patient: Whether it waits behind all that can be in time.
     """
 
     candidate: Candidate
     expected: silence.Expected
     finish_ms: float
+    overhead_ms: float = 0.0
     patient: bool = False
 
     @property
@@ -134,13 +139,37 @@
         patience_ms: How long it may wait where it can't be in time.
         left_ms: Until when it must be whole.
         spread: From 0 to 1, different for each request: those that are told
-            to come back do not come all at once.
+            to come back do not come all at once, and those that are placed at
+            the same time do not go all to one group.
+        unseen: Requests that other nodes have placed since they told of their
+            loads.
+        overhead_ms: What every request takes longer than the engine's
+            arithmetic says.
     """
 
     goal_ms: float
     patience_ms: float
     left_ms: float
     spread: float
+    unseen: float = 0.0
+    overhead_ms: float = 0.0
+
+
+def unseen(engine: model.Engine, pace: float, requests: float,
+           age_ms: float) -> float:
+    """Returns how many requests came since loads of some age were told.
+
+    As many come as end while the load stays what it is.
+
+    Args:
+        engine: Its arithmetic.
+        pace: Of the model.
+        requests: Those that were told.
+        age_ms: How long ago they were told.
+    """
+    passes = max(1.0, engine.usual_answer_tokens / engine.stride)
+    lasts_ms = passes * pass_ms(engine, engine.slots // 2, pace)
+    return requests * age_ms / lasts_ms
 
 
 def place(engine: model.Engine, work: Work, candidates: Iterable[Candidate],
@@ -169,13 +198,15 @@
         form_ms: When a missing group should stand again.
     """
     standing = [each for each in candidates if each.key not in excluded]
-    placed = [_expect(engine, work, each) for each in standing]
+    placed = [
+        _expect(engine, work, each, wish.overhead_ms) for each in standing
+    ]
     sound = [each for each in placed if not each.candidate.is_doubted]
     doubted = [
         each for each in placed
         if each.candidate.is_doubted and not (sound and each.candidate.rests)
     ]
-    chosen = _best(sound, wish) or _best(doubted, wish)
+    chosen = _best(engine, sound, wish) or _best(engine, doubted, wish)
     if chosen is not None:
         return chosen
     if placed:
@@ -185,7 +216,8 @@
     return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
 
 
-def _best(placed: list[Placed], wish: Wish) -> Placed | None:
+def _best(engine: model.Engine, placed: list[Placed],
+          wish: Wish) -> Placed | None:
     in_time = [each for each in placed if each.first_event_ms <= wish.goal_ms]
     patient = [
         each for each in placed if each.candidate.patient < PATIENT_PART *
@@ -194,7 +226,7 @@
     for wanted in (_finishing(wish), _any):
         chosen = [each for each in in_time if wanted(each)]
         if chosen:
-            return min(chosen, key=_cost_ms)
+            return _share_out(chosen, engine, wish)
         chosen = [each for each in patient if wanted(each)]
         if chosen:
             return dataclasses.replace(min(chosen, key=_patient_cost),
@@ -202,6 +234,60 @@
     return None
 
 
+def _share_out(placed: list[Placed], engine: model.Engine,
+               wish: Wish) -> Placed:
+    """Returns a group, so that all nodes together level their costs.
+
+    Loads of other nodes are some heartbeats old. By the lowest cost alone all
+    nodes send what comes meanwhile to the same group, which is then the fullest
+    of all. So the unseen requests are thought of as poured over the groups up
+    to one level of cost, and a request goes to a group with the odds of its
+    part. Where nothing is unseen the group with the lowest cost has all.
+    """
+    usual_ms = read_ms(engine, engine.usual_prompt_tokens, 1.0)
+
+    def cost_ms(each: Placed) -> float:
+        held_ms = HELD_PART * usual_ms * each.candidate.pace
+        return _cost_ms(each) + held_ms * each.candidate.in_flight
+
+    ranked = sorted(placed, key=cost_ms)
+    costs_ms = [cost_ms(each) for each in ranked]
+    steps_ms = [
+        (1 + HELD_PART) * usual_ms * each.candidate.pace for each in ranked
+    ]
+    level_ms = _level_ms(costs_ms, steps_ms, wish.unseen)
+    parts = [
+        max(0.0, level_ms - each_ms) / step_ms
+        for each_ms, step_ms in zip(costs_ms, steps_ms, strict=True)
+    ]
+    left = wish.spread * sum(parts)
+    for each, part in zip(ranked, parts, strict=True):
+        left -= part
+        if left < 0:
+            return each
+    return ranked[0]
+
+
+def _level_ms(costs_ms: list[float], steps_ms: list[float],
+              requests: float) -> float:
+    """Returns the cost up to which groups are filled by some requests.
+
+    Args:
+        costs_ms: Of each group, the lowest first.
+        steps_ms: By how much a request raises the cost of each.
+        requests: How many are shared out.
+    """
+    rate = weighted = 0.0
+    level_ms = costs_ms[0]
+    for cost_ms, step_ms in zip(costs_ms, steps_ms, strict=True):
+        if rate and cost_ms >= level_ms:
+            break
+        rate += 1 / step_ms
+        weighted += cost_ms / step_ms
+        level_ms = (requests + weighted) / rate
+    return level_ms
+
+
 def _worked_off_ms(placed: list[Placed], wish: Wish) -> float:
     """Returns when the shortest queue of now should have been worked off.
 
@@ -236,7 +322,8 @@
             candidate.pace / candidate.places + candidate.fail_odds)
 
 
-def _expect(engine: model.Engine, work: Work, candidate: Candidate) -> Placed:
+def _expect(engine: model.Engine, work: Work, candidate: Candidate,
+            overhead_ms: float) -> Placed:
     running = min(candidate.in_flight, candidate.places)
     one_pass_ms = pass_ms(engine, running + 1, candidate.pace)
     own_read_ms = read_ms(engine, work.prompt_tokens, candidate.pace)
@@ -248,13 +335,14 @@
         passes = engine.usual_answer_tokens / engine.stride
         queue_ms = waiting * passes * one_pass_ms / candidate.places
     # On average half a pass is under way, and one more brings the event.
-    first_ms = 1.5 * one_pass_ms + own_read_ms + others_ms + queue_ms
+    first_ms = (overhead_ms + 1.5 * one_pass_ms + own_read_ms + others_ms +
+                queue_ms)
     finish_ms = first_ms + work.answer_tokens / engine.stride * _usual_pass_ms(
         engine, running + 1, candidate.pace)
     expected = silence.Expected(one_pass_ms,
                                 longest_pass_ms(engine, candidate.pace),
                                 own_read_ms, first_ms)
-    return Placed(candidate, expected, finish_ms)
+    return Placed(candidate, expected, finish_ms, overhead_ms)
 
 
 def _usual_pass_ms(engine: model.Engine, running: int, pace: float) -> float:
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -1,6 +1,8 @@
 """Tests of where requests go."""
 
+import collections
 import dataclasses
+import random
 
 from cardamommill.gateway import model, placing
 from tests.gateway import builders
@@ -162,3 +164,70 @@
     full = candidate("full", 13, patient=13, reading_tokens=60_000)
     refused = place(idle, full)
     assert refused == place(full)
+
+
+def test_overhead_counts_against_the_objective():
+    """With it the queue is too long: all that wait in it would come late."""
+    full = candidate("a", 13)
+    assert not place(full).patient
+    late = dataclasses.replace(WISH, overhead_ms=120.0)
+    assert place(full, wish=late).patient
+    assert place(
+        candidate("a", 2),
+        wish=late).first_event_ms == (place(candidate("a", 2)).first_event_ms +
+                                      120.0)
+
+
+def shared_out(unseen, requests=60, groups=12):
+    """Returns how many requests each group gets of nodes that know the same."""
+    chance = random.Random(1)
+    candidates = [
+        candidate(f"g{number}", number % 4) for number in range(groups)
+    ]
+    counts = collections.Counter()
+    for _ in range(requests):
+        wish = dataclasses.replace(WISH, spread=chance.random(), unseen=unseen)
+        counts[place(*candidates, wish=wish).candidate.key] += 1
+    return [counts[each.key] for each in candidates]
+
+
+def test_requests_of_many_nodes_do_not_all_go_to_the_same_group():
+    """Seventy nodes know the same loads, half a second old.
+
+    By the lowest cost alone each sends what comes meanwhile to the same group:
+    all sixty requests, where its places are thirteen.
+    """
+    assert max(shared_out(unseen=0.0)) == 60
+    counts = shared_out(unseen=60.0)
+    assert max(counts) <= 13
+    assert min(counts) > 0
+
+
+def test_fuller_groups_get_less_of_what_is_shared_out():
+    counts = shared_out(unseen=60.0, requests=600)
+    emptiest, fullest = sum(counts[0::4]), sum(counts[3::4])
+    assert fullest < emptiest
+
+
+def test_few_unseen_requests_go_to_the_emptiest_groups_alone():
+    counts = shared_out(unseen=0.3)
+    assert sum(counts[0::4]) == sum(counts)
+
+
+def test_avoided_group_gets_nothing_of_what_is_shared_out():
+    wishes = [
+        dataclasses.replace(WISH, spread=each / 20, unseen=40.0)
+        for each in range(20)
+    ]
+    chosen = {
+        place(candidate("a", avoided=True), candidate("b", 4),
+              wish=each).candidate.key.name for each in wishes
+    }
+    assert chosen == {"b"}
+
+
+def test_unseen_requests_grow_with_the_load_and_its_age():
+    assert placing.unseen(ENGINE, 1.0, 0, 400.0) == 0.0
+    one = placing.unseen(ENGINE, 1.0, 100, 400.0)
+    assert placing.unseen(ENGINE, 1.0, 200, 400.0) == 2 * one
+    assert placing.unseen(ENGINE, 1.0, 100, 800.0) == 2 * one
