Know a head that has finished after its close by its row

Cause: its row says ready once more, which comes before closing in the order of states. Where the list was read between the order and the row's next change, the row counted as older than the order. Ruled out: requests that go on coming to it (jobs ended 1.2 s after the close).

Change: a row that says ready where the row before said open or closing, of the same group, is later. One that was read as joining before may be from before the opening and is left as it was.

--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -169,6 +169,7 @@
             yield runner.id, "listed again"
         is_news = runner.row_position > known.runner.row_position
         read_before_ms = known.listed_ms
+        said = known.runner.standing.membership
         known.runner = runner
         known.listed = True
         known.listed_ms = as_of_ms
@@ -178,7 +179,7 @@
         if not runner.leaving:
             known.leaving_ms = 0.0
         if is_news:
-            self._join(known, runner.standing, read_before_ms, as_of_ms)
+            self._join(known, runner.standing, said, read_before_ms, as_of_ms)
 
     def take_report(self, runner_id: str, report: model.Report, asked_ms: float,
                     lag_ms: float) -> None:
@@ -264,7 +265,8 @@
         return True
 
     def _join(self, known: Known, standing: model.Standing,
-              read_before_ms: float, as_of_ms: float) -> None:
+              said: model.Membership | None, read_before_ms: float,
+              as_of_ms: float) -> None:
         """Takes what a changed row says, if it is newer than all else.
 
         A row is as old as its last change, not as the reading of it: while
@@ -273,7 +275,10 @@
         order or a report only if it still said something else after that.
         """
         newer = read_before_ms > max(known.report_ms, known.order_ms)
-        if not newer and not _goes_on(known.membership, standing.membership):
+        goes_on = (_goes_on(known.membership, standing.membership) or
+                   (_is_same(known.membership, standing.membership) and
+                    _has_closed(said, standing.membership)))
+        if not newer and not goes_on:
             # What its host holds is true all the same: a load that ended before
             # the next reading was never seen, and the spare never used.
             known.standing = dataclasses.replace(known.standing,
@@ -355,6 +360,20 @@
     return membership.key if membership is not None else None
 
 
+def _is_same(one: model.Membership | None,
+             other: model.Membership | None) -> bool:
+    return one is not None and other is not None and one.key == other.key
+
+
+def _has_closed(before: model.Membership | None,
+                after: model.Membership | None) -> bool:
+    """Whether a head that served has finished all that it ran."""
+    if before is None or after is None or before.key != after.key:
+        return False
+    return (after.state is model.MemberState.READY and
+            before.state in (model.MemberState.OPEN, model.MemberState.CLOSING))
+
+
 def _goes_on(before: model.Membership | None,
              after: model.Membership | None) -> bool:
     """Whether a place in a group is the same one, later."""
