Form no group again of a model that has more than its share of the work

A group that was closed for the busier model was formed again of its members at once, and closed again 0.7 s later, for good: in its domain its model had none, which came first.

Change: once work was seen, a model that a further group would leave with more than its share comes last.

--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -147,7 +147,7 @@
               now_ms: float) -> Iterator[planning.Action]:
         while True:
             free = [each for each in runners if self.is_free(each)]
-            for served in self._by_need(service, engine, runners):
+            for served in self._by_need(service, engine, runners, now_ms):
                 picked = self._pick(engine, served, scope, runners, free,
                                     now_ms)
                 if picked is not None:
@@ -163,7 +163,7 @@
                   now_ms: float) -> Iterator[planning.Action]:
         # A group over two domains is slower, but it serves; it may use up
         # spares only while its model has fewer groups than its share.
-        for served in self._by_need(service, engine, runners):
+        for served in self._by_need(service, engine, runners, now_ms):
             if self._consolidation.is_under_way(service, served.name):
                 continue
             if not self._is_short(service, engine, served, scope, runners):
@@ -207,23 +207,27 @@
         return load > BUSY_PART * engine.slots * len(open_keys)
 
     def _by_need(self, service: str, engine: model.Engine,
-                 runners: list[fleetview.Known]) -> list[model.ServedModel]:
+                 runners: list[fleetview.Known],
+                 now_ms: float) -> list[model.ServedModel]:
         # The model with the fewest runners for its share of the work first,
-        # in the domain and then over all; last one that has a group too many.
+        # in the domain and then over all. Once work was seen, one that a
+        # further group would leave with more than its share comes last: the
+        # members of a group that was closed for it would form it again.
         in_domain = {each.runner.id for each in runners}
         here: dict[str, int] = {}
         overall: dict[str, int] = {}
         for name, members in self._members_by_model(service):
             overall[name] = overall.get(name, 0) + len(members)
             here[name] = here.get(name, 0) + len(members & in_domain)
-
         total = sum(overall.values())
         shares = sum(each.share for each in engine.models)
+        is_seen = self._demand.is_known(service, now_ms)
 
         def need(served: model.ServedModel) -> tuple[bool, float, float]:
             share = max(served.share, 1e-6)
             held = overall.get(served.name, 0)
-            is_ahead = held - served.size > total * share / shares
+            due = share / shares * (total + served.size)
+            is_ahead = is_seen and held + served.size / 2 > due
             return (is_ahead, here.get(served.name, 0) / share, held / share)
 
         return sorted(engine.models, key=need)
--- /dev/null
+++ b/tests/experiment/test_shifted_work.py
@@ -0,0 +1,54 @@
+"""Plays work that is other than what the models' shares declare."""
+
+from cardamommill.experiment import deployments, world
+from cardamommill.gateway import rebalancing
+
+MODELS = (deployments.ModelSpec(name="large", size=4, share=0.5, load_s=4),
+          deployments.ModelSpec(name="small",
+                                size=3,
+                                share=0.5,
+                                pace=0.6,
+                                load_s=4,
+                                warm_s=1.1))
+KINDS = (deployments.KindSpec(name="draft",
+                              per_s=1,
+                              model="large",
+                              prompt_tokens=1400,
+                              answer_tokens=175,
+                              goal_ms=300,
+                              deadline_ms=8000),
+         deployments.KindSpec(name="answer",
+                              per_s=33,
+                              model="small",
+                              prompt_tokens=700,
+                              answer_tokens=180))
+# By then a load has ended, and the groups of its runners stand.
+MOVED_MS = 11_000.0
+
+
+def served_in_time(seed):
+    """Returns what part comes in time once groups could have moved."""
+    deployment = deployments.Deployment(name="shifted",
+                                        lead_s=9,
+                                        length_s=18,
+                                        places={"a": 3},
+                                        domains=2,
+                                        models=MODELS,
+                                        kinds=KINDS)
+    outcome = world.play(deployment, seed)
+    assert not outcome.violations
+    later = [
+        each for each in outcome.results
+        if each.at_ms > outcome.started_ms + MOVED_MS
+    ]
+    return sum(each.outcome == "in-aim" for each in later) / len(later)
+
+
+def test_groups_move_to_the_model_that_has_the_work(monkeypatch):
+    """The smaller model has nearly all requests and half of the runners."""
+    moved = [served_in_time(seed) for seed in (1, 2)]
+    monkeypatch.setattr(rebalancing.Rebalancing, "step",
+                        lambda *args, **kwargs: iter(()))
+    declared = [served_in_time(seed) for seed in (1, 2)]
+    assert min(moved) > 0.9
+    assert max(declared) < min(moved) - 0.1
