--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -10,7 +10,9 @@
 from tools import pages
 
 ROOT = pathlib.Path(__file__).parent.parent
-PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")])
+PAGES = sorted([
+    *ROOT.glob("*.md"), *ROOT.glob("docs/*.md"), *ROOT.glob("docs/design/*.md")
+])
 EXAMPLES = sorted(ROOT.glob("examples/*/*.yaml"))
 TEST_NAME = re.compile(r"(tests/[\w/]+\.py)(?:::(\w+))?(?:::(\w+))?")
 LINK = re.compile(r"\[[^\]]+\]\(([\w./-]+)(?:#[^)]*)?\)")
