Plan for models whose shares are not declared

What callers would have seen: no group is ever formed, all requests for a model are refused. A service may leave out the shares of its models; they count as 0.

Cause: the rounds for work that shifted divide by the sum of the shares, which is then 0: ZeroDivisionError in each planning step. The code before kept to a least share.

Change: the order of need keeps to that least share in its sum too, and where nothing is declared the work that is seen alone divides the runners. Two tests failed before by that error. Declared shares give the same orders as before.

--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -19,6 +19,8 @@
 # Part of a domain that is kept as spares when groups are first formed: two
 # runners of nine cover the loss of one member in each of two groups.
 SPARE_SHARE = 0.15
+# For models whose share is not declared.
+LEAST_SHARE = 1e-6
 
 
 class Choosing:
@@ -220,13 +222,16 @@
             overall[name] = overall.get(name, 0) + len(members)
             here[name] = here.get(name, 0) + len(members & in_domain)
         total = sum(overall.values())
-        shares = sum(each.share for each in engine.models)
+        shares = {
+            each.name: max(each.share, LEAST_SHARE) for each in engine.models
+        }
+        all_shares = sum(shares.values())
         is_seen = self._demand.is_known(service, now_ms)
 
         def need(served: model.ServedModel) -> tuple[bool, float, float]:
-            share = max(served.share, 1e-6)
+            share = shares[served.name]
             held = overall.get(served.name, 0)
-            due = share / shares * (total + served.size)
+            due = share / all_shares * (total + served.size)
             is_ahead = is_seen and held + served.size / 2 > due
             return (is_ahead, here.get(served.name, 0) / share, held / share)
 
--- a/cardamommill/gateway/demand.py
+++ b/cardamommill/gateway/demand.py
@@ -92,7 +92,7 @@
         total = sum(work.values())
         if not total:
             return engine
-        declared = sum(each.share for each in engine.models)
+        declared = sum(each.share for each in engine.models) or 1.0
         seen = {name: each / total * declared for name, each in work.items()}
         return dataclasses.replace(engine,
                                    models=_with_shares(engine.models, seen))
--- a/tests/gateway/test_rebalancing.py
+++ b/tests/gateway/test_rebalancing.py
@@ -199,3 +199,29 @@
     for second in range(6, 20):
         seen.see("llm", engine, only_small, scope(4, 4), 1000.0 * second)
     assert seen.requests("llm", "large") > 10
+
+
+def undeclared():
+    return tuple(
+        dataclasses.replace(each, share=0.0)
+        for each in builders.engine().models)
+
+
+def test_groups_are_formed_where_no_shares_are_declared():
+    blank = [builders.runner(number) for number in range(1, 10)]
+    made = planners.Bench(blank, planners.LEAD)
+    made.service = builders.service(models=undeclared())
+    assert ordered(made.step(), orders.Operation.JOIN)
+
+
+def test_shares_are_those_of_the_work_where_none_are_declared():
+    seen = demand.Demand()
+    engine = builders.engine(models=undeclared())
+    groups = builders.view(*runners()).groups("llm")
+    for second in range(6):
+        seen.see("llm", engine, groups, scope(3, 12), 1000.0 * second)
+    shares = {
+        each.name: each.share
+        for each in seen.engine("llm", engine, 6000.0).models
+    }
+    assert 0 < shares["large"] < shares["small"]
