--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -96,9 +96,8 @@
             reply.break_off()
             return
         await asyncio.sleep(ANSWER_MS * self.slow_factor / 1000)
-        era = [(words.STORE_ERA, str(self.era))]
         if self.fault:
-            reply.whole(503, era, b"")
+            reply.whole(503, [self._era_header()], b"")
             return
         path, _, query_text = request.target.partition("?")
         query = dict(parse.parse_qsl(query_text, keep_blank_values=True))
@@ -109,16 +108,19 @@
         }
         call = calls.get(path)
         if call is None:
-            reply.whole(404, era, b"")
+            reply.whole(404, [self._era_header()], b"")
             return
         status, body = await call(query, request.body)
         if self._is_silent():
             # Also for calls that came before it fell silent.
             return
         reply.whole(status, [("Content-Type", "application/json"),
-                             (words.STORE_ERA, str(self.era))],
+                             self._era_header()],
                     json.dumps(body).encode())
 
+    def _era_header(self) -> tuple[str, str]:
+        return words.STORE_ERA, str(self.era)
+
     def _is_silent(self) -> bool:
         return self.fault == "silent"
 
--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -135,14 +135,13 @@
                            self._fullness(service, engine))
 
     def _fullness(self, service: str, engine: model.Engine) -> dict[str, float]:
-        places = dict.fromkeys((each.name for each in engine.models), 0)
-        for group in self._view.groups(service).values():
-            if group.serves_here and group.model in places:
-                places[group.model] += engine.slots
-        return {
-            name: self._demand.requests(service, name) / max(1, count)
-            for name, count in places.items()
-        }
+        groups = self._view.groups(service).values()
+        found = {}
+        for served in engine.models:
+            places = engine.slots * len(fleetview.serving(groups, served.name))
+            requests = self._demand.requests(service, served.name)
+            found[served.name] = requests / max(1, places)
+        return found
 
     def _form(self, service: str, engine: model.Engine, scope: planning.Scope,
               runners: list[fleetview.Known],
@@ -200,13 +199,10 @@
 
     def _is_busy(self, service: str, engine: model.Engine,
                  served: model.ServedModel, scope: planning.Scope) -> bool:
-        open_keys = [
-            group.key
-            for group in self._view.groups(service).values()
-            if group.model == served.name and group.serves_here
-        ]
-        load = sum(scope.load(key).all_requests for key in open_keys)
-        return load > BUSY_PART * engine.slots * len(open_keys)
+        serving = fleetview.serving(
+            self._view.groups(service).values(), served.name)
+        load = sum(scope.load(each.key).all_requests for each in serving)
+        return load > BUSY_PART * engine.slots * len(serving)
 
     def _by_need(self, service: str, engine: model.Engine,
                  runners: list[fleetview.Known],
--- a/cardamommill/gateway/demand.py
+++ b/cardamommill/gateway/demand.py
@@ -53,14 +53,10 @@
         weight = min(1.0, (now_ms - seen.last_ms) / MEMORY_MS)
         seen.last_ms = now_ms
         for served in engine.models:
-            keys = [
-                each.key
-                for each in groups.values()
-                if each.model == served.name and each.serves_here
-            ]
-            if not keys:
+            serving = fleetview.serving(groups.values(), served.name)
+            if not serving:
                 continue
-            count = sum(scope.load(each).all_requests for each in keys)
+            count = sum(scope.load(each.key).all_requests for each in serving)
             before = seen.requests.get(served.name, float(count))
             seen.requests[served.name] = before + weight * (count - before)
 
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -183,8 +183,9 @@
         others = 0
         for each in self.standing.of_model(service.name, served.name):
             heads[each.key] = each.head
-            others += self._group_loads.others(each.key).all_requests
-            load = self._group_loads.load(each.key)
+            told = self._group_loads.others(each.key)
+            others += told.all_requests
+            load = self.flights.load(each.key).plus(told)
             head = each.head.runner.id
             odds = self.reliability.fail_odds(head, now_ms)
             candidates.append(
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -345,7 +345,7 @@
         in_lead = not (self._requests_seen or self._peers.any_requests_seen())
         scope = planning.Scope(ours, len(self._settings.data_centres), in_lead,
                                self._requests.loads(),
-                               tuple(sorted(self._settings.data_centres)))
+                               self._settings.data_centres)
         self._keeper.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -19,6 +19,7 @@
     model.MemberState.CLOSING: 3,
     model.MemberState.BROKEN: 4,
 }
+_SERVING = frozenset({model.MemberState.OPEN, model.MemberState.CLOSING})
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +111,16 @@
                 head.membership.state is model.MemberState.OPEN)
 
 
+def serving(groups: Iterable[Group], model_name: str) -> list[Group]:
+    """Returns the groups of a model that serve, as far as this node can tell.
+
+    Those that can't be reached take no requests of here.
+    """
+    return [
+        each for each in groups if each.model == model_name and each.serves_here
+    ]
+
+
 class FleetView:
     """All runners; the one place where evidence is joined."""
 
@@ -275,10 +286,8 @@
         order or a report only if it still said something else after that.
         """
         newer = read_before_ms > max(known.report_ms, known.order_ms)
-        goes_on = (_goes_on(known.membership, standing.membership) or
-                   (_is_same(known.membership, standing.membership) and
-                    _has_closed(said, standing.membership)))
-        if not newer and not goes_on:
+        if not newer and not _goes_on(known.membership, standing.membership,
+                                      said):
             # What its host holds is true all the same: a load that ended before
             # the next reading was never seen, and the spare never used.
             known.standing = dataclasses.replace(known.standing,
@@ -360,23 +369,19 @@
     return membership.key if membership is not None else None
 
 
-def _is_same(one: model.Membership | None,
-             other: model.Membership | None) -> bool:
-    return one is not None and other is not None and one.key == other.key
-
+def _goes_on(before: model.Membership | None, after: model.Membership | None,
+             said: model.Membership | None) -> bool:
+    """Whether a place in a group is the same one, later.
 
-def _has_closed(before: model.Membership | None,
-                after: model.Membership | None) -> bool:
-    """Whether a head that served has finished all that it ran."""
-    if before is None or after is None or before.key != after.key:
-        return False
-    return (after.state is model.MemberState.READY and
-            before.state in (model.MemberState.OPEN, model.MemberState.CLOSING))
-
-
-def _goes_on(before: model.Membership | None,
-             after: model.Membership | None) -> bool:
-    """Whether a place in a group is the same one, later."""
+    Args:
+        before: What is believed.
+        after: What its row says.
+        said: What its row said before.
+    """
     if before is None or after is None or before.key != after.key:
         return False
-    return _ORDER[after.state] >= _ORDER[before.state]
+    if _ORDER[after.state] >= _ORDER[before.state]:
+        return True
+    # A head that has finished after its close says ready once more.
+    return (after.state is model.MemberState.READY and said is not None and
+            said.key == after.key and said.state in _SERVING)
--- a/cardamommill/gateway/peerrows.py
+++ b/cardamommill/gateway/peerrows.py
@@ -43,10 +43,8 @@
 class PeerRows:
     """The tables of one peer; asked like the store."""
 
-    def __init__(self,
-                 pool: upstream.Pool,
-                 address: upstream.Address,
-                 known: eras.Eras | None = None) -> None:
+    def __init__(self, pool: upstream.Pool, address: upstream.Address,
+                 known: eras.Eras) -> None:
         """Makes it.
 
         Args:
@@ -56,7 +54,7 @@
         """
         self._pool = pool
         self._address = address
-        self._eras = known or eras.Eras()
+        self._eras = known
         self._peer = f"{address[0]}:{address[1]}"
 
     async def table(self, table: str) -> storecalls.Rows:
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -395,7 +395,6 @@
         """
         if not self.peers:
             return 0.0
-        self._settle_intervals()
         told_ms = self._near_ms / 2
         if self._far_ms > LOAD_AGE_MS:
             told_ms += reporting.REPORT_MS / 2
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -64,7 +64,7 @@
         count: How many data centres there are; they share limits.
         in_lead: Whether no request has come yet: loads are cheap then.
         loads: Requests of all nodes per group.
-        places: All data centres, in the same order for each planner.
+        places: All data centres.
     """
 
     data_centres: frozenset[str]
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/platformreader.py
@@ -81,15 +81,12 @@
         self._unread = 0
         # The version of the configuration that the store holds.
         self._stored = 0
-        # In which the configuration was read last; None before the first time.
-        self._operator_era: int | None = None
-        # Of the first reading in that era.
+        # Of the first reading since the store was restored.
         self._restored_version = 0
         # What was read before this time says nothing of newer configurations.
         self._confirmed_from_ms = float("-inf")
         # The newest configuration that any peer has in force.
         self._told_version = 0
-        self._list_era: int | None = None
         self._restoration: restoration.Restoration | None = None
 
     async def follow_configuration(self) -> None:
@@ -112,7 +109,7 @@
             has_failed = False
             self._regain("configuration")
             try:
-                self._take_rows(news.rows, news.whole)
+                self._take_rows(news)
             except Exception:
                 _LOG.exception(logs.line("configuration-failed"))
             if self.table is None:
@@ -161,16 +158,18 @@
             _LOG.info(logs.line("catch-up-failed", reason=str(error)))
             return
         if news is not None:
-            self._take_rows(news.rows, news.whole)
+            self._take_rows(news)
             _LOG.info(
                 logs.line("caught-up", before=version, now=self._version()))
 
     def _version(self) -> int:
         return self.table.configuration.version if self.table else 0
 
-    def _take_rows(self, rows: storecalls.Rows, whole: bool) -> None:
-        self._see_operator_era(rows)
-        if whole:
+    def _take_rows(self, news: rowsource.News) -> None:
+        rows = news.rows
+        if news.restored:
+            self._doubt_configuration(rows)
+        if news.whole:
             self._stored = 0
         for row in rows.rows:
             if row.key == words.CONFIGURATION_KEY:
@@ -199,15 +198,12 @@
                 self._stored >= self._version() >= self._told_version and
                 rows.as_of_ms >= self._confirmed_from_ms)
 
-    def _see_operator_era(self, rows: storecalls.Rows) -> None:
-        """Notes in which era the configuration was read.
+    def _doubt_configuration(self, rows: storecalls.Rows) -> None:
+        """Confirms nothing for a while after a restore.
 
-        After a restore the one that is read may be older than one that was
-        accepted, which no node heard of; the operator writes that again.
+        The configuration that is read may be older than one that was accepted,
+        which no node heard of; the operator writes that again.
         """
-        before, self._operator_era = self._operator_era, rows.era
-        if before is None or before == rows.era:
-            return
         self._unread = 0
         self._restored_version = rows.version
         self._confirmed_from_ms = clock.now_ms() + restoration.REWRITTEN_MS
@@ -262,7 +258,7 @@
             self._regain("list")
             self._note_return()
             try:
-                self._take_list(news.rows, news.whole)
+                self._take_list(news)
             except Exception:
                 # One row that this version can't take must not end the
                 # reading of all later lists.
@@ -301,9 +297,11 @@
         finally:
             self._wanted.clear()
 
-    def _take_list(self, rows: storecalls.Rows, whole: bool) -> None:
-        self._see_list_era(rows)
-        if whole:
+    def _take_list(self, news: rowsource.News) -> None:
+        rows = news.rows
+        if news.restored:
+            self._begin_restoration(rows)
+        if news.whole:
             self._listed.clear()
         for row in rows.rows:
             # A row that can't be taken names no runner, whatever it said.
@@ -324,10 +322,7 @@
                           change=change,
                           list_version=rows.version))
 
-    def _see_list_era(self, rows: storecalls.Rows) -> None:
-        before, self._list_era = self._list_era, rows.era
-        if before is None or before == rows.era:
-            return
+    def _begin_restoration(self, rows: storecalls.Rows) -> None:
         now_ms = clock.now_ms()
         known = {each.id: each for each in self._counted()}
         self._restoration = restoration.Restoration(now_ms, rows.position,
--- a/cardamommill/gateway/rebalancing.py
+++ b/cardamommill/gateway/rebalancing.py
@@ -155,12 +155,10 @@
                now_ms: float) -> _Move | None:
         if now_ms < self._rests_ms.get((service, place), -math.inf):
             return None
-        open_groups: dict[str, list[fleetview.Group]] = {
-            each.name: [] for each in engine.models
+        open_groups = {
+            each.name: fleetview.serving(groups.values(), each.name)
+            for each in engine.models
         }
-        for group in groups.values():
-            if group.serves_here and group.model in open_groups:
-                open_groups[group.model].append(group)
         plan = self._plan(service, engine, scope, open_groups, place)
         if plan is None:
             return None
--- a/cardamommill/gateway/rowsource.py
+++ b/cardamommill/gateway/rowsource.py
@@ -33,10 +33,12 @@
     Attributes:
         rows: The whole table, or what changed in it.
         whole: Which of both.
+        restored: Whether the store was restored since the last reading.
     """
 
     rows: storecalls.Rows
     whole: bool
+    restored: bool
 
 
 class RowSource:
@@ -62,6 +64,8 @@
         self._last = sources.STORE
         # Up to where all is known; None where the whole is needed.
         self._known: eras.Position | None = None
+        # Of the last reading; None before the first.
+        self._era: int | None = None
 
     @property
     def is_direct(self) -> bool:
@@ -113,7 +117,9 @@
         # A peer may tell of an older time than who was asked before it.
         self._known = max(after or rows.position, rows.position)
         self._copy.take(rows, whole=after is None)
-        return News(rows, whole=after is None)
+        restored = self._era not in (None, rows.era)
+        self._era = rows.era
+        return News(rows, after is None, restored)
 
     async def read_ahead(self, version: int) -> News | None:
         """Returns at once what a peer tells that has a newer configuration.
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/strain.py
@@ -79,8 +79,7 @@
         for served in engine.models:
             keys = [
                 each.key
-                for each in groups.values()
-                if each.model == served.name and each.serves_here
+                for each in fleetview.serving(groups.values(), served.name)
             ]
             requests = sum(scope.load(each).all_requests for each in keys)
             waiting = sum(scope.load(each).patient for each in keys)
--- a/cardamommill/gateway/tables.py
+++ b/cardamommill/gateway/tables.py
@@ -34,12 +34,12 @@
         """
         if rows.position < self.position:
             return
-        is_first = not self.is_read
-        if rows.era != self.era:
-            if not whole:
-                return
+        is_new_era = rows.era != self.era
+        if is_new_era and not whole:
+            return
+        is_first = is_new_era or not self.is_read
+        if is_new_era:
             self._begin_era(rows.era)
-            is_first = True
         if is_first:
             self._kept_from = rows.version
         changes = self._news(rows) if whole else rows.rows
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -70,20 +70,10 @@
 class Store:
     """The store as one node sees it."""
 
-    def __init__(self,
-                 pool: upstream.Pool,
-                 address: upstream.Address,
-                 known: eras.Eras | None = None) -> None:
-        """Makes it.
-
-        Args:
-            pool: Connections.
-            address: Of the store.
-            known: The store's eras; kept up to date.
-        """
+    def __init__(self, pool: upstream.Pool, address: upstream.Address) -> None:
         self._pool = pool
         self._address = address
-        self.eras = known or eras.Eras()
+        self.eras = eras.Eras()
         self._refused_era: str | None = None
         self._peer = f"{address[0]}:{address[1]}"
         # This node's clock less the store's, never more than it is: a call
--- a/tests/experiment/test_shifted_work.py
+++ b/tests/experiment/test_shifted_work.py
@@ -2,26 +2,19 @@
 
 from cardamommill.experiment import deployments, world
 from cardamommill.gateway import rebalancing
+from tests.experiment import test_world
 
-MODELS = (deployments.ModelSpec(name="large", size=4, share=0.5, load_s=4),
-          deployments.ModelSpec(name="small",
-                                size=3,
-                                share=0.5,
-                                pace=0.6,
-                                load_s=4,
-                                warm_s=1.1))
-KINDS = (deployments.KindSpec(name="draft",
-                              per_s=1,
-                              model="large",
-                              prompt_tokens=1400,
-                              answer_tokens=175,
-                              goal_ms=300,
-                              deadline_ms=8000),
-         deployments.KindSpec(name="answer",
-                              per_s=33,
-                              model="small",
-                              prompt_tokens=700,
-                              answer_tokens=180))
+MODELS = tuple(
+    each.model_copy(update={
+        "share": 0.5,
+        "load_s": 4
+    }) for each in test_world.MODELS)
+DRAFT, ANSWER, *_ = test_world.KINDS
+KINDS = (DRAFT.model_copy(update={"per_s": 1}),
+         ANSWER.model_copy(update={
+             "per_s": 33,
+             "answer_tokens": 180
+         }))
 # By then a load has ended, and the groups of its runners stand.
 MOVED_MS = 11_000.0
 
--- a/tests/gateway/test_fleetview.py
+++ b/tests/gateway/test_fleetview.py
@@ -105,36 +105,28 @@
     assert not view.take_open("i-1", KEY, "large")
 
 
+def row(state, version):
+    return builders.runner(1,
+                           row_version=version,
+                           membership=builders.member(KEY, 0, state))
+
+
 def test_head_that_finished_after_its_close_is_known_to():
     """Its row says ready once more, between two readings of the list.
 
     Taken for a row of before the close, the group was waited for until its
     time was over, and its members served nobody.
     """
-    key = model.GroupKey("g", 1)
-
-    def row(state, version):
-        return builders.runner(1,
-                               row_version=version,
-                               membership=builders.member(key, 0, state))
-
     view = builders.view(row(STATE.OPEN, 1), at_ms=1000)
-    closing = builders.member(key, 0, STATE.CLOSING)
+    closing = builders.member(KEY, 0, STATE.CLOSING)
     view.take_order("i-1", 3, closing, 1500)
     view.take_list([row(STATE.READY, 2)], 2000)
     assert view.known["i-1"].membership.state is STATE.READY
 
 
 def test_row_of_before_a_group_was_opened_does_not_end_its_close():
-    key = model.GroupKey("g", 1)
-
-    def row(state, version):
-        return builders.runner(1,
-                               row_version=version,
-                               membership=builders.member(key, 0, state))
-
     view = builders.view(row(STATE.JOINING, 1), at_ms=1000)
-    closing = builders.member(key, 0, STATE.CLOSING)
+    closing = builders.member(KEY, 0, STATE.CLOSING)
     view.take_order("i-1", 3, closing, 1500)
     view.take_list([row(STATE.READY, 2)], 2000)
     assert view.known["i-1"].membership.state is STATE.CLOSING
--- a/tests/gateway/test_peerrows.py
+++ b/tests/gateway/test_peerrows.py
@@ -49,7 +49,7 @@
 def test_what_is_passed_on_is_dated_no_later_than_it_was_true():
 
     async def script(table, pool):
-        rows = await peerrows.PeerRows(pool, ADDRESS).table("t")
+        rows = await peerrows.PeerRows(pool, ADDRESS, eras.Eras()).table("t")
         return rows, table.as_of_ms
 
     rows, as_of_ms = served(script)
@@ -61,7 +61,7 @@
 def test_follower_hears_of_a_change_at_once():
 
     async def script(table, pool):
-        peer = peerrows.PeerRows(pool, ADDRESS)
+        peer = peerrows.PeerRows(pool, ADDRESS, eras.Eras())
         asking = asyncio.get_running_loop().create_task(
             peer.feed("t", eras.Position(0, 5), wait_ms=1000))
         await asyncio.sleep(0.2)
@@ -78,9 +78,10 @@
 def test_answer_without_news_comes_after_the_wait_and_is_as_old_as_the_copy():
 
     async def script(table, pool):
-        rows = await peerrows.PeerRows(pool, ADDRESS).feed("t",
-                                                           eras.Position(0, 5),
-                                                           wait_ms=400)
+        rows = await peerrows.PeerRows(pool, ADDRESS,
+                                       eras.Eras()).feed("t",
+                                                         eras.Position(0, 5),
+                                                         wait_ms=400)
         return rows, clock.now_ms() - rows.as_of_ms
 
     rows, age_ms = served(script)
@@ -96,7 +97,7 @@
     """
 
     async def script(table, pool):
-        peer = peerrows.PeerRows(pool, ADDRESS)
+        peer = peerrows.PeerRows(pool, ADDRESS, eras.Eras())
         asking = asyncio.get_running_loop().create_task(
             peer.feed("t", eras.Position(0, 5), wait_ms=400))
         await asyncio.sleep(0.3)
@@ -112,9 +113,10 @@
 
     async def script(table, pool):
         del table
-        await peerrows.PeerRows(pool, ADDRESS).feed("t",
-                                                    eras.Position(0, 2),
-                                                    wait_ms=100)
+        await peerrows.PeerRows(pool, ADDRESS,
+                                eras.Eras()).feed("t",
+                                                  eras.Position(0, 2),
+                                                  wait_ms=100)
 
     with pytest.raises(storecalls.HistoryLost):
         served(script)
@@ -125,7 +127,7 @@
 
     async def script(table, pool):
         del table
-        await peerrows.PeerRows(pool, ADDRESS).table("other")
+        await peerrows.PeerRows(pool, ADDRESS, eras.Eras()).table("other")
 
     with pytest.raises(exceptions.StoreError, match="503"):
         served(script)
@@ -148,7 +150,7 @@
 
     async def script(table, pool):
         del table
-        silent = peerrows.PeerRows(pool, ("10.1.0.9", 7340))
+        silent = peerrows.PeerRows(pool, ("10.1.0.9", 7340), eras.Eras())
         began_ms = clock.now_ms()
         with pytest.raises(exceptions.StoreError):
             await silent.feed("t", eras.Position(0, 5), wait_ms=450)
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/test_platformreader.py
@@ -17,6 +17,7 @@
 )
 from cardamommill.platform import storecalls, words
 
+CONFIG = (words.OPERATOR_TABLE, words.CONFIGURATION_KEY)
 DRAIN_MS = 2000.0
 # By then a change is known, and there is time to act on it.
 KNOWN_S = 0.7 * DRAIN_MS / 1000
@@ -78,6 +79,25 @@
         loop.run_until_complete(main())
 
 
+def configuration(version, **fields):
+    deployment = deployments.Deployment(name="one", models=(), kinds=())
+    return {**deployment.configuration(version, [("t", "k")]), **fields}
+
+
+def follow_configuration(script):
+    """Plays a script beside a reader that has version 3 for four seconds."""
+
+    async def both(one):
+        one.store.put(*CONFIG, configuration(3))
+        task = asyncio.get_running_loop().create_task(
+            one.reader.follow_configuration())
+        await asyncio.sleep(4.0)
+        await script(one)
+        task.cancel()
+
+    follow(both)
+
+
 def test_keys_are_not_confirmed_past_a_configuration_that_can_not_be_read():
     """A newer release's operator writes what this one can't read.
 
@@ -86,27 +106,17 @@
     were taken away would have worked for as long as the node lived.
     """
 
-    def configuration(version, **fields):
-        deployment = deployments.Deployment(name="one", models=(), kinds=())
-        return {**deployment.configuration(version, [("t", "k")]), **fields}
-
     async def script(one):
-        row = (words.OPERATOR_TABLE, words.CONFIGURATION_KEY)
-        one.store.put(*row, configuration(3))
-        task = asyncio.get_running_loop().create_task(
-            one.reader.follow_configuration())
-        await asyncio.sleep(4.0)
         assert one.fresh.keys_may_be_trusted(clock.now_ms())
-        one.store.put(*row, configuration(4, routes="none"))
+        one.store.put(*CONFIG, configuration(4, routes="none"))
         await asyncio.sleep(6.0)
         assert one.reader.table.configuration.version == 3
         assert not one.fresh.keys_may_be_trusted(clock.now_ms())
-        one.store.put(*row, configuration(5))
+        one.store.put(*CONFIG, configuration(5))
         await asyncio.sleep(0.1)
         assert one.fresh.keys_may_be_trusted(clock.now_ms())
-        task.cancel()
 
-    follow(script)
+    follow_configuration(script)
 
 
 def test_leaving_runner_is_known_well_within_its_bound():
@@ -189,28 +199,6 @@
     follow(script)
 
 
-def configuration(version):
-    deployment = deployments.Deployment(name="one", models=(), kinds=())
-    return deployment.configuration(version, [("t", "k")])
-
-
-def follow_configuration(script):
-    """Plays a script beside a reader that follows both tables."""
-
-    async def both(one):
-        one.store.put(*CONFIG, configuration(3))
-        task = asyncio.get_running_loop().create_task(
-            one.reader.follow_configuration())
-        await asyncio.sleep(4.0)
-        await script(one)
-        task.cancel()
-
-    follow(both)
-
-
-CONFIG = (words.OPERATOR_TABLE, words.CONFIGURATION_KEY)
-
-
 def test_configuration_stays_in_force_when_the_store_has_lost_it():
     """The store comes back with the one before; keys wait for the operator."""
 
