--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -263,8 +263,8 @@
         drain(runner)
         left_ms[runner.id] = clock.now_ms()
 
-    def timed(self, rows, whole):
-        take(self, rows, whole)
+    def timed(self, news):
+        take(self, news)
         if self._servers._choice._node in ("node-a-1", "node-a-2"):
             return
         for known in self._view.known.values():
