Log which runners name a rate limit, and what is sent to them

Nothing that is decided changes. What the logs of the incident could not tell: whether an answer named a limit, which node got such an answer, and which requests went to that runner later, as a first try or a repeat.

A limit is lifted only by an answer whose request was sent after it was last named, since answers on several connections overtake each other. A header that holds no decimal number is told in a line and changes nothing.

--- a/cardamommill/gateway/attempts.py
+++ b/cardamommill/gateway/attempts.py
@@ -58,8 +58,11 @@
     body: bytes = b""
 
 
-class EventSink(Protocol):
-    """Who takes a stream's events."""
+class AnswerSink(Protocol):
+    """Who takes an answer's head and a stream's events."""
+
+    def on_head(self, head: upstream.Head) -> None:
+        """Takes the head of an answer to this request."""
 
     def on_event(self, head: upstream.Head, event: eventcutter.Event) -> bool:
         """Takes a whole event; False where it does not follow the last."""
@@ -69,7 +72,7 @@
     """Receives one answer; see `upstream.Receiver`."""
 
     def __init__(self, attempt_id: str, streaming: bool,
-                 sink: EventSink) -> None:
+                 sink: AnswerSink) -> None:
         self.done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future())
         self.exchange: upstream.Exchange | None = None
@@ -104,6 +107,8 @@
                           status=head.status))
             return False
         self._head = head
+        if echo is not None:
+            self._sink.on_head(head)
         if self._streaming and head.status == _OK_FIRST and (
                 self._sound_success()):
             self._cutter = eventcutter.EventCutter()
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from cardamommill import logs, metrics
+from cardamommill import exceptions, logs, metrics
 from cardamommill.gateway import (
     admitting,
     attempts,
@@ -25,6 +25,7 @@
     placing,
     plainrunners,
     platformreader,
+    ratelimits,
     relay,
     reliability,
     reporting,
@@ -34,13 +35,16 @@
     standing,
     upstream,
 )
-from cardamommill.platform import words
+from cardamommill.platform import advice, words
 
 # A group that failed a request is left alone until its members were asked.
 FAULT_AVOID_MS = 300.0
 # A peer is asked for its confirmation once the own one is this old.
 OWN_CONFIRMATION_MS = 1500.0
 
+# Another runner may have answered, at an address that was given out again.
+_NOT_THIS_RUNNER = 421
+
 _WELL = frozenset({attempts.Result.ANSWERED, attempts.Result.STREAMED})
 _FINE = _WELL | {attempts.Result.ABANDONED}
 
@@ -77,6 +81,7 @@
         self._plain_runners = plainrunners.PlainRunners(self.reliability,
                                                         settings.data_centre,
                                                         self._chance)
+        self._rate_limits = ratelimits.RateLimits()
         # Requests whose try has brought nothing yet, and since when.
         self._unproven_ms: dict[relay.Relay, float] = {}
         # Who looks into a group that failed a request.
@@ -261,6 +266,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.begins(runner_id)
+        self._note_limited_send(one, runner_id)
         self._unproven_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
@@ -270,6 +276,41 @@
                             placed.patient)
         self.silence.sent(target.key, one.attempt_id, placed.expected, now_ms)
 
+    def _note_limited_send(self, one: relay.Relay, runner: str) -> None:
+        per_s = self._rate_limits.per_s(runner)
+        if per_s is None:
+            return
+        self._metrics.count("requests_sent_limited_total")
+        _LOG.info(
+            logs.line("limited-send",
+                      request=one.attempt_id,
+                      runner=runner,
+                      limit_per_s=per_s,
+                      tries=len(one.tried)))
+
+    def head_came(self, one: relay.Relay, target: relay.Target,
+                  head: upstream.Head, sent_ms: float) -> None:
+        """Takes what a runner asks of its callers in an answer."""
+        if head.status == _NOT_THIS_RUNNER:
+            return
+        runner = target.known.runner.id
+        try:
+            per_s = advice.rate_limit_per_s(head.headers, runner)
+        except exceptions.BadPeerMessage as error:
+            _LOG.warning(
+                logs.line("answer-header-ignored",
+                          request=one.attempt_id,
+                          reason=str(error)))
+            return
+        if self._rate_limits.take_answer(runner, per_s, sent_ms,
+                                         clock.now_ms()):
+            _LOG.warning(
+                logs.line("runner-limit",
+                          runner=runner,
+                          limit_per_s="none" if per_s is None else per_s,
+                          request=one.attempt_id,
+                          status=head.status))
+
     def event_came(self, one: relay.Relay, target: relay.Target) -> None:
         """Notes an event of a stream."""
         now_ms = clock.now_ms()
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -78,6 +78,10 @@
                      outcome: attempts.Outcome) -> None:
         """Notes the end of a try."""
 
+    def head_came(self, relay: "Relay", target: Target, head: upstream.Head,
+                  sent_ms: float) -> None:
+        """Notes the head of an answer to a try that was sent then."""
+
     def event_came(self, relay: "Relay", target: Target) -> None:
         """Notes an event of a stream."""
 
@@ -105,6 +109,7 @@
         # Those of them that count as runs: a stream runs from its first token.
         self._begun_at: list[Target] = []
         self._try_events = 0
+        self._try_sent_ms = 0.0
         # Whether the group that the try is at lost a member.
         self._is_dead = False
         # The newest event of the try, which its caller may have had before.
@@ -309,7 +314,7 @@
         self._try_last_id = None
         self._is_dead = False
         runner = target.known.runner
-        now_ms = clock.now_ms()
+        self._try_sent_ms = now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
         attempt.exchange = self._node.pool.send((runner.host, runner.port),
                                                 self._bytes(target, now_ms),
@@ -381,7 +386,12 @@
                            self.tenant.name if self.tenant else None, rank,
                            self.last_event_id))
 
-    # Events.
+    # Answers.
+
+    def on_head(self, head: upstream.Head) -> None:
+        """Takes the head of the answer to the try."""
+        assert self._target is not None
+        self._node.head_came(self, self._target, head, self._try_sent_ms)
 
     def on_event(self, head: upstream.Head, event: eventcutter.Event) -> bool:
         """Passes an event on, if it is the next one."""
--- /dev/null
+++ b/cardamommill/platform/advice.py
@@ -0,0 +1,34 @@
+"""Decodes what a runner asks of its callers in the headers of its answers."""
+
+import re
+
+from cardamommill import exceptions
+from cardamommill.gateway import headfields
+from cardamommill.platform import words
+
+_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+
+
+def rate_limit_per_s(headers: headfields.Headers, runner: str) -> float | None:
+    """Returns how many requests a second a runner takes from all nodes.
+
+    Args:
+        headers: Of one of its answers.
+        runner: Who answered.
+
+    Returns:
+        The limit, or None where the answer names none.
+
+    Raises:
+        BadPeerMessage: The header holds no decimal number.
+    """
+    text = headfields.first(headers, words.SERVER_LIMIT)
+    return None if text is None else _decimal(words.SERVER_LIMIT, text, runner)
+
+
+def _decimal(name: str, text: str, runner: str) -> float:
+    if not _DECIMAL.fullmatch(text.strip()):
+        raise exceptions.BadPeerMessage(f"{name}: no decimal number: {text!r}",
+                                        step="decode answer",
+                                        peer=runner)
+    return float(text)
--- a/cardamommill/platform/words.py
+++ b/cardamommill/platform/words.py
@@ -18,6 +18,8 @@
 LENGTH_HINT = "X-Cardamommill-Length-Hint"
 # In answers of the store: rises by one each time it is restored.
 STORE_ERA = "Store-Era"
+# Requests a second that a runner takes from all nodes, while it names it.
+SERVER_LIMIT = "Server-Limit"
 # The runner at fault in a 421 or 503 of a group's head.
 AT_SERVER = "At-Server"
 
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -169,6 +169,9 @@
     def attempt_ends(self, one, target, outcome):
         pass
 
+    def head_came(self, one, target, head, sent_ms):
+        pass
+
     def event_came(self, one, target):
         pass
 
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -31,6 +31,9 @@
     def __init__(self):
         self.events = []
 
+    def on_head(self, head):
+        pass
+
     def on_event(self, head, event):
         del head
         self.events.append(event.id)
--- a/tests/gateway/test_stray_bytes.py
+++ b/tests/gateway/test_stray_bytes.py
@@ -372,6 +372,9 @@
 
     class Sink:
 
+        def on_head(self, head):
+            pass
+
         def on_event(self, head, event):
             raise exceptions.AnswerOutOfOrder("a piece after all of it")
 
--- /dev/null
+++ b/tests/platform/test_advice.py
@@ -0,0 +1,23 @@
+"""Tests of what answers of runners ask of their callers."""
+
+import pytest
+
+from cardamommill import exceptions
+from cardamommill.platform import advice
+
+
+@pytest.mark.parametrize("text,per_s", [("3", 3.0), ("1.6", 1.6), ("0", 0.0),
+                                        (" 2.50 ", 2.5)])
+def test_limit_is_a_decimal_number(text, per_s):
+    assert advice.rate_limit_per_s([("server-limit", text)], "i-1") == per_s
+
+
+def test_answer_without_the_header_names_no_limit():
+    assert advice.rate_limit_per_s([("X-Other", "3")], "i-1") is None
+
+
+@pytest.mark.parametrize("text",
+                         ["", "-1", "1e3", "nan", "1,5", "0x1", "9" * 30, "١"])
+def test_malformed_limit_is_refused_with_its_runner(text):
+    with pytest.raises(exceptions.BadPeerMessage, match=r"decode answer.*i-1"):
+        advice.rate_limit_per_s([("Server-Limit", text)], "i-1")
