Test that a runner gets no more than the rate limit it names

The model's runners name a limit in all their answers, clients tell the oracle which node they sent to, and the oracle counts what comes from nodes that were told half a second before.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -71,7 +71,8 @@
                   "node_kill", "node_stop", "all_nodes_kill", "place_cut",
                   "store_silent", "store_busy", "store_slow", "store_compact",
                   "store_restored", "store_cut", "configuration", "revoke",
-                  "burst", "plain_cut", "heads_fail", "heads_reset"]
+                  "burst", "plain_cut", "heads_fail", "heads_reset",
+                  "heads_limited"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -190,12 +190,13 @@
             headers += [(words.MODEL, self._world.model_name(kind.model)),
                         (words.TOKEN_COUNTS, f"{prompt},{answer}"),
                         (words.LENGTH_HINT, str(answer))]
+        address = self._world.node_for(self._place, self._chance)
         self._judge.client_sends(
             attempt,
             oracle.Sent(clock.now_ms(), kind.method, target, body, key, tenant,
-                        kind.service, kind.repeatable))
+                        kind.service, kind.repeatable,
+                        address[0] if address else ""))
         receiver = _Receiver(kind, target, self._judge, attempt)
-        address = self._world.node_for(self._place, self._chance)
         if address is None:
             return 100.0
         exchange = self._pool.send(address,
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -62,12 +62,6 @@
         """The node closed its connection."""
         self.gone = True
 
-    def shed(self, runner: str) -> None:
-        """Answers that it did not run at this runner."""
-        self.reply.whole(503, [(words.ATTEMPT_ID, self.attempt),
-                               (words.NOT_EXECUTED, "1"),
-                               (words.AT_SERVER, runner)], b"")
-
 
 class ListedRunner:
     """What one life of a runner is and holds, and what it tells of it.
@@ -75,6 +69,7 @@
     Attributes:
         pace: How many times as long everything takes.
         fault: How it fails all that it is sent.
+        limit_per_s: The rate limit that it names, if it has one.
         late_orders_ms: If not 0, orders get no answer and are carried out late.
         begun: Its count of orders.
         beat_ms: When the platform heard of it last.
@@ -101,6 +96,7 @@
         self.members: tuple[str, ...] = ()
         self.pace = 1.0
         self.fault = Fault.NONE
+        self.limit_per_s: float | None = None
         self.late_orders_ms = 0.0
         self.begun = 0
         self.beat_ms = clock.now_ms()
@@ -192,6 +188,20 @@
                 break
         return told
 
+    def shed(self, job: Job) -> None:
+        """Answers that a request did not run here."""
+        job.reply.whole(503, [(words.ATTEMPT_ID, job.attempt),
+                              (words.NOT_EXECUTED, "1"),
+                              (words.AT_SERVER, self.id), *self._advice(job)],
+                        b"")
+
+    def _advice(self, job: Job) -> list[tuple[str, str]]:
+        """Returns what all its answers ask of its callers."""
+        self.fleet.oracle.names_limit(job.attempt, self.id, self.limit_per_s)
+        if self.limit_per_s is None:
+            return []
+        return [(words.SERVER_LIMIT, f"{self.limit_per_s:g}")]
+
     def answer_head(self, job: Job) -> list[tuple[str, str]]:
         """Returns the head fields of an answer."""
         running = self.running
@@ -199,7 +209,7 @@
                 (words.SEAL, f"{self.id}.{job.attempt}"),
                 (words.SERVER_LOAD,
                  f"{running},{len(self.jobs) - running},{self.slots}"),
-                ("Keep-Alive", "timeout=5")]
+                ("Keep-Alive", "timeout=5"), *self._advice(job)]
 
     def _entry(self) -> dict[str, Any]:
         entry: dict[str, Any] = {
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -34,7 +34,7 @@
             job.reply.whole(421, [(words.INSTANCE_ID, runner.id)], b"")
             return None
         if len(runner.jobs) >= engine.slots * (1 + QUEUE_PART):
-            job.shed(runner.id)
+            runner.shed(job)
             return None
         tokens = [
             int(each)
@@ -60,7 +60,7 @@
             if job.running:
                 job.reply.break_off()
             else:
-                job.shed(self._runner.id)
+                self._runner.shed(job)
 
     async def _run(self, key: model.GroupKey) -> None:
         runner = self._runner
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -94,7 +94,7 @@
 
     def _take_plain(self, job: modelfleet.Job) -> modelfleet.Job | None:
         if len(self.jobs) >= self.slots * PLAIN_QUEUE:
-            job.shed(self.id)
+            self.shed(job)
             return None
         self.jobs.append(job)
         asyncio.get_running_loop().create_task(self._work_plain(job))
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -7,6 +7,13 @@
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
+# A runner with a rate limit gets at most this much more than it allows, plus
+# some requests, in a window.
+RATE_WINDOW_MS = 4000.0
+RATE_OVERAGE = 1.5
+RATE_EXTRA = 5
+# A machine that has read an answer heeds it after this.
+HEEDED_MS = 500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +37,24 @@
     tenant: str
     service: str
     repeatable: bool
+    machine: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class RateLimit:
+    """A limit that a runner names.
+
+    Attributes:
+        per_s: Requests a second from all machines.
+        since_ms: When it was first named.
+        told_ms: When each machine was first told.
+        arrivals_ms: When requests of machines that were told came.
+    """
+
+    per_s: float
+    since_ms: float
+    told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    arrivals_ms: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +68,7 @@
     retry_slack: float = 130
     revoke_ms: float = 5000
     drain_ms: float = 2000
+    contact_ms: float = 3000
 
 
 class Oracle:
@@ -61,6 +87,7 @@
         self.loads_ms: list[float] = []
         self._firsts: dict[str, list[float]] = collections.defaultdict(list)
         self._repeats: dict[str, list[float]] = collections.defaultdict(list)
+        self._rate_limits: dict[str, RateLimit] = {}
         # Loads count only while the platform's store is well.
         self.counts_loads = True
 
@@ -86,6 +113,7 @@
             self.broken("UNASKED", f"{attempt} at {runner}: tenant {tenant!r}")
         if service != sent.service:
             self.broken("ROUTE", f"{attempt} at {service}, not {sent.service}")
+        self._check_rate(sent.machine, runner)
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
             self._repeats[service].append(clock.now_ms())
@@ -103,6 +131,39 @@
         if repeats > limits.retry_ratio * firsts + limits.retry_slack:
             self.broken("BUDGET", f"{service}: {repeats} repeats")
 
+    def names_limit(self, attempt: str, runner: str,
+                    per_s: float | None) -> None:
+        """Notes what a runner's answer says of its rate limit."""
+        if per_s is None:
+            self._rate_limits.pop(runner, None)
+            return
+        now_ms = clock.now_ms()
+        limit = self._rate_limits.setdefault(runner, RateLimit(per_s, now_ms))
+        limit.per_s = per_s
+        sent = self.sent.get(attempt)
+        if sent is not None:
+            limit.told_ms.setdefault(sent.machine, now_ms)
+
+    def machine_disturbed(self, machine: str) -> None:
+        """Notes a restart or cut of a machine, which excuses it."""
+        for limit in self._rate_limits.values():
+            limit.told_ms.pop(machine, None)
+
+    def _check_rate(self, machine: str, runner: str) -> None:
+        limit = self._rate_limits.get(runner)
+        now_ms = clock.now_ms()
+        if (limit is None or
+                limit.told_ms.get(machine, now_ms) + HEEDED_MS > now_ms):
+            return
+        limit.arrivals_ms.append(now_ms)
+        recent = sum(
+            now_ms - each < RATE_WINDOW_MS for each in limit.arrivals_ms)
+        allowed = (limit.per_s * RATE_WINDOW_MS / 1000 * RATE_OVERAGE +
+                   RATE_EXTRA)
+        if (recent > allowed and
+                now_ms - limit.since_ms > self._limits.contact_ms):
+            self.broken("LIMIT", f"{runner}: {recent} requests in a window")
+
     def begins(self, attempt: str, runner: str) -> None:
         """Notes that a runner begins to work on a request."""
         sent = self.sent.get(attempt)
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -126,9 +126,27 @@
     async def _heads_reset(self, trouble: deployments.Trouble) -> None:
         await self._fail_heads(trouble, modelfleet.Fault.RESET)
 
+    async def _heads_limited(self, trouble: deployments.Trouble) -> None:
+        """Has heads name a rate limit, the factor, in requests a second."""
+        limited = self._heads(trouble.count)
+        for runner in limited:
+            runner.limit_per_s = trouble.factor
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for runner in limited:
+            runner.limit_per_s = None
+
     async def _fail_heads(self, trouble: deployments.Trouble,
                           fault: modelfleet.Fault) -> None:
-        """Has heads of open groups fail all they are sent, and look well.
+        """Has heads of open groups fail all they are sent, and look well."""
+        failing = self._heads(trouble.count)
+        for runner in failing:
+            runner.fault = fault
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for runner in failing:
+            runner.fault = modelfleet.Fault.NONE
+
+    def _heads(self, count: int) -> list[modelfleet.ListedRunner]:
+        """Draws heads of open groups.
 
         Of each model as many, so that the others of each have room for all.
         """
@@ -143,12 +161,7 @@
             turns.append((nth[head.served], head.served, head))
             nth[head.served] += 1
         turns.sort(key=lambda each: each[:2])
-        failing = [head for _, _, head in turns[:trouble.count]]
-        for runner in failing:
-            runner.fault = fault
-        await asyncio.sleep(trouble.for_s or math.inf)
-        for runner in failing:
-            runner.fault = modelfleet.Fault.NONE
+        return [head for _, _, head in turns[:count]]
 
     async def _new_runners(self, trouble: deployments.Trouble) -> None:
         place = self._place(trouble)
@@ -218,6 +231,8 @@
     async def _place_cut(self, trouble: deployments.Trouble) -> None:
         place = self._place(trouble)
         network = self._world.loop.network
+        for machine in self._world.machines.values():
+            self._world.judge.machine_disturbed(machine.host)
         inside = [
             name for name, host in network.hosts.items() if host.place == place
         ]
