Keep to the rate limits that runners name, all nodes together

Cause: no node read the limit. An answer's headers went to its caller and were known to nobody else, so what a runner asked of its callers was never part of a decision.

Ruled out: nodes that keep to it each for itself (23 requests in 11 s by one node, to a runner that takes 1 a second); repeats, resumed streams and places in reserve (76 of 76 requests to the limited runner were first tries).

Change: what an answer says of its runner's limit is heard (backpressure.py) and kept with its age (ratelimits.py); nodes tell each other, so that those that were not answered keep to it too. Placement leaves out groups and plain runners that take nothing now, and refuses at once, with when one will, where there is no other.

Datagrams have a field more (format 5); those of formats 3 and 4 are understood.

--- /dev/null
+++ b/cardamommill/gateway/backpressure.py
@@ -0,0 +1,93 @@
+"""What runners ask of their callers: heard in answers, heeded in placement."""
+
+import logbook
+
+from cardamommill import exceptions, logs, metrics
+from cardamommill.gateway import (
+    clock,
+    model,
+    peermessage,
+    ratelimits,
+    upstream,
+)
+from cardamommill.platform import advice
+
+# Another runner may have answered, at an address that was given out again.
+_NOT_THIS_RUNNER = 421
+
+_LOG = logbook.Logger("requests")
+
+
+class Backpressure:
+    """Hears runners and other nodes, and says when a runner may be sent to."""
+
+    def __init__(self, rate_limits: ratelimits.RateLimits,
+                 figures: metrics.Metrics) -> None:
+        self._rate_limits = rate_limits
+        self._metrics = figures
+
+    def wait_ms(self, runner: model.Runner, now_ms: float) -> float:
+        """Returns how long a runner takes nothing of this node, 0 for now."""
+        return self._rate_limits.wait_ms(runner.id, runner.data_centre, now_ms)
+
+    def sent(self, request: str, runner: str, now_ms: float) -> None:
+        """Notes a request that is sent to a runner."""
+        per_s = self._rate_limits.per_s(runner)
+        if per_s is None:
+            return
+        self._rate_limits.sent(runner, now_ms)
+        self._metrics.count("requests_sent_limited_total")
+        _LOG.info(
+            logs.line("limited-send",
+                      request=request,
+                      runner=runner,
+                      limit_per_s=per_s))
+
+    def take_head(self, request: str, runner: str, head: upstream.Head,
+                  sent_ms: float) -> None:
+        """Takes the head of an answer.
+
+        Args:
+            request: The id of the attempt that was answered.
+            runner: To whom it was sent.
+            head: Of the answer.
+            sent_ms: When it was sent.
+        """
+        if head.status == _NOT_THIS_RUNNER:
+            return
+        try:
+            per_s = advice.rate_limit_per_s(head.headers, runner)
+        except exceptions.BadPeerMessage as error:
+            _LOG.warning(
+                logs.line("answer-header-ignored",
+                          request=request,
+                          reason=str(error)))
+            return
+        if self._rate_limits.take_answer(runner, per_s, sent_ms,
+                                         clock.now_ms()):
+            _log_limit(runner, per_s, request=request, status=head.status)
+
+    def hear(self, message: peermessage.PeerMessage, now_ms: float) -> None:
+        """Takes what a peer tells of runners."""
+        for each in self._rate_limits.hear(message.limits, message.sent_ms,
+                                           now_ms):
+            _log_limit(each.runner,
+                       each.per_s,
+                       peer=message.node,
+                       age_ms=int(now_ms - each.as_of_ms))
+
+    def news(self, now_ms: float) -> tuple[ratelimits.RateLimit, ...]:
+        """Returns what other nodes should hear of runners."""
+        return self._rate_limits.news(now_ms)
+
+    def forget(self, now_ms: float) -> None:
+        """Forgets what is old."""
+        self._rate_limits.forget(now_ms)
+
+
+def _log_limit(runner: str, per_s: float | None, **told: object) -> None:
+    _LOG.warning(
+        logs.line("runner-limit",
+                  runner=runner,
+                  limit_per_s="none" if per_s is None else per_s,
+                  **told))
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -8,10 +8,11 @@
 
 import logbook
 
-from cardamommill import exceptions, logs, metrics
+from cardamommill import logs, metrics
 from cardamommill.gateway import (
     admitting,
     attempts,
+    backpressure,
     callers,
     clock,
     entrysettings,
@@ -35,16 +36,13 @@
     standing,
     upstream,
 )
-from cardamommill.platform import advice, words
+from cardamommill.platform import words
 
 # A group that failed a request is left alone until its members were asked.
 FAULT_AVOID_MS = 300.0
 # A peer is asked for its confirmation once the own one is this old.
 OWN_CONFIRMATION_MS = 1500.0
 
-# Another runner may have answered, at an address that was given out again.
-_NOT_THIS_RUNNER = 421
-
 _WELL = frozenset({attempts.Result.ANSWERED, attempts.Result.STREAMED})
 _FINE = _WELL | {attempts.Result.ABANDONED}
 
@@ -81,7 +79,8 @@
         self._plain_runners = plainrunners.PlainRunners(self.reliability,
                                                         settings.data_centre,
                                                         self._chance)
-        self._rate_limits = ratelimits.RateLimits()
+        self.backpressure = backpressure.Backpressure(
+            ratelimits.RateLimits(settings.node, others.living), figures)
         # Requests whose try has brought nothing yet, and since when.
         self._unproven_ms: dict[relay.Relay, float] = {}
         # Who looks into a group that failed a request.
@@ -132,6 +131,7 @@
         """Forgets old faults."""
         self._plain_runners.forget(now_ms)
         self.reliability.forget(now_ms)
+        self.backpressure.forget(now_ms)
 
     def table(self) -> routetable.RouteTable | None:
         """Returns the configuration in force."""
@@ -210,6 +210,7 @@
                     reading_tokens=load.unread_tokens,
                     fail_odds=odds,
                     rests=self.reliability.rests(head, now_ms),
+                    wait_ms=self.backpressure.wait_ms(each.head.runner, now_ms),
                     connected=self.pool.has_idle(
                         (each.head.runner.host, each.head.runner.port))))
         excluded = frozenset(
@@ -237,8 +238,14 @@
         if not usable:
             return placing.Refused("no runner",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
-
-        return relay.Target(self._plain_runners.best(usable, now_ms))
+        waits_ms = {
+            each.runner.id: self.backpressure.wait_ms(each.runner, now_ms)
+            for each in usable
+        }
+        takers = [each for each in usable if not waits_ms[each.runner.id]]
+        if not takers:
+            return placing.no_taker(waits_ms.values(), self._chance.random())
+        return relay.Target(self._plain_runners.best(takers, now_ms))
 
     def may_repeat(self, service: str) -> bool:
         """Whether the retry budget allows one more."""
@@ -266,7 +273,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.begins(runner_id)
-        self._note_limited_send(one, runner_id)
+        self.backpressure.sent(one.attempt_id, runner_id, now_ms)
         self._unproven_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
@@ -276,40 +283,11 @@
                             placed.patient)
         self.silence.sent(target.key, one.attempt_id, placed.expected, now_ms)
 
-    def _note_limited_send(self, one: relay.Relay, runner: str) -> None:
-        per_s = self._rate_limits.per_s(runner)
-        if per_s is None:
-            return
-        self._metrics.count("requests_sent_limited_total")
-        _LOG.info(
-            logs.line("limited-send",
-                      request=one.attempt_id,
-                      runner=runner,
-                      limit_per_s=per_s,
-                      tries=len(one.tried)))
-
     def head_came(self, one: relay.Relay, target: relay.Target,
                   head: upstream.Head, sent_ms: float) -> None:
         """Takes what a runner asks of its callers in an answer."""
-        if head.status == _NOT_THIS_RUNNER:
-            return
-        runner = target.known.runner.id
-        try:
-            per_s = advice.rate_limit_per_s(head.headers, runner)
-        except exceptions.BadPeerMessage as error:
-            _LOG.warning(
-                logs.line("answer-header-ignored",
-                          request=one.attempt_id,
-                          reason=str(error)))
-            return
-        if self._rate_limits.take_answer(runner, per_s, sent_ms,
-                                         clock.now_ms()):
-            _LOG.warning(
-                logs.line("runner-limit",
-                          runner=runner,
-                          limit_per_s="none" if per_s is None else per_s,
-                          request=one.attempt_id,
-                          status=head.status))
+        self.backpressure.take_head(one.attempt_id, target.known.runner.id,
+                                    head, sent_ms)
 
     def event_came(self, one: relay.Relay, target: relay.Target) -> None:
         """Notes an event of a stream."""
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -238,6 +238,7 @@
         for alarm in message.alarms:
             is_news |= self._alarms.hear(alarm, message.node, now_ms, is_far)
         self._requests.reliability.hear(message.tries, message.node, now_ms)
+        self._requests.backpressure.hear(message, now_ms)
         if is_far and is_news:
             # Only reporters of this data centre are told of it at once.
             self._link.tell_news(now_ms, far=False)
@@ -262,6 +263,7 @@
             for key, (at_ms, name, head) in self._opened.items()
             if now_ms - at_ms < alarms.NEWS_MS)
         is_near = audience is peers.Audience.NEAR
+        is_far = audience is peers.Audience.FAR
         reliability = self._requests.reliability
         return peermessage.PeerMessage(
             node=self._settings.node,
@@ -280,7 +282,8 @@
             stopping=bool(self._stopping_ms),
             plans_ms=self._peers.plans_ms(now_ms),
             sums=self._sums(now_ms, audience),
-            store_lost=self._reader.lost_store(now_ms))
+            store_lost=self._reader.lost_store(now_ms),
+            limits=() if is_far else self._requests.backpressure.news(now_ms))
 
     def _sums(self, now_ms: float,
               audience: peers.Audience) -> reporting.Sums | None:
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/peermessage.py
@@ -1,19 +1,26 @@
 """What nodes tell each other in datagrams."""
 
 import dataclasses
+import math
 import struct
 from typing import Any
 
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import flights, model, reliability, reporting
+from cardamommill.gateway import (
+    flights,
+    model,
+    ratelimits,
+    reliability,
+    reporting,
+)
 
 # Larger datagrams are cut into fragments, and one lost loses all.
 MAX_BYTES = 1400
-FORMAT = 4
-# Of nodes of the former version, which tell neither sums nor of the store.
-FORMER_FORMAT = 3
+FORMAT = 5
+# What nodes of former versions leave out at the end of their messages.
+FORMER_FORMATS: dict[int, list[Any]] = {3: [None, False, []], 4: [[]]}
 # The format, and what differs between receivers: `echo_ms`, `interval_ms`. All
 # else is packed once for all of them: for each it took a node of 71 some 3 ms
 # a heartbeat.
@@ -70,6 +77,8 @@
         sums: From a reporter: to another data centre the sums of its own, to
             its own those of all others.
         store_lost: Whether the store fails it.
+        limits: Rate limits that runners named, or lifted, of late; their times
+            are by the sender's clock.
     """
 
     node: str
@@ -89,6 +98,7 @@
     plans_ms: dict[str, float]
     sums: reporting.Sums | None = None
     store_lost: bool = False
+    limits: tuple[ratelimits.RateLimit, ...] = ()
 
 
 def datagram(echo_ms: float, interval_ms: float, body: bytes) -> bytes:
@@ -139,7 +149,8 @@
         ] for each in message.tries], message.requests_seen, message.stopping, {
             name: int(age) for name, age in message.plans_ms.items()
         }, [message.sums.age_ms, sums] if message.sums else None,
-        message.store_lost
+        message.store_lost,
+        _limits(message)
     ])
     return packed
 
@@ -153,13 +164,13 @@
     try:
         form, echo_ms, interval_ms = _HEAD.unpack_from(data)
         fields = msgpack.unpackb(memoryview(data)[_HEAD.size:])
-        if form == FORMER_FORMAT:
-            fields += [None, False]
-        elif form != FORMAT:
-            raise ValueError(f"format {form}")
+        if form != FORMAT:
+            if form not in FORMER_FORMATS:
+                raise ValueError(f"format {form}")
+            fields += FORMER_FORMATS[form]
         (node, incarnation, data_centre, sent_ms, version, age, in_flight,
          alarms, opened, tries, requests_seen, stopping, plans, sums,
-         store_lost) = fields
+         store_lost, limits) = fields
         return PeerMessage(
             str(node), int(incarnation), str(data_centre), float(sent_ms),
             echo_ms, interval_ms, int(version), float(age), {
@@ -184,7 +195,8 @@
                 for runner, well, failures in tries), bool(requests_seen),
             bool(stopping), {
                 str(name): float(age) for name, age in plans.items()
-            }, _sums(sums), bool(store_lost))
+            }, _sums(sums), bool(store_lost),
+            tuple(_limit(float(sent_ms), *each) for each in limits))
     except (ValueError, TypeError, AttributeError, struct.error,
             msgpack.exceptions.UnpackException,
             msgpack.exceptions.ExtraData) as error:
@@ -193,6 +205,22 @@
                                         peer=peer) from None
 
 
+def _limits(message: PeerMessage) -> list[list[Any]]:
+    return [[
+        each.runner, each.per_s,
+        int(message.sent_ms - each.as_of_ms), each.origin, each.origin_ms
+    ] for each in message.limits]
+
+
+def _limit(sent_ms: float, runner: Any, per_s: Any, age_ms: Any, origin: Any,
+           origin_ms: Any) -> ratelimits.RateLimit:
+    rate = None if per_s is None else float(per_s)
+    if rate is not None and not 0 <= rate < math.inf:
+        raise ValueError(f"no rate: {rate}")
+    return ratelimits.RateLimit(str(runner), rate, sent_ms - float(age_ms),
+                                str(origin), float(origin_ms))
+
+
 def _load(numbers: list[Any]) -> flights.GroupLoad:
     requests, patient, unread_tokens = map(int, numbers)
     return flights.GroupLoad(requests, patient, unread_tokens)
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -238,6 +238,15 @@
         if before != (self.is_reporter, self._far_reporters):
             self._look_soon()
 
+    def living(self, now_ms: float) -> dict[str, list[str]]:
+        """Returns the names of living nodes by data centre, with this one."""
+        names = {self._data_centre: [self._node]}
+        for each in self.alive(now_ms):
+            if each.last is not None:
+                names.setdefault(each.last.data_centre,
+                                 []).append(each.last.node)
+        return names
+
     def near_loads(self) -> reporting.Loads:
         """Returns the sums of what the other nodes of this place have."""
         return reporting.added(
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/placing.py
@@ -48,6 +48,7 @@
         patient: Requests that wait behind those that can be in time.
         fail_odds: How likely its head fails the next try.
         rests: Whether its head failed a moment ago.
+        wait_ms: How long its head takes nothing more of this node.
         connected: Whether a kept connection to its head stands idle.
     """
 
@@ -62,6 +63,7 @@
     patient: int = 0
     fail_odds: float = 0.0
     rests: bool = False
+    wait_ms: float = 0.0
     connected: bool = False
 
     @property
@@ -198,9 +200,10 @@
         form_ms: When a missing group should stand again.
     """
     standing = [each for each in candidates if each.key not in excluded]
-    placed = [
-        _expect(engine, work, each, wish.overhead_ms) for each in standing
-    ]
+    takers = [each for each in standing if not each.wait_ms]
+    if standing and not takers:
+        return no_taker((each.wait_ms for each in standing), wish.spread)
+    placed = [_expect(engine, work, each, wish.overhead_ms) for each in takers]
     sound = [each for each in placed if not each.candidate.is_doubted]
     doubted = [
         each for each in placed
@@ -216,6 +219,18 @@
     return Refused("no group stands", wait_ms * (1 + wish.spread / 4))
 
 
+def no_taker(waits_ms: Iterable[float], spread: float) -> Refused:
+    """Returns the refusal where no runner takes a request of this node now.
+
+    Args:
+        waits_ms: How long each takes none.
+        spread: From 0 to 1, so that callers do not come back all at once.
+    """
+    wait_ms = max(MIN_RETRY_AFTER_MS, min(waits_ms))
+    return Refused("no runner takes more now",
+                   min(MAX_FULL_RETRY_AFTER_MS, wait_ms * (1 + spread)))
+
+
 def _best(engine: model.Engine, placed: list[Placed],
           wish: Wish) -> Placed | None:
     in_time = [each for each in placed if each.first_event_ms <= wish.goal_ms]
--- a/tests/gateway/test_peermessage.py
+++ b/tests/gateway/test_peermessage.py
@@ -1,5 +1,6 @@
 """Tests of datagrams between nodes."""
 
+import dataclasses
 import struct
 
 import hypothesis
@@ -12,6 +13,7 @@
     flights,
     model,
     peermessage,
+    ratelimits,
     reliability,
     reporting,
 )
@@ -55,15 +57,16 @@
         peermessage.decode(data, "10.0.0.9")
 
 
-def test_node_of_the_former_version_is_understood():
+@pytest.mark.parametrize("form,left_out", [(3, 3), (4, 1)])
+def test_node_of_a_former_version_is_understood(form, left_out):
     """A roll-out replaces nodes one by one; new ones know those that live."""
     key = model.GroupKey("g", 3)
     sent = test_peers.message("n",
                               "a",
                               alarms=(peermessage.Alarm(key, 40.0, True),))
-    fields = msgpack.unpackb(encoded(sent)[17:])[:-2]
+    fields = msgpack.unpackb(encoded(sent)[17:])[:-left_out]
     fields[7][0] = fields[7][0][:4]
-    former = struct.pack("!Bdd", peermessage.FORMER_FORMAT, 0.0, 200.0)
+    former = struct.pack("!Bdd", form, 0.0, 200.0)
     assert peermessage.decode(former + msgpack.packb(fields), "peer") == sent
 
 
@@ -72,7 +75,29 @@
                           ["x", []], 7, [1.0, [[3, 1, 0, 0, 9]]]])
 def test_sums_that_are_cut_or_no_sums_are_refused_whole(sums):
     fields = msgpack.unpackb(encoded(test_peers.message("n", "a"))[17:])
-    fields[-2] = sums
+    fields[-3] = sums
+    with pytest.raises(exceptions.BadPeerMessage):
+        peermessage.decode(
+            peermessage.datagram(0.0, 200.0, msgpack.packb(fields)), "peer")
+
+
+LIMIT = ratelimits.RateLimit("i-0123456789", 1.6, 500.0, "n", 500.25)
+
+
+@pytest.mark.parametrize("limit",
+                         [LIMIT, dataclasses.replace(LIMIT, per_s=None)])
+def test_rate_limits_are_told_with_their_age(limit):
+    sent = test_peers.message("n", "a", sent_ms=900.0, limits=(limit,))
+    assert peermessage.decode(encoded(sent), "peer").limits == (limit,)
+
+
+@pytest.mark.parametrize("limits", [
+    7, [["i-1", 1.0, 5]], [["i-1", -1.0, 5, "n", 1.0]],
+    [["i-1", float("nan"), 5, "n", 1.0]], [["i-1", "x", 5, "n", 1.0]]
+])
+def test_limits_that_are_cut_or_no_limits_are_refused_whole(limits):
+    fields = msgpack.unpackb(encoded(test_peers.message("n", "a"))[17:])
+    fields[-1] = limits
     with pytest.raises(exceptions.BadPeerMessage):
         peermessage.decode(
             peermessage.datagram(0.0, 200.0, msgpack.packb(fields)), "peer")
@@ -92,6 +117,7 @@
                               "a",
                               in_flight=many,
                               tries=failing,
+                              limits=(LIMIT,) * ratelimits.MAX_TOLD,
                               sums=sums)
     data = encoded(sent)
     assert len(data) <= peermessage.MAX_BYTES
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -33,6 +33,19 @@
     assert not placed.patient
 
 
+def test_group_whose_head_takes_nothing_now_is_left_out():
+    placed = place(candidate("a", 0, wait_ms=300.0), candidate("b", 12))
+    assert placed.candidate.key.name == "b"
+
+
+def test_request_that_no_head_takes_now_is_told_when_one_will():
+    """Sent all the same it exceeds the limits; held it is only told later."""
+    refused = place(candidate("a", wait_ms=900.0), candidate("b",
+                                                             wait_ms=600.0))
+    assert refused.reason == "no runner takes more now"
+    assert 600.0 <= refused.retry_after_ms <= 1200.0
+
+
 def test_group_nearby_is_taken_where_both_are_as_good():
     placed = place(candidate("a", 2, away=True), candidate("b", 2))
     assert placed.candidate.key.name == "b"
