Log which runners ask for rest, and what is sent to them meanwhile

Nothing that is decided changes. What the logs of the incident could not tell: whether a refusal asked for rest and for how long, and whether what was sent to the runner within it was a first try or a repeat. Both have a line and a count now. A header that holds no decimal number of seconds is told in a line and changes nothing.

--- a/cardamommill/gateway/backpressure.py
+++ b/cardamommill/gateway/backpressure.py
@@ -1,5 +1,8 @@
 """What runners ask of their callers: heard in answers, heeded in placement."""
 
+from collections.abc import Iterator
+import contextlib
+
 import logbook
 
 from cardamommill import exceptions, logs, metrics
@@ -14,6 +17,7 @@
 
 # Another runner may have answered, at an address that was given out again.
 _NOT_THIS_RUNNER = 421
+_REFUSALS = frozenset({429, 503})
 
 _LOG = logbook.Logger("requests")
 
@@ -25,13 +29,25 @@
                  figures: metrics.Metrics) -> None:
         self._rate_limits = rate_limits
         self._metrics = figures
+        # Until when a runner wants nothing of this node.
+        self._rests_until_ms: dict[str, float] = {}
 
     def wait_ms(self, runner: model.Runner, now_ms: float) -> float:
         """Returns how long a runner takes nothing of this node, 0 for now."""
         return self._rate_limits.wait_ms(runner.id, runner.data_centre, now_ms)
 
-    def sent(self, request: str, runner: str, now_ms: float) -> None:
-        """Notes a request that is sent to a runner."""
+    def sent(self, request: str, runner: str, repeat: bool,
+             now_ms: float) -> None:
+        """Notes a request that is sent to a runner, or once more."""
+        rest_ms = self._rests_until_ms.get(runner, 0.0) - now_ms
+        if rest_ms > 0:
+            self._metrics.count("requests_sent_resting_total")
+            _LOG.warning(
+                logs.line("resting-send",
+                          request=request,
+                          runner=runner,
+                          rest_ms=int(rest_ms),
+                          repeat=repeat))
         per_s = self._rate_limits.per_s(runner)
         if per_s is None:
             return
@@ -41,7 +57,8 @@
             logs.line("limited-send",
                       request=request,
                       runner=runner,
-                      limit_per_s=per_s))
+                      limit_per_s=per_s,
+                      repeat=repeat))
 
     def take_head(self, request: str, runner: str, head: upstream.Head,
                   sent_ms: float) -> None:
@@ -55,17 +72,28 @@
         """
         if head.status == _NOT_THIS_RUNNER:
             return
-        try:
+        now_ms = clock.now_ms()
+        with _ignoring_malformed(request):
             per_s = advice.rate_limit_per_s(head.headers, runner)
-        except exceptions.BadPeerMessage as error:
-            _LOG.warning(
-                logs.line("answer-header-ignored",
-                          request=request,
-                          reason=str(error)))
+            if self._rate_limits.take_answer(runner, per_s, sent_ms, now_ms):
+                _log_limit(runner, per_s, request=request, status=head.status)
+        if head.status in _REFUSALS:
+            with _ignoring_malformed(request):
+                rest_ms = advice.rest_ms(head.headers, runner)
+                self._take_rest(request, runner, rest_ms, now_ms)
+
+    def _take_rest(self, request: str, runner: str, rest_ms: float,
+                   now_ms: float) -> None:
+        if not rest_ms:
             return
-        if self._rate_limits.take_answer(runner, per_s, sent_ms,
-                                         clock.now_ms()):
-            _log_limit(runner, per_s, request=request, status=head.status)
+        self._rests_until_ms[runner] = max(
+            now_ms + rest_ms, self._rests_until_ms.get(runner, 0.0))
+        self._metrics.count("runners_asked_for_rest_total")
+        _LOG.warning(
+            logs.line("runner-rests",
+                      runner=runner,
+                      rest_ms=int(rest_ms),
+                      request=request))
 
     def hear(self, message: peermessage.PeerMessage, now_ms: float) -> None:
         """Takes what a peer tells of runners."""
@@ -83,6 +111,19 @@
     def forget(self, now_ms: float) -> None:
         """Forgets what is old."""
         self._rate_limits.forget(now_ms)
+        clock.forget_old(self._rests_until_ms, float, 0.0, now_ms)
+
+
+@contextlib.contextmanager
+def _ignoring_malformed(request: str) -> Iterator[None]:
+    """Has a header that can't be read change nothing but the log."""
+    try:
+        yield
+    except exceptions.BadPeerMessage as error:
+        _LOG.warning(
+            logs.line("answer-header-ignored",
+                      request=request,
+                      reason=str(error)))
 
 
 def _log_limit(runner: str, per_s: float | None, **told: object) -> None:
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -273,7 +273,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.begins(runner_id)
-        self.backpressure.sent(one.attempt_id, runner_id, now_ms)
+        self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
         self._unproven_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
--- a/cardamommill/platform/advice.py
+++ b/cardamommill/platform/advice.py
@@ -2,7 +2,7 @@
 
 import re
 
-from cardamommill import exceptions
+from cardamommill import exceptions, units
 from cardamommill.gateway import headfields
 from cardamommill.platform import words
 
@@ -26,6 +26,22 @@
     return None if text is None else _decimal(words.SERVER_LIMIT, text, runner)
 
 
+def rest_ms(headers: headfields.Headers, runner: str) -> float:
+    """Returns for how long a runner that refused wants nothing of this node.
+
+    Args:
+        headers: Of its answer.
+        runner: Who answered.
+
+    Raises:
+        BadPeerMessage: The header holds no decimal number of seconds.
+    """
+    text = headfields.first(headers, words.RETRY_AFTER)
+    if text is None:
+        return 0.0
+    return units.MS_PER_S * _decimal(words.RETRY_AFTER, text, runner)
+
+
 def _decimal(name: str, text: str, runner: str) -> float:
     if not _DECIMAL.fullmatch(text.strip()):
         raise exceptions.BadPeerMessage(f"{name}: no decimal number: {text!r}",
--- a/tests/platform/test_advice.py
+++ b/tests/platform/test_advice.py
@@ -16,8 +16,15 @@
     assert advice.rate_limit_per_s([("X-Other", "3")], "i-1") is None
 
 
+def test_rest_is_asked_for_in_seconds():
+    assert advice.rest_ms([("Retry-After", "0.25")], "i-1") == 250.0
+    assert not advice.rest_ms([], "i-1")
+
+
+@pytest.mark.parametrize("decode", [advice.rate_limit_per_s, advice.rest_ms])
 @pytest.mark.parametrize("text",
                          ["", "-1", "1e3", "nan", "1,5", "0x1", "9" * 30, "١"])
-def test_malformed_limit_is_refused_with_its_runner(text):
+def test_malformed_number_is_refused_with_its_runner(text, decode):
+    headers = [("Server-Limit", text), ("Retry-After", text)]
     with pytest.raises(exceptions.BadPeerMessage, match=r"decode answer.*i-1"):
-        advice.rate_limit_per_s([("Server-Limit", text)], "i-1")
+        decode(headers, "i-1")
