Test that a runner that asks for rest is left alone

The model's heads turn all away and ask for rest; the oracle counts what a machine sends later than half a second after it was asked.

--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -69,6 +69,7 @@
     Attributes:
         pace: How many times as long everything takes.
         fault: How it fails all that it is sent.
+        rest_s: If not 0, it turns all away and asks for so long a rest.
         limit_per_s: The rate limit that it names, if it has one.
         late_orders_ms: If not 0, orders get no answer and are carried out late.
         begun: Its count of orders.
@@ -96,6 +97,7 @@
         self.members: tuple[str, ...] = ()
         self.pace = 1.0
         self.fault = Fault.NONE
+        self.rest_s = 0.0
         self.limit_per_s: float | None = None
         self.late_orders_ms = 0.0
         self.begun = 0
@@ -190,9 +192,15 @@
 
     def shed(self, job: Job) -> None:
         """Answers that a request did not run here."""
-        job.reply.whole(503, [(words.ATTEMPT_ID, job.attempt),
-                              (words.NOT_EXECUTED, "1"),
-                              (words.AT_SERVER, self.id), *self._advice(job)],
+        rest = []
+        if self.rest_s:
+            self.fleet.oracle.asks_for_rest(job.attempt, self.id,
+                                            1000 * self.rest_s)
+            rest = [(words.RETRY_AFTER, f"{self.rest_s:g}")]
+        job.reply.whole(503,
+                        [(words.ATTEMPT_ID, job.attempt),
+                         (words.NOT_EXECUTED, "1"),
+                         (words.AT_SERVER, self.id), *rest, *self._advice(job)],
                         b"")
 
     def _advice(self, job: Job) -> list[tuple[str, str]]:
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -78,6 +78,9 @@
         job = modelfleet.Job(request, reply, attempt,
                              int(request.get(words.REQUEST_PRIORITY) or 5), 0.0,
                              1, 1)
+        if self.rest_s:
+            self.shed(job)
+            return None
         if self.fault is not modelfleet.Fault.NONE:
             self._fail(job)
             return None
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -14,6 +14,8 @@
 RATE_EXTRA = 5
 # A machine that has read an answer heeds it after this.
 HEEDED_MS = 500.0
+# A runner that asked a machine for rest gets at most this many more from it.
+REST_EXTRA = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +59,20 @@
     arrivals_ms: list[float] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class Rest:
+    """A time in which a runner wants nothing from a machine.
+
+    Attributes:
+        arrived: Requests that came all the same, later than the machine could
+            have been on its way with them.
+    """
+
+    from_ms: float
+    until_ms: float
+    arrived: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Figures of the rules."""
@@ -88,6 +104,9 @@
         self._firsts: dict[str, list[float]] = collections.defaultdict(list)
         self._repeats: dict[str, list[float]] = collections.defaultdict(list)
         self._rate_limits: dict[str, RateLimit] = {}
+        # By runner and machine.
+        self._rests: dict[tuple[str, str],
+                          list[Rest]] = collections.defaultdict(list)
         # Loads count only while the platform's store is well.
         self.counts_loads = True
 
@@ -114,6 +133,7 @@
         if service != sent.service:
             self.broken("ROUTE", f"{attempt} at {service}, not {sent.service}")
         self._check_rate(sent.machine, runner)
+        self._check_rests(sent.machine, runner)
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
             self._repeats[service].append(clock.now_ms())
@@ -148,6 +168,28 @@
         """Notes a restart or cut of a machine, which excuses it."""
         for limit in self._rate_limits.values():
             limit.told_ms.pop(machine, None)
+        for (_, resting), rests in self._rests.items():
+            if resting == machine:
+                rests.clear()
+
+    def asks_for_rest(self, attempt: str, runner: str, rest_ms: float) -> None:
+        """Notes a refusal that says how long its runner wants nothing."""
+        now_ms = clock.now_ms()
+        machine = self.sent[attempt].machine
+        self._rests[(runner,
+                     machine)].append(Rest(now_ms + HEEDED_MS,
+                                           now_ms + rest_ms))
+
+    def _check_rests(self, machine: str, runner: str) -> None:
+        now_ms = clock.now_ms()
+        for rest in self._rests.get((runner, machine), ()):
+            if not rest.from_ms < now_ms <= rest.until_ms:
+                continue
+            rest.arrived += 1
+            if rest.arrived > REST_EXTRA:
+                self.broken(
+                    "BUDGET", f"{runner} asked {machine} for rest: "
+                    f"{rest.arrived} requests")
 
     def _check_rate(self, machine: str, runner: str) -> None:
         limit = self._rate_limits.get(runner)
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -135,6 +135,15 @@
         for runner in limited:
             runner.limit_per_s = None
 
+    async def _heads_rest(self, trouble: deployments.Trouble) -> None:
+        """Has heads turn all away and ask for a rest, the factor, in s."""
+        resting = self._heads(trouble.count)
+        for runner in resting:
+            runner.rest_s = trouble.factor
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for runner in resting:
+            runner.rest_s = 0.0
+
     async def _fail_heads(self, trouble: deployments.Trouble,
                           fault: modelfleet.Fault) -> None:
         """Has heads of open groups fail all they are sent, and look well."""
