Test that a runner that says that it leaves gets no new requests

A rule that is new on the users' pages (DRAIN by Server-Leaving). A restart of the node excuses it, a cut does not, so the oracle notes them apart.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -72,7 +72,8 @@
                   "store_silent", "store_busy", "store_slow", "store_compact",
                   "store_restored", "store_cut", "configuration", "revoke",
                   "burst", "plain_cut", "heads_fail", "heads_reset",
-                  "heads_limited", "heads_rest", "plain_limited", "plain_rest"]
+                  "heads_limited", "heads_rest", "heads_leave", "plain_limited",
+                  "plain_rest"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -205,10 +205,15 @@
 
     def _advice(self, job: Job) -> list[tuple[str, str]]:
         """Returns what all its answers ask of its callers."""
-        self.fleet.oracle.names_limit(job.attempt, self.id, self.limit_per_s)
-        if self.limit_per_s is None:
-            return []
-        return [(words.SERVER_LIMIT, f"{self.limit_per_s:g}")]
+        judge = self.fleet.oracle
+        judge.names_limit(job.attempt, self.id, self.limit_per_s)
+        told = []
+        if self.limit_per_s is not None:
+            told.append((words.SERVER_LIMIT, f"{self.limit_per_s:g}"))
+        if self.leaving:
+            judge.tells_leaving(job.attempt, self.id)
+            told.append((words.SERVER_LEAVING, "1"))
+        return told
 
     def answer_head(self, job: Job) -> list[tuple[str, str]]:
         """Returns the head fields of an answer."""
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -107,6 +107,8 @@
         # By runner and machine.
         self._rests: dict[tuple[str, str],
                           list[Rest]] = collections.defaultdict(list)
+        # By runner and machine.
+        self._leaving_told_ms: dict[tuple[str, str], float] = {}
         # Loads count only while the platform's store is well.
         self.counts_loads = True
 
@@ -134,6 +136,7 @@
             self.broken("ROUTE", f"{attempt} at {service}, not {sent.service}")
         self._check_rate(sent.machine, runner)
         self._check_rests(sent.machine, runner)
+        self._check_leaving(attempt, runner)
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
             self._repeats[service].append(clock.now_ms())
@@ -164,8 +167,28 @@
         if sent is not None:
             limit.told_ms.setdefault(sent.machine, now_ms)
 
-    def machine_disturbed(self, machine: str) -> None:
-        """Notes a restart or cut of a machine, which excuses it."""
+    def tells_leaving(self, attempt: str, runner: str) -> None:
+        """Notes an answer that says that its runner leaves."""
+        machine = self.sent[attempt].machine
+        self._leaving_told_ms.setdefault((runner, machine), clock.now_ms())
+
+    def _check_leaving(self, attempt: str, runner: str) -> None:
+        sent = self.sent[attempt]
+        told_ms = self._leaving_told_ms.get((runner, sent.machine))
+        if (told_ms is not None and
+                sent.at_ms > told_ms + self._limits.drain_ms):
+            self.broken(
+                "DRAIN", f"{attempt} at {runner}, which had told "
+                f"{sent.machine} that it leaves")
+
+    def machine_restarted(self, machine: str) -> None:
+        """Notes a restart of a machine, which forgets what it read."""
+        self.machine_cut(machine)
+        for told in [each for each in self._leaving_told_ms if machine in each]:
+            del self._leaving_told_ms[told]
+
+    def machine_cut(self, machine: str) -> None:
+        """Notes a cut of a machine, which excuses what others don't tell it."""
         for limit in self._rate_limits.values():
             limit.told_ms.pop(machine, None)
         for (_, resting), rests in self._rests.items():
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -208,16 +208,27 @@
         for runner in slow:
             runner.pace = 1.0
 
-    async def _runners_drain(self, trouble: deployments.Trouble) -> None:
-        leaving = self._joined(trouble)
+    async def _heads_leave(self, trouble: deployments.Trouble) -> None:
+        """Has heads leave that can't report so, and serve on for a while."""
+        leaving = self._heads(trouble.count)
         for runner in leaving:
-            runner.drain()
-        await asyncio.sleep(4.0)
+            runner.store_cut = runner.leaving = True
+        await asyncio.sleep(trouble.for_s)
+        self._end_for_good(leaving)
+
+    def _end_for_good(self, leaving: list[modelfleet.ListedRunner]) -> None:
         for runner in leaving:
             runner.end()
             self._world.store.drop(words.SERVERS_TABLE, runner.id)
             self._world.loop.network.end_processes(runner.host)
 
+    async def _runners_drain(self, trouble: deployments.Trouble) -> None:
+        leaving = self._joined(trouble)
+        for runner in leaving:
+            runner.drain()
+        await asyncio.sleep(4.0)
+        self._end_for_good(leaving)
+
     async def _runners_cut(self, trouble: deployments.Trouble) -> None:
         cut = self._joined(trouble)
         for runner in cut:
@@ -262,7 +273,7 @@
         place = self._place(trouble)
         network = self._world.loop.network
         for machine in self._world.machines.values():
-            self._world.judge.machine_disturbed(machine.host)
+            self._world.judge.machine_cut(machine.host)
         inside = [
             name for name, host in network.hosts.items() if host.place == place
         ]
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -229,7 +229,7 @@
     async def kill_node(self, name: str, for_s: float) -> None:
         """Ends a node's process at once, and starts another later."""
         machine = self.machines[name]
-        self.judge.machine_disturbed(machine.host)
+        self.judge.machine_restarted(machine.host)
         if machine.task is not None:
             machine.task.cancel()
         self.loop.network.end_processes(machine.host)
--- a/cardamommill/platform/words.py
+++ b/cardamommill/platform/words.py
@@ -20,6 +20,8 @@
 STORE_ERA = "Store-Era"
 # Requests a second that a runner takes from all nodes, while it names it.
 SERVER_LIMIT = "Server-Limit"
+# In all answers of a runner that leaves.
+SERVER_LEAVING = "Server-Leaving"
 # In a refusal of a runner: for how many seconds it wants nothing of this node.
 RETRY_AFTER = "Retry-After"
 # The runner at fault in a 421 or 503 of a group's head.
--- a/tests/experiment/test_limited_runners.py
+++ b/tests/experiment/test_limited_runners.py
@@ -77,3 +77,15 @@
                    kinds=PLAIN)
     assert not outcome.violations
     assert test_sharing.served(outcome, FROM_S, 12.0) > 0.98
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("places", [PLACES, {"a": 16, "b": 8}])
+def test_runner_that_says_that_it_leaves_gets_no_new_requests(places, seed):
+    """The store does not hear of it, and keeps its entry until it lapses."""
+    outcome = play(test_world.trouble("heads_leave", FROM_S, count=2,
+                                      for_s=7.0),
+                   places=places,
+                   kinds=BEARABLE,
+                   seed=seed)
+    assert not outcome.violations
