Send nothing new to a runner that says in its answers that it leaves

What callers would have seen: nothing, or a request cut off when the runner ends.

Cause: the same as for limits and rests, answers' headers were known to nobody but the caller. That a runner leaves was learned from the store's list alone, which does not tell it where the runner reaches no store, or never reports it.

Change: the word of the runner itself holds to the end of that life, beside the list's (fleetview.py): it is not used for new requests, its group is one that retires, and a planner that hears of it forms another.

Ids differ between lives, so another life at the address is used.

--- a/cardamommill/gateway/backpressure.py
+++ b/cardamommill/gateway/backpressure.py
@@ -8,6 +8,7 @@
 from cardamommill import exceptions, logs, metrics
 from cardamommill.gateway import (
     clock,
+    fleetview,
     model,
     peermessage,
     ratelimits,
@@ -25,8 +26,10 @@
 class Backpressure:
     """Hears runners and other nodes, and says when a runner may be sent to."""
 
-    def __init__(self, rate_limits: ratelimits.RateLimits,
+    def __init__(self, view: fleetview.FleetView,
+                 rate_limits: ratelimits.RateLimits,
                  figures: metrics.Metrics) -> None:
+        self._view = view
         self._rate_limits = rate_limits
         self._metrics = figures
         # Until when a runner wants nothing of this node.
@@ -80,11 +83,20 @@
             per_s = advice.rate_limit_per_s(head.headers, runner)
             if self._rate_limits.take_answer(runner, per_s, sent_ms, now_ms):
                 _log_limit(runner, per_s, request=request, status=head.status)
+        with _ignoring_malformed(request):
+            if advice.is_leaving(head.headers, runner):
+                self._take_leaving(request, runner, now_ms)
         if head.status in _REFUSALS:
             with _ignoring_malformed(request):
                 rest_ms = advice.rest_ms(head.headers, runner)
                 self._take_rest(request, runner, rest_ms, now_ms)
 
+    def _take_leaving(self, request: str, runner: str, now_ms: float) -> None:
+        if self._view.take_leaving(runner, now_ms):
+            _LOG.info(
+                logs.line("runner-told-leaving", runner=runner,
+                          request=request))
+
     def _take_rest(self, request: str, runner: str, rest_ms: float,
                    now_ms: float) -> None:
         if not rest_ms:
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -80,7 +80,7 @@
                                                         settings.data_centre,
                                                         self._chance)
         self.backpressure = backpressure.Backpressure(
-            ratelimits.RateLimits(settings.node, others.living), figures)
+            view, ratelimits.RateLimits(settings.node, others.living), figures)
         # Requests whose try has brought nothing yet, and since when.
         self._unproven_ms: dict[relay.Relay, float] = {}
         # Who looks into a group that failed a request.
--- a/cardamommill/gateway/fleetsummary.py
+++ b/cardamommill/gateway/fleetsummary.py
@@ -61,7 +61,7 @@
                 add: Callable[[str, str], None]) -> None:
     if known.down_ms:
         add("down", "runners")
-    elif known.runner.leaving:
+    elif known.is_leaving:
         add("leaving", "runners")
     elif judges.is_free(known):
         staging = judges.spares.is_staging(known.runner.id)
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -36,6 +36,7 @@
         silent_ms: When it was last asked in vain.
         back_ms: When it last answered again after that.
         leaving_ms: When it was first seen to leave; 0 while it is not.
+        told_leaving: Whether an answer of its own said that it leaves.
         last_model: The model of its last group, for which joining is quick.
         pace: Of its newest report; over 1 is slow.
         order_ms: When it last answered an order of this node.
@@ -54,6 +55,7 @@
     silent_ms: float = 0.0
     back_ms: float = 0.0
     leaving_ms: float = 0.0
+    told_leaving: bool = False
     last_model: str = ""
     pace: float = 1.0
     order_ms: float = 0.0
@@ -64,7 +66,12 @@
     @property
     def usable(self) -> bool:
         """Whether it may be ordered to work."""
-        return self.listed and not self.down_ms and not self.runner.leaving
+        return self.listed and not self.down_ms and not self.is_leaving
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it leaves, by the list's word or its own."""
+        return self.runner.leaving or self.told_leaving
 
     @property
     def membership(self) -> model.Membership | None:
@@ -184,10 +191,10 @@
         known.runner = runner
         known.listed = True
         known.listed_ms = as_of_ms
-        if runner.leaving and not known.leaving_ms:
+        if known.is_leaving and not known.leaving_ms:
             known.leaving_ms = as_of_ms
             yield runner.id, "leaving"
-        if not runner.leaving:
+        if not known.is_leaving:
             known.leaving_ms = 0.0
         if is_news:
             self._join(known, runner.standing, said, read_before_ms, as_of_ms)
@@ -232,6 +239,20 @@
         self.version += 1
         return True
 
+    def take_leaving(self, runner_id: str, now_ms: float) -> bool:
+        """Takes a runner's own word that it leaves; True where that is news.
+
+        It holds to the end of that life, whatever the list says: a runner that
+        does not reach the store is listed as ready until its entry lapses.
+        """
+        known = self.known.get(runner_id)
+        if known is None or known.told_leaving:
+            return False
+        known.told_leaving = True
+        known.leaving_ms = known.leaving_ms or now_ms
+        self.version += 1
+        return True
+
     def take_order(self, runner_id: str, orders_begun: int,
                    membership: model.Membership | None, now_ms: float) -> None:
         """Notes what an accepted order made of a runner."""
--- a/cardamommill/gateway/standing.py
+++ b/cardamommill/gateway/standing.py
@@ -93,4 +93,4 @@
     return Standing(group.key, group.model, head,
                     max(each.pace for each in group.members.values()),
                     len(group.domains) > 1,
-                    any(each.runner.leaving for each in group.members.values()))
+                    any(each.is_leaving for each in group.members.values()))
--- a/cardamommill/gateway/tending.py
+++ b/cardamommill/gateway/tending.py
@@ -107,9 +107,7 @@
             return f"{down[0]} does not answer"
         if head is not None and not head.listed:
             return "its head left the list"
-        leaving = [
-            each for each in group.members.values() if each.runner.leaving
-        ]
+        leaving = [each for each in group.members.values() if each.is_leaving]
         if leaving:
             since_ms = min(each.leaving_ms for each in leaving)
             idle = not scope.load(group.key).all_requests
@@ -149,7 +147,7 @@
     def _ask_the_silent(self, service: str, scope: planning.Scope,
                         now_ms: float) -> Iterator[planning.Action]:
         for known in self._view.of_service(service):
-            if not known.down_ms or known.runner.leaving:
+            if not known.down_ms or known.is_leaving:
                 continue
             if known.runner.data_centre not in scope.data_centres:
                 continue
--- a/cardamommill/platform/advice.py
+++ b/cardamommill/platform/advice.py
@@ -7,6 +7,8 @@
 from cardamommill.platform import words
 
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+_YES = "1"
+_NO = "0"
 
 
 def rate_limit_per_s(headers: headfields.Headers, runner: str) -> float | None:
@@ -26,6 +28,23 @@
     return None if text is None else _decimal(words.SERVER_LIMIT, text, runner)
 
 
+def is_leaving(headers: headfields.Headers, runner: str) -> bool:
+    """Returns whether a runner says that it leaves.
+
+    Args:
+        headers: Of one of its answers.
+        runner: Who answered.
+
+    Raises:
+        BadPeerMessage: The header says neither yes nor no.
+    """
+    text = headfields.first(headers, words.SERVER_LEAVING) or _NO
+    if text.strip() not in (_YES, _NO):
+        raise _malformed(words.SERVER_LEAVING, f"neither yes nor no: {text!r}",
+                         runner)
+    return text.strip() == _YES
+
+
 def rest_ms(headers: headfields.Headers, runner: str) -> float:
     """Returns for how long a runner that refused wants nothing of this node.
 
@@ -44,7 +63,11 @@
 
 def _decimal(name: str, text: str, runner: str) -> float:
     if not _DECIMAL.fullmatch(text.strip()):
-        raise exceptions.BadPeerMessage(f"{name}: no decimal number: {text!r}",
-                                        step="decode answer",
-                                        peer=runner)
+        raise _malformed(name, f"no decimal number: {text!r}", runner)
     return float(text)
+
+
+def _malformed(name: str, why: str, runner: str) -> exceptions.BadPeerMessage:
+    return exceptions.BadPeerMessage(f"{name}: {why}",
+                                     step="decode answer",
+                                     peer=runner)
--- a/tests/platform/test_advice.py
+++ b/tests/platform/test_advice.py
@@ -21,6 +21,17 @@
     assert not advice.rest_ms([], "i-1")
 
 
+def test_runner_says_that_it_leaves():
+    assert advice.is_leaving([("server-leaving", "1")], "i-1")
+    assert not advice.is_leaving([("server-leaving", "0")], "i-1")
+    assert not advice.is_leaving([], "i-1")
+
+
+def test_leaving_that_says_neither_yes_nor_no_is_refused():
+    with pytest.raises(exceptions.BadPeerMessage, match=r"neither.*i-1"):
+        advice.is_leaving([("Server-Leaving", "soon")], "i-1")
+
+
 @pytest.mark.parametrize("decode", [advice.rate_limit_per_s, advice.rest_ms])
 @pytest.mark.parametrize("text",
                          ["", "-1", "1e3", "nan", "1,5", "0x1", "9" * 30, "١"])
