--- a/tests/experiment/test_mixes.py
+++ b/tests/experiment/test_mixes.py
@@ -12,7 +12,12 @@
 
 @pytest.mark.parametrize("seed", range(3000, 3004))
 def test_no_rule_is_broken_in_a_mix_with_a_restored_store(seed):
-    assert not mixes.play(seed, restored=True).violations
+    assert not mixes.play(seed, "restored").violations
+
+
+@pytest.mark.parametrize("seed", range(4000, 4004))
+def test_no_rule_is_broken_in_a_mix_where_runners_ask_for_less(seed):
+    assert not mixes.play(seed, "advice").violations
 
 
 def test_mixes_differ_and_repeat():
--- a/tests/mixes.py
+++ b/tests/mixes.py
@@ -1,10 +1,11 @@
 """Draws mixes of troubles and plays them against whole nodes.
 
-Usage: python -m tests.mixes FIRST COUNT [restored]
+Usage: python -m tests.mixes FIRST COUNT [restored|advice]
 
 Each seed gives two to four troubles at times of their own, and a run; a seed
 that breaks a rule is printed with what broke, and gives exit code 1. With
-"restored" the store also comes back from a backup in each.
+"restored" the store also comes back from a backup in each, with "advice"
+runners also name limits, ask for rest or say that they leave.
 """
 
 import random
@@ -77,6 +78,15 @@
     },
 }
 
+# What runners may ask of their callers, and how much of it.
+ADVICE = {
+    "heads_limited": (0.5, 4.0),
+    "heads_rest": (0.5, 4.0),
+    "heads_leave": (1.0, 1.0),
+    "plain_limited": (1.0, 6.0),
+    "plain_rest": (0.5, 4.0),
+}
+
 
 def draw(seed: int) -> list[dict[str, object]]:
     """Returns the troubles of a seed."""
@@ -100,19 +110,35 @@
     ]
 
 
-def play(seed: int, restored: bool = False) -> world.Outcome:
-    """Plays the mix of a seed."""
-    drawn = draw_restore(seed) if restored else draw(seed)
-    return test_world.play(*drawn, seed=seed)
+def draw_advice(seed: int) -> list[dict[str, object]]:
+    """Returns the troubles of a seed, and runners that ask for less."""
+    chance = random.Random(seed)
+    asked = chance.sample(sorted(ADVICE), 2)
+    return draw(seed) + [
+        test_world.trouble(kind,
+                           at_s=round(chance.uniform(0.5, 4.0), 2),
+                           count=chance.randint(1, 2),
+                           for_s=round(chance.uniform(1.0, 6.0), 2),
+                           factor=round(chance.uniform(*ADVICE[kind]), 2))
+        for kind in asked
+    ]
+
+
+MIXES = {"": draw, "restored": draw_restore, "advice": draw_advice}
+
+
+def play(seed: int, kind: str = "") -> world.Outcome:
+    """Plays the mix of a seed, one of a kind in `MIXES`."""
+    return test_world.play(*MIXES[kind](seed), seed=seed)
 
 
-def main(first: int, count: int, restored: bool = False) -> int:
+def main(first: int, count: int, mix: str = "") -> int:
     """Plays seeds in turn; returns the exit code."""
     known = deployments.Trouble.model_fields["kind"].annotation
     assert set(KINDS) <= set(known.__args__)
     broken = 0
     for seed in range(first, first + count):
-        violations = play(seed, restored).violations
+        violations = play(seed, mix).violations
         if violations:
             broken += 1
             print(f"seed {seed}: {violations}", flush=True)
@@ -121,4 +147,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), "restored" in sys.argv))
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), *sys.argv[3:4]))
