Wake those who wait for a table in the order in which they came

Cause: followers of a copy were kept in a set, which goes by memory addresses, so the order in which they were told of a change, and with it that of packets, was another each time.

Change: kept in order. The new test failed before.

--- a/cardamommill/gateway/eras.py
+++ b/cardamommill/gateway/eras.py
@@ -26,7 +26,8 @@
     def __init__(self) -> None:
         self._first: int | None = None
         self._newest = 0
-        self._waiting: set[asyncio.Future[None]] = set()
+        # In the order in which they came.
+        self._waiting: dict[asyncio.Future[None], None] = {}
 
     @property
     def newest(self) -> int:
@@ -60,11 +61,11 @@
         if self._newest > era:
             return True
         waiting = asyncio.get_running_loop().create_future()
-        self._waiting.add(waiting)
+        self._waiting[waiting] = None
         try:
             await asyncio.wait_for(waiting, within_ms / 1000)
         except TimeoutError:
             return False
         finally:
-            self._waiting.discard(waiting)
+            del self._waiting[waiting]
         return True
--- a/cardamommill/gateway/tables.py
+++ b/cardamommill/gateway/tables.py
@@ -24,7 +24,8 @@
         self._changes: deque[storecalls.Row] = deque()
         # All that changed after this version is kept.
         self._kept_from = 0
-        self._waiting: set[asyncio.Future[None]] = set()
+        # In the order in which they came.
+        self._waiting: dict[asyncio.Future[None], None] = {}
 
     def take(self, rows: storecalls.Rows, whole: bool) -> None:
         """Takes an answer: the whole table, or what changed in it.
@@ -117,13 +118,13 @@
     async def changed(self, within_ms: float) -> None:
         """Returns at the next change, or after a time without any."""
         waiting = asyncio.get_running_loop().create_future()
-        self._waiting.add(waiting)
+        self._waiting[waiting] = None
         try:
             await asyncio.wait_for(waiting, max(0.0, within_ms) / 1000)
         except TimeoutError:
             return
         finally:
-            self._waiting.discard(waiting)
+            del self._waiting[waiting]
 
     def _wake(self) -> None:
         for each in self._waiting:
--- a/tests/gateway/test_tables.py
+++ b/tests/gateway/test_tables.py
@@ -1,5 +1,6 @@
 """Tests of copies of the store's tables."""
 
+import asyncio
 import dataclasses
 
 import hypothesis
@@ -123,3 +124,22 @@
             followed.pop(each.key, None)
         else:
             followed[each.key] = dataclasses.replace(each)
+
+
+def test_followers_hear_of_a_change_in_the_order_in_which_they_came():
+    """In no certain order, the same seed gave two different plays."""
+    table = tables.Table()
+    heard = []
+
+    async def follow(number):
+        await table.changed(1000)
+        heard.append(number)
+
+    async def work():
+        following = [asyncio.create_task(follow(each)) for each in range(60)]
+        await asyncio.sleep(0)
+        table.take(rows(row("a", 1), version=1), whole=True)
+        await asyncio.gather(*following)
+
+    asyncio.run(work())
+    assert heard == list(range(60))
