--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -1,10 +1,16 @@
-"""Who the other nodes are, what they told last, and who plans for whom."""
+"""Who the other nodes are, and what they told last."""
 
 import dataclasses
 import enum
 import heapq
 
-from cardamommill.gateway import flights, model, peermessage, reporting
+from cardamommill.gateway import (
+    election,
+    flights,
+    model,
+    peermessage,
+    reporting,
+)
 
 Address = tuple[str, int]
 
@@ -35,8 +41,6 @@
 UNHEARD_MS = 3000.0
 # Nothing is planned before the other nodes had time to be heard.
 SETTLE_MS = 500.0
-# Two that began to plan within this did not hear of each other in time.
-TOGETHER_MS = 500.0
 # A float's last digit must not have a peer told a tick late.
 LOOK_MARGIN_MS = 1.0
 # How long in-flight counts of a peer are worth something.
@@ -115,7 +119,7 @@
         self._address = address
         self._started_ms = now_ms
         self._most_alive = 1
-        self._plans_since_ms: dict[str, float] = {}
+        self._election = election.Election(node, data_centre)
         self._loads: dict[model.GroupKey, flights.GroupLoad] = {}
         self.peers: dict[Address, Peer] = {}
         # Whether this node speaks for its data centre, and to whom it does.
@@ -263,7 +267,7 @@
         near = sum(each.is_near for each in self.peers.values())
         far = len(self.peers) - near
         self._near_ms = max(HEARTBEAT_MS, 1000 * near / NEAR_PER_S)
-        if self._plans_since_ms:
+        if self.plans:
             self._near_ms = min(self._near_ms, PLANNER_HEARTBEAT_MS)
         nodes = 1 + len(self.peers)
         far_per_s = max(LEAST_FAR_PER_S, FAR_PER_S * min(1, FEW_NODES / nodes))
@@ -317,13 +321,7 @@
 
     def planned_data_centres(self, data_centres: tuple[str, ...],
                              now_ms: float) -> frozenset[str]:
-        """Returns the data centres whose runners this node orders.
-
-        Whoever plans for one goes on while it lives: a node that comes back
-        does not know what was begun. Where nobody plans, the first living
-        node of the data centre does, or else the first of all; first is the
-        lowest name.
-        """
+        """Returns the data centres whose runners this node orders."""
         if now_ms - self._started_ms < SETTLE_MS:
             return frozenset()
         alive = [
@@ -331,16 +329,11 @@
             for each in self.alive(now_ms)
             if each.last and not self._is_dark(each.last.data_centre, now_ms)
         ]
-        planners = [each for each in alive if each.plans_ms]
         planned = self.plans
-        for data_centre in data_centres:
-            if self._should_plan(data_centre, alive, planners, now_ms):
-                self._plans_since_ms.setdefault(data_centre, now_ms)
-            else:
-                self._plans_since_ms.pop(data_centre, None)
+        self._election.hold(data_centres, alive, now_ms)
         if self.plans != planned:
             self._look_soon()
-        return frozenset(self._plans_since_ms)
+        return self._election.won
 
     def _is_dark(self, data_centre: str, now_ms: float) -> bool:
         """Whether a data centre that reported does so no more.
@@ -352,38 +345,14 @@
         return (self.is_reporter and reported_ms is not None and
                 now_ms - reported_ms > DARK_MS)
 
-    def _should_plan(self, data_centre: str,
-                     alive: list[peermessage.PeerMessage],
-                     planners: list[peermessage.PeerMessage],
-                     now_ms: float) -> bool:
-        since_ms = self._plans_since_ms.get(data_centre)
-        others = [(each.plans_ms[data_centre], each.node)
-                  for each in planners
-                  if data_centre in each.plans_ms]
-        if since_ms is not None:
-            # The longest plans on; of two that began together, the lowest.
-            age_ms = now_ms - since_ms
-            return all(age_ms > other_ms + TOGETHER_MS or
-                       (age_ms > other_ms - TOGETHER_MS and self._node < name)
-                       for other_ms, name in others)
-        if others:
-            return False
-        nodes = [(self._data_centre, self._node)]
-        nodes += [(each.data_centre, each.node) for each in alive]
-        local = sorted(name for place, name in nodes if place == data_centre)
-        return self._node == (local or sorted(name for _, name in nodes))[0]
-
     @property
     def plans(self) -> bool:
         """Whether this node orders any runners."""
-        return bool(self._plans_since_ms)
+        return bool(self._election.won)
 
     def plans_ms(self, now_ms: float) -> dict[str, float]:
         """Returns for how long this node has planned for whom."""
-        return {
-            name: now_ms - since_ms
-            for name, since_ms in self._plans_since_ms.items()
-        }
+        return self._election.ages_ms(now_ms)
 
     def in_flight(self,
                   now_ms: float) -> dict[model.GroupKey, flights.GroupLoad]:
