--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/entrynode.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from cardamommill import exceptions, logs, metrics
+from cardamommill import logs, metrics
 from cardamommill.gateway import (
     alarms,
     callers,
@@ -22,16 +22,19 @@
     holding,
     model,
     nodelink,
+    openedgroups,
     peermessage,
     peerrows,
     peers,
     planning,
     platformreader,
+    questions,
     relay,
     replies,
     reporting,
     routetable,
     rowsource,
+    settingsfile,
     sources,
     standing,
     tables,
@@ -64,8 +67,7 @@
             path: Where they came from, to be read again.
         """
         self._settings = settings
-        self._path = path
-        self._settings_stamp = _stamp(path)
+        self._settings_file = settingsfile.SettingsFile(path)
         now_ms = clock.now_ms()
         self._incarnation = int(now_ms)
         self.metrics = metrics.Metrics()
@@ -79,9 +81,9 @@
         self._stopping_ms = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = callers.CallerServer(self._on_request, self._on_refused)
-        # The balancer's questions and the reading of figures.
-        self._questions = callers.CallerServer(self._on_question,
-                                               self._on_refused)
+        self._questions = callers.CallerServer(
+            questions.Questions(self._ready, self.metrics).answer,
+            self._on_refused)
         self._freshness = freshness.Freshness(settings.bounds.revoke_ms)
         self._store = storecalls.Store(self.pool,
                                        entrysettings.address(settings.platform))
@@ -110,7 +112,7 @@
         self._requests.on_fault = self._alarms.probe
         self._requests.on_refusal = self._alarms.refused
         self._requests.expected_ms = self._keeper.expected_ms
-        self._opened: dict[model.GroupKey, tuple[float, str, str]] = {}
+        self._opened = openedgroups.OpenedGroups(self.view)
         self._ticks = 0
         self._done: asyncio.Event
 
@@ -234,7 +236,7 @@
                                  now_ms)
         is_news = False
         for opened in message.opened:
-            is_news |= self._hear_opened(opened, message.node, is_far, now_ms)
+            is_news |= self._opened.hear(opened, message.node, is_far, now_ms)
         for alarm in message.alarms:
             is_news |= self._alarms.hear(alarm, message.node, now_ms, is_far)
         self._requests.reliability.hear(message.tries, message.node, now_ms)
@@ -243,25 +245,12 @@
             # Only reporters of this data centre are told of it at once.
             self._link.tell_news(now_ms, far=False)
 
-    def _hear_opened(self, opened: peermessage.OpenedGroup, peer: str,
-                     is_far: bool, now_ms: float) -> bool:
-        if not self.view.take_open(opened.head, opened.key, opened.model):
-            return False
-        _LOG.info(logs.line("group-open-heard", group=opened.key, peer=peer))
-        if is_far:
-            self._opened[opened.key] = (now_ms, opened.model, opened.head)
-        return True
-
     def _on_return(self, data_centre: str) -> None:
         self._alarms.ask_again(clock.now_ms(), data_centre)
 
     def _compose(self, now_ms: float,
                  audience: peers.Audience) -> peermessage.PeerMessage:
         table = self._reader.table
-        opened = tuple(
-            peermessage.OpenedGroup(key, name, head)
-            for key, (at_ms, name, head) in self._opened.items()
-            if now_ms - at_ms < alarms.NEWS_MS)
         is_near = audience is peers.Audience.NEAR
         is_far = audience is peers.Audience.FAR
         reliability = self._requests.reliability
@@ -276,7 +265,7 @@
             confirmed_age_ms=self._freshness.age_ms(now_ms),
             in_flight=self._requests.flights.loads() if is_near else {},
             alarms=self._alarms.news(now_ms),
-            opened=opened,
+            opened=self._opened.news(now_ms),
             tries=reliability.news(now_ms) if is_near else (),
             requests_seen=self._requests_seen,
             stopping=bool(self._stopping_ms),
@@ -328,11 +317,12 @@
             self._questions.sweep(now_ms)
             self._rows.sweep(now_ms)
             self.pool.trim()
-            self._look_at_settings()
+            if self._settings_file.has_changed:
+                self._reload("the file changed")
             self._alarms.forget(now_ms)
             self._alarms.ask_again(now_ms)
             self._requests.forget(now_ms)
-            self._forget_opened(now_ms)
+            self._opened.forget(now_ms)
             self._peers.choose_reporters(now_ms)
         if self._stopping_ms:
             self._maybe_end(now_ms)
@@ -352,13 +342,10 @@
         self._keeper.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
-        self._opened[key] = (clock.now_ms(), name, head)
+        self._opened.note(peermessage.OpenedGroup(key, name, head),
+                          clock.now_ms())
         self._speak_at_once()
 
-    def _forget_opened(self, now_ms: float) -> None:
-        clock.forget_old(self._opened, lambda opened: opened[0],
-                         10 * alarms.NEWS_MS, now_ms)
-
     def _on_table(self, table: routetable.RouteTable) -> None:
         self._server.limits = table.configuration.limits
 
@@ -368,20 +355,6 @@
         return (self._knows_what_it_serves() and not self._stopping_ms and
                 self._requests.keys_may_be_trusted())
 
-    def _on_question(self, request: callers.CallerRequest,
-                     reply: replies.Reply) -> None:
-        status, body = self._tell(request.target)
-        reply.whole(status, [("Content-Type", "text/plain")], body)
-
-    def _tell(self, target: str) -> tuple[int, bytes]:
-        if target == words.READY_PATH:
-            if self._ready():
-                return 200, b"ready\n"
-            return 503, b"not ready\n"
-        if target == "/metrics":
-            return 200, self.metrics.render().encode()
-        return 404, b"no such page\n"
-
     def _on_stop(self, why: str) -> None:
         if self._stopping_ms:
             return
@@ -406,27 +379,11 @@
             self._rows.close()
             self._done.set()
 
-    def _look_at_settings(self) -> None:
-        if _stamp(self._path) != self._settings_stamp:
-            self._reload("the file changed")
-
     def _reload(self, why: str) -> None:
-        self._settings_stamp = _stamp(self._path)
-        try:
-            changed = entrysettings.load(self._path)
-        except exceptions.SettingsError as error:
-            _LOG.error(logs.line("reload-refused", why=why, reason=str(error)))
+        changed = self._settings_file.read(why)
+        if changed is None:
             return
         self._settings = changed
         self._freshness.revoke_ms = changed.bounds.revoke_ms
         self._requests.reload(changed)
         self._link.learn_seeds(changed)
-        _LOG.info(logs.line("reload", why=why))
-
-
-def _stamp(path: pathlib.Path) -> tuple[int, int]:
-    try:
-        found = path.stat()
-    except OSError:
-        return (0, 0)
-    return (found.st_mtime_ns, found.st_size)
--- /dev/null
+++ b/cardamommill/gateway/questions.py
@@ -0,0 +1,32 @@
+"""Answers the balancer's questions and the reading of figures."""
+
+from collections.abc import Callable
+
+from cardamommill import metrics
+from cardamommill.gateway import callers, replies
+from cardamommill.platform import words
+
+METRICS_PATH = "/metrics"
+
+
+class Questions:
+    """Pages that are not for callers."""
+
+    def __init__(self, is_ready: Callable[[], bool],
+                 figures: metrics.Metrics) -> None:
+        self._is_ready = is_ready
+        self._metrics = figures
+
+    def answer(self, request: callers.CallerRequest,
+               reply: replies.Reply) -> None:
+        """Answers one; it never goes to a runner."""
+        status, body = self._page(request.target)
+        reply.whole(status, [("Content-Type", "text/plain")], body)
+
+    def _page(self, target: str) -> tuple[int, bytes]:
+        if target == words.READY_PATH:
+            return (200, b"ready\n") if self._is_ready() else (503,
+                                                               b"not ready\n")
+        if target == METRICS_PATH:
+            return 200, self._metrics.render().encode()
+        return 404, b"no such page\n"
