--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -4,7 +4,6 @@
 import dataclasses
 import random
 from typing import Any
-import zlib
 
 import logbook
 
@@ -13,7 +12,6 @@
     admitting,
     attempts,
     backpressure,
-    callers,
     clock,
     entrysettings,
     fleetview,
@@ -36,7 +34,6 @@
     standing,
     upstream,
 )
-from cardamommill.platform import words
 
 # A group that failed a request is left alone until its members were asked.
 FAULT_AVOID_MS = 300.0
@@ -68,7 +65,7 @@
         self._peers = others
         self._metrics = figures
         self._chance = random.Random(settings.node)
-        self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._budgets = retrybudget.RetryBudgets(settings.bounds)
         self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
         self._group_loads = grouploads.GroupLoads()
         self.flights = self._group_loads.own
@@ -93,7 +90,7 @@
     def reload(self, settings: entrysettings.EntrySettings) -> None:
         """Takes changed settings."""
         self._settings = settings
-        self._budgets.clear()
+        self._budgets = retrybudget.RetryBudgets(settings.bounds)
 
     def relays_at(self, key: model.GroupKey) -> list[relay.Relay]:
         """Returns this node's requests at a group."""
@@ -250,22 +247,14 @@
     def may_repeat(self, service: str) -> bool:
         """Whether the retry budget allows one more."""
         now_ms = clock.now_ms()
-        return self._budget(service).may_repeat(self._peers.nodes(now_ms),
-                                                now_ms)
-
-    def _budget(self, service: str) -> retrybudget.RetryBudget:
-        if service not in self._budgets:
-            bounds = self._settings.bounds
-            self._budgets[service] = retrybudget.RetryBudget(
-                bounds.retry_ratio, bounds.retry_window_s * 1000,
-                bounds.retry_slack)
-        return self._budgets[service]
+        nodes = self._peers.nodes(now_ms)
+        return self._budgets.of(service).may_repeat(nodes, now_ms)
 
     def attempt_begins(self, one: relay.Relay, target: relay.Target,
                        repeat: bool) -> None:
         """Notes a try."""
         now_ms = clock.now_ms()
-        budget = self._budget(one.service)
+        budget = self._budgets.of(one.service)
         if repeat:
             budget.repeat(now_ms)
             self._metrics.count("repeats_total", service=one.service)
@@ -336,7 +325,8 @@
             return
         if sent_ms is not None and self._is_to_blame(one, target, outcome,
                                                      now_ms - sent_ms):
-            self.reliability.failed(runner, _mark(one.request), now_ms)
+            self.reliability.failed(runner, reliability.mark(one.request),
+                                    now_ms)
         _LOG.info(
             logs.line("attempt-failed",
                       request=one.attempt_id,
@@ -401,13 +391,6 @@
                 version=table.configuration.version if table else 0))
 
 
-def _mark(request: callers.CallerRequest) -> int:
-    """Returns what is the same when the same request is sent again."""
-    counts = request.get(words.TOKEN_COUNTS) or ""
-    named = f"{request.method} {request.target} {counts}"
-    return zlib.crc32(request.body, zlib.crc32(named.encode()))
-
-
 def _nobody(key: model.GroupKey, reason: str) -> None:
     del key, reason
 
--- a/cardamommill/gateway/retrybudget.py
+++ b/cardamommill/gateway/retrybudget.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from cardamommill.gateway import entrysettings
+
 # Nodes do not see each other's retries in time, so each keeps to its part.
 # What is left over covers a node that counted one peer too few.
 SAFE_PART = 0.8
@@ -45,3 +47,20 @@
         for times in (self._first, self._repeats):
             while times and times[0] < oldest_ms:
                 times.popleft()
+
+
+class RetryBudgets:
+    """The budget of each service."""
+
+    def __init__(self, bounds: entrysettings.Bounds) -> None:
+        self._bounds = bounds
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Returns the budget of a service, new with its first use."""
+        if service not in self._budgets:
+            bounds = self._bounds
+            self._budgets[service] = RetryBudget(bounds.retry_ratio,
+                                                 bounds.retry_window_s * 1000,
+                                                 bounds.retry_slack)
+        return self._budgets[service]
