Tell first which limits runners named to this node itself

Found by reading: where more than eight runners limit their rate, a node told the eight newest, which may be those that all nodes know, and a limit that only this node had heard went untold. The new test fails without the order.

--- a/cardamommill/gateway/ratelimits.py
+++ b/cardamommill/gateway/ratelimits.py
@@ -182,14 +182,22 @@
         return (before.per_s if before else None) != limit.per_s
 
     def news(self, now_ms: float) -> tuple[RateLimit, ...]:
-        """Returns what other nodes should hear, the newest first."""
+        """Returns what other nodes should hear.
+
+        What this node was told by the runner itself comes first, then the
+        newest: passed on alike, the limits of a few busy runners would leave no
+        room for those that only this node has heard.
+        """
         told = [
             each for each in self._limits.values()
             if not each.is_stale(now_ms) and
             (each.per_s is not None or now_ms - each.as_of_ms < LIFTED_TOLD_MS)
         ]
         return tuple(
-            heapq.nlargest(MAX_TOLD, told, key=lambda each: each.as_of_ms))
+            heapq.nlargest(MAX_TOLD,
+                           told,
+                           key=lambda each:
+                           (each.origin == self._node, each.as_of_ms)))
 
     def wait_ms(self, runner: str, data_centre: str, now_ms: float) -> float:
         """Returns when a runner takes a request of this node, 0 for now.
--- a/tests/gateway/test_ratelimits.py
+++ b/tests/gateway/test_ratelimits.py
@@ -182,6 +182,18 @@
     assert other.news(160 + ahead_ms)[0].as_of_ms == 100 + ahead_ms
 
 
+def test_node_tells_first_what_runners_told_it_themselves():
+    """Crowded out by what all nodes know, a limit would stay unknown."""
+    one, other = alone(), ratelimits.RateLimits("m", lambda _: {"a": ["m"]})
+    one.take_answer("i-own", 1.0, 0, 100)
+    for number in range(2 * ratelimits.MAX_TOLD):
+        other.take_answer(f"i-{number}", 1.0, 0, 200 + number)
+        one.hear(other.news(300), 300, 300)
+    told = one.news(300)
+    assert len(told) == ratelimits.MAX_TOLD
+    assert told[0].runner == "i-own"
+
+
 def test_old_limits_are_forgotten():
     limits = alone()
     limits.take_answer("i-1", 1.0, 0, 100)
