--- a/cardamommill/gateway/ratelimits.py
+++ b/cardamommill/gateway/ratelimits.py
@@ -81,8 +81,8 @@
     Attributes:
         tokens: Requests that it may send now.
         share_per_s: How many are added a second.
-        at_ms: When both were worked out last.
-        shared_ms: When the share was.
+        at_ms: When it was filled last.
+        shared_ms: When the share was worked out last.
         turn: The last turn that this node used of a limit that is stale.
     """
 
@@ -93,14 +93,14 @@
     turn: int = _NO_TURN
 
     def fill(self, now_ms: float) -> None:
-        """Adds what has come since it was worked out last."""
+        """Adds the tokens of the time since it was filled last."""
         most = max(1.0, BURST_S * self.share_per_s)
         added = (now_ms - self.at_ms) / units.MS_PER_S * self.share_per_s
         self.tokens = min(most, self.tokens + added)
         self.at_ms = now_ms
 
     def give(self, share_per_s: float, now_ms: float) -> None:
-        """Sets the share; what was saved up ends with it."""
+        """Sets the share; a node without one keeps no tokens."""
         if not share_per_s:
             self.tokens = min(0.0, self.tokens)
         self.share_per_s = share_per_s
@@ -216,8 +216,8 @@
             return 0.0
         bucket = self._buckets[runner]
         if limit.is_stale(now_ms):
-            return 0.0 if self._has_turn(limit, bucket,
-                                         now_ms) else (limit.interval_ms)
+            has_turn = self._has_turn(limit, bucket, now_ms)
+            return 0.0 if has_turn else limit.interval_ms
         bucket.fill(now_ms)
         if now_ms - bucket.shared_ms > SHARE_MS:
             bucket.give(self._share_per_s(limit, data_centre, now_ms), now_ms)
@@ -234,16 +234,13 @@
         Nodes that saved up a part each would all try it at once.
         """
         turn = limit.turn(now_ms)
-        order = sorted(
-            name for names in self._living(now_ms).values() for name in names)
+        order = sorted(_all(self._living(now_ms)))
         return turn > bucket.turn and order[turn % len(order)] == self._node
 
     def _share_per_s(self, limit: RateLimit, data_centre: str,
                      now_ms: float) -> float:
         living = self._living(now_ms)
-        nodes = list(living.get(
-            data_centre,
-            ())) or [name for names in living.values() for name in names]
+        nodes = list(living.get(data_centre, ())) or _all(living)
         per_s = units.MS_PER_S / limit.interval_ms
         senders = _senders(limit.runner, nodes, int(per_s))
         return per_s / len(senders) if self._node in senders else 0.0
@@ -265,6 +262,10 @@
                 self._buckets.pop(runner, None)
 
 
+def _all(living: Nodes) -> list[str]:
+    return [name for names in living.values() for name in names]
+
+
 def _senders(runner: str, nodes: list[str], count: int) -> list[str]:
     """Returns the nodes that send to a runner; all nodes find the same."""
     return heapq.nlargest(max(1, count), nodes,
