--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -334,7 +334,7 @@
                       runner=runner,
                       result=outcome.result.value,
                       reason=outcome.reason,
-                      events=one.events,
+                      events=one.progress.events,
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
@@ -384,7 +384,7 @@
                 status=status,
                 reason=reason,
                 targets=",".join(each.name for each in one.tried),
-                events=one.events,
+                events=one.progress.events,
                 first_event_ms=int(one.first_event_ms -
                                    arrived_ms) if one.first_event_ms else "",
                 took_ms=int(now_ms - arrived_ms),
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -23,6 +23,7 @@
     passedon,
     placing,
     replies,
+    streamprogress,
     upstream,
 )
 from cardamommill.platform import words
@@ -108,17 +109,13 @@
         self.ran_at: list[Target] = []
         # Those of them that count as runs: a stream runs from its first token.
         self._begun_at: list[Target] = []
-        self._try_events = 0
         self._try_sent_ms = 0.0
         # Whether the group that the try is at lost a member.
         self._is_dead = False
-        # The newest event of the try, which its caller may have had before.
-        self._try_last_id: int | None = None
         self.end_ms = math.inf
-        self.last_event_id: int | None = headfields.number(
-            request.get(words.LAST_EVENT_ID))
+        self.progress = streamprogress.StreamProgress(
+            headfields.number(request.get(words.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
-        self.events = 0
         self._attempt: attempts.Attempt | None = None
         self._target: Target | None = None
         self._conclusion = conclusion.Conclusion(
@@ -310,8 +307,7 @@
         self._target = target
         self._node.attempt_begins(self, target, bool(self.tried))
         self.tried.append(target)
-        self._try_events = 0
-        self._try_last_id = None
+        self.progress.begin_try()
         self._is_dead = False
         runner = target.known.runner
         self._try_sent_ms = now_ms = clock.now_ms()
@@ -344,8 +340,7 @@
         complete, with events missing.
         """
         if (outcome.result is attempts.Result.STREAMED and
-                self._try_last_id is not None and
-                self._try_last_id < (self.last_event_id or 0)):
+                self.progress.is_behind):
             return attempts.Outcome(attempts.Result.BROKEN,
                                     "ended before what the caller has")
         return outcome
@@ -358,12 +353,13 @@
         groups in a row used up the attempts of a request that none had begun.
         One whose members all answer may hold what it runs.
         """
-        return (not self.streaming or self._try_events > 0 or not self._is_dead)
+        return (not self.streaming or self.progress.try_events > 0 or
+                not self._is_dead)
 
     def _may_go_elsewhere(self, leaving: bool = False) -> bool:
         if self.route is None or len(self.tried) >= MAX_TRIES:
             return False
-        if self.reply.started and self.last_event_id is None:
+        if self.reply.started and self.progress.last_event_id is None:
             # Nothing tells another runner where to go on.
             return False
         if self.end_ms - clock.now_ms() < MIN_LEFT_MS:
@@ -384,7 +380,7 @@
             self.request,
             passedon.Terms(target.known.runner.id, self.end_ms - now_ms,
                            self.tenant.name if self.tenant else None, rank,
-                           self.last_event_id))
+                           self.progress.last_event_id))
 
     # Answers.
 
@@ -397,20 +393,12 @@
         """Passes an event on, if it is the next one."""
         assert self._target is not None
         self._stay()
-        self._try_events += 1
         self._node.event_came(self, self._target)
-        if event.id is not None:
-            self._try_last_id = event.id
-            if self.last_event_id is not None:
-                if event.id <= self.last_event_id:
-                    # A runner that begins anew: the caller has this one.
-                    return True
-                if event.id > self.last_event_id + 1:
-                    return False
-            self.last_event_id = event.id
+        order = self.progress.take(event)
+        if order is not streamprogress.Order.NEXT:
+            return order is streamprogress.Order.REPEATED
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
             self.reply.start(head.status, passedon.to_caller(head))
-        self.events += 1
         self.reply.piece(event.data)
         return True
