Tell from the logs of all nodes where requests lose time

An operator saw only that requests were late, not why: the log told when a first event came and not when it was due, nor whether the node had expected that. Each end of a request now has its goal, the forecast of its last try, and whether that was sent to wait; the command latency joins them to tables by route, second and group, with a bar a second. Lines that are cut or not ours are named with file, line and field, the rest is told, exit code 2.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -239,6 +239,21 @@
             return str(loglines.explain_request(str(name), paths))
         return self._shown(("explain", kind, name), json)
 
+    def latency(self, logs: str) -> None:
+        """Prints where requests lose time, by route, second and group.
+
+        Args:
+            logs: Files with the output of nodes, separated by commas.
+
+        Raises:
+            InputError: Some lines can't be read; the others are told before.
+        """
+        latency = importlib.import_module("cardamommill.latency")
+        paths = [pathlib.Path(each) for each in str(logs).split(",")]
+        ends, faults = latency.read(paths)
+        print(latency.report(ends))
+        latency.refuse(faults)
+
     def _shown(self, path: tuple[str, ...], as_json: bool) -> str:
         client = self._client()
         if as_json:
--- a/cardamommill/exceptions.py
+++ b/cardamommill/exceptions.py
@@ -45,6 +45,10 @@
     """A command could not do what its user asked."""
 
 
+class InputError(CardamommillError):
+    """What a user handed over can't be read, or not all of it."""
+
+
 class RequestError(CardamommillError):
     """A caller's request can't be taken.
 
--- a/cardamommill/exitcodes.py
+++ b/cardamommill/exitcodes.py
@@ -8,6 +8,7 @@
 from cardamommill import exceptions
 
 EXIT_FAILED = 1
+EXIT_USAGE = 2
 EXIT_FAULT = 70
 EXIT_INTERRUPTED = 130
 DEBUG_VARIABLE = "CARDAMOMMILL_DEBUG"
@@ -18,11 +19,13 @@
     """Ends the process by what its work raises.
 
     Exit codes: 0 done; 1 it could not be done, and standard error says at
-    which step and peer; 2 wrong usage; 70 a fault of this program; 130 it was
-    interrupted.
+    which step and peer; 2 wrong usage or input; 70 a fault of this program;
+    130 it was interrupted.
     """
     try:
         yield
+    except exceptions.InputError as error:
+        _end(str(error), EXIT_USAGE)
     except exceptions.CardamommillError as error:
         _end(str(error), EXIT_FAILED)
     except KeyboardInterrupt:
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -28,6 +28,7 @@
     relay,
     reliability,
     reporting,
+    requestlog,
     retrybudget,
     routetable,
     silence,
@@ -376,19 +377,9 @@
                                      route=route)
         table = self._reader.table
         _LOG.info(
-            logs.line(
-                "request-ended",
-                request=one.attempt_id,
-                route=route,
-                tenant=one.tenant.name if one.tenant else "",
-                status=status,
-                reason=reason,
-                targets=",".join(each.name for each in one.tried),
-                events=one.progress.events,
-                first_event_ms=int(one.first_event_ms -
-                                   arrived_ms) if one.first_event_ms else "",
-                took_ms=int(now_ms - arrived_ms),
-                version=table.configuration.version if table else 0))
+            requestlog.ended(one, status, reason,
+                             table.configuration.version if table else 0,
+                             now_ms))
 
 
 def _nobody(key: model.GroupKey, reason: str) -> None:
--- /dev/null
+++ b/cardamommill/gateway/requestlog.py
@@ -0,0 +1,44 @@
+"""The line of the log that tells how a request ended."""
+
+from cardamommill import logs
+from cardamommill.gateway import relay
+
+
+def ended(one: relay.Relay, status: int, reason: str, version: int,
+          now_ms: float) -> str:
+    """Returns the line of a request.
+
+    Args:
+        one: The request.
+        status: Of its answer; 0 for none.
+        reason: Why it was not served; empty if it was.
+        version: Of the configuration in force; 0 for none.
+        now_ms: The time.
+    """
+    arrived_ms = one.request.arrived_ms
+    first_ms = one.first_event_ms
+    return logs.line("request-ended",
+                     request=one.attempt_id,
+                     route=one.route.name if one.route else "",
+                     tenant=one.tenant.name if one.tenant else "",
+                     status=status,
+                     reason=reason,
+                     targets=",".join(each.name for each in one.tried),
+                     events=one.progress.events,
+                     first_event_ms=int(first_ms -
+                                        arrived_ms) if first_ms else "",
+                     goal_ms=one.route.goal_ms if one.route else "",
+                     **_forecast(one),
+                     took_ms=int(now_ms - arrived_ms),
+                     version=version)
+
+
+def _forecast(one: relay.Relay) -> dict[str, object]:
+    """Returns what was expected of the last try, where it had a forecast."""
+    placed = one.tried[-1].placed if one.tried else None
+    if placed is None:
+        return {}
+    return {
+        "expected_ms": int(placed.first_event_ms),
+        "patient": placed.patient
+    }
--- a/cardamommill/loglines.py
+++ b/cardamommill/loglines.py
@@ -83,16 +83,26 @@
         CommandError: A file can't be read.
     """
     for path in paths:
-        try:
-            with path.open(encoding="utf-8", errors="replace") as file:
-                for text in file:
-                    line = parsed(text)
-                    if line is not None:
-                        yield line
-        except OSError as error:
-            raise exceptions.CommandError(f"can't be read: {error.strerror}",
-                                          step="logs",
-                                          peer=str(path)) from error
+        for _, line in numbered(path):
+            yield line
+
+
+def numbered(path: pathlib.Path) -> Iterator[tuple[int, LogLine]]:
+    """Returns the log lines of a file with their numbers, from 1.
+
+    Raises:
+        CommandError: The file can't be read.
+    """
+    try:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            for number, text in enumerate(file, 1):
+                line = parsed(text)
+                if line is not None:
+                    yield number, line
+    except OSError as error:
+        raise exceptions.CommandError(f"can't be read: {error.strerror}",
+                                      step="logs",
+                                      peer=str(path)) from error
 
 
 def explain_request(request: str, paths: Iterable[pathlib.Path]) -> str:
