--- a/cardamommill/gateway/admitting.py
+++ b/cardamommill/gateway/admitting.py
@@ -4,7 +4,7 @@
 import math
 from typing import Protocol
 
-from cardamommill.gateway import callers, headfields, model, routetable
+from cardamommill.gateway import callers, httpheaders, model, routetable
 from cardamommill.platform import configurations, words
 
 DEFAULT_RETRY_AFTER_MS = 250.0
@@ -100,7 +100,7 @@
 
 
 def _end_ms(request: callers.CallerRequest, route: model.Route) -> float:
-    given_ms = headfields.number(request.get(words.DEADLINE_MS))
+    given_ms = httpheaders.number(request.get(words.DEADLINE_MS))
     limit_ms = min(given_ms if given_ms is not None else math.inf,
                    route.timeout_ms)
     return request.arrived_ms + limit_ms
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/gateway/callers.py
@@ -11,7 +11,7 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import clock, headfields, model, replies
+from cardamommill.gateway import clock, httpheaders, model, replies
 
 # After a refusal of a request that has not been read whole, its rest is read
 # and dropped for this long: closing at once would reset the refusal away.
@@ -38,7 +38,7 @@
 
     def get(self, name: str) -> str | None:
         """Returns the first header of a name, whatever its case."""
-        return headfields.first(self.headers, name)
+        return httpheaders.first(self.headers, name)
 
 
 class Serving(Protocol):
--- a/cardamommill/gateway/passedon.py
+++ b/cardamommill/gateway/passedon.py
@@ -5,7 +5,7 @@
 from cardamommill.gateway import (
     callers,
     fetching,
-    headfields,
+    httpheaders,
     placing,
     upstream,
 )
@@ -95,9 +95,9 @@
     counts = (request.get(words.TOKEN_COUNTS) or "").split(",")
     numbers = [
         found for each in counts
-        if (found := headfields.number(each)) is not None
+        if (found := httpheaders.number(each)) is not None
     ]
-    hint = headfields.number(request.get(words.LENGTH_HINT))
+    hint = httpheaders.number(request.get(words.LENGTH_HINT))
     if len(numbers) != 2:
         return placing.Work(0, hint or 0)
     return placing.Work(numbers[0], min(hint or numbers[1], numbers[1]))
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -18,7 +18,7 @@
     endings,
     eventcutter,
     fleetview,
-    headfields,
+    httpheaders,
     model,
     passedon,
     placing,
@@ -114,7 +114,7 @@
         self._is_dead = False
         self.end_ms = math.inf
         self.progress = streamprogress.StreamProgress(
-            headfields.number(request.get(words.LAST_EVENT_ID)))
+            httpheaders.number(request.get(words.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
         self._attempt: attempts.Attempt | None = None
         self._target: Target | None = None
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/gateway/upstream.py
@@ -11,7 +11,7 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import clock, headfields
+from cardamommill.gateway import clock, httpheaders
 
 # A connection that answers within a data centre or two answers in a few ms;
 # an opening packet that was dropped is sent again after 1 s.
@@ -51,7 +51,7 @@
 
     def get(self, name: str) -> str | None:
         """Returns the first header of a name, whatever its case."""
-        return headfields.first(self.headers, name)
+        return httpheaders.first(self.headers, name)
 
 
 class Receiver(Protocol):
@@ -261,7 +261,7 @@
 def _keep_alive_ms(head: Head) -> float:
     for part in (head.get("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        seconds = headfields.number(value)
+        seconds = httpheaders.number(value)
         if name.lower() == "timeout" and seconds is not None:
             return seconds * 1000.0
     return DEFAULT_KEEP_ALIVE_MS
--- a/cardamommill/platform/advice.py
+++ b/cardamommill/platform/advice.py
@@ -3,7 +3,7 @@
 import re
 
 from cardamommill import exceptions, units
-from cardamommill.gateway import headfields
+from cardamommill.gateway import httpheaders
 from cardamommill.platform import words
 
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
@@ -11,7 +11,7 @@
 _NO = "0"
 
 
-def rate_limit_per_s(headers: headfields.Headers, runner: str) -> float | None:
+def rate_limit_per_s(headers: httpheaders.Headers, runner: str) -> float | None:
     """Returns how many requests a second a runner takes from all nodes.
 
     Args:
@@ -24,11 +24,11 @@
     Raises:
         BadPeerMessage: The header holds no decimal number.
     """
-    text = headfields.first(headers, words.SERVER_LIMIT)
+    text = httpheaders.first(headers, words.SERVER_LIMIT)
     return None if text is None else _decimal(words.SERVER_LIMIT, text, runner)
 
 
-def is_leaving(headers: headfields.Headers, runner: str) -> bool:
+def is_leaving(headers: httpheaders.Headers, runner: str) -> bool:
     """Returns whether a runner says that it leaves.
 
     Args:
@@ -38,14 +38,14 @@
     Raises:
         BadPeerMessage: The header says neither yes nor no.
     """
-    text = headfields.first(headers, words.SERVER_LEAVING) or _NO
+    text = httpheaders.first(headers, words.SERVER_LEAVING) or _NO
     if text.strip() not in (_YES, _NO):
         raise _malformed(words.SERVER_LEAVING, f"neither yes nor no: {text!r}",
                          runner)
     return text.strip() == _YES
 
 
-def rest_ms(headers: headfields.Headers, runner: str) -> float:
+def rest_ms(headers: httpheaders.Headers, runner: str) -> float:
     """Returns for how long a runner that refused wants nothing of this node.
 
     Args:
@@ -55,7 +55,7 @@
     Raises:
         BadPeerMessage: The header holds no decimal number of seconds.
     """
-    text = headfields.first(headers, words.RETRY_AFTER)
+    text = httpheaders.first(headers, words.RETRY_AFTER)
     if text is None:
         return 0.0
     return units.MS_PER_S * _decimal(words.RETRY_AFTER, text, runner)
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -11,7 +11,7 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import clock, eras, fetching, headfields, upstream
+from cardamommill.gateway import clock, eras, fetching, httpheaders, upstream
 from cardamommill.platform import entries, words
 
 # A store that is sixty times as slow as usual answers in 300 ms; one that has
@@ -199,7 +199,7 @@
             StoreError: The answer is of an older era.
         """
         newest = self.eras.newest
-        era = headfields.number(text)
+        era = httpheaders.number(text)
         if era is None:
             if text is not None or newest:
                 self._refuse_era(text, step)
