--- a/cardamommill/gateway/conclusion.py
+++ b/cardamommill/gateway/conclusion.py
@@ -6,7 +6,7 @@
     admitting,
     attempts,
     endings,
-    passedon,
+    forwarding,
     placing,
     replies,
 )
@@ -105,7 +105,7 @@
 
     def _pass_on(self, outcome: attempts.Outcome) -> None:
         status = outcome.head.status
-        headers = passedon.to_caller(outcome.head)
+        headers = forwarding.to_caller(outcome.head)
         if outcome.result is attempts.Result.STREAMED:
             if not self._reply.started:
                 self._reply.start(status, headers)
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/relay.py
@@ -18,9 +18,9 @@
     endings,
     eventcutter,
     fleetview,
+    forwarding,
     httpheaders,
     model,
-    passedon,
     placing,
     replies,
     streamprogress,
@@ -103,7 +103,7 @@
         self.tenant: model.Tenant | None = None
         self._key_digest = b""
         self.service = ""
-        self.work = passedon.work(request)
+        self.work = forwarding.work(request)
         self.model_name = request.get(words.MODEL) or ""
         self.tried: list[Target] = []
         self.ran_at: list[Target] = []
@@ -375,12 +375,12 @@
         rank = None
         if target.key is not None:
             patient = target.placed is not None and target.placed.patient
-            rank = passedon.queue_rank(self.priority, patient)
-        return passedon.request_bytes(
+            rank = forwarding.queue_rank(self.priority, patient)
+        return forwarding.request_bytes(
             self.request,
-            passedon.Terms(target.known.runner.id, self.end_ms - now_ms,
-                           self.tenant.name if self.tenant else None, rank,
-                           self.progress.last_event_id))
+            forwarding.Terms(target.known.runner.id, self.end_ms - now_ms,
+                             self.tenant.name if self.tenant else None, rank,
+                             self.progress.last_event_id))
 
     # Answers.
 
@@ -399,6 +399,6 @@
             return order is streamprogress.Order.REPEATED
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
-            self.reply.start(head.status, passedon.to_caller(head))
+            self.reply.start(head.status, forwarding.to_caller(head))
         self.reply.piece(event.data)
         return True
