--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -19,9 +19,9 @@
     orders,
     planning,
     rebalancing,
+    reconciliation,
     spares,
     strain,
-    tending,
 )
 
 
@@ -44,7 +44,8 @@
         self._demand = demand.Demand()
         self._spares = spares.Spares(view, ledger)
         slow = consolidation.Consolidation(self._formations)
-        self._tending = tending.Tending(view, self._formations, slow)
+        self._reconciliation = reconciliation.Reconciliation(
+            view, self._formations, slow)
         self._rebalancing = rebalancing.Rebalancing(self._demand, ledger, slow)
         self._choosing = choosing.Choosing(view, self._formations,
                                            self._pending, self._strain,
@@ -70,8 +71,8 @@
         engine = self._demand.engine(service.name, engine, now_ms)
         actions: list[planning.Action] = []
         actions += self._formations.advance(service.name, engine, now_ms)
-        actions += self._tending.step(groups, service.name, engine, scope,
-                                      now_ms)
+        actions += self._reconciliation.step(groups, service.name, engine,
+                                             scope, now_ms)
         actions += self._choosing.step(service.name, engine, scope, now_ms)
         return list(_one_order_each(actions))
 
@@ -125,8 +126,9 @@
         return fleetsummary.summary(
             self._view.groups(service).values(), self.formations.values(),
             self._view.of_service(service), service,
-            fleetsummary.Judges(lambda group: tending.is_ours(group, scope),
-                                self._choosing.is_free, self._spares), scope)
+            fleetsummary.Judges(
+                lambda group: reconciliation.is_ours(group, scope),
+                self._choosing.is_free, self._spares), scope)
 
 
 def _one_order_each(
--- a/cardamommill/gateway/tending.py
+++ b/cardamommill/gateway/reconciliation.py
@@ -26,7 +26,7 @@
 ABSENT_RETRY_MS = 1500.0
 
 
-class Tending:
+class Reconciliation:
     """Decides what becomes of the groups of one planner, and whom to ask."""
 
     def __init__(self, view: fleetview.FleetView, made: formations.Formations,
