--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -8,10 +8,10 @@
     fleetview,
     formations,
     model,
+    overload,
     planning,
     rebalancing,
     spares,
-    strain,
 )
 
 # With this part of all places taken a model gets spares as further groups.
@@ -27,8 +27,8 @@
     """Chooses for one planner; pure but for what its parts remember."""
 
     def __init__(self, view: fleetview.FleetView, made: formations.Formations,
-                 pending: set[str], seen: strain.Strain, staged: spares.Spares,
-                 given_up: consolidation.Consolidation,
+                 pending: set[str], seen: overload.Overload,
+                 staged: spares.Spares, given_up: consolidation.Consolidation,
                  moves: rebalancing.Rebalancing, work: demand.Demand) -> None:
         """Makes it.
 
@@ -45,7 +45,7 @@
         self._view = view
         self._formations = made
         self._pending = pending
-        self._strain = seen
+        self._overload = seen
         self._spares = staged
         self._consolidation = given_up
         self._rebalancing = moves
@@ -107,7 +107,7 @@
         return places
 
     def _stage(self, engine: model.Engine, scope: planning.Scope,
-               runners: list[fleetview.Known], need: strain.Need,
+               runners: list[fleetview.Known], need: overload.Need,
                now_ms: float) -> Iterator[planning.Action]:
         if scope.in_lead and self._loading(now_ms):
             # Groups first: staging shares the store's bandwidth. Not until they
@@ -118,7 +118,7 @@
         yield from self._spares.stage(engine, scope, free, need, now_ms)
 
     def _need(self, service: str, engine: model.Engine,
-              runners: list[fleetview.Known]) -> strain.Need:
+              runners: list[fleetview.Known]) -> overload.Need:
         ids = {each.runner.id for each in runners}
         holds: dict[str, int] = {}
         for name, members in self._members_by_model(service):
@@ -127,12 +127,12 @@
             if self.is_free(known):
                 name = self._spares.warm_model(known)
                 holds[name] = holds.get(name, 0) + 1
-        strained = frozenset(each.name
-                             for each in engine.models
-                             if self._strain.is_strained(each.name))
-        return strain.Need(strained, holds,
-                           sum(each.usable for each in runners),
-                           self._fullness(service, engine))
+        overloaded = frozenset(each.name
+                               for each in engine.models
+                               if self._overload.is_overloaded(each.name))
+        return overload.Need(overloaded, holds,
+                             sum(each.usable for each in runners),
+                             self._fullness(service, engine))
 
     def _fullness(self, service: str, engine: model.Engine) -> dict[str, float]:
         groups = self._view.groups(service).values()
@@ -263,7 +263,7 @@
             reserve = round(SPARE_SHARE * len(runners))
             # Spares are of no use to callers who wait, and in a large domain
             # the survivors of two deaths make a group without any.
-            if (not self._strain.is_strained(served.name) and
+            if (not self._overload.is_overloaded(served.name) and
                     len(free) - served.size < reserve):
                 return None
         if cold and not scope.in_lead:
--- a/cardamommill/gateway/strain.py
+++ b/cardamommill/gateway/overload.py
@@ -4,9 +4,9 @@
 
 from cardamommill.gateway import fleetview, model, planning
 
-# A model is strained once this part of its requests waits though it will be
+# A model is overloaded once this part of its requests waits though it will be
 # late. Where all groups stood it was none at all.
-STRAINED_PART = 0.1
+OVERLOADED_PART = 0.1
 # The part is a mean over about this: a load takes 16 s and is not worth
 # beginning for a burst that ends within one.
 MEMORY_MS = 2000.0
@@ -17,13 +17,13 @@
     """What the models of a data centre lack.
 
     Attributes:
-        strained: Models that need more groups.
+        overloaded: Models that need more groups.
         holds: Runners that each has: members, spares, and those that load.
         usable: Runners that there are.
         fullness: Requests for each place of a model's groups.
     """
 
-    strained: frozenset[str]
+    overloaded: frozenset[str]
     holds: dict[str, int]
     usable: int
     fullness: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -39,7 +39,7 @@
         requests go on waiting and would call for more.
         """
         held = self.holds.get(served.name, 0)
-        return (served.name in self.strained and
+        return (served.name in self.overloaded and
                 held < served.share * self.usable)
 
     def moves(self, before: str, after: str) -> None:
@@ -49,7 +49,7 @@
         self.holds[after] = self.holds.get(after, 0) + 1
 
 
-class Strain:
+class Overload:
     """Keeps the part of late requests of each model."""
 
     def __init__(self) -> None:
@@ -87,6 +87,6 @@
             before = self._part.get(served.name, 0.0)
             self._part[served.name] = before + weight * (part - before)
 
-    def is_strained(self, model_name: str) -> bool:
+    def is_overloaded(self, model_name: str) -> bool:
         """Whether a model needs more groups than it has."""
-        return self._part.get(model_name, 0.0) > STRAINED_PART
+        return self._part.get(model_name, 0.0) > OVERLOADED_PART
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/planner.py
@@ -17,11 +17,11 @@
     loads,
     model,
     orders,
+    overload,
     planning,
     rebalancing,
     reconciliation,
     spares,
-    strain,
 )
 
 
@@ -40,7 +40,7 @@
         ledger = loads.LoadLedger()
         self._formations = formations.Formations(view, name, self._pending,
                                                  ledger)
-        self._strain = strain.Strain()
+        self._overload = overload.Overload()
         self._demand = demand.Demand()
         self._spares = spares.Spares(view, ledger)
         slow = consolidation.Consolidation(self._formations)
@@ -48,7 +48,7 @@
             view, self._formations, slow)
         self._rebalancing = rebalancing.Rebalancing(self._demand, ledger, slow)
         self._choosing = choosing.Choosing(view, self._formations,
-                                           self._pending, self._strain,
+                                           self._pending, self._overload,
                                            self._spares, slow,
                                            self._rebalancing, self._demand)
 
@@ -66,7 +66,7 @@
         groups = self._view.groups(service.name)
         for key in groups:
             self._formations.see_epoch(key.epoch)
-        self._strain.see(service.name, engine, groups, scope, now_ms)
+        self._overload.see(service.name, engine, groups, scope, now_ms)
         self._demand.see(service.name, engine, groups, scope, now_ms)
         engine = self._demand.engine(service.name, engine, now_ms)
         actions: list[planning.Action] = []
--- a/cardamommill/gateway/reconciliation.py
+++ b/cardamommill/gateway/reconciliation.py
@@ -59,13 +59,13 @@
         """
         for group in groups.values():
             if group.key not in self._formations.by_key:
-                yield from self._tend(group, service, engine, scope, now_ms)
+                yield from self._keep_up(group, service, engine, scope, now_ms)
         yield from self._ask_the_silent(service, scope, now_ms)
         yield from self._count_orders(service, scope, now_ms)
 
-    def _tend(self, group: fleetview.Group, service: str, engine: model.Engine,
-              scope: planning.Scope,
-              now_ms: float) -> Iterator[planning.Action]:
+    def _keep_up(self, group: fleetview.Group, service: str,
+                 engine: model.Engine, scope: planning.Scope,
+                 now_ms: float) -> Iterator[planning.Action]:
         if not is_ours(group, scope):
             return
         served = engine.model(group.model)
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/spares.py
@@ -8,8 +8,8 @@
     loads,
     model,
     orders,
+    overload,
     planning,
-    strain,
 )
 
 # A host that refuses is loading for another planner, or one that died: asked
@@ -37,7 +37,7 @@
         self._refused_ms[runner] = now_ms
 
     def stage(self, engine: model.Engine, scope: planning.Scope,
-              free: list[fleetview.Known], need: strain.Need,
+              free: list[fleetview.Known], need: overload.Need,
               now_ms: float) -> Iterator[planning.Action]:
         """Returns orders to load for the free runners of one domain.
 
@@ -77,14 +77,15 @@
                                reason=f"held in the domain: {held}")
 
     def _idle(self, engine: model.Engine, free: list[fleetview.Known],
-              held: dict[str, int], need: strain.Need) -> list[fleetview.Known]:
+              held: dict[str,
+                         int], need: overload.Need) -> list[fleetview.Known]:
         """Returns runners whose host may load something else, blank ones first.
 
         One that holds a model may load a busier one that lacks few to a group,
         or has no spare here: the survivors of its next death would wait for a
-        whole load. And it may load a strained one where enough runners are free
-        for a group of either and no whole group can be made: it would wait for
-        ever for partners. Else it is worth more as the spare that it is.
+        whole load. And it may load an overloaded one where enough runners are
+        free for a group of either and no whole group can be made: it would wait
+        for ever for partners. Else it is worth more as the spare that it is.
         """
         blank = [each for each in free if not self.warm_model(each)]
         sizes = {each.name: each.size for each in engine.models}
@@ -105,7 +106,8 @@
         return others[:missing] if len(others) >= missing else []
 
     def _lent(self, served: model.ServedModel, free: list[fleetview.Known],
-              held: dict[str, int], need: strain.Need) -> list[fleetview.Known]:
+              held: dict[str,
+                         int], need: overload.Need) -> list[fleetview.Known]:
         """Returns spares of idler models that would make a group, or a spare.
 
         Each model that has any keeps one.
@@ -126,7 +128,7 @@
         return found[:missing] if len(found) >= missing else []
 
     def _wanted(self, engine: model.Engine, held: dict[str, int], free: int,
-                need: strain.Need) -> model.ServedModel:
+                need: overload.Need) -> model.ServedModel:
         # A model whose requests wait comes first: by the fewest runners alone
         # the smaller one got most loads of a day, while it had eight groups
         # and the larger one four. Then what lacks the fewest runners to a whole
--- a/tests/gateway/test_strain.py
+++ b/tests/gateway/test_overload.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cardamommill.gateway import flights, model, orders, planning, strain
+from cardamommill.gateway import flights, model, orders, overload, planning
 from tests.gateway import builders, planners
 
 LARGE = model.GroupKey("g1", 1)
@@ -135,16 +135,16 @@
     """Both are looked at in each step, one right after the other.
 
     With one time for both the second had no time between its looks, and was
-    never found strained however long its callers waited.
+    never found overloaded however long its callers waited.
     """
-    seen = strain.Strain()
+    seen = overload.Overload()
     other = dataclasses.replace(builders.LARGE, name="other")
     scope = planning.Scope(frozenset({"a"}), 1, False, {})
     for now_ms in range(0, 2000, 100):
         seen.see("first", builders.engine(), {}, scope, now_ms)
         seen.see("second", builders.engine(models=(other,)), {}, scope, now_ms)
-    assert seen.is_strained("large")
-    assert seen.is_strained("other")
+    assert seen.is_overloaded("large")
+    assert seen.is_overloaded("other")
 
 
 def test_a_short_burst_is_no_strain():
