--- a/cardamommill/loglines.py
+++ b/cardamommill/loglines.py
@@ -21,6 +21,8 @@
      "fell silent, which runner was down and when the next one opened"),
     ("all groups are full", "not run: demand was above what the standing "
      "groups can do in time"),
+    ("no runner takes more now", "not run: each runner that could take it had "
+     "named a rate limit or asked for rest; see runner-limit and runner-rests"),
     ("keys not confirmed", "not run: this node had no word of the platform for "
      "too long to trust any key"),
     ("key not confirmed", "its key was taken away, or could not be confirmed, "
--- a/tests/test_loglines.py
+++ b/tests/test_loglines.py
@@ -58,6 +58,19 @@
     assert text.splitlines()[-1].startswith("cause: no group stands: not run")
 
 
+def test_refusal_for_limits_and_rests_has_a_cause(tmp_path):
+    path = tmp_path / "one.log"
+    path.write_text(
+        line(1,
+             "n1",
+             "request-ended",
+             request="r1",
+             status=503,
+             reason="no runner takes more now"))
+    text = commands.Commands().explain("request", "r1", logs=str(path))
+    assert "named a rate limit or asked for rest" in text
+
+
 def test_unknown_request_is_an_error(files):
     with pytest.raises(exceptions.CommandError, match="nobody"):
         commands.Commands().explain("request", "nobody", logs=files)
