Have one piece change runners for as long as a trouble lasts

Three methods of the model's troubles set a field of some runners, waited and set it back; the test of limited runners wrote the plain kinds of requests and its parameters again.

--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -121,11 +121,18 @@
             self._world.loop.network.end_processes(runner.host)
 
     async def _heads_fail(self, trouble: deployments.Trouble) -> None:
+        """Has heads of open groups fail all they are sent, and look well."""
         await self._fail_heads(trouble, modelfleet.Fault.ERROR)
 
     async def _heads_reset(self, trouble: deployments.Trouble) -> None:
+        """Has them reset connections instead."""
         await self._fail_heads(trouble, modelfleet.Fault.RESET)
 
+    async def _fail_heads(self, trouble: deployments.Trouble,
+                          fault: modelfleet.Fault) -> None:
+        await self._change(trouble, self._heads(trouble.count), "fault", fault,
+                           modelfleet.Fault.NONE)
+
     async def _heads_limited(self, trouble: deployments.Trouble) -> None:
         """Has heads name a rate limit, the factor, in requests a second."""
         await self._limit(trouble, self._heads(trouble.count))
@@ -135,12 +142,9 @@
         await self._limit(trouble, self._plain(trouble.count))
 
     async def _limit(self, trouble: deployments.Trouble,
-                     limited: list[modelfleet.ListedRunner]) -> None:
-        for runner in limited:
-            runner.limit_per_s = trouble.factor
-        await asyncio.sleep(trouble.for_s or math.inf)
-        for runner in limited:
-            runner.limit_per_s = None
+                     runners: list[modelfleet.ListedRunner]) -> None:
+        await self._change(trouble, runners, "limit_per_s", trouble.factor,
+                           None)
 
     async def _heads_rest(self, trouble: deployments.Trouble) -> None:
         """Has heads turn all away and ask for a rest, the factor, in s."""
@@ -151,22 +155,18 @@
         await self._rest(trouble, self._plain(trouble.count))
 
     async def _rest(self, trouble: deployments.Trouble,
-                    resting: list[modelfleet.ListedRunner]) -> None:
-        for runner in resting:
-            runner.rest_s = trouble.factor
-        await asyncio.sleep(trouble.for_s or math.inf)
-        for runner in resting:
-            runner.rest_s = 0.0
+                    runners: list[modelfleet.ListedRunner]) -> None:
+        await self._change(trouble, runners, "rest_s", trouble.factor, 0.0)
 
-    async def _fail_heads(self, trouble: deployments.Trouble,
-                          fault: modelfleet.Fault) -> None:
-        """Has heads of open groups fail all they are sent, and look well."""
-        failing = self._heads(trouble.count)
-        for runner in failing:
-            runner.fault = fault
+    async def _change(self, trouble: deployments.Trouble,
+                      runners: list[modelfleet.ListedRunner], field: str,
+                      value: Any, well: Any) -> None:
+        """Gives runners a fault for as long as the trouble lasts."""
+        for runner in runners:
+            setattr(runner, field, value)
         await asyncio.sleep(trouble.for_s or math.inf)
-        for runner in failing:
-            runner.fault = modelfleet.Fault.NONE
+        for runner in runners:
+            setattr(runner, field, well)
 
     def _plain(self, count: int) -> list[modelfleet.ListedRunner]:
         plain = [
--- a/tests/experiment/test_limited_runners.py
+++ b/tests/experiment/test_limited_runners.py
@@ -16,14 +16,13 @@
 # What the other groups bear while one of four takes nothing.
 BEARABLE = (KINDS[0].model_copy(update={"per_s": 26}),)
 
-PLAIN = (deployments.KindSpec(name="record",
-                              per_s=20,
-                              type="non_idempotent",
-                              deadline_ms=1500),
-         deployments.KindSpec(name="status",
-                              per_s=10,
-                              type="idempotent",
-                              deadline_ms=1500))
+PLAIN_PER_S = {"record": 20, "status": 10}
+PLAIN = tuple(
+    each.model_copy(update={"per_s": PLAIN_PER_S[each.name]})
+    for each in test_world.KINDS
+    if not each.model)
+SEEDS = pytest.mark.parametrize("seed", [1, 2, 3])
+FLEETS = pytest.mark.parametrize("places", [PLACES, {"a": 16, "b": 8}])
 
 
 def play(*troubles, places=PLACES, **fields):
@@ -36,8 +35,8 @@
         })
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize("places", [PLACES, {"a": 16, "b": 8}])
+@SEEDS
+@FLEETS
 def test_runner_gets_no_more_than_the_limit_that_it_names(places, seed):
     """Nodes that do not heed a limit, or each for itself, exceed it."""
     outcome = play(test_world.trouble("heads_limited",
@@ -49,8 +48,8 @@
     assert not outcome.violations
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize("places", [PLACES, {"a": 16, "b": 8}])
+@SEEDS
+@FLEETS
 def test_runner_that_asks_for_rest_is_left_alone(places, seed):
     """A head that turns all away is the least loaded and drew ever more."""
     outcome = play(test_world.trouble("heads_rest",
@@ -79,8 +78,8 @@
     assert test_sharing.served(outcome, FROM_S, 12.0) > 0.98
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize("places", [PLACES, {"a": 16, "b": 8}])
+@SEEDS
+@FLEETS
 def test_runner_that_says_that_it_leaves_gets_no_new_requests(places, seed):
     """The store does not hear of it, and keeps its entry until it lapses."""
     outcome = play(test_world.trouble("heads_leave", FROM_S, count=2,
