Call what was there already, in place of writing it again

* Living nodes by data centre were gathered twice in peers; one gathers them.
* What is at the serving groups of a model was added up in choosing, demand and overload; planning.Scope does.
* Old rate limits are forgotten by clock.forget_old, and what is left of a rest is worked out in one place; latency had a window of one second that changed nothing.
* The mark of a request goes to forwarding, which reads requests: reliability decides and must not import the callers' side.

--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -235,8 +235,7 @@
                 raise exceptions.CommandError("logs explain requests alone",
                                               step="explain")
             loglines = importlib.import_module("cardamommill.loglines")
-            paths = [pathlib.Path(each) for each in str(logs).split(",")]
-            return str(loglines.explain_request(str(name), paths))
+            return str(loglines.explain_request(str(name), _files(logs)))
         return self._shown(("explain", kind, name), json)
 
     def latency(self, logs: str) -> None:
@@ -249,8 +248,7 @@
             InputError: Some lines can't be read; the others are told before.
         """
         latency = importlib.import_module("cardamommill.latency")
-        paths = [pathlib.Path(each) for each in str(logs).split(",")]
-        ends, faults = latency.read(paths)
+        ends, faults = latency.read(_files(logs))
         print(latency.report(ends))
         latency.refuse(faults)
 
@@ -365,6 +363,10 @@
 BASE_MARK = "# made from revision "
 
 
+def _files(names: str) -> list[pathlib.Path]:
+    return [pathlib.Path(each) for each in str(names).split(",")]
+
+
 def _wish(author: str, reason: str) -> dict[str, Any]:
     return {"author": str(author or getpass.getuser()), "reason": str(reason)}
 
--- a/cardamommill/gateway/backpressure.py
+++ b/cardamommill/gateway/backpressure.py
@@ -37,16 +37,18 @@
 
     def wait_ms(self, runner: model.Runner, now_ms: float) -> float:
         """Returns how long a runner takes nothing of this node, 0 for now."""
-        rest_ms = self._rests_until_ms.get(runner.id, 0.0) - now_ms
         return max(
-            0.0, rest_ms,
+            self._rest_ms(runner.id, now_ms),
             self._rate_limits.wait_ms(runner.id, runner.data_centre, now_ms))
 
+    def _rest_ms(self, runner: str, now_ms: float) -> float:
+        return max(0.0, self._rests_until_ms.get(runner, 0.0) - now_ms)
+
     def sent(self, request: str, runner: str, repeat: bool,
              now_ms: float) -> None:
         """Notes a request that is sent to a runner, or once more."""
-        rest_ms = self._rests_until_ms.get(runner, 0.0) - now_ms
-        if rest_ms > 0:
+        rest_ms = self._rest_ms(runner, now_ms)
+        if rest_ms:
             self._metrics.count("requests_sent_resting_total")
             _LOG.warning(
                 logs.line("resting-send",
--- a/cardamommill/gateway/choosing.py
+++ b/cardamommill/gateway/choosing.py
@@ -201,7 +201,7 @@
                  served: model.ServedModel, scope: planning.Scope) -> bool:
         serving = fleetview.serving(
             self._view.groups(service).values(), served.name)
-        load = sum(scope.load(each.key).all_requests for each in serving)
+        load = scope.load_at(serving).all_requests
         return load > BUSY_PART * engine.slots * len(serving)
 
     def _by_need(self, service: str, engine: model.Engine,
--- a/cardamommill/gateway/demand.py
+++ b/cardamommill/gateway/demand.py
@@ -56,7 +56,7 @@
             serving = fleetview.serving(groups.values(), served.name)
             if not serving:
                 continue
-            count = sum(scope.load(each.key).all_requests for each in serving)
+            count = scope.load_at(serving).all_requests
             before = seen.requests.get(served.name, float(count))
             seen.requests[served.name] = before + weight * (count - before)
 
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/dispatcher.py
@@ -17,6 +17,7 @@
     fleetview,
     flights,
     forecast,
+    forwarding,
     freshness,
     grouploads,
     model,
@@ -326,7 +327,7 @@
             return
         if sent_ms is not None and self._is_to_blame(one, target, outcome,
                                                      now_ms - sent_ms):
-            self.reliability.failed(runner, reliability.mark(one.request),
+            self.reliability.failed(runner, forwarding.mark(one.request),
                                     now_ms)
         _LOG.info(
             logs.line("attempt-failed",
--- a/cardamommill/gateway/forwarding.py
+++ b/cardamommill/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """What is passed on of a request to a runner, and of its answer."""
 
 import dataclasses
+import zlib
 
 from cardamommill.gateway import (
     callers,
@@ -101,3 +102,10 @@
     if len(numbers) != 2:
         return placing.Work(0, hint or 0)
     return placing.Work(numbers[0], min(hint or numbers[1], numbers[1]))
+
+
+def mark(request: callers.CallerRequest) -> int:
+    """Returns what is the same when the same request is sent again."""
+    counts = request.get(words.TOKEN_COUNTS) or ""
+    named = f"{request.method} {request.target} {counts}"
+    return zlib.crc32(request.body, zlib.crc32(named.encode()))
--- a/cardamommill/gateway/overload.py
+++ b/cardamommill/gateway/overload.py
@@ -77,13 +77,9 @@
         self._seen_ms[service] = now_ms
         weight = min(1.0, since_ms / MEMORY_MS)
         for served in engine.models:
-            keys = [
-                each.key
-                for each in fleetview.serving(groups.values(), served.name)
-            ]
-            requests = sum(scope.load(each).all_requests for each in keys)
-            waiting = sum(scope.load(each).patient for each in keys)
-            part = waiting / max(1, requests) if keys else 1.0
+            serving = fleetview.serving(groups.values(), served.name)
+            load = scope.load_at(serving)
+            part = load.patient / max(1, load.all_requests) if serving else 1.0
             before = self._part.get(served.name, 0.0)
             self._part[served.name] = before + weight * (part - before)
 
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/peers.py
@@ -225,16 +225,11 @@
 
     def choose_reporters(self, now_ms: float) -> None:
         """Settles who speaks for each data centre: the first by name."""
-        places = {self._data_centre: [(self._node, self._address)]}
-        for each in self.alive(now_ms):
-            if each.last is not None:
-                places.setdefault(each.last.data_centre, []).append(
-                    (each.last.node, each.address))
         first = {
             place:
                 frozenset(address for _, address in heapq.nsmallest(
                     reporting.REPORTERS, nodes))
-            for place, nodes in places.items()
+            for place, nodes in self._living(now_ms).items()
         }
         before = self.is_reporter, self._far_reporters
         self.is_reporter = self._address in first.pop(self._data_centre)
@@ -244,12 +239,18 @@
 
     def living(self, now_ms: float) -> dict[str, list[str]]:
         """Returns the names of living nodes by data centre, with this one."""
-        names = {self._data_centre: [self._node]}
+        return {
+            place: [name for name, _ in nodes]
+            for place, nodes in self._living(now_ms).items()
+        }
+
+    def _living(self, now_ms: float) -> dict[str, list[tuple[str, Address]]]:
+        places = {self._data_centre: [(self._node, self._address)]}
         for each in self.alive(now_ms):
             if each.last is not None:
-                names.setdefault(each.last.data_centre,
-                                 []).append(each.last.node)
-        return names
+                places.setdefault(each.last.data_centre, []).append(
+                    (each.last.node, each.address))
+        return places
 
     def near_loads(self) -> reporting.Loads:
         """Returns the sums of what the other nodes of this place have."""
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/planning.py
@@ -1,6 +1,8 @@
 """Types of planning: actions, formations, and for whom it is done."""
 
+from collections.abc import Iterable
 import dataclasses
+import functools
 
 from cardamommill.gateway import fleetview, flights, model, orders
 
@@ -77,6 +79,12 @@
         """Returns what is at a group."""
         return self.loads.get(key, flights.NO_LOAD)
 
+    def load_at(self, groups: Iterable[fleetview.Group]) -> flights.GroupLoad:
+        """Returns what is at some groups together."""
+        return functools.reduce(flights.GroupLoad.plus,
+                                (self.load(each.key) for each in groups),
+                                flights.NO_LOAD)
+
 
 def is_ready(known: fleetview.Known, key: model.GroupKey) -> bool:
     """Whether a runner says that it is ready in a group, or serves."""
--- a/cardamommill/gateway/ratelimits.py
+++ b/cardamommill/gateway/ratelimits.py
@@ -11,6 +11,7 @@
 import zlib
 
 from cardamommill import units
+from cardamommill.gateway import clock
 
 # A runner that takes nothing is asked now and then, or it could not say that
 # its limit is over.
@@ -256,10 +257,10 @@
 
     def forget(self, now_ms: float) -> None:
         """Forgets what is old."""
-        for runner, limit in list(self._limits.items()):
-            if now_ms - limit.as_of_ms > FORGOTTEN_MS:
-                del self._limits[runner]
-                self._buckets.pop(runner, None)
+        clock.forget_old(self._limits, lambda limit: limit.as_of_ms,
+                         FORGOTTEN_MS, now_ms)
+        for runner in self._buckets.keys() - self._limits.keys():
+            del self._buckets[runner]
 
 
 def _all(living: Nodes) -> list[str]:
--- a/cardamommill/gateway/reliability.py
+++ b/cardamommill/gateway/reliability.py
@@ -16,10 +16,8 @@
 import dataclasses
 import math
 import random
-import zlib
 
-from cardamommill.gateway import callers, clock
-from cardamommill.platform import words
+from cardamommill.gateway import clock
 
 # A try weighs half after this long, so that whoever failed is tried again.
 HALF_LIFE_MS = 3000.0
@@ -65,13 +63,6 @@
     failures: tuple[tuple[int, float], ...]
 
 
-def mark(request: callers.CallerRequest) -> int:
-    """Returns what is the same when the same request is sent again."""
-    counts = request.get(words.TOKEN_COUNTS) or ""
-    named = f"{request.method} {request.target} {counts}"
-    return zlib.crc32(request.body, zlib.crc32(named.encode()))
-
-
 class Reliability:
     """Tries at runners; failures of all nodes, each counted once."""
 
--- a/cardamommill/latency.py
+++ b/cardamommill/latency.py
@@ -8,7 +8,6 @@
 
 from cardamommill import exceptions, loglines
 
-WINDOW_S = 1
 MAX_GROUPS = 10
 MAX_FAULTS = 10
 BAR_WIDTH = 40
@@ -162,7 +161,7 @@
     """Draws a bar a second: served in time, late, and not served."""
     seconds: dict[int, list[Ended]] = collections.defaultdict(list)
     for each in ends:
-        seconds[each.second // WINDOW_S * WINDOW_S].append(each)
+        seconds[each.second].append(each)
     most = max(map(len, seconds.values()), default=1)
     rows = [("SECOND", "REQUESTS", "LATE", "UNSERVED",
              "# IN TIME, + LATE, . UNSERVED")]
