--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleetview.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 import dataclasses
 
-from cardamommill.gateway import model
+from cardamommill.gateway import memberships, model
 
 # A runner that left the list is remembered for as long as it may still be
 # asked whether it lives: its group may go on serving.
@@ -12,15 +12,6 @@
 # As long as a list without news is waited for, with a drain bound of 2 s.
 LIST_STALE_MS = 2800.0
 
-_ORDER = {
-    model.MemberState.JOINING: 0,
-    model.MemberState.READY: 1,
-    model.MemberState.OPEN: 2,
-    model.MemberState.CLOSING: 3,
-    model.MemberState.BROKEN: 4,
-}
-_SERVING = frozenset({model.MemberState.OPEN, model.MemberState.CLOSING})
-
 
 @dataclasses.dataclass(slots=True)
 class Known:
@@ -179,7 +170,7 @@
                           True,
                           as_of_ms,
                           runner.standing,
-                          is_counted=_is_blank(runner.standing))
+                          is_counted=memberships.is_blank(runner.standing))
             self.known[runner.id] = known
             self._note_model(known)
             yield runner.id, "listed"
@@ -307,8 +298,8 @@
         order or a report only if it still said something else after that.
         """
         newer = read_before_ms > max(known.report_ms, known.order_ms)
-        if not newer and not _goes_on(known.membership, standing.membership,
-                                      said):
+        if not newer and not memberships.goes_on(known.membership,
+                                                 standing.membership, said):
             # What its host holds is true all the same: a load that ended before
             # the next reading was never seen, and the spare never used.
             known.standing = dataclasses.replace(known.standing,
@@ -316,7 +307,8 @@
             return
         if standing != known.standing:
             known.list_ms = as_of_ms
-        if _place(standing.membership) != _place(known.membership):
+        if memberships.place(standing.membership) != memberships.place(
+                known.membership):
             # Somebody else ordered that.
             known.is_counted = False
         known.standing = standing
@@ -379,30 +371,3 @@
             each for each in self.known.values()
             if each.listed and each.runner.service == service
         ]
-
-
-def _is_blank(standing: model.Standing) -> bool:
-    """Whether nobody can have ordered anything of a runner yet."""
-    return not (standing.staged or standing.models or standing.membership)
-
-
-def _place(membership: model.Membership | None) -> model.GroupKey | None:
-    return membership.key if membership is not None else None
-
-
-def _goes_on(before: model.Membership | None, after: model.Membership | None,
-             said: model.Membership | None) -> bool:
-    """Whether a place in a group is the same one, later.
-
-    Args:
-        before: What is believed.
-        after: What its row says.
-        said: What its row said before.
-    """
-    if before is None or after is None or before.key != after.key:
-        return False
-    if _ORDER[after.state] >= _ORDER[before.state]:
-        return True
-    # A head that has finished after its close says ready once more.
-    return (after.state is model.MemberState.READY and said is not None and
-            said.key == after.key and said.state in _SERVING)
