--- a/cardamommill/__main__.py
+++ b/cardamommill/__main__.py
@@ -12,7 +12,8 @@
 def main(words: list[str]) -> None:
     """Runs an entry node at once, or else what the words name."""
     if len(words) == 3 and words[:2] == ["entry", _SETTINGS]:
-        importlib.import_module("cardamommill.gateway.starting").main(words[2])
+        importlib.import_module("cardamommill.gateway.shell.starting").main(
+            words[2])
         return
     importlib.import_module("cardamommill.cmdline").main()
 
--- a/cardamommill/commands.py
+++ b/cardamommill/commands.py
@@ -203,7 +203,8 @@
         Args:
             settings: Its settings, a YAML file.
         """
-        importlib.import_module("cardamommill.gateway.starting").run(settings)
+        importlib.import_module("cardamommill.gateway.shell.starting").run(
+            settings)
 
     def status(self, json: bool = False) -> str:
         """Prints what a node knows of its data centre.
--- /dev/null
+++ b/cardamommill/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Types and settings that all packages of the entry node share."""
--- a/cardamommill/gateway/orders.py
+++ b/cardamommill/domain/orders.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 
 
 class Operation(enum.Enum):
--- a/cardamommill/experiment/comparing.py
+++ b/cardamommill/experiment/comparing.py
@@ -4,12 +4,17 @@
 import contextlib
 import dataclasses
 import importlib
+import importlib.util
 from typing import Any
 
 from cardamommill import exceptions
 from cardamommill.experiment import deployments, world
 
-PACKAGE = "cardamommill.gateway"
+# Where the constants that a variant may set are looked for.
+PACKAGES = ("cardamommill.domain", "cardamommill.transport",
+            "cardamommill.gateway.fleet", "cardamommill.gateway.requests",
+            "cardamommill.gateway.groups", "cardamommill.gateway.nodes",
+            "cardamommill.gateway.tables", "cardamommill.gateway.shell")
 COLUMNS = ("experiment", "variant", "seed", "requests", "credit", "worst 4 s",
            "in aim", "late", "refused", "failed", "calls/s", "broken rules")
 
@@ -71,10 +76,11 @@
 
 def _constant(path: str) -> tuple[Any, str]:
     module_name, _, name = path.partition(".")
-    try:
-        module = importlib.import_module(f"{PACKAGE}.{module_name}")
-    except ImportError:
-        module = None
+    found = [
+        f"{package}.{module_name}" for package in PACKAGES
+        if importlib.util.find_spec(f"{package}.{module_name}") is not None
+    ]
+    module = importlib.import_module(found[0]) if found else None
     if module is None or not name.isupper() or not hasattr(module, name):
         raise exceptions.CommandError(
             f"no constant {path}; expected a name such as placing.PATIENT_PART",
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -10,7 +10,7 @@
 
 
 class ModelSpec(checking.Checked):
-    """A model served by groups of runners; see `gateway.model.ServedModel`."""
+    """A model served by groups of runners; see `domain.model.ServedModel`."""
 
     name: str
     size: Annotated[int, pydantic.Field(ge=1)]
--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -5,9 +5,11 @@
 import random
 from typing import Any
 
+from cardamommill.domain import clock
 from cardamommill.experiment import oracle, rightanswers
-from cardamommill.gateway import clock, eventparser, fetching, upstream
-from cardamommill.platform import wirenames
+from cardamommill.gateway.requests import eventparser
+from cardamommill.platform import fetching, wirenames
+from cardamommill.transport import upstream
 
 CONNECT_TIMEOUT_MS = 1000.0
 # Lower bound of the time without an event after which a client gives up.
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -7,14 +7,15 @@
 import math
 from typing import Any
 
+from cardamommill.domain import clock, model
 from cardamommill.experiment import (
     modelstore,
     oracle,
     virtualloop,
     virtualnetwork,
 )
-from cardamommill.gateway import callers, clock, model, replies
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, replies
 
 PORT = 8140
 HEARTBEAT_MS = 1200.0
--- a/cardamommill/experiment/modelorders.py
+++ b/cardamommill/experiment/modelorders.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Any
 
+from cardamommill.domain import clock, model
 from cardamommill.experiment import modelfleet, modelpasses
-from cardamommill.gateway import clock, model
 
 # Time to become ready if the runner last served the same model.
 REJOIN_MS = 200.0
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -3,8 +3,8 @@
 import asyncio
 import math
 
+from cardamommill.domain import model
 from cardamommill.experiment import modelfleet, rightanswers
-from cardamommill.gateway import model
 from cardamommill.platform import wirenames
 
 # Time until a head detects that a member is gone.
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -10,8 +10,8 @@
     modelpasses,
     rightanswers,
 )
-from cardamommill.gateway import callers, replies
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, replies
 
 # A plain runner accepts this many requests per slot, queued ones included.
 PLAIN_CAPACITY_RATIO = 4
--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -7,8 +7,9 @@
 from typing import Any
 from urllib import parse
 
-from cardamommill.gateway import callers, clock, replies
+from cardamommill.domain import clock
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, replies
 
 ADDRESS = ("10.200.1.7", 8223)
 ANSWER_MS = 4.0
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from cardamommill.gateway import clock, model
+from cardamommill.domain import clock, model
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -8,6 +8,7 @@
 import signal
 from typing import Any, Protocol
 
+from cardamommill.domain import clock
 from cardamommill.experiment import (
     deployments,
     modelclients,
@@ -16,7 +17,6 @@
     oracle,
     virtualloop,
 )
-from cardamommill.gateway import clock
 from cardamommill.platform import wirenames
 
 # Maximum time until the operator publishes the configuration again after a
--- a/cardamommill/experiment/virtualloop.py
+++ b/cardamommill/experiment/virtualloop.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from cardamommill import units
+from cardamommill.domain import clock
 from cardamommill.experiment import virtualnetwork
-from cardamommill.gateway import clock
 
 
 class _Selector:
@@ -53,7 +53,7 @@
         return self._now_s
 
     def now_ms(self) -> float:
-        """Returns the simulated time in milliseconds, for `gateway.clock`."""
+        """Returns the simulated time in milliseconds, for `domain.clock`."""
         return 1e6 + self._now_s * units.MS_PER_S
 
     def _process_events(self, event_list: Any) -> None:
@@ -134,7 +134,7 @@
 
 @contextlib.contextmanager
 def running(seed: int) -> Any:
-    """Yields a loop, with `gateway.clock` set to its simulated time."""
+    """Yields a loop, with `domain.clock` set to its simulated time."""
     loop = VirtualLoop(seed)
     with clock.override(loop.now_ms):
         try:
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from cardamommill.domain import clock, entrysettings
 from cardamommill.experiment import (
     deployments,
     modelclients,
@@ -20,14 +21,9 @@
     virtualloop,
     virtualnetwork,
 )
-from cardamommill.gateway import (
-    clock,
-    entrynode,
-    entrysettings,
-    fetching,
-    upstream,
-)
-from cardamommill.platform import configurations, wirenames
+from cardamommill.gateway.shell import entrynode
+from cardamommill.platform import configurations, fetching, wirenames
+from cardamommill.transport import upstream
 
 FRONT_PORT = 8227
 READY_PORT = 8220
--- a/cardamommill/gateway/availablegroups.py
+++ b/cardamommill/gateway/fleet/availablegroups.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from cardamommill.gateway import fleetview, model
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
 
 # A silent group is avoided for this long, while its members are probed.
 SUSPECT_AVOID_MS = 400.0
--- a/cardamommill/gateway/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable, Iterator
 import dataclasses
 
-from cardamommill.gateway import memberships, model
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import memberships
 
 # How long a runner that left the list is kept. It may still be probed, since
 # its group may still be open.
--- a/cardamommill/gateway/grouploads.py
+++ b/cardamommill/gateway/fleet/grouploads.py
@@ -1,6 +1,7 @@
 """Combines this node's requests at groups with those that peers report."""
 
-from cardamommill.gateway import inflight, loadsums, model
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight, loadsums
 
 
 class GroupLoads:
--- a/cardamommill/gateway/inflight.py
+++ b/cardamommill/gateway/fleet/inflight.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/gateway/loadsums.py
+++ b/cardamommill/gateway/fleet/loadsums.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from cardamommill.gateway import inflight, model
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight
 
 # Reporters of a data centre: a second one in case the first fails.
 REPORTER_COUNT = 2
--- a/cardamommill/gateway/memberships.py
+++ b/cardamommill/gateway/fleet/memberships.py
@@ -1,6 +1,6 @@
 """Compares successive states of a runner's membership of a group."""
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 
 _STATE_ORDER = {
     model.MemberState.JOINING: 0,
--- /dev/null
+++ b/cardamommill/gateway/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about groups of runners, without input and output."""
--- a/cardamommill/gateway/allocation.py
+++ b/cardamommill/gateway/groups/allocation.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterator
 
-from cardamommill.gateway import (
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import (
     consolidation,
     demand,
-    fleetview,
     formations,
-    model,
     overload,
     planning,
     rebalancing,
--- a/cardamommill/gateway/consolidation.py
+++ b/cardamommill/gateway/groups/consolidation.py
@@ -4,13 +4,9 @@
 from collections.abc import Callable, Iterator
 import dataclasses
 
-from cardamommill.gateway import (
-    fleetview,
-    formations,
-    model,
-    orders,
-    planning,
-)
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import formations, planning
 
 # Time for a closed head to finish its requests, after which its members leave
 # anyway. A long answer of a group across domains takes about 9 s.
--- a/cardamommill/gateway/demand.py
+++ b/cardamommill/gateway/groups/demand.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from cardamommill.gateway import fleetview, model, planning
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import planning
 
 # Time constant of the moving average of a model's requests.
 AVERAGING_WINDOW_MS = 4000.0
--- a/cardamommill/gateway/fleetsummary.py
+++ b/cardamommill/gateway/groups/fleetsummary.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterable
 import dataclasses
 
-from cardamommill.gateway import fleetview, planning, spares
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import planning, spares
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/gateway/formations.py
+++ b/cardamommill/gateway/groups/formations.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterator
 
-from cardamommill.gateway import fleetview, loads, model, orders, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import loads, planning
 
 # Intervals between readiness checks of members that should be ready by now, and
 # of members that are long overdue. The latter mostly wait for a lost order or a
--- a/cardamommill/gateway/loads.py
+++ b/cardamommill/gateway/groups/loads.py
@@ -1,6 +1,7 @@
 """Limits the rate of loads from the weight store."""
 
-from cardamommill.gateway import model, planning
+from cardamommill.domain import model
+from cardamommill.gateway.groups import planning
 
 # Ratio of the permitted load rate that all planners use together. A planner
 # that takes over does not know which loads its predecessor started. At little
--- a/cardamommill/gateway/overload.py
+++ b/cardamommill/gateway/groups/overload.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from cardamommill.gateway import fleetview, model, planning
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import planning
 
 # A model is overloaded if more than this ratio of its requests waits and will
 # be late. While all groups were available, no request was in this state.
--- a/cardamommill/gateway/planner.py
+++ b/cardamommill/gateway/groups/planner.py
@@ -9,16 +9,15 @@
 
 from collections.abc import Iterable, Iterator
 
-from cardamommill.gateway import (
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import (
     allocation,
     consolidation,
     demand,
     fleetsummary,
-    fleetview,
     formations,
     loads,
-    model,
-    orders,
     overload,
     planning,
     rebalancing,
--- a/cardamommill/gateway/planning.py
+++ b/cardamommill/gateway/groups/planning.py
@@ -4,7 +4,8 @@
 import dataclasses
 import functools
 
-from cardamommill.gateway import fleetview, inflight, model, orders
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview, inflight
 
 # Joining a group whose model the runner served last takes this long.
 REJOIN_MS = 200.0
--- a/cardamommill/gateway/rebalancing.py
+++ b/cardamommill/gateway/groups/rebalancing.py
@@ -5,15 +5,9 @@
 import dataclasses
 import math
 
-from cardamommill.gateway import (
-    consolidation,
-    demand,
-    fleetview,
-    loads,
-    model,
-    orders,
-    planning,
-)
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import consolidation, demand, loads, planning
 
 # A model whose slot utilisation is below this needs no more groups.
 MIN_BUSY_UTILISATION = 0.3
--- a/cardamommill/gateway/reconciliation.py
+++ b/cardamommill/gateway/groups/reconciliation.py
@@ -2,13 +2,9 @@
 
 from collections.abc import Iterator
 
-from cardamommill.gateway import (
-    consolidation,
-    fleetview,
-    formations,
-    model,
-    planning,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import consolidation, formations, planning
 
 # An incomplete or unopened group of another planner is left alone for this
 # long.
--- a/cardamommill/gateway/spares.py
+++ b/cardamommill/gateway/groups/spares.py
@@ -3,14 +3,9 @@
 from collections.abc import Iterator
 import math
 
-from cardamommill.gateway import (
-    fleetview,
-    loads,
-    model,
-    orders,
-    overload,
-    planning,
-)
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import loads, overload, planning
 
 # Time from the refusal of a load order until the next order to that host. A
 # host that refuses is loading for another planner, or for one that died. Asked
--- /dev/null
+++ b/cardamommill/gateway/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes, and decisions about nodes."""
--- a/cardamommill/gateway/election.py
+++ b/cardamommill/gateway/nodes/election.py
@@ -1,6 +1,6 @@
 """Election of the planner of each data centre, from the nodes' messages."""
 
-from cardamommill.gateway import peermessage
+from cardamommill.gateway.nodes import peermessage
 
 # Two nodes that began to plan less than this time apart may not have known of
 # each other.
--- a/cardamommill/gateway/peermessage.py
+++ b/cardamommill/gateway/nodes/peermessage.py
@@ -8,13 +8,9 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import (
-    inflight,
-    loadsums,
-    model,
-    ratelimits,
-    reliability,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight, loadsums
+from cardamommill.gateway.requests import ratelimits, reliability
 
 # Larger datagrams are fragmented, and losing one fragment loses all of them.
 MAX_DATAGRAM_BYTES = 1400
--- a/cardamommill/gateway/peers.py
+++ b/cardamommill/gateway/nodes/peers.py
@@ -4,13 +4,9 @@
 import enum
 import heapq
 
-from cardamommill.gateway import (
-    election,
-    inflight,
-    loadsums,
-    model,
-    peermessage,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight, loadsums
+from cardamommill.gateway.nodes import election, peermessage
 
 Address = tuple[str, int]
 
--- /dev/null
+++ b/cardamommill/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests, without input and output."""
--- a/cardamommill/gateway/placing.py
+++ b/cardamommill/gateway/requests/placing.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterable
 import dataclasses
 
-from cardamommill.gateway import model, reliability, silence
+from cardamommill.domain import model
+from cardamommill.gateway.requests import reliability, silence
 
 # Maximum number of deferred requests at a group, as a fraction of its places:
 # more would not be served before their callers leave.
--- a/cardamommill/gateway/plainrunners.py
+++ b/cardamommill/gateway/requests/plainrunners.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 import random
 
-from cardamommill.gateway import clock, fleetview, reliability
+from cardamommill.domain import clock
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.requests import reliability
 
 # A runner that gave no answer, or refused a request, is the last choice for
 # this long. A runner that answers with a failure is exempt: such failures are
--- a/cardamommill/gateway/ratelimits.py
+++ b/cardamommill/gateway/requests/ratelimits.py
@@ -11,7 +11,7 @@
 import zlib
 
 from cardamommill import units
-from cardamommill.gateway import clock
+from cardamommill.domain import clock
 
 # Lower bound on the rate: a runner with a limit of 0 still gets a request now
 # and then, since it can lift its limit only in an answer.
--- a/cardamommill/gateway/reliability.py
+++ b/cardamommill/gateway/requests/reliability.py
@@ -17,7 +17,7 @@
 import math
 import random
 
-from cardamommill.gateway import clock
+from cardamommill.domain import clock
 
 # The weight of a failure halves in this time, so that the runner gets attempts
 # again.
--- a/cardamommill/gateway/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from cardamommill.gateway import entrysettings
+from cardamommill.domain import entrysettings
 
 # Nodes learn of each other's retries too late, so each limits its own to a
 # share of the budget, and uses at most this fraction of its share. The rest
--- a/cardamommill/gateway/retrydecision.py
+++ b/cardamommill/gateway/requests/retrydecision.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from cardamommill.gateway.attempts import Result
+from cardamommill.gateway.requests.attemptresult import Result
 
 
 class NextStep(enum.Enum):
--- a/cardamommill/gateway/routetable.py
+++ b/cardamommill/gateway/requests/routetable.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 
 
 class RouteTable:
--- a/cardamommill/gateway/silence.py
+++ b/cardamommill/gateway/requests/silence.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 
 # The events of a forward pass come together, and passes follow each other
 # without a pause. A group is silent after this many passes without any event,
--- a/cardamommill/gateway/streamprogress.py
+++ b/cardamommill/gateway/requests/streamprogress.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from cardamommill.gateway import eventparser
+from cardamommill.gateway.requests import eventparser
 
 
 class EventPosition(enum.Enum):
--- /dev/null
+++ b/cardamommill/gateway/shell/__init__.py
@@ -0,0 +1,1 @@
+"""The node itself: input, output, and what joins the decisions."""
--- a/cardamommill/gateway/admitting.py
+++ b/cardamommill/gateway/shell/admitting.py
@@ -4,8 +4,10 @@
 import math
 from typing import Protocol
 
-from cardamommill.gateway import callers, httpheaders, model, routetable
+from cardamommill.domain import model
+from cardamommill.gateway.requests import routetable
 from cardamommill.platform import configurations, wirenames
+from cardamommill.transport import callers, httpheaders
 
 DEFAULT_RETRY_AFTER_MS = 250.0
 # An unknown key or route may exist in a newer configuration. If the one in
--- a/cardamommill/gateway/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -7,15 +7,10 @@
 import logbook
 
 from cardamommill import logs, metrics
-from cardamommill.gateway import (
-    availablegroups,
-    clock,
-    dispatcher,
-    fleetview,
-    groupcontroller,
-    model,
-    peermessage,
-)
+from cardamommill.domain import clock, model
+from cardamommill.gateway.fleet import availablegroups, fleetview
+from cardamommill.gateway.nodes import peermessage
+from cardamommill.gateway.shell import dispatcher, groupcontroller
 
 # Minimum time between probes of one group by this node.
 PROBE_INTERVAL_MS = 400.0
--- a/cardamommill/gateway/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import dataclasses
-import enum
 from typing import Protocol
 
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import eventparser, upstream
+from cardamommill.gateway.requests import attemptresult, eventparser
 from cardamommill.platform import wirenames
+from cardamommill.transport import upstream
 
 # Limit for the body of an answer that is not a stream.
 MAX_ANSWER_BYTES = 8 << 20
@@ -25,36 +25,11 @@
 _LOG = logbook.Logger("attempts")
 
 
-class Result(enum.Enum):
-    """The result of an attempt."""
-
-    # A complete answer, to be passed to the caller.
-    ANSWERED = "answered"
-    # A complete answer that reports a failure of the runner. Another runner may
-    # succeed.
-    FAILED = "failed"
-    # A complete stream, whose events were passed to the caller.
-    STREAMED = "streamed"
-    # The runner stated that it did not run the request.
-    NOT_RUN = "not-run"
-    # No byte of the request left this node.
-    UNSENT = "unsent"
-    # The request may have run: there was no answer, or a truncated or invalid
-    # one.
-    BROKEN = "broken"
-    # This node cancelled the attempt because its group became silent.
-    DIVERTED = "diverted"
-    # The deadline of the request passed.
-    TIMED_OUT = "timed-out"
-    # The caller closed its connection.
-    ABANDONED = "abandoned"
-
-
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """The result of an attempt, and the answer if there is one."""
 
-    result: Result
+    result: attemptresult.Result
     reason: str = ""
     head: upstream.Head = dataclasses.field(default_factory=upstream.Head)
     body: bytes = b""
@@ -85,14 +60,14 @@
         self._body = bytearray()
         self._parser: eventparser.EventParser | None = None
 
-    def cancel(self, result: Result, reason: str) -> None:
+    def cancel(self, result: attemptresult.Result, reason: str) -> None:
         """Ends the attempt and closes its connection to the runner."""
         if self.done.done():
             return
         was_sent = self.exchange is not None and self.exchange.sent
-        if result is Result.DIVERTED and not was_sent:
-            result = Result.UNSENT
-        if result is Result.TIMED_OUT and not was_sent:
+        if result is attemptresult.Result.DIVERTED and not was_sent:
+            result = attemptresult.Result.UNSENT
+        if result is attemptresult.Result.TIMED_OUT and not was_sent:
             reason = f"unsent: {reason}"
         self.done.set_result(Outcome(result, reason))
         if self.exchange is not None:
@@ -140,9 +115,9 @@
         if self.done.done():
             return
         if ending is upstream.Ending.NOT_SENT:
-            self.done.set_result(Outcome(Result.UNSENT, reason))
+            self.done.set_result(Outcome(attemptresult.Result.UNSENT, reason))
         elif ending is not upstream.Ending.COMPLETE:
-            self.done.set_result(Outcome(Result.BROKEN, reason))
+            self.done.set_result(Outcome(attemptresult.Result.BROKEN, reason))
         else:
             self.done.set_result(self._complete())
 
@@ -150,22 +125,28 @@
         status = self._head.status
         if self._parser is not None:
             if self._parser.has_partial_event:
-                return Outcome(Result.BROKEN, "ended within an event")
-            return Outcome(Result.STREAMED, head=self._head)
+                return Outcome(attemptresult.Result.BROKEN,
+                               "ended within an event")
+            return Outcome(attemptresult.Result.STREAMED, head=self._head)
         if _OK_FIRST <= status <= _OK_LAST:
             if not self._has_valid_success_head():
-                return Outcome(Result.BROKEN, f"{status} that is not its own")
-            return Outcome(Result.ANSWERED, "", self._head, bytes(self._body))
+                return Outcome(attemptresult.Result.BROKEN,
+                               f"{status} that is not its own")
+            return Outcome(attemptresult.Result.ANSWERED, "", self._head,
+                           bytes(self._body))
         # 421 (Misdirected Request): the request reached a runner that it was
         # not meant for, which does not run it.
         if self._head.get(wirenames.NOT_EXECUTED) is not None or status == 421:
-            return Outcome(Result.NOT_RUN, f"runner said {status}", self._head)
+            return Outcome(attemptresult.Result.NOT_RUN,
+                           f"runner said {status}", self._head)
         if self._head.get(wirenames.ATTEMPT_ID) is None:
-            return Outcome(Result.BROKEN, f"{status} without the request's id")
+            return Outcome(attemptresult.Result.BROKEN,
+                           f"{status} without the request's id")
         if status >= _SERVER_ERROR_FIRST or status in _FAILURES_BELOW_500:
-            return Outcome(Result.FAILED, f"runner said {status}", self._head,
-                           bytes(self._body))
-        return Outcome(Result.ANSWERED, "", self._head, bytes(self._body))
+            return Outcome(attemptresult.Result.FAILED, f"runner said {status}",
+                           self._head, bytes(self._body))
+        return Outcome(attemptresult.Result.ANSWERED, "", self._head,
+                       bytes(self._body))
 
     def _has_valid_success_head(self) -> bool:
         """Whether the head has this attempt's id, a seal and no encoding."""
@@ -175,6 +156,6 @@
 
     def _fail(self, reason: str) -> None:
         if not self.done.done():
-            self.done.set_result(Outcome(Result.BROKEN, reason))
+            self.done.set_result(Outcome(attemptresult.Result.BROKEN, reason))
         if self.exchange is not None:
             self.exchange.cancel()
--- a/cardamommill/gateway/backpressure.py
+++ b/cardamommill/gateway/shell/backpressure.py
@@ -11,15 +11,12 @@
 import logbook
 
 from cardamommill import exceptions, logs, metrics
-from cardamommill.gateway import (
-    clock,
-    fleetview,
-    model,
-    peermessage,
-    ratelimits,
-    upstream,
-)
+from cardamommill.domain import clock, model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.nodes import peermessage
+from cardamommill.gateway.requests import ratelimits
 from cardamommill.platform import flowcontrol
+from cardamommill.transport import upstream
 
 # "Misdirected Request": another runner may have answered, since addresses are
 # reassigned.
--- a/cardamommill/gateway/conclusion.py
+++ b/cardamommill/gateway/shell/conclusion.py
@@ -2,14 +2,9 @@
 
 from collections.abc import Callable
 
-from cardamommill.gateway import (
-    admitting,
-    attempts,
-    forwarding,
-    placing,
-    replies,
-    retrydecision,
-)
+from cardamommill.gateway.requests import attemptresult, placing, retrydecision
+from cardamommill.gateway.shell import admitting, attempts, forwarding
+from cardamommill.transport import replies
 
 _REASON = {
     retrydecision.NextStep.ANSWER_NOT_RUN: "not run",
@@ -117,7 +112,7 @@
     def _pass_on(self, outcome: attempts.Outcome) -> None:
         status = outcome.head.status
         headers = forwarding.caller_headers(outcome.head)
-        if outcome.result is attempts.Result.STREAMED:
+        if outcome.result is attemptresult.Result.STREAMED:
             if not self._reply.started:
                 self._reply.start(status, headers)
             self._reply.end()
--- a/cardamommill/gateway/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -8,34 +8,37 @@
 import logbook
 
 from cardamommill import logs, metrics
-from cardamommill.gateway import (
-    admitting,
-    attempts,
+from cardamommill.domain import clock, entrysettings, model
+from cardamommill.gateway.fleet import (
     availablegroups,
-    backpressure,
-    clock,
-    entrysettings,
     fleetview,
-    forecast,
-    forwarding,
-    freshness,
     grouploads,
     inflight,
     loadsums,
-    model,
-    peers,
+)
+from cardamommill.gateway.nodes import peers
+from cardamommill.gateway.requests import (
+    attemptresult,
+    forecast,
+    freshness,
     placing,
     plainrunners,
-    platformreader,
     ratelimits,
-    relay,
     reliability,
-    requestlog,
     retrybudget,
     routetable,
     silence,
-    upstream,
 )
+from cardamommill.gateway.shell import (
+    admitting,
+    attempts,
+    backpressure,
+    forwarding,
+    platformreader,
+    relay,
+    requestlog,
+)
+from cardamommill.transport import upstream
 
 # A group that failed a request is avoided for this long, while its members are
 # probed.
@@ -44,8 +47,9 @@
 # uses the confirmations of its peers.
 OWN_CONFIRMATION_MS = 1500.0
 
-_SUCCEEDED = frozenset({attempts.Result.ANSWERED, attempts.Result.STREAMED})
-_NO_FAULT = _SUCCEEDED | {attempts.Result.ABANDONED}
+_SUCCEEDED = frozenset(
+    {attemptresult.Result.ANSWERED, attemptresult.Result.STREAMED})
+_NO_FAULT = _SUCCEEDED | {attemptresult.Result.ABANDONED}
 
 _LOG = logbook.Logger("requests")
 
@@ -369,14 +373,14 @@
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
-        if outcome.result is not attempts.Result.FAILED:
+        if outcome.result is not attemptresult.Result.FAILED:
             self._plain_runners.failed(runner, now_ms)
         if target.key is None:
             return
         investigate = {
-            attempts.Result.BROKEN: self.on_fault,
-            attempts.Result.UNSENT: self.on_fault,
-            attempts.Result.NOT_RUN: self.on_refusal,
+            attemptresult.Result.BROKEN: self.on_fault,
+            attemptresult.Result.UNSENT: self.on_fault,
+            attemptresult.Result.NOT_RUN: self.on_refusal,
         }.get(outcome.result)
         if investigate is not None:
             self.available_groups.avoid(target.key, now_ms + FAULT_AVOID_MS)
@@ -391,9 +395,10 @@
         head soon serves in a new group. At a runner without a group, a timeout
         counts if it came later than the route's latency objective.
         """
-        if outcome.result in (attempts.Result.FAILED, attempts.Result.BROKEN):
+        if outcome.result in (attemptresult.Result.FAILED,
+                              attemptresult.Result.BROKEN):
             return True
-        return (outcome.result is attempts.Result.TIMED_OUT and
+        return (outcome.result is attemptresult.Result.TIMED_OUT and
                 target.key is None and one.route is not None and
                 0 < one.route.goal_ms < took_ms)
 
--- a/cardamommill/gateway/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -10,37 +10,31 @@
 import logbook
 
 from cardamommill import logs, metrics
-from cardamommill.gateway import (
+from cardamommill.domain import clock, entrysettings, model
+from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
+from cardamommill.gateway.groups import planning
+from cardamommill.gateway.nodes import peermessage, peers
+from cardamommill.gateway.requests import freshness, routetable
+from cardamommill.gateway.shell import (
     alarms,
-    availablegroups,
-    callers,
-    clock,
     dispatcher,
-    entrysettings,
-    fleetview,
-    freshness,
     groupcontroller,
     heldrequests,
-    loadsums,
-    model,
     nodelink,
     openedgroups,
-    peermessage,
-    peers,
-    peertables,
-    planning,
     platformreader,
     relay,
-    replies,
-    routetable,
     settingsfile,
-    sourceselector,
     statuspages,
+)
+from cardamommill.gateway.tables import (
+    peertables,
+    sourceselector,
     tablecopies,
     tablereader,
-    upstream,
 )
 from cardamommill.platform import storecalls, wirenames
+from cardamommill.transport import callers, replies, upstream
 
 # Interval of periodic work; a silent group is noticed up to this much later.
 TICK_MS = 20.0
--- a/cardamommill/gateway/forwarding.py
+++ b/cardamommill/gateway/shell/forwarding.py
@@ -3,14 +3,9 @@
 import dataclasses
 import zlib
 
-from cardamommill.gateway import (
-    callers,
-    fetching,
-    httpheaders,
-    placing,
-    upstream,
-)
-from cardamommill.platform import wirenames
+from cardamommill.gateway.requests import placing
+from cardamommill.platform import fetching, wirenames
+from cardamommill.transport import callers, httpheaders, upstream
 
 # The deadline sent to the runner is this much earlier than the caller's, so
 # that the runner's own answer is back in time.
--- a/cardamommill/gateway/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -8,16 +8,11 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import (
-    clock,
-    fleetview,
-    model,
-    orders,
-    planner,
-    planning,
-    upstream,
-)
+from cardamommill.domain import clock, model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import planner, planning
 from cardamommill.platform import ordercalls
+from cardamommill.transport import upstream
 
 # Assumed recovery time of a missing group if none is being formed.
 DEFAULT_RECOVERY_MS = 700.0
--- a/cardamommill/gateway/heldrequests.py
+++ b/cardamommill/gateway/shell/heldrequests.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from cardamommill.gateway import callers, replies
+from cardamommill.transport import callers, replies
 
 # A node reads the configuration and the list of runners within some ms of its
 # start, but callers whose connections to its predecessor broke retry sooner.
--- a/cardamommill/gateway/nodelink.py
+++ b/cardamommill/gateway/shell/nodelink.py
@@ -7,13 +7,9 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import (
-    clock,
-    entrysettings,
-    peermessage,
-    peers,
-    sourceselector,
-)
+from cardamommill.domain import clock, entrysettings
+from cardamommill.gateway.nodes import peermessage, peers
+from cardamommill.gateway.tables import sourceselector
 from cardamommill.platform import storecalls, wirenames
 
 # How often a node reads the table of nodes. Each new node adds itself to this
--- a/cardamommill/gateway/openedgroups.py
+++ b/cardamommill/gateway/shell/openedgroups.py
@@ -3,7 +3,10 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import alarms, clock, fleetview, model, peermessage
+from cardamommill.domain import clock, model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.nodes import peermessage
+from cardamommill.gateway.shell import alarms
 
 _EXPIRY_MS = 10 * alarms.ANNOUNCE_MS
 
--- a/cardamommill/gateway/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -7,15 +7,10 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import (
-    clock,
-    fleetview,
-    freshness,
-    model,
-    restoration,
-    routetable,
-    tablereader,
-)
+from cardamommill.domain import clock, model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.requests import freshness, routetable
+from cardamommill.gateway.tables import restoration, tablereader
 from cardamommill.platform import configurations, entries, storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
--- a/cardamommill/gateway/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -9,24 +9,23 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import (
-    admitting,
-    attempts,
-    callers,
-    clock,
-    conclusion,
+from cardamommill.domain import clock, model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.requests import (
+    attemptresult,
     eventparser,
-    fleetview,
-    forwarding,
-    httpheaders,
-    model,
     placing,
-    replies,
     retrydecision,
     streamprogress,
-    upstream,
+)
+from cardamommill.gateway.shell import (
+    admitting,
+    attempts,
+    conclusion,
+    forwarding,
 )
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, httpheaders, replies, upstream
 
 # Maximum number of attempts per request, including those that were refused or
 # did not reach the runner. A refusal costs a caller only some ms, and the retry
@@ -230,7 +229,7 @@
         """Cancels the current attempt, so that the runner's place is freed."""
         self.is_abandoned = True
         if self._attempt is not None:
-            self._attempt.cancel(attempts.Result.ABANDONED, "caller left")
+            self._attempt.cancel(attemptresult.Result.ABANDONED, "caller left")
 
     def divert(self, reason: str, is_dead: bool = False) -> None:
         """Moves the request to another group as soon as one can take it.
@@ -263,7 +262,7 @@
         if target is not None or (self._has_lost_member and
                                   not self.reply.started):
             self._reserved_target = target
-            attempt.cancel(attempts.Result.DIVERTED, reason)
+            attempt.cancel(attemptresult.Result.DIVERTED, reason)
             return
         self._divert_timer = asyncio.get_running_loop().call_later(
             RESUME_POLL_MS / 1000, self._divert_if_possible, attempt, reason)
@@ -309,7 +308,7 @@
                 self.route is not None and self.route.repeatable,
                 self.may_have_run, self._may_retry(), self.reply.started)
             step = retrydecision.next_step(outcome.result, state)
-            if outcome.result is attempts.Result.FAILED:
+            if outcome.result is attemptresult.Result.FAILED:
                 self._conclusion.record_failure(outcome)
             if self.is_abandoned:
                 self._conclusion.caller_left()
@@ -367,7 +366,7 @@
             new_connection=not repeatable)
         timer = asyncio.get_running_loop().call_later(
             max(0.0, self.deadline_at_ms - now_ms) / 1000, attempt.cancel,
-            attempts.Result.TIMED_OUT, "out of time")
+            attemptresult.Result.TIMED_OUT, "out of time")
         try:
             outcome = self._check_complete(await attempt.done)
         finally:
@@ -376,7 +375,7 @@
             self._attempt = None
         if retrydecision.may_have_run(outcome.result):
             self.may_have_run_at.append(target)
-            diverted = outcome.result is attempts.Result.DIVERTED
+            diverted = outcome.result is attemptresult.Result.DIVERTED
             if self._may_be_running() or not diverted:
                 self._counted_targets.append(target)
         self._node.on_attempt_end(self, target, outcome)
@@ -388,9 +387,9 @@
         Otherwise a runner that starts over and ends early would end the stream
         as complete, with events missing.
         """
-        if (outcome.result is attempts.Result.STREAMED and
+        if (outcome.result is attemptresult.Result.STREAMED and
                 self.progress.is_replaying):
-            return attempts.Outcome(attempts.Result.BROKEN,
+            return attempts.Outcome(attemptresult.Result.BROKEN,
                                     "ended before what the caller has")
         return outcome
 
--- a/cardamommill/gateway/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -1,7 +1,7 @@
 """Formats the log line for the end of a request."""
 
 from cardamommill import logs
-from cardamommill.gateway import relay
+from cardamommill.gateway.shell import relay
 
 
 def ended(one: relay.Relay, status: int, reason: str, version: int,
--- a/cardamommill/gateway/settingsfile.py
+++ b/cardamommill/gateway/shell/settingsfile.py
@@ -5,7 +5,7 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import entrysettings
+from cardamommill.domain import entrysettings
 
 _LOG = logbook.Logger("entry")
 
--- a/cardamommill/gateway/starting.py
+++ b/cardamommill/gateway/shell/starting.py
@@ -3,7 +3,8 @@
 import pathlib
 
 from cardamommill import exitcodes
-from cardamommill.gateway import entrynode, entrysettings
+from cardamommill.domain import entrysettings
+from cardamommill.gateway.shell import entrynode
 
 
 def run(settings: str) -> None:
--- a/cardamommill/gateway/statuspages.py
+++ b/cardamommill/gateway/shell/statuspages.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from cardamommill import metrics
-from cardamommill.gateway import callers, replies
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, replies
 
 METRICS_PATH = "/metrics"
 
--- a/cardamommill/gateway/peertables.py
+++ b/cardamommill/gateway/tables/peertables.py
@@ -8,16 +8,10 @@
 import msgpack
 
 from cardamommill import exceptions
-from cardamommill.gateway import (
-    callers,
-    clock,
-    eras,
-    fetching,
-    replies,
-    tablecopies,
-    upstream,
-)
-from cardamommill.platform import storecalls
+from cardamommill.domain import clock, eras
+from cardamommill.gateway.tables import tablecopies
+from cardamommill.platform import fetching, storecalls
+from cardamommill.transport import callers, replies, upstream
 
 PATH = "/rows"
 _STEP = "peer rows"
--- a/cardamommill/gateway/restoration.py
+++ b/cardamommill/gateway/tables/restoration.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 import dataclasses
 
-from cardamommill.gateway import eras, model
+from cardamommill.domain import eras, model
 
 # Time within which a live runner rewrites its entry after a restore; one that
 # has not done so is taken to be gone.
--- a/cardamommill/gateway/sourceselector.py
+++ b/cardamommill/gateway/tables/sourceselector.py
@@ -12,7 +12,7 @@
 import heapq
 import zlib
 
-from cardamommill.gateway import peers
+from cardamommill.gateway.nodes import peers
 
 # Two, so that one still reads if the other fails.
 READERS_PER_DATA_CENTRE = 2
--- a/cardamommill/gateway/tablecopies.py
+++ b/cardamommill/gateway/tables/tablecopies.py
@@ -7,7 +7,7 @@
 from collections import deque
 import dataclasses
 
-from cardamommill.gateway import eras
+from cardamommill.domain import eras
 from cardamommill.platform import storecalls
 
 # Followers query a copy several times a second. The history must cover a burst
--- a/cardamommill/gateway/tablereader.py
+++ b/cardamommill/gateway/tables/tablereader.py
@@ -6,15 +6,10 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import (
-    clock,
-    eras,
-    peertables,
-    sourceselector,
-    tablecopies,
-    upstream,
-)
+from cardamommill.domain import clock, eras
+from cardamommill.gateway.tables import peertables, sourceselector, tablecopies
 from cardamommill.platform import storecalls
+from cardamommill.transport import upstream
 
 # Longest time for which a peer may hold a query while nothing changes. Each
 # answer updates the age of the data; a dead peer is noticed this much later.
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration into the types of `gateway.model`."""
+"""Decodes the operator's configuration into the types of `domain.model`."""
 
 import hashlib
 from typing import Annotated, Any
@@ -6,7 +6,7 @@
 import pydantic
 
 from cardamommill import exceptions, units
-from cardamommill.gateway import model
+from cardamommill.domain import model
 from cardamommill.platform import wire
 
 # Priorities run from 0, the most urgent, to 9.
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -9,7 +9,7 @@
 import pydantic
 
 from cardamommill import exceptions
-from cardamommill.gateway import model
+from cardamommill.domain import model
 from cardamommill.platform import wire, wirenames
 
 _MEMBER_STATES = {each.value: each for each in model.MemberState}
--- a/cardamommill/gateway/fetching.py
+++ b/cardamommill/platform/fetching.py
@@ -6,8 +6,8 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import upstream
 from cardamommill.platform import wirenames
+from cardamommill.transport import upstream
 
 _LOG = logbook.Logger("fetching")
 
--- a/cardamommill/platform/flowcontrol.py
+++ b/cardamommill/platform/flowcontrol.py
@@ -3,8 +3,8 @@
 import re
 
 from cardamommill import exceptions, units
-from cardamommill.gateway import httpheaders
 from cardamommill.platform import wirenames
+from cardamommill.transport import httpheaders
 
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 _TRUE = "1"
--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -4,8 +4,9 @@
 import json
 from typing import Any
 
-from cardamommill.gateway import fetching, model, orders, upstream
-from cardamommill.platform import entries, wirenames
+from cardamommill.domain import model, orders
+from cardamommill.platform import entries, fetching, wirenames
+from cardamommill.transport import upstream
 
 # A runner answers in a few ms; an unreachable one never does. An unanswered
 # order is sent again. If the first copy arrives late, the runner refuses it,
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -11,8 +11,9 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.gateway import clock, eras, fetching, httpheaders, upstream
-from cardamommill.platform import entries, wirenames
+from cardamommill.domain import clock, eras
+from cardamommill.platform import entries, fetching, wirenames
+from cardamommill.transport import httpheaders, upstream
 
 # For reads of rows and for writes. Even a store that is slowed down sixty times
 # answers in 300 ms; one that does not answer at all should be asked again soon.
--- /dev/null
+++ b/cardamommill/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections of callers and to backend servers."""
--- a/cardamommill/gateway/callers.py
+++ b/cardamommill/transport/callers.py
@@ -11,7 +11,8 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import clock, httpheaders, model, replies
+from cardamommill.domain import clock, model
+from cardamommill.transport import httpheaders, replies
 
 # After a refusal of a request that was not read completely, the remainder is
 # read and discarded for this long: closing at once would reset the connection
--- a/cardamommill/gateway/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -11,7 +11,8 @@
 import logbook
 
 from cardamommill import logs
-from cardamommill.gateway import clock, httpheaders
+from cardamommill.domain import clock
+from cardamommill.transport import httpheaders
 
 # A connection is established within a few ms, also between two data centres. A
 # lost SYN is retransmitted only after 1 s, so an attempt to connect that takes
--- a/tests/experiment/test_deaf_nodes.py
+++ b/tests/experiment/test_deaf_nodes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamommill.gateway import nodelink
+from cardamommill.gateway.shell import nodelink
 from tests.experiment import test_world
 
 
--- a/tests/experiment/test_modelclients.py
+++ b/tests/experiment/test_modelclients.py
@@ -4,14 +4,15 @@
 
 import pytest
 
+from cardamommill.domain import clock
 from cardamommill.experiment import (
     modelclients,
     oracle,
     rightanswers,
     virtualloop,
 )
-from cardamommill.gateway import callers, clock
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers
 
 ADDRESS = ("10.1.0.1", 8000)
 KIND = modelclients.Kind(name="drafts",
--- a/tests/experiment/test_reporting.py
+++ b/tests/experiment/test_reporting.py
@@ -2,13 +2,9 @@
 
 import asyncio
 
-from cardamommill.gateway import (
-    dispatcher,
-    entrynode,
-    model,
-    nodelink,
-    peers,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.nodes import peers
+from cardamommill.gateway.shell import dispatcher, entrynode, nodelink
 from tests.experiment import test_world
 
 # A datagram with its headers, without loads.
--- a/tests/experiment/test_sharing.py
+++ b/tests/experiment/test_sharing.py
@@ -2,15 +2,10 @@
 
 import pytest
 
+from cardamommill.domain import clock, entrysettings
 from cardamommill.experiment import modelrunner, troubles
-from cardamommill.gateway import (
-    clock,
-    entrysettings,
-    peertables,
-    platformreader,
-    sourceselector,
-    tablereader,
-)
+from cardamommill.gateway.shell import platformreader
+from cardamommill.gateway.tables import peertables, sourceselector, tablereader
 from cardamommill.platform import storecalls, wirenames
 from tests.experiment import test_world
 
--- a/tests/experiment/test_shifted_work.py
+++ b/tests/experiment/test_shifted_work.py
@@ -1,7 +1,7 @@
 """Tests load that differs from the declared shares of the models."""
 
 from cardamommill.experiment import deployments, world
-from cardamommill.gateway import rebalancing
+from cardamommill.gateway.groups import rebalancing
 from tests.experiment import test_world
 
 MODELS = tuple(
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -19,14 +19,10 @@
     virtualloop,
     world,
 )
-from cardamommill.gateway import (
-    fetching,
-    freshness,
-    platformreader,
-    relay,
-    upstream,
-)
-from cardamommill.platform import wirenames
+from cardamommill.gateway.requests import freshness
+from cardamommill.gateway.shell import platformreader, relay
+from cardamommill.platform import fetching, wirenames
+from cardamommill.transport import upstream
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples" / "experiments"
 PLACES = {"a": 2, "b": 1}
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -1,6 +1,7 @@
 """Functions that build test data for the gateway."""
 
-from cardamommill.gateway import fleetview, model
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
 
 LARGE = model.ServedModel("large", 4, 0.57, 1.0, 16_000.0, 1600.0)
 SMALL = model.ServedModel("small", 3, 0.43, 0.6, 12_000.0, 1100.0)
--- a/tests/gateway/exchanges.py
+++ b/tests/gateway/exchanges.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import upstream
+from cardamommill.transport import upstream
 
 ADDRESS = ("10.9.0.1", 8080)
 
--- a/tests/gateway/test_availablegroups.py
+++ b/tests/gateway/fleet/test_availablegroups.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from cardamommill.gateway import availablegroups, model, platformreader
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import availablegroups
+from cardamommill.gateway.shell import platformreader
 from tests.gateway import builders
 
 KEY = model.GroupKey("g", 3)
--- a/tests/gateway/test_fleetview.py
+++ b/tests/gateway/fleet/test_fleetview.py
@@ -1,6 +1,6 @@
 """Tests of how evidence about runners is merged."""
 
-from cardamommill.gateway import model
+from cardamommill.domain import model
 from tests.gateway import builders
 
 STATE = model.MemberState
--- a/tests/gateway/test_loadsums.py
+++ b/tests/gateway/fleet/test_loadsums.py
@@ -1,6 +1,8 @@
 """Tests of the load sums that data centres exchange."""
 
-from cardamommill.gateway import inflight, loadsums, model, peers
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight, loadsums
+from cardamommill.gateway.nodes import peers
 from tests.gateway import test_peers
 
 KEY, OTHER = model.GroupKey("g", 1), model.GroupKey("h", 2)
--- a/tests/gateway/test_allocation.py
+++ b/tests/gateway/groups/test_allocation.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from cardamommill.gateway import orders, planning
+from cardamommill.domain import orders
+from cardamommill.gateway.groups import planning
 from tests.gateway import builders, planners
 
 
--- a/tests/gateway/test_consolidation.py
+++ b/tests/gateway/groups/test_consolidation.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from cardamommill.gateway import model, orders, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.groups import planning
 from tests.gateway import builders, planners
 
 STATE = model.MemberState
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/groups/test_overload.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from cardamommill.gateway import inflight, model, orders, overload, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import inflight
+from cardamommill.gateway.groups import overload, planning
 from tests.gateway import builders, planners
 
 LARGE = model.GroupKey("g1", 1)
--- a/tests/gateway/test_planner.py
+++ b/tests/gateway/groups/test_planner.py
@@ -1,6 +1,7 @@
 """Tests of forming, opening and dissolving groups."""
 
-from cardamommill.gateway import formations, orders, planning
+from cardamommill.domain import orders
+from cardamommill.gateway.groups import formations, planning
 from tests.gateway import builders, planners
 
 
--- a/tests/gateway/test_rebalancing.py
+++ b/tests/gateway/groups/test_rebalancing.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from cardamommill.gateway import demand, inflight, model, orders, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import inflight
+from cardamommill.gateway.groups import demand, planning
 from tests.gateway import builders, planners
 
 STATE = model.MemberState
--- a/tests/gateway/test_reconciliation.py
+++ b/tests/gateway/groups/test_reconciliation.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from cardamommill.gateway import inflight, model, orders, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import inflight
+from cardamommill.gateway.groups import planning
 from tests.gateway import builders, planners
 
 
--- a/tests/gateway/test_spares.py
+++ b/tests/gateway/groups/test_spares.py
@@ -1,6 +1,8 @@
 """Tests of which spares are kept and which models they load."""
 
-from cardamommill.gateway import inflight, loads, model, orders, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import inflight
+from cardamommill.gateway.groups import loads, planning
 from tests.gateway import builders, planners
 
 
--- a/tests/gateway/test_peermessage.py
+++ b/tests/gateway/nodes/test_peermessage.py
@@ -9,14 +9,10 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import (
-    inflight,
-    loadsums,
-    model,
-    peermessage,
-    ratelimits,
-    reliability,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight, loadsums
+from cardamommill.gateway.nodes import peermessage
+from cardamommill.gateway.requests import ratelimits, reliability
 from tests.gateway import test_peers
 
 KEYS = strategies.builds(model.GroupKey, strategies.text(max_size=20),
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/nodes/test_peers.py
@@ -3,7 +3,9 @@
 import copy
 import random
 
-from cardamommill.gateway import inflight, model, peermessage, peers
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import inflight
+from cardamommill.gateway.nodes import peermessage, peers
 
 PLACES = ("a", "b")
 
--- a/tests/gateway/planners.py
+++ b/tests/gateway/planners.py
@@ -1,6 +1,7 @@
 """A planner with simulated runners, for the tests of planning."""
 
-from cardamommill.gateway import model, orders, planner, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.groups import planner, planning
 from tests.gateway import builders
 
 SCOPE = planning.Scope(frozenset({"a"}), 1, False, {})
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -3,15 +3,11 @@
 import asyncio
 import dataclasses
 
-from cardamommill.gateway import (
-    callers,
-    eventparser,
-    model,
-    placing,
-    relay,
-    upstream,
-)
+from cardamommill.domain import model
+from cardamommill.gateway.requests import eventparser, placing
+from cardamommill.gateway.shell import relay
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers, upstream
 from tests.gateway import builders
 
 ATTEMPT_ID = "a1"
--- a/tests/gateway/test_eventparser.py
+++ b/tests/gateway/requests/test_eventparser.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import pytest
 
-from cardamommill.gateway import eventparser
+from cardamommill.gateway.requests import eventparser
 
 STREAM = b"".join(
     b"id: %d\ndata: %s\n\n" % (number, b"x" * number) for number in range(1, 9))
--- a/tests/gateway/test_forecast.py
+++ b/tests/gateway/requests/test_forecast.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cardamommill.gateway import forecast
+from cardamommill.gateway.requests import forecast
 
 
 def learned_overhead_ms(deviations_ms):
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/requests/test_placing.py
@@ -4,7 +4,8 @@
 import dataclasses
 import random
 
-from cardamommill.gateway import model, placing
+from cardamommill.domain import model
+from cardamommill.gateway.requests import placing
 from tests.gateway import builders
 
 ENGINE = builders.engine()
--- a/tests/gateway/test_ratelimits.py
+++ b/tests/gateway/requests/test_ratelimits.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import pytest
 
-from cardamommill.gateway import ratelimits
+from cardamommill.gateway.requests import ratelimits
 
 STEP_MS = 20
 WINDOW_MS = 4000
--- a/tests/gateway/test_reliability.py
+++ b/tests/gateway/requests/test_reliability.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cardamommill.gateway import reliability
+from cardamommill.gateway.requests import reliability
 
 HEAD = "i-1"
 DOUBT_THRESHOLD = reliability.DOUBT_THRESHOLD
--- a/tests/gateway/test_retrydecision.py
+++ b/tests/gateway/requests/test_retrydecision.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from cardamommill.gateway import retrydecision
-from cardamommill.gateway.attempts import Result
+from cardamommill.gateway.requests import retrydecision
+from cardamommill.gateway.requests.attemptresult import Result
 
 
 def test_only_unsent_and_refused_attempts_count_as_not_run():
--- a/tests/gateway/test_routetable.py
+++ b/tests/gateway/requests/test_routetable.py
@@ -2,7 +2,8 @@
 
 import random
 
-from cardamommill.gateway import model, routetable
+from cardamommill.domain import model
+from cardamommill.gateway.requests import routetable
 
 LIMITS = model.Limits(1, 1, 1, 1)
 
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/requests/test_silence.py
@@ -1,6 +1,7 @@
 """Tests of the detection of silent and stalled groups."""
 
-from cardamommill.gateway import model, silence
+from cardamommill.domain import model
+from cardamommill.gateway.requests import silence
 
 KEY = model.GroupKey("g", 1)
 PASS_MS = 46.0
--- a/tests/gateway/test_streamprogress.py
+++ b/tests/gateway/requests/test_streamprogress.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from cardamommill.gateway import eventparser, streamprogress
-from cardamommill.gateway.streamprogress import EventPosition
+from cardamommill.gateway.requests import eventparser, streamprogress
+from cardamommill.gateway.requests.streamprogress import EventPosition
 
 
 def event(number):
--- a/tests/gateway/test_alarms.py
+++ b/tests/gateway/shell/test_alarms.py
@@ -6,15 +6,12 @@
 import pytest
 
 from cardamommill import metrics
+from cardamommill.domain import clock, model
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import (
-    alarms,
-    availablegroups,
-    clock,
-    model,
-    peermessage,
-    silence,
-)
+from cardamommill.gateway.fleet import availablegroups
+from cardamommill.gateway.nodes import peermessage
+from cardamommill.gateway.requests import silence
+from cardamommill.gateway.shell import alarms
 from tests.gateway import builders
 
 KEY = model.GroupKey("g", 1)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/shell/test_attempts.py
@@ -5,7 +5,8 @@
 import logbook
 import pytest
 
-from cardamommill.gateway import attempts
+from cardamommill.gateway.requests import attemptresult
+from cardamommill.gateway.shell import attempts
 from cardamommill.platform import wirenames
 from tests.gateway import exchanges
 
@@ -48,7 +49,8 @@
         one.exchange = pool.send(exchanges.ADDRESS, b"GET / HTTP/1.1\r\n\r\n",
                                  one)
         asyncio.get_running_loop().call_later(cancel_ms / 1000, one.cancel,
-                                              attempts.Result.TIMED_OUT, "late")
+                                              attemptresult.Result.TIMED_OUT,
+                                              "late")
         outcome = await one.done
         await asyncio.sleep(0.01)
         return outcome, pool.idle_count()
@@ -59,7 +61,7 @@
 
 def test_complete_answer_is_passed_on_and_its_connection_pooled():
     outcome, idle, _ = attempt(answer())
-    assert outcome.result is attempts.Result.ANSWERED
+    assert outcome.result is attemptresult.Result.ANSWERED
     assert outcome.body == b"yes" and idle == 1
 
 
@@ -87,51 +89,51 @@
 ])
 def test_invalid_or_foreign_answer_counts_as_none(text):
     outcome, _, _ = attempt(text)
-    assert outcome.result is attempts.Result.BROKEN
+    assert outcome.result is attemptresult.Result.BROKEN
 
 
 def test_runner_that_reports_not_executed_is_trusted():
     outcome, _, _ = attempt(
         answer("503 Service Unavailable", f"{wirenames.NOT_EXECUTED}: 1\r\n",
                ""))
-    assert outcome.result is attempts.Result.NOT_RUN
+    assert outcome.result is attemptresult.Result.NOT_RUN
 
 
 def test_answer_without_length_is_complete_unless_reset():
     text = f"HTTP/1.1 200 OK\r\n{OWN}\r\nyes".encode()
     assert attempt(text, after_answer="close")[0].body == b"yes"
-    assert attempt(text,
-                   after_answer="reset")[0].result is attempts.Result.BROKEN
+    assert attempt(
+        text, after_answer="reset")[0].result is attemptresult.Result.BROKEN
 
 
 def test_truncated_answer_is_broken():
     outcome, _, _ = attempt(answer(body="yes")[:-1], after_answer="close")
-    assert outcome.result is attempts.Result.BROKEN
+    assert outcome.result is attemptresult.Result.BROKEN
 
 
 def test_stream_is_passed_on_by_events():
     outcome, _, events = attempt(stream("id: 1\ndata: a\n\n",
                                         "id: 2\ndata: b\n\n"),
                                  streaming=True)
-    assert outcome.result is attempts.Result.STREAMED and events == [1, 2]
+    assert outcome.result is attemptresult.Result.STREAMED and events == [1, 2]
 
 
 def test_partial_event_is_not_passed_on():
     outcome, _, events = attempt(stream("id: 1\ndata: a\n\n", "id: 2\nda"),
                                  streaming=True)
-    assert outcome.result is attempts.Result.BROKEN and events == [1]
+    assert outcome.result is attemptresult.Result.BROKEN and events == [1]
 
 
 def test_stream_without_its_last_chunk_is_incomplete():
     outcome, _, _ = attempt(stream("id: 1\ndata: a\n\n", end=False),
                             streaming=True,
                             after_answer="close")
-    assert outcome.result is attempts.Result.BROKEN
+    assert outcome.result is attemptresult.Result.BROKEN
 
 
 def test_runner_that_does_not_answer_times_out():
     outcome, _, _ = attempt(b"", cancel_ms=300)
-    assert outcome.result is attempts.Result.TIMED_OUT
+    assert outcome.result is attemptresult.Result.TIMED_OUT
 
 
 @pytest.mark.parametrize("answers,event", [
--- a/tests/gateway/test_backpressure.py
+++ b/tests/gateway/shell/test_backpressure.py
@@ -3,7 +3,10 @@
 import pytest
 
 from cardamommill import metrics
-from cardamommill.gateway import backpressure, clock, ratelimits, upstream
+from cardamommill.domain import clock
+from cardamommill.gateway.requests import ratelimits
+from cardamommill.gateway.shell import backpressure
+from cardamommill.transport import upstream
 from tests.gateway import builders
 
 RUNNER = builders.runner(1)
--- a/tests/gateway/test_heldrequests.py
+++ b/tests/gateway/shell/test_heldrequests.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+from cardamommill.domain import clock
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import callers, clock, heldrequests
+from cardamommill.gateway.shell import heldrequests
+from cardamommill.transport import callers
 from tests.gateway import relays
 
 
--- a/tests/gateway/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -2,20 +2,20 @@
 
 import asyncio
 
+from cardamommill.domain import clock
 from cardamommill.experiment import deployments, modelstore, virtualloop
-from cardamommill.gateway import (
-    clock,
-    fleetview,
-    freshness,
-    peers,
-    platformreader,
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.nodes import peers
+from cardamommill.gateway.requests import freshness
+from cardamommill.gateway.shell import platformreader
+from cardamommill.gateway.tables import (
     restoration,
     sourceselector,
     tablecopies,
     tablereader,
-    upstream,
 )
 from cardamommill.platform import storecalls, wirenames
+from cardamommill.transport import upstream
 
 CONFIG = (wirenames.OPERATOR_TABLE, wirenames.CONFIGURATION_KEY)
 DRAIN_MS = 2000.0
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from cardamommill.gateway import callers, clock, model, placing, relay
+from cardamommill.domain import clock, model
+from cardamommill.gateway.requests import placing
+from cardamommill.gateway.shell import relay
+from cardamommill.transport import callers
 from tests.gateway import builders, relays
 
 REFUSED = placing.Refused("all groups are full", 1300.0)
--- a/tests/gateway/test_starting.py
+++ b/tests/gateway/shell/test_starting.py
@@ -19,10 +19,11 @@
 
     While all nodes are restarting, callers are refused until one is up.
     """
-    text = ("import sys, cardamommill.__main__, cardamommill.gateway.starting; "
+    text = ("import sys, cardamommill.__main__; "
+            "import cardamommill.gateway.shell.starting; "
             "print(*sys.modules)")
     loaded = run(sys.executable, "-c", text).stdout.split()
-    assert "cardamommill.gateway.entrynode" in loaded
+    assert "cardamommill.gateway.shell.entrynode" in loaded
     assert not set(UNNEEDED_MODULES) & set(loaded)
 
 
--- a/tests/gateway/test_statuspages.py
+++ b/tests/gateway/shell/test_statuspages.py
@@ -3,8 +3,9 @@
 import pytest
 
 from cardamommill import metrics
-from cardamommill.gateway import callers, statuspages
+from cardamommill.gateway.shell import statuspages
 from cardamommill.platform import wirenames
+from cardamommill.transport import callers
 from tests.gateway import relays
 
 
--- /dev/null
+++ b/tests/gateway/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cardamommill.gateway.tables."""
--- a/tests/gateway/test_peertables.py
+++ b/tests/gateway/tables/test_peertables.py
@@ -6,17 +6,11 @@
 import pytest
 
 from cardamommill import exceptions
+from cardamommill.domain import clock, eras
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import (
-    callers,
-    clock,
-    eras,
-    fetching,
-    peertables,
-    tablecopies,
-    upstream,
-)
-from cardamommill.platform import storecalls
+from cardamommill.gateway.tables import peertables, tablecopies
+from cardamommill.platform import fetching, storecalls
+from cardamommill.transport import callers, upstream
 
 ADDRESS = ("10.1.0.2", 7340)
 AGE_MS = 300.0
--- a/tests/gateway/test_sourceselector.py
+++ b/tests/gateway/tables/test_sourceselector.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cardamommill.gateway import peers, sourceselector
+from cardamommill.gateway.nodes import peers
+from cardamommill.gateway.tables import sourceselector
 from tests.gateway import test_peers
 
 NOW_MS = 100_000.0
--- a/tests/gateway/test_tablecopies.py
+++ b/tests/gateway/tables/test_tablecopies.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from cardamommill.gateway import tablecopies
+from cardamommill.gateway.tables import tablecopies
 from cardamommill.platform import storecalls
 
 
--- a/tests/gateway/test_freshness_and_retries.py
+++ b/tests/gateway/test_freshness_and_retries.py
@@ -1,6 +1,6 @@
 """Tests of key freshness and of the retry budget."""
 
-from cardamommill.gateway import freshness, retrybudget
+from cardamommill.gateway.requests import freshness, retrybudget
 
 
 def test_keys_are_trusted_while_the_confirmation_is_recent():
--- a/tests/gateway/test_misdelivered_bytes.py
+++ b/tests/gateway/test_misdelivered_bytes.py
@@ -5,10 +5,12 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import attempts, callers, fetching, upstream
-from cardamommill.platform import wirenames
+from cardamommill.gateway.requests import attemptresult
+from cardamommill.gateway.shell import attempts
+from cardamommill.platform import fetching, wirenames
+from cardamommill.transport import callers, upstream
 from tests.gateway import exchanges, relays, test_attempts, test_callers
-from tests.gateway.test_replies import Parsed
+from tests.transport.test_replies import Parsed
 
 GET_NEXT = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
 POST_EXPECTING = (b"POST /y HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
@@ -358,7 +360,7 @@
         (f"HTTP/1.1 200 OK\r\n{test_attempts.OWN}Transfer-Encoding: gzip\r\n"
          "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n").encode(),
         after_answer="close")
-    assert outcome.result is attempts.Result.BROKEN
+    assert outcome.result is attemptresult.Result.BROKEN
 
 
 def test_fault_of_this_node_is_not_attributed_to_the_runner():
--- a/tests/gateway/test_planner_machine.py
+++ b/tests/gateway/test_planner_machine.py
@@ -10,7 +10,9 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from cardamommill.gateway import fleetview, model, orders, planner, planning
+from cardamommill.domain import model, orders
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.groups import planner, planning
 from tests.gateway import builders
 
 STATE = model.MemberState
--- a/tests/gateway/test_replies_transitions.py
+++ b/tests/gateway/test_replies_transitions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import replies
+from cardamommill.transport import replies
 from tests.gateway import relays
 
 
--- a/tests/gateway/test_store_restore_machine.py
+++ b/tests/gateway/test_store_restore_machine.py
@@ -5,18 +5,17 @@
 import hypothesis
 from hypothesis import strategies
 
+from cardamommill.domain import clock
 from cardamommill.experiment import modelstore, virtualloop
-from cardamommill.gateway import (
-    callers,
-    clock,
-    peers,
+from cardamommill.gateway.nodes import peers
+from cardamommill.gateway.tables import (
     peertables,
     sourceselector,
     tablecopies,
     tablereader,
-    upstream,
 )
 from cardamommill.platform import storecalls
+from cardamommill.transport import callers, upstream
 
 READER = ("10.1.0.2", 7340)
 TABLE = "servers"
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -5,8 +5,8 @@
 import pytest
 
 from cardamommill import exceptions
+from cardamommill.domain import model
 from cardamommill.experiment import deployments
-from cardamommill.gateway import model
 from cardamommill.platform import configurations
 
 DEPLOYMENT = deployments.Deployment(name="d",
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cardamommill import exceptions
-from cardamommill.gateway import model
+from cardamommill.domain import model
 from cardamommill.platform import entries
 
 ENTRY = {
--- a/tests/platform/test_storecalls.py
+++ b/tests/platform/test_storecalls.py
@@ -5,9 +5,10 @@
 import pytest
 
 from cardamommill import exceptions
+from cardamommill.domain import clock, eras
 from cardamommill.experiment import modelstore, virtualloop
-from cardamommill.gateway import clock, eras, upstream
 from cardamommill.platform import storecalls
+from cardamommill.transport import upstream
 
 
 def run(script):
--- a/tests/test_boottime.py
+++ b/tests/test_boottime.py
@@ -3,7 +3,7 @@
 import time
 
 from cardamommill import boottime
-from cardamommill.gateway import clock
+from cardamommill.domain import clock
 
 
 def test_all_read_the_clock_that_counts_sleep():
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,5 +1,6 @@
 """Tests that the pages tell what is so."""
 
+import ast
 import pathlib
 import re
 
@@ -49,7 +50,7 @@
     for name in MODULE.findall(path.read_text("utf-8")):
         found = [
             *ROOT.glob(f"*/{name}.py"), *ROOT.glob(f"{name}.py"),
-            *ROOT.glob(f"*/*/{name}.py")
+            *ROOT.glob(f"*/*/{name}.py"), *ROOT.glob(f"*/*/*/{name}.py")
         ]
         assert found, f"{name}.py"
 
@@ -79,7 +80,18 @@
     assert sorted(told) == sorted(set(there) - {"__init__"})
 
 
-PACKAGES = ("gateway", "platform", "experiment")
+PACKAGES = ("domain", "transport", "platform", "gateway/fleet",
+            "gateway/requests", "gateway/groups", "gateway/nodes",
+            "gateway/tables", "gateway/shell", "experiment")
+# The packages of a node, each of which imports only from those before it.
+LAYERS = tuple(name.replace("/", ".") for name in PACKAGES[:-1])
+# What reads, writes or waits. A decision that imports it can't be tested
+# without a network.
+INPUT_OUTPUT = frozenset({
+    "asyncio", "socket", "ssl", "threading", "concurrent", "logbook",
+    "cardamommill.transport", "cardamommill.platform"
+})
+DECISIONS = ("gateway/fleet", "gateway/requests", "gateway/groups")
 
 
 @pytest.mark.parametrize("package", PACKAGES)
@@ -91,10 +103,43 @@
     assert sorted(told) == sorted(set(there) - {"__init__"})
 
 
+def imported(path):
+    """Returns the modules that a file imports, by full name."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+        if isinstance(node, ast.Import):
+            found |= {each.name for each in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found |= {f"{node.module}.{each.name}" for each in node.names}
+    return found
+
+
+def sources(package):
+    return sorted((ROOT / "cardamommill" / package).rglob("*.py"))
+
+
+@pytest.mark.parametrize("package", LAYERS)
+def test_packages_import_downward_only(package):
+    above = LAYERS[LAYERS.index(package) + 1:]
+    for path in sources(package.replace(".", "/")):
+        for name in imported(path):
+            assert not any(
+                name.startswith(f"cardamommill.{each}.")
+                for each in above), f"{path.name} imports {name}"
+
+
+@pytest.mark.parametrize("package", DECISIONS)
+def test_decisions_import_no_input_and_output(package):
+    for path in sources(package):
+        for name in imported(path):
+            assert not any(
+                f"{name}.".startswith(f"{each}.") for each in INPUT_OUTPUT), (
+                    f"{path.name} imports {name}")
+
+
 def test_a_node_imports_no_stand_in_and_no_model_of_the_platform():
     # They are for trials: a node that carried them would be larger, and might
     # come to lean on them.
-    for path in ROOT.glob("cardamommill/gateway/*.py"):
-        assert "experiment" not in path.read_text("utf-8"), path
-    for path in ROOT.glob("cardamommill/platform/*.py"):
-        assert "experiment" not in path.read_text("utf-8"), path
+    for package in ("domain", "transport", "gateway", "platform"):
+        for path in sources(package):
+            assert "experiment" not in path.read_text("utf-8"), path
--- a/tests/gateway/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from cardamommill.domain import clock, model
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway import callers, clock, model
+from cardamommill.transport import callers
 
 ADDRESS = ("10.1.0.1", 8000)
 LIMITS = model.Limits(1000, 2000, 500, 5000)
--- a/tests/gateway/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from cardamommill.domain import clock
 from cardamommill.experiment import virtualloop, virtualnetwork
-from cardamommill.gateway import clock, fetching, upstream
+from cardamommill.platform import fetching
+from cardamommill.transport import upstream
 
 ADDRESS = ("10.9.0.1", 8080)
 CONNECTION_LIMIT = 5
