Add the fields and the datagram sections that hard load needs

Cause: the configuration's cold rates and allowed regions, the list's cold times, and the settings' regions, memory and cold bounds were not read, and a new content of datagrams needed a new format each time.

Change: decoded into the model, used by nothing yet. Datagrams may carry sections by name (format 6); without any they keep format 5.

Measurement: decoded formats 3 to 5 and unknown sections are tested; malformed sections are refused.

--- a/cardamommill/domain/entrysettings.py
+++ b/cardamommill/domain/entrysettings.py
@@ -22,6 +22,11 @@
         retry_slack: Number of retries allowed beyond the ratio.
         stall_ms: How long a group stalls after it has lost a member.
         pass_ms: Maximum delay between receiving and forwarding an event.
+        cold_overage: A cold runner may get this many times its rate in any one
+            second,
+        cold_slack: plus this many requests.
+        evacuate_ms: Time after which the runners of an evacuated data centre
+            get no requests.
     """
 
     drain_ms: Annotated[float, pydantic.Field(gt=0)] = 2000
@@ -33,6 +38,9 @@
     retry_slack: Annotated[float, pydantic.Field(ge=0)] = 0
     stall_ms: Annotated[float, pydantic.Field(gt=0)] = 4000
     pass_ms: Annotated[float, pydantic.Field(gt=0)] = 120
+    cold_overage: Annotated[float, pydantic.Field(ge=1)] = 1
+    cold_slack: Annotated[float, pydantic.Field(ge=0)] = 0
+    evacuate_ms: Annotated[float, pydantic.Field(gt=0)] = 5000
 
 
 class EntrySettings(checking.Checked):
@@ -42,6 +50,7 @@
         node: The node's name.
         data_centre: The node's data centre.
         data_centres: All data centres.
+        regions: The region of each data centre.
         ip: The node's address, for other nodes.
         callers: Address on which requests of callers are accepted.
         ready: Address of the readiness endpoint for the load balancer.
@@ -49,6 +58,7 @@
         seeds: Addresses of some nodes, which may be stale. Only the host is
             used, with `peer_port`.
         platform: Address of the platform's store.
+        memory_mb: Memory beyond which the process is killed; 0 if unlimited.
         metrics_port: Port of the metrics endpoint; 0 disables it.
         heartbeat_ms: Interval at which runners write to the store.
         bounds: Service guarantees.
@@ -58,6 +68,7 @@
     node: checking.Name
     data_centre: checking.Name
     data_centres: tuple[checking.Name, ...]
+    regions: dict[checking.Name, checking.Name] = {}
     ip: Annotated[str,
                   pydantic.StringConstraints(
                       pattern=r"^(\d{1,3}\.){3}\d{1,3}$")]
@@ -66,6 +77,7 @@
     peer_port: Annotated[int, pydantic.Field(ge=1, le=65_535)]
     seeds: tuple[checking.Address, ...] = ()
     platform: checking.Address
+    memory_mb: Annotated[float, pydantic.Field(ge=0)] = 0
     metrics_port: Annotated[int, pydantic.Field(ge=0, le=65_535)] = 9464
     heartbeat_ms: Annotated[float, pydantic.Field(gt=0)] = 1200
     bounds: Bounds = Bounds()
--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -98,6 +98,8 @@
         slots: Number of requests that it executes at once.
         row_version: Version of its row, which changes with the row's content.
         row_era: Era of the store in which that version was assigned.
+        cold_left_ms: For how much longer it is cold, as of that version of the
+            row.
     """
 
     id: str
@@ -110,6 +112,7 @@
     row_version: int
     status: RunnerStatus
     row_era: int = 0
+    cold_left_ms: float = 0.0
 
     @property
     def row_position(self) -> tuple[int, int]:
@@ -191,12 +194,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A set of interchangeable runners; those with an engine form groups."""
+    """A set of interchangeable runners; those with an engine form groups.
+
+    Attributes:
+        cold_s: For how long a runner is cold after its start.
+        cold_per_s: Requests per second that a cold runner takes from all nodes
+            together; 0 for no limit.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class RouteKind(enum.Enum):
@@ -219,6 +230,7 @@
         backends: Pairs of service and weight.
         public: Whether requests need no API key.
         resumable: Whether requests for streams may be executed more than once.
+        allowed_regions: Regions in which its requests may run; empty for all.
     """
 
     name: str
@@ -233,6 +245,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -253,11 +266,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tenant:
-    """A client account; only SHA-256 digests of its keys are stored."""
+    """A client account; only SHA-256 digests of its keys are stored.
+
+    Attributes:
+        priority: Takes precedence over that of a route; None for the route's.
+        allowed_regions: Regions in which its requests may run; empty for all.
+    """
 
     name: str
     key_digests: tuple[bytes, ...]
     priority: int | None
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/gateway/nodes/peermessage.py
+++ b/cardamommill/gateway/nodes/peermessage.py
@@ -14,9 +14,16 @@
 
 # Larger datagrams are fragmented, and losing one fragment loses all of them.
 MAX_DATAGRAM_BYTES = 1400
-FORMAT = 5
+# A message without sections is sent in the format before the newest, so that
+# nodes of the former version understand it.
+FORMAT = 6
+FORMAT_WITHOUT_SECTIONS = 5
 # Defaults for the trailing fields that messages of older formats lack.
-OLDER_FORMAT_DEFAULTS: dict[int, list[Any]] = {3: [None, False, []], 4: [[]]}
+OLDER_FORMAT_DEFAULTS: dict[int, list[Any]] = {
+    3: [None, False, [], {}],
+    4: [[], {}],
+    5: [{}]
+}
 # The format, and the fields that differ between receivers: `echo_ms` and
 # `interval_ms`. The rest is packed once for all receivers: packing it for each
 # one took a node in a fleet of 71 about 3 ms per heartbeat.
@@ -83,6 +90,9 @@
         has_lost_store: Whether the sender's calls to the store fail.
         limits: Rate limits that runners recently set or lifted; times are by
             the sender's clock.
+        sections: Further contents, by name. Each part of the node encodes and
+            decodes its own; a name that is not known is ignored. Later ones are
+            left out first if they do not fit.
     """
 
     node: str
@@ -103,9 +113,19 @@
     load_sums: loadsums.LoadSums | None = None
     has_lost_store: bool = False
     limits: tuple[ratelimits.RateLimit, ...] = ()
+    sections: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
-def encode_datagram(echo_ms: float, interval_ms: float, body: bytes) -> bytes:
+@dataclasses.dataclass(frozen=True, slots=True)
+class EncodedBody:
+    """The part of a datagram that is the same for all receivers."""
+
+    form: int
+    data: bytes
+
+
+def encode_datagram(echo_ms: float, interval_ms: float,
+                    body: EncodedBody) -> bytes:
     """Returns the datagram for one receiver.
 
     Args:
@@ -113,20 +133,29 @@
         interval_ms: As in `PeerMessage`.
         body: The result of `encode_body`, the same for all receivers.
     """
-    return _HEADER.pack(FORMAT, echo_ms, interval_ms) + body
+    return _HEADER.pack(body.form, echo_ms, interval_ms) + body.data
+
 
+def encode_body(message: PeerMessage) -> EncodedBody:
+    """Returns the body for all receivers.
 
-def encode_body(message: PeerMessage) -> bytes:
-    """Returns the body for all receivers, without loads that do not fit."""
+    What does not fit is left out: first sections, from the last one, then
+    loads.
+    """
     in_flight = [[key.name, key.epoch, *_load_fields(load)]
                  for key, load in message.in_flight.items()]
     load_sums = [[short_id, *_load_fields(load)] for short_id, load in (
         message.load_sums.loads.items() if message.load_sums else ())]
+    sections = dict(message.sections)
     while True:
-        data = _pack(message, in_flight, load_sums)
-        if len(data) <= MAX_DATAGRAM_BYTES - _HEADER.size or not (in_flight or
-                                                                  load_sums):
-            return data
+        data = _pack(message, in_flight, load_sums, sections)
+        if len(data) <= MAX_DATAGRAM_BYTES - _HEADER.size or not (
+                in_flight or load_sums or sections):
+            return EncodedBody(FORMAT if sections else FORMAT_WITHOUT_SECTIONS,
+                               data)
+        if sections:
+            sections.popitem()
+            continue
         in_flight = in_flight[:len(in_flight) * 3 // 4]
         load_sums = load_sums[:len(load_sums) * 3 // 4]
 
@@ -136,8 +165,8 @@
 
 
 def _pack(message: PeerMessage, in_flight: list[list[Any]],
-          load_sums: list[list[int]]) -> bytes:
-    packed: bytes = msgpack.packb([
+          load_sums: list[list[int]], sections: dict[str, Any]) -> bytes:
+    fields = [
         message.node, message.incarnation, message.data_centre, message.sent_ms,
         message.config_version,
         int(min(message.config_confirmed_age_ms, 1e9)), in_flight,
@@ -156,7 +185,10 @@
         }, [message.load_sums.age_ms, load_sums] if message.load_sums else None,
         message.has_lost_store,
         _encode_limits(message)
-    ])
+    ]
+    if sections:
+        fields.append(sections)
+    packed: bytes = msgpack.packb(fields)
     return packed
 
 
@@ -175,7 +207,9 @@
             fields += OLDER_FORMAT_DEFAULTS[form]
         (node, incarnation, data_centre, sent_ms, version, age, in_flight,
          alarms, opened_groups, attempt_histories, has_seen_requests, stopping,
-         planning_age_ms, load_sums, has_lost_store, limits) = fields
+         planning_age_ms, load_sums, has_lost_store, limits, sections) = fields
+        if not isinstance(sections, dict):
+            raise TypeError(f"sections are {type(sections).__name__}, no map")
         # Nodes of older versions send alarms without `silent`.
         return PeerMessage(
             str(node), int(incarnation), str(data_centre), float(sent_ms),
@@ -203,7 +237,7 @@
             bool(has_seen_requests), bool(stopping), {
                 str(name): float(age) for name, age in planning_age_ms.items()
             }, _decode_load_sums(load_sums), bool(has_lost_store),
-            tuple(_limit(float(sent_ms), *each) for each in limits))
+            tuple(_limit(float(sent_ms), *each) for each in limits), sections)
     except (ValueError, TypeError, AttributeError, struct.error,
             msgpack.exceptions.UnpackException,
             msgpack.exceptions.ExtraData) as error:
--- a/cardamommill/gateway/shell/nodelink.py
+++ b/cardamommill/gateway/shell/nodelink.py
@@ -108,7 +108,7 @@
               now_ms: float) -> None:
         if self._transport is None:
             return
-        bodies: dict[peers.UpdateScope, bytes] = {}
+        bodies: dict[peers.UpdateScope, peermessage.EncodedBody] = {}
         for peer, interval_ms in told:
             update_scope = self._peers.update_scope(peer)
             if update_scope not in bodies:
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -40,8 +40,9 @@
     maxAttempts: int = 1  # noqa: N815
     public: bool = False
     resumable: bool = False
+    allowedRegions: tuple[str, ...] = ()  # noqa: N815
 
-    @pydantic.field_validator("backends", mode="before")
+    @pydantic.field_validator("backends", "allowedRegions", mode="before")
     @classmethod
     def _empty_if_null(cls, value: Any) -> Any:
         return value or ()
@@ -90,6 +91,8 @@
     name: str
     healthPath: str = "/"  # noqa: N815
     maxConns: int = 64  # noqa: N815
+    coldS: float = 0.0  # noqa: N815
+    coldPerS: float = 0.0  # noqa: N815
     engine: Annotated[_Engine | None, wire.NONE_IF_EMPTY] = None
 
 
@@ -104,6 +107,12 @@
     name: str
     apiKeys: tuple[str, ...] = ()  # noqa: N815
     priority: int | None = None
+    allowedRegions: tuple[str, ...] = ()  # noqa: N815
+
+    @pydantic.field_validator("allowedRegions", mode="before")
+    @classmethod
+    def _empty_if_null(cls, value: Any) -> Any:
+        return value or ()
 
 
 class _Configuration(wire.Wire):
@@ -148,7 +157,8 @@
                             configuration.limits.idleMs),
         tenants=tuple(
             model.Tenant(each.name, tuple(map(key_digest, each.apiKeys)),
-                         each.priority) for each in configuration.tenants))
+                         each.priority, each.allowedRegions)
+            for each in configuration.tenants))
 
 
 def _route(route: _Route) -> model.Route:
@@ -164,7 +174,8 @@
                        backends=backends or ((route.service, 1.0),),
                        max_attempts=max(1, route.maxAttempts),
                        public=route.public,
-                       resumable=route.resumable)
+                       resumable=route.resumable,
+                       allowed_regions=route.allowedRegions)
 
 
 def _service(service: _Service) -> model.Service:
@@ -172,7 +183,9 @@
         name=service.name,
         health_path=service.healthPath,
         max_connections=service.maxConns,
-        engine=_engine(service.engine) if service.engine else None)
+        engine=_engine(service.engine) if service.engine else None,
+        cold_s=service.coldS,
+        cold_per_s=service.coldPerS)
 
 
 def _engine(engine: _Engine) -> model.Engine | None:
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -55,6 +55,7 @@
     zone: str
     slots: int = 1
     state: str
+    coldLeftMs: float = 0.0  # noqa: N815
 
 
 class _WireReport(_WireStatus):
@@ -99,7 +100,8 @@
                         slots=max(1, entry.slots),
                         row_version=row_version,
                         status=_runner_status(entry, runner),
-                        row_era=row_era)
+                        row_era=row_era,
+                        cold_left_ms=max(0.0, entry.coldLeftMs))
 
 
 def decode_report(runner: str, body: bytes) -> model.Report:
--- a/cardamommill/platform/wirenames.py
+++ b/cardamommill/platform/wirenames.py
@@ -20,6 +20,8 @@
 TENANT = "X-Cardamommill-Tenant"
 # "IN,OUT": tokens of the prompt, and the most tokens that the answer may have.
 TOKEN_COUNTS = "X-Cardamommill-Token-Counts"
+# In a runner's answers: for how much longer the runner is cold.
+COLD_MS = "X-Cardamommill-Cold-Ms"
 # How many tokens the caller expects the answer to have.
 LENGTH_HINT = "X-Cardamommill-Length-Hint"
 # In the store's answers: rises by one each time the store is restored.
@@ -45,6 +47,9 @@
 SERVERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Rows of the operator's table with this prefix name a data centre whose runners
+# must get nothing more.
+EVACUATION_PREFIX = "evacuate/"
 NODES_TABLE = "nodes"
 
 # Kinds of routes.
--- a/tests/gateway/fleet/test_loadsums.py
+++ b/tests/gateway/fleet/test_loadsums.py
@@ -3,7 +3,7 @@
 from cardamommill.domain import model
 from cardamommill.gateway.fleet import inflight, loadsums
 from cardamommill.gateway.nodes import peers
-from tests.gateway import test_peers
+from tests.gateway.nodes import test_peers
 
 KEY, OTHER = model.GroupKey("g", 1), model.GroupKey("h", 2)
 ONE = inflight.GroupLoad(1, 0, 10)
--- a/tests/gateway/nodes/test_peermessage.py
+++ b/tests/gateway/nodes/test_peermessage.py
@@ -13,7 +13,7 @@
 from cardamommill.gateway.fleet import inflight, loadsums
 from cardamommill.gateway.nodes import peermessage
 from cardamommill.gateway.requests import ratelimits, reliability
-from tests.gateway import test_peers
+from tests.gateway.nodes import test_peers
 
 KEYS = strategies.builds(model.GroupKey, strategies.text(max_size=20),
                          strategies.integers(0, 2**40))
@@ -27,6 +27,11 @@
                                        peermessage.encode_body(sent))
 
 
+def body_of(fields):
+    return peermessage.EncodedBody(peermessage.FORMAT_WITHOUT_SECTIONS,
+                                   msgpack.packb(fields))
+
+
 @hypothesis.given(strategies.dictionaries(KEYS, LOADS, max_size=5),
                   strategies.booleans())
 def test_decoding_reverses_encoding(in_flight, stopping):
@@ -55,19 +60,52 @@
         peermessage.decode(data, "10.0.0.9")
 
 
-@pytest.mark.parametrize("form,left_out", [(3, 3), (4, 1)])
+@pytest.mark.parametrize("form,left_out", [(3, 3), (4, 1), (5, 0)])
 def test_older_formats_are_decoded(form, left_out):
     """During a rollout, nodes of both versions exchange messages."""
     key = model.GroupKey("g", 3)
     sent = test_peers.message("n",
                               "a",
                               alarms=(peermessage.Alarm(key, 40.0, True),))
-    fields = msgpack.unpackb(encoded(sent)[17:])[:-left_out]
+    fields = msgpack.unpackb(encoded(sent)[17:])
+    fields = fields[:len(fields) - left_out]
     fields[7][0] = fields[7][0][:4]
     former = struct.pack("!Bdd", form, 0.0, 200.0)
     assert peermessage.decode(former + msgpack.packb(fields), "peer") == sent
 
 
+def test_sections_are_passed_on_whole_and_unknown_ones_with_them():
+    sent = test_peers.message("n", "a", sections={"novel": [1, {"a": 2.5}]})
+    assert peermessage.decode(encoded(sent), "peer") == sent
+
+
+def test_message_without_sections_has_the_former_format():
+    """A node of the former version refuses a format that it doesn't know."""
+    assert encoded(test_peers.message("n", "a"))[0] == 5
+    assert encoded(test_peers.message("n", "a", sections={"b": 1}))[0] == 6
+
+
+@pytest.mark.parametrize("sections", [7, [1], None, "x"])
+def test_message_with_malformed_sections_is_refused(sections):
+    fields = msgpack.unpackb(encoded(test_peers.message("n", "a"))[17:])
+    body = peermessage.EncodedBody(6, msgpack.packb([*fields, sections]))
+    with pytest.raises(exceptions.BadPeerMessage):
+        peermessage.decode(peermessage.encode_datagram(0.0, 200.0, body),
+                           "peer")
+
+
+def test_last_sections_are_left_out_of_a_full_datagram():
+    sent = test_peers.message("n",
+                              "a",
+                              sections={
+                                  "first": [1] * 400,
+                                  "last": [2] * 1400
+                              })
+    data = encoded(sent)
+    assert len(data) <= peermessage.MAX_DATAGRAM_BYTES
+    assert list(peermessage.decode(data, "peer").sections) == ["first"]
+
+
 @pytest.mark.parametrize("load_sums",
                          [[1.0], [1.0, [[3, 1]]], [1.0, [["x", 1, 0, 0]]],
                           ["x", []], 7, [1.0, [[3, 1, 0, 0, 9]]]])
@@ -76,8 +114,7 @@
     fields[-3] = load_sums
     with pytest.raises(exceptions.BadPeerMessage):
         peermessage.decode(
-            peermessage.encode_datagram(0.0, 200.0, msgpack.packb(fields)),
-            "peer")
+            peermessage.encode_datagram(0.0, 200.0, body_of(fields)), "peer")
 
 
 LIMIT = ratelimits.RateLimit("i-0123456789", 1.6, 500.0, "n", 500.25)
@@ -99,8 +136,7 @@
     fields[-1] = limits
     with pytest.raises(exceptions.BadPeerMessage):
         peermessage.decode(
-            peermessage.encode_datagram(0.0, 200.0, msgpack.packb(fields)),
-            "peer")
+            peermessage.encode_datagram(0.0, 200.0, body_of(fields)), "peer")
 
 
 def test_message_with_many_groups_fits_a_datagram():
--- a/tests/gateway/tables/test_sourceselector.py
+++ b/tests/gateway/tables/test_sourceselector.py
@@ -4,7 +4,7 @@
 
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.tables import sourceselector
-from tests.gateway import test_peers
+from tests.gateway.nodes import test_peers
 
 NOW_MS = 100_000.0
 
--- a/tests/gateway/test_misdelivered_bytes.py
+++ b/tests/gateway/test_misdelivered_bytes.py
@@ -9,7 +9,9 @@
 from cardamommill.gateway.shell import attempts
 from cardamommill.platform import fetching, wirenames
 from cardamommill.transport import callers, upstream
-from tests.gateway import exchanges, relays, test_attempts, test_callers
+from tests.gateway import exchanges, relays
+from tests.gateway.shell import test_attempts
+from tests.transport import test_callers
 from tests.transport.test_replies import Parsed
 
 GET_NEXT = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/tests/transport/test_replies.py
+++ b/tests/transport/test_replies.py
@@ -7,7 +7,8 @@
 import pytest
 
 from cardamommill import exceptions
-from tests.gateway import relays, test_callers
+from tests.gateway import relays
+from tests.transport import test_callers
 
 REQUEST = (b"POST /v/1 HTTP/1.1\r\nHost: h\r\n"
            b"X-Cardamommill-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n")
