--- a/tests/gateway/shell/test_starting.py
+++ b/tests/gateway/shell/test_starting.py
@@ -44,7 +44,7 @@
 
 def test_internal_error_ends_the_process_with_its_own_exit_code():
     """Operators can tell such an error from invalid settings."""
-    text = ("from cardamommill.gateway import starting; "
+    text = ("from cardamommill.gateway.shell import starting; "
             "starting.run = lambda settings: 1 / 0; starting.main('x')")
     done = run(sys.executable, "-c", text)
     assert done.returncode == 70
