Send nothing to dead groups, and to suspect ones only last

Cause: a group with a member that is down has no load, so at high load it was the only one that seemed to meet a request's objective.

Change: placement leaves out groups with a member known to be down while the model has any other, and takes suspect groups only after a place in the queue of another group.

Measurement: tests/gateway/requests/test_placing.py, three tests that fail on the code before; the pure replay of 120 requests beside six dead groups sends none there.

--- a/cardamommill/gateway/requests/placing.py
+++ b/cardamommill/gateway/requests/placing.py
@@ -60,6 +60,9 @@
         wait_ms: Time until the head accepts another request of this node.
         has_idle_connection: Whether the pool has an idle connection to the
             head.
+        is_suspect: Whether the group recently failed a request or was found
+            silent.
+        is_dead: Whether a member of the group is known to be down.
     """
 
     key: model.GroupKey
@@ -75,6 +78,8 @@
     is_cooling_down: bool = False
     wait_ms: float = 0.0
     has_idle_connection: bool = False
+    is_suspect: bool = False
+    is_dead: bool = False
 
     @property
     def is_doubted(self) -> bool:
@@ -224,6 +229,11 @@
     Without this cool-down, while all other groups were full, it got as many
     requests as they did, and their retries used up the retry budget.
 
+    A suspect group is used only if no other group accepts the request, not even
+    as deferred, and a dead one only if there is no other at all. Such groups
+    have no load, so at high load they seemed to be the only ones that could
+    meet the objective, and the requests of all nodes failed there first.
+
     Args:
         engine: The engine's cost model.
         request_tokens: Prompt and answer length of the request.
@@ -232,7 +242,10 @@
         requirements: Time limits of the request.
         form_ms: Estimated time until a missing group is available again.
     """
-    available = [each for each in candidates if each.key not in excluded]
+    available = [
+        each for each in _without_dead(list(candidates))
+        if each.key not in excluded
+    ]
     accepting = [each for each in available if not each.wait_ms]
     if available and not accepting:
         return backpressure_refusal((each.wait_ms for each in available),
@@ -257,6 +270,10 @@
     return Refused("no group stands", wait_ms * (1 + requirements.jitter / 4))
 
 
+def _without_dead(candidates: list[Candidate]) -> list[Candidate]:
+    return [each for each in candidates if not each.is_dead] or candidates
+
+
 def backpressure_refusal(waits_ms: Iterable[float], jitter: float) -> Refused:
     """Returns the refusal for when no runner accepts requests at the moment.
 
@@ -271,6 +288,14 @@
 
 def _best_placement(engine: model.Engine, placed: list[Placed],
                     requirements: Requirements) -> Placed | None:
+    suspects = [each for each in placed if each.candidate.is_suspect]
+    others = [each for each in placed if not each.candidate.is_suspect]
+    return (_best_of(engine, others, requirements) or
+            _best_of(engine, suspects, requirements))
+
+
+def _best_of(engine: model.Engine, placed: list[Placed],
+             requirements: Requirements) -> Placed | None:
     meeting_goal = [
         each for each in placed if each.first_event_ms <= requirements.goal_ms
     ]
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -188,7 +188,8 @@
                       group=key,
                       requests=len(self._requests.relays_at(key)),
                       reason=reason))
-        self._requests.available_groups.avoid(key, until_ms)
+        groups = self._requests.available_groups
+        (groups.mark_dead if is_dead else groups.avoid)(key, until_ms)
         self._divert_requests(key, reason, is_dead)
 
     def _divert_requests(self, key: model.GroupKey, reason: str,
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -218,6 +218,7 @@
             load = self.in_flight_requests.load(each.key).plus(told)
             head = each.head.runner.id
             odds = self.reliability.fail_odds(head, now_ms)
+            is_suspect = self.available_groups.is_avoided(each.key, now_ms)
             candidates.append(
                 placing.Candidate(
                     key=each.key,
@@ -230,10 +231,10 @@
                         engine.far_factor if each.spans_domains else 1.0),
                     is_remote=(each.head.runner.data_centre
                                != self._settings.data_centre),
-                    is_avoided=(each.has_leaving_member or
-                                odds > reliability.DOUBT_THRESHOLD or
-                                self.available_groups.is_avoided(
-                                    each.key, now_ms)),
+                    is_avoided=(each.has_leaving_member or is_suspect or
+                                odds > reliability.DOUBT_THRESHOLD),
+                    is_suspect=is_suspect,
+                    is_dead=self.available_groups.is_dead(each.key, now_ms),
                     pending_prompt_tokens=load.pending_prompt_tokens,
                     fail_odds=odds,
                     is_cooling_down=self.reliability.is_cooling_down(
--- a/tests/gateway/fleet/test_availablegroups.py
+++ b/tests/gateway/fleet/test_availablegroups.py
@@ -85,6 +85,20 @@
     assert not found.is_avoided(KEY, 2000)
 
 
+def test_dead_group_is_avoided_and_comes_back_with_an_answer():
+    """A member that answers again ends both states, or the group stays idle."""
+    available = availablegroups.AvailableGroups(builders.view(*members()))
+    available.avoid(KEY, 500.0)
+    assert not available.is_dead(KEY, 100.0)
+    available.mark_dead(KEY, 900.0)
+    assert available.is_dead(KEY, 600.0)
+    assert available.is_avoided(KEY, 600.0)
+    available.stop_avoiding(KEY)
+    assert not available.is_dead(KEY, 600.0)
+    available.mark_dead(KEY, 900.0)
+    assert not available.is_dead(KEY, 900.0)
+
+
 def test_dead_group_is_avoided_until_the_list_shows_it():
     """A head dies right after its heartbeat, and a node notices at once.
 
--- a/tests/gateway/requests/test_placing.py
+++ b/tests/gateway/requests/test_placing.py
@@ -106,6 +106,50 @@
     assert place(avoided).candidate.key.name == "a"
 
 
+def test_suspect_group_is_not_preferred_to_a_place_in_a_queue():
+    """A silent group has no load, so it seems to meet every objective."""
+    silent = candidate("a", is_avoided=True, is_suspect=True)
+    placed = place(silent, candidate("b", 19))
+    assert placed.candidate.key.name == "b"
+    assert placed.is_deferred
+    assert place(silent, candidate("b", 19, deferred=7)).candidate is silent
+
+
+def test_request_is_refused_rather_than_sent_to_a_dead_group():
+    """The head of a dead group holds a request until its caller leaves."""
+    dead = candidate("a", is_avoided=True, is_suspect=True, is_dead=True)
+    full = candidate("b", 19, deferred=7)
+    assert place(dead, full).reason == "all groups are full"
+    assert place(dead,
+                 candidate("b"),
+                 excluded=frozenset({model.GroupKey("b", 1)
+                                    })).reason == "no group stands"
+    assert place(dead).candidate is dead
+
+
+def test_overload_beside_dead_groups_fails_no_request_there():
+    """Half of the groups are dead while twice what the others take arrives."""
+    dead = [
+        candidate(f"d{number}", is_avoided=True, is_suspect=True, is_dead=True)
+        for number in range(6)
+    ]
+    load = dict.fromkeys((f"g{number}" for number in range(6)), 10)
+    sent = []
+    for number in range(120):
+        found = place(*dead,
+                      *(candidate(name,
+                                  min(held, 19),
+                                  deferred=max(0, held - 19))
+                        for name, held in load.items()),
+                      requirements=dataclasses.replace(REQUIREMENTS,
+                                                       jitter=number % 7 / 7))
+        if isinstance(found, placing.Placed):
+            load[found.candidate.key.name] += 1
+            sent.append(found.candidate)
+    assert len(sent) > 60
+    assert not any(each.is_dead for each in sent)
+
+
 def test_request_that_cannot_meet_its_objective_is_deferred():
     placed = place(candidate("a", 19))
     assert placed.is_deferred
