Obey the operator's evacuation rows in placement

Cause: nodes ignored rows `evacuate/ZONE` of the operator's table and kept sending requests to the runners of that data centre.

Change: PlatformReader passes each read of the operator's table to OperatorRows, which keeps the set of evacuated data centres (gateway/fleet/evacuations.py) and logs and counts each change. A whole read replaces the set, a feed changes it, an older copy of a peer is ignored, and rows that a restore has lost are held until the operator can have written them again. Dispatcher.find_target filters groups and plain runners by gateway/requests/eligibility.py, for first attempts, retries and resumed streams. A group counts as in the data centres of all its members. Where nothing is eligible the request is refused at once with Retry-After and the reason in the log.

--- a/cardamommill/domain/entrysettings.py
+++ b/cardamommill/domain/entrysettings.py
@@ -83,6 +83,11 @@
     bounds: Bounds = Bounds()
     logging: checking.Logging = checking.Logging()
 
+    @property
+    def named_data_centres(self) -> frozenset[str]:
+        """All data centres that any setting names."""
+        return frozenset(self.data_centres) | self.regions.keys()
+
 
 def address(text: str) -> tuple[str, int]:
     """Returns host and port of an address written as host:port."""
--- a/cardamommill/gateway/fleet/availablegroups.py
+++ b/cardamommill/gateway/fleet/availablegroups.py
@@ -28,6 +28,7 @@
         pace: Factor on all durations, from the slowest member.
         spans_domains: Whether the members are in more than one fabric domain.
         has_leaving_member: Whether a member has announced that it is leaving.
+        data_centres: The data centres of its members.
     """
 
     key: model.GroupKey
@@ -36,6 +37,7 @@
     pace: float
     spans_domains: bool
     has_leaving_member: bool
+    data_centres: frozenset[str]
 
 
 def confirmed_alarm_ms(heartbeat_ms: float, drain_ms: float) -> float:
@@ -112,4 +114,5 @@
         group.key, group.model, head,
         max(each.pace for each in group.members.values()),
         len(group.domains) > 1,
-        any(each.is_leaving for each in group.members.values()))
+        any(each.is_leaving for each in group.members.values()),
+        frozenset(each.runner.data_centre for each in group.members.values()))
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -19,6 +19,7 @@
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.requests import (
     attemptresult,
+    eligibility,
     forecast,
     freshness,
     placing,
@@ -33,6 +34,7 @@
     admitting,
     attempts,
     backpressure,
+    eligibletargets,
     forwarding,
     platformreader,
     relay,
@@ -104,6 +106,8 @@
         self.backpressure = backpressure.Backpressure(
             view, ratelimits.RateLimits(settings.node, node_peers.live_nodes),
             node_metrics)
+        self.eligible_targets = eligibletargets.EligibleTargets(
+            settings, reader.evacuations)
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
@@ -118,6 +122,7 @@
         """Applies changed settings."""
         self._settings = settings
         self._retry_budgets = retrybudget.RetryBudgets(settings.bounds)
+        self.eligible_targets.reload(settings)
 
     def relays_at(self, key: model.GroupKey) -> list[relay.Relay]:
         """Returns the relays of this node's requests at a group."""
@@ -187,22 +192,25 @@
         assert table is not None and one.route is not None
         refused = placing.Refused("no service",
                                   admitting.DEFAULT_RETRY_AFTER_MS)
+        eligible = self.eligible_targets.decide(one.route, one.tenant)
         for name in routetable.draw_service_order(one.route, self._chance):
             service = table.configuration.services.get(name)
             if service is None:
                 continue
             if service.engine is not None and one.model_name:
-                found = self._find_group(one, service, service.engine)
+                found = self._find_group(one, service, service.engine, eligible)
             else:
-                found = self._find_runner(one, service)
+                found = self._find_runner(one, service, eligible)
             if isinstance(found, relay.Target):
                 one.service = name
                 return found
             refused = found
         return refused
 
-    def _find_group(self, one: relay.Relay, service: model.Service,
-                    engine: model.Engine) -> relay.Target | placing.Refused:
+    def _find_group(
+            self, one: relay.Relay, service: model.Service,
+            engine: model.Engine, eligible: eligibility.Eligibility
+    ) -> relay.Target | placing.Refused:
         now_ms = clock.now_ms()
         served = engine.model(one.model_name)
         if served is None:
@@ -211,7 +219,14 @@
         heads: dict[model.GroupKey, fleetview.RunnerRecord] = {}
         candidates = []
         others_requests = 0
-        for each in self.available_groups.of_model(service.name, served.name):
+        groups = [
+            each for each in self.available_groups.of_model(
+                service.name, served.name)
+            if eligible.allows_all(each.data_centres)
+        ]
+        if not groups and not eligible.is_unrestricted:
+            return eligibletargets.refusal(eligible)
+        for each in groups:
             heads[each.key] = each.head
             told = self._group_loads.others(each.key)
             others_requests += told.total_requests
@@ -255,14 +270,19 @@
         key = placed.candidate.key
         return relay.Target(heads[key], key, placed)
 
-    def _find_runner(self, one: relay.Relay,
-                     service: model.Service) -> relay.Target | placing.Refused:
+    def _find_runner(
+            self, one: relay.Relay, service: model.Service,
+            eligible: eligibility.Eligibility
+    ) -> relay.Target | placing.Refused:
         now_ms = clock.now_ms()
         attempted = {each.known.runner.id for each in one.attempted}
         candidates = [
             each for each in self._view.runners_of(service.name)
-            if each.is_usable and each.runner.id not in attempted
+            if each.is_usable and each.runner.id not in attempted and
+            eligible.allows(each.runner.data_centre)
         ]
+        if not candidates and not eligible.is_unrestricted:
+            return eligibletargets.refusal(eligible)
         if not candidates:
             return placing.Refused("no runner",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
@@ -296,6 +316,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
+        self.eligible_targets.attempt_started(target.known.runner.data_centre)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
         self._unanswered_since_ms[one] = now_ms
         if target.key is None or target.placed is None:
@@ -337,6 +358,7 @@
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
         self._plain_runners.remove_request(runner_id)
+        self.eligible_targets.attempt_ended(target.known.runner.data_centre)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -11,7 +11,12 @@
 
 from cardamommill import logs, metrics
 from cardamommill.domain import clock, entrysettings, model
-from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
+from cardamommill.gateway.fleet import (
+    availablegroups,
+    evacuations,
+    fleetview,
+    loadsums,
+)
 from cardamommill.gateway.groups import planning
 from cardamommill.gateway.nodes import peermessage, peers
 from cardamommill.gateway.requests import freshness, routetable
@@ -22,6 +27,7 @@
     heldrequests,
     nodelink,
     openedgroups,
+    operatorrows,
     platformreader,
     relay,
     settingsfile,
@@ -91,7 +97,10 @@
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
             self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
-            self._freshness, settings.bounds.drain_ms, self._on_table)
+            self._freshness, settings.bounds.drain_ms, self._on_table,
+            operatorrows.OperatorRows(
+                evacuations.Evacuations(settings.named_data_centres),
+                self.metrics))
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -10,6 +10,7 @@
 from cardamommill.domain import clock, model
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
+from cardamommill.gateway.shell import operatorrows
 from cardamommill.gateway.tables import restoration, tablereader
 from cardamommill.platform import configurations, entries, storecalls, wirenames
 
@@ -60,7 +61,8 @@
     def __init__(self, operator: tablereader.TableReader,
                  servers: tablereader.TableReader, view: fleetview.FleetView,
                  fresh: freshness.Freshness, drain_ms: float,
-                 on_table: Callable[[routetable.RouteTable], None]) -> None:
+                 on_table: Callable[[routetable.RouteTable], None],
+                 rows: operatorrows.OperatorRows) -> None:
         """Initialises the reader.
 
         Args:
@@ -70,6 +72,7 @@
             fresh: Updated with each confirmation of the configuration.
             drain_ms: The drain bound.
             on_table: Called with the route table of each new configuration.
+            rows: Updated with each read of the operator's table.
         """
         self._configuration_reader = operator
         self._list_reader = servers
@@ -77,6 +80,8 @@
         self._view = view
         self._fresh = fresh
         self._on_table = on_table
+        self._operator_rows = rows
+        self.evacuations = rows.evacuations
         self._drain_ms = drain_ms
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
@@ -191,6 +196,7 @@
             self._suspend_confirmation(rows)
         if result.whole:
             self._stored_version = 0
+        self._operator_rows.apply(result)
         for row in rows.rows:
             if row.key == wirenames.CONFIGURATION_KEY:
                 self._apply_row(row, row.version or rows.version)
--- a/tests/gateway/shell/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -2,12 +2,13 @@
 
 import asyncio
 
+from cardamommill import metrics
 from cardamommill.domain import clock
 from cardamommill.experiment import deployments, modelstore, virtualloop
-from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.fleet import evacuations, fleetview
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.requests import freshness
-from cardamommill.gateway.shell import platformreader
+from cardamommill.gateway.shell import operatorrows, platformreader
 from cardamommill.gateway.tables import (
     restoration,
     sourceselector,
@@ -51,10 +52,14 @@
             tablecopies.TableCopy()) for name in (wirenames.OPERATOR_TABLE,
                                                   wirenames.SERVERS_TABLE))
         self.fresh = freshness.Freshness(5000.0)
+        self.metrics = metrics.Metrics()
+        self.operator_rows = operatorrows.OperatorRows(
+            evacuations.Evacuations(("a", "b")), self.metrics)
         self.reader = platformreader.PlatformReader(operator, servers,
                                                     self.view, self.fresh,
                                                     DRAIN_MS,
-                                                    lambda table: None)
+                                                    lambda table: None,
+                                                    self.operator_rows)
 
     def put(self, runner, **fields):
         self.store.put(wirenames.SERVERS_TABLE, runner, entry(**fields))
