Let the model evacuate data centres, with the rule EVAC

Cause: no run of the model showed whether an evacuation is obeyed.

Change: the trouble `evacuate` sets the row and removes it after its duration; after a restore the operator writes the rows again.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -73,7 +73,7 @@
                   "store_restored", "store_cut", "configuration", "revoke",
                   "burst", "plain_cut", "heads_fail", "heads_reset",
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
-                  "plain_rest"]
+                  "plain_rest", "evacuate"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -74,6 +74,7 @@
                                          request.get(wirenames.TENANT) or "",
                                          request.method, request.target,
                                          request.body)
+        self.fleet.oracle.check_place(attempt, self.id, self.place)
         if self.acknowledged_leaving_ms() > 2000:
             self.fleet.oracle.broken(
                 "DRAIN",
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from cardamommill.domain import clock, model
+from cardamommill.experiment import placerules
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
@@ -89,6 +90,8 @@
             that a runner leaves must not reach that runner.
         contact_ms: Time after a rate limit is first advertised during which it
             may be exceeded.
+        evacuate_ms: Requests must not reach a data centre later than this after
+            its evacuation was acknowledged.
     """
 
     loads_per_s: float
@@ -99,6 +102,7 @@
     revoke_ms: float = 5000
     drain_ms: float = 2000
     contact_ms: float = 3000
+    evacuate_ms: float = 5000
 
 
 class Oracle:
@@ -124,6 +128,7 @@
                           list[RestPeriod]] = collections.defaultdict(list)
         # By runner and machine.
         self._leaving_informed_ms: dict[tuple[str, str], float] = {}
+        self.place_rules = placerules.PlaceRules(limits.evacuate_ms)
         # Loads are checked only while the platform's store is available.
         self.counts_loads = True
 
@@ -159,6 +164,15 @@
             self._repeats_ms[service].append(clock.now_ms())
             self._check_budget(service)
 
+    def check_place(self, attempt: str, runner: str, place: str) -> None:
+        """Checks the data centre of a runner that a request has reached."""
+        sent = self.sent.get(attempt)
+        if sent is None:
+            return
+        for rule, text in self.place_rules.check(sent.target, sent.tenant,
+                                                 place):
+            self.broken(rule, f"{attempt} at {runner}: {text}")
+
     def _check_budget(self, service: str) -> None:
         now_ms = clock.now_ms()
         since_ms = now_ms - REPEAT_WINDOW_MS
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -332,9 +332,31 @@
             wirenames.OPERATOR_TABLE, wirenames.CONFIGURATION_KEY,
             self._world.deployment.configuration(self._world.version,
                                                  self._world.keys))
+        self._rewrite_evacuations()
         await asyncio.sleep(3.0)
         self._world.run_oracle.counts_loads = True
 
+    def _rewrite_evacuations(self) -> None:
+        """Makes the restored rows those that the operator wrote last."""
+        evacuated = self._world.run_oracle.place_rules.evacuated
+        for place in self._world.deployment.places:
+            key = wirenames.EVACUATION_PREFIX + place
+            if place in evacuated:
+                self._world.store.put(wirenames.OPERATOR_TABLE, key, {})
+            else:
+                self._world.store.drop(wirenames.OPERATOR_TABLE, key)
+
+    async def _evacuate(self, trouble: deployments.Trouble) -> None:
+        """Evacuates a data centre; without a duration until the end."""
+        place = self._choose_place(trouble)
+        key = wirenames.EVACUATION_PREFIX + place
+        rules = self._world.run_oracle.place_rules
+        self._world.store.put(wirenames.OPERATOR_TABLE, key, {})
+        rules.record_evacuation(place)
+        await asyncio.sleep(trouble.for_s or math.inf)
+        self._world.store.drop(wirenames.OPERATOR_TABLE, key)
+        rules.record_return(place)
+
     async def _store_cut(self, trouble: deployments.Trouble) -> None:
         """Cuts nodes of all data centres off from the store only."""
         network = self._world.loop.network
