Leave evacuated data centres alone in planning

Cause: planners formed, staged, opened and ended groups in an evacuated data centre, and counted its groups as capacity, so spares elsewhere stayed spares.

Change: planning.Scope carries the evacuated data centres. Planner.step plans without them: it drops their formations without an order, and groups with a member there are hidden from reconciliation, allocation, rebalancing, consolidation, demand and overload. A model with an open group there counts as overloaded elsewhere, so its spares become groups at once. When a data centre is back, its groups are adopted or ended as those of a planner that died.

--- a/cardamommill/gateway/groups/allocation.py
+++ b/cardamommill/gateway/groups/allocation.py
@@ -79,7 +79,7 @@
                 each for runners in domains.values() for each in runners
             ]
             yield from self._consolidation.step(service, engine,
-                                                self._view.groups(service),
+                                                self._groups(service, scope),
                                                 all_runners, self.is_free,
                                                 now_ms)
             if len(domains) > 1:
@@ -88,9 +88,10 @@
                                                      all_runners, largest,
                                                      now_ms)
             yield from self._rebalancing.step(service, engine, scope,
-                                              self._view.groups(service), place,
-                                              now_ms)
-            capacity_state = self._capacity_state(service, engine, all_runners)
+                                              self._groups(service, scope),
+                                              place, now_ms)
+            capacity_state = self._capacity_state(service, engine, scope,
+                                                  all_runners)
             for domain in sorted(domains):
                 yield from self._stage(engine, scope, domains[domain],
                                        capacity_state, now_ms)
@@ -130,12 +131,16 @@
         yield from self._spares.stage(engine, scope, free, capacity_state,
                                       now_ms)
 
+    def _groups(self, service: str,
+                scope: planning.Scope) -> dict[model.GroupKey, fleetview.Group]:
+        return scope.active_groups(self._view.groups(service))
+
     def _capacity_state(
-            self, service: str, engine: model.Engine,
+            self, service: str, engine: model.Engine, scope: planning.Scope,
             runners: list[fleetview.RunnerRecord]) -> overload.CapacityState:
         ids = {each.runner.id for each in runners}
         counts: dict[str, int] = {}
-        for name, members in self._members_by_model(service):
+        for name, members in self._members_by_model(service, scope):
             counts[name] = counts.get(name, 0) + len(members & ids)
         for known in runners:
             if self.is_free(known):
@@ -146,11 +151,11 @@
                                if self._overload.is_overloaded(each.name))
         return overload.CapacityState(overloaded, counts,
                                       sum(each.is_usable for each in runners),
-                                      self._utilisation(service, engine))
+                                      self._utilisation(service, engine, scope))
 
-    def _utilisation(self, service: str,
-                     engine: model.Engine) -> dict[str, float]:
-        groups = self._view.groups(service).values()
+    def _utilisation(self, service: str, engine: model.Engine,
+                     scope: planning.Scope) -> dict[str, float]:
+        groups = self._groups(service, scope).values()
         found = {}
         for served in engine.models:
             places = engine.slots * len(fleetview.serving(groups, served.name))
@@ -164,7 +169,8 @@
                         now_ms: float) -> Iterator[planning.Action]:
         while True:
             free = [each for each in runners if self.is_free(each)]
-            for served in self._by_shortage(service, engine, runners, now_ms):
+            for served in self._by_shortage(service, engine, scope, runners,
+                                            now_ms):
                 picked = self._pick_members(engine, served, scope, runners,
                                             free, now_ms)
                 if picked is not None:
@@ -181,7 +187,8 @@
                              now_ms: float) -> Iterator[planning.Action]:
         # A group across domains is slower but serves. It may use up the spares
         # only while its model has fewer groups than its share, or is busy.
-        for served in self._by_shortage(service, engine, runners, now_ms):
+        for served in self._by_shortage(service, engine, scope, runners,
+                                        now_ms):
             if self._consolidation.is_retiring_model(service, served.name):
                 continue
             if not self._needs_group(service, engine, served, scope, runners):
@@ -219,12 +226,15 @@
 
     def _is_busy(self, service: str, engine: model.Engine,
                  served: model.ServedModel, scope: planning.Scope) -> bool:
+        if self._overload.has_evacuated_groups(served.name):
+            return True
         serving = fleetview.serving(
-            self._view.groups(service).values(), served.name)
+            self._groups(service, scope).values(), served.name)
         load = scope.total_load(serving).total_requests
         return load > BUSY_THRESHOLD * engine.slots * len(serving)
 
     def _by_shortage(self, service: str, engine: model.Engine,
+                     scope: planning.Scope,
                      runners: list[fleetview.RunnerRecord],
                      now_ms: float) -> list[model.ServedModel]:
         # The model with the fewest runners for its share of the work comes
@@ -235,7 +245,7 @@
         ids = {each.runner.id for each in runners}
         local_counts: dict[str, int] = {}
         total_counts: dict[str, int] = {}
-        for name, members in self._members_by_model(service):
+        for name, members in self._members_by_model(service, scope):
             total_counts[name] = total_counts.get(name, 0) + len(members)
             local_counts[name] = local_counts.get(name, 0) + len(members & ids)
         total = sum(total_counts.values())
@@ -255,7 +265,9 @@
 
         return sorted(engine.models, key=sort_key)
 
-    def _members_by_model(self, service: str) -> Iterator[tuple[str, set[str]]]:
+    def _members_by_model(
+            self, service: str,
+            scope: planning.Scope) -> Iterator[tuple[str, set[str]]]:
         """Yields the model and the member ids of each group, open or forming.
 
         Formations are included since a joining runner does not report its
@@ -265,7 +277,7 @@
         """
         for formation in self._formations.by_key.values():
             yield formation.model.name, set(formation.members)
-        for group in self._view.groups(service).values():
+        for group in self._groups(service, scope).values():
             if group.key not in self._formations.by_key:
                 yield group.model, {
                     each.runner.id for each in group.members.values()
--- a/cardamommill/gateway/groups/formations.py
+++ b/cardamommill/gateway/groups/formations.py
@@ -59,6 +59,17 @@
         """Whether a runner is a member of a group that is being formed."""
         return any(runner in each.members for each in self.by_key.values())
 
+    def drop_evacuated(self, scope: planning.Scope) -> None:
+        """Drops the formations in evacuated data centres, without any order.
+
+        When a data centre is back, reconciliation adopts or ends them as it
+        does with the groups of a planner that has died.
+        """
+        for formation in list(self.by_key.values()):
+            known = (self._view.known.get(each) for each in formation.members)
+            if scope.is_evacuated(each for each in known if each is not None):
+                del self.by_key[formation.key]
+
     def for_order(self, order: orders.Order) -> planning.Formation | None:
         """Returns the formation that an order belongs to, if any."""
         return self.by_key.get(order.group) if order.group else None
--- a/cardamommill/gateway/groups/overload.py
+++ b/cardamommill/gateway/groups/overload.py
@@ -58,6 +58,8 @@
     def __init__(self) -> None:
         self._late_ratio: dict[str, float] = {}
         self._observed_ms: dict[str, float] = {}
+        # Models with an open group in an evacuated data centre, by service.
+        self._evacuated: dict[str, frozenset[str]] = {}
 
     def observe(self, service: str, engine: model.Engine,
                 groups: dict[model.GroupKey, fleetview.Group],
@@ -74,6 +76,11 @@
             scope: Provides the load of each group.
             now_ms: The current time.
         """
+        active = scope.active_groups(groups)
+        self._evacuated[service] = frozenset(
+            each.model
+            for key, each in groups.items()
+            if key not in active and each.is_open)
         if scope.is_before_traffic:
             return
         since_ms = now_ms - self._observed_ms.get(service, now_ms)
@@ -84,7 +91,7 @@
             # take no requests from here. When unreachable groups were counted
             # too, a data centre that was cut off had one group and left spares
             # for two more unused until the end of the partition.
-            serving = fleetview.serving(groups.values(), served.name)
+            serving = fleetview.serving(active.values(), served.name)
             load = scope.total_load(serving)
             ratio = load.deferred / max(1,
                                         load.total_requests) if serving else 1.0
@@ -93,4 +100,13 @@
 
     def is_overloaded(self, model_name: str) -> bool:
         """Whether a model needs more groups than it has."""
-        return self._late_ratio.get(model_name, 0.0) > OVERLOAD_THRESHOLD
+        return (self.has_evacuated_groups(model_name) or
+                self._late_ratio.get(model_name, 0.0) > OVERLOAD_THRESHOLD)
+
+    def has_evacuated_groups(self, model_name: str) -> bool:
+        """Whether groups of a model are in an evacuated data centre.
+
+        Spares make up for them at once: requests that ran there come here, and
+        the ratio of late ones shows that only after a while.
+        """
+        return any(model_name in names for names in self._evacuated.values())
--- a/cardamommill/gateway/groups/planner.py
+++ b/cardamommill/gateway/groups/planner.py
@@ -74,10 +74,13 @@
         engine = service.engine
         if engine is None:
             return []
-        groups = self._view.groups(service.name)
-        for key in groups:
+        scope = scope.without_evacuated()
+        all_groups = self._view.groups(service.name)
+        for key in all_groups:
             self._formations.observe_epoch(key.epoch)
-        self._overload.observe(service.name, engine, groups, scope, now_ms)
+        self._formations.drop_evacuated(scope)
+        groups = scope.active_groups(all_groups)
+        self._overload.observe(service.name, engine, all_groups, scope, now_ms)
         self._demand.observe(service.name, engine, groups, scope, now_ms)
         engine = self._demand.engine(service.name, engine, now_ms)
         actions: list[planning.Action] = []
--- a/cardamommill/gateway/groups/planning.py
+++ b/cardamommill/gateway/groups/planning.py
@@ -92,6 +92,8 @@
             takes less time then.
         loads: The requests of all nodes at each group.
         places: The names of all data centres, whoever plans for them.
+        evacuated: The evacuated data centres, which get no orders from any
+            planner.
     """
 
     data_centres: frozenset[str]
@@ -99,6 +101,35 @@
     is_before_traffic: bool
     loads: dict[model.GroupKey, inflight.GroupLoad]
     places: tuple[str, ...] = ()
+    evacuated: frozenset[str] = frozenset()
+
+    def without_evacuated(self) -> "Scope":
+        """Returns the scope less the data centres that get no orders."""
+        if not self.evacuated & self.data_centres:
+            return self
+        return dataclasses.replace(self,
+                                   data_centres=self.data_centres -
+                                   self.evacuated)
+
+    def is_evacuated(self, members: Iterable[fleetview.RunnerRecord]) -> bool:
+        """Whether any of some runners is in an evacuated data centre."""
+        return bool(self.evacuated) and any(
+            each.runner.data_centre in self.evacuated for each in members)
+
+    def active_groups(
+        self, groups: dict[model.GroupKey, fleetview.Group]
+    ) -> dict[model.GroupKey, fleetview.Group]:
+        """Returns the groups of which no member is evacuated.
+
+        The others are left as they are, and count as missing capacity.
+        """
+        if not self.evacuated:
+            return groups
+        return {
+            key: each
+            for key, each in groups.items()
+            if not self.is_evacuated(each.members.values())
+        }
 
     def load(self, key: model.GroupKey) -> inflight.GroupLoad:
         """Returns the load of a group."""
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -362,7 +362,8 @@
                                  self._peers.any_requests_seen())
         scope = planning.Scope(planned, len(self._settings.data_centres),
                                is_before_traffic, self._requests.loads(),
-                               self._settings.data_centres)
+                               self._settings.data_centres,
+                               self._reader.evacuations.in_force)
         self._group_controller.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
--- a/tests/experiment/test_evacuation.py
+++ b/tests/experiment/test_evacuation.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from cardamommill.domain import clock
 from cardamommill.experiment import (
     deployments,
+    modelorders,
     virtualloop,
     virtualnetwork,
     world,
 )
+from cardamommill.gateway.groups import planning
 from cardamommill.gateway.requests import eligibility
 from cardamommill.gateway.shell import dispatcher
 from cardamommill.platform import wirenames
@@ -189,6 +192,40 @@
     assert outcome.earned > least
 
 
+def test_no_order_reaches_a_runner_of_an_evacuated_data_centre(monkeypatch):
+    """Guards against planners that repair what shall be left alone."""
+    ordered = []
+    execute = modelorders.OrderExecutor.execute
+
+    def record(executor, order):
+        runner = executor._runner
+        ordered.append((runner.place, clock.now_ms()))
+        return execute(executor, order)
+
+    monkeypatch.setattr(modelorders.OrderExecutor, "execute", record)
+
+    def late_orders():
+        ordered.clear()
+        outcome = play(trouble("evacuate", 1, place="b", for_s=6),
+                       trouble("runners_dark", 2.5, place="b", count=3),
+                       places={
+                           "a": 2,
+                           "b": 2
+                       })
+        assert not outcome.violations
+        from_ms = outcome.started_ms + 2000
+        return [
+            each for each in ordered
+            if each[0] == "b" and from_ms < each[1] < from_ms + 5000
+        ]
+
+    assert not late_orders()
+    monkeypatch.setattr(planning.Scope, "without_evacuated", lambda self: self)
+    monkeypatch.setattr(planning.Scope, "is_evacuated",
+                        lambda self, members: False)
+    assert late_orders()
+
+
 def test_requests_are_refused_while_the_only_data_centre_is_evacuated():
     """Guards against requests that wait, and against a lasting refusal.
 
