Check homes of routes and client accounts with the rule HOME

Cause: nothing showed that allowedRegions of a route and of a client account is kept by first attempts, retries and resumed streams.

Change: experiments may give the regions of data centres, of routes and of client accounts; the oracle's rule HOME is broken by a request that reaches a runner outside its homes. The filter is that of the evacuations (requests/eligibility.py): both restrictions apply, empty means none, and a data centre whose region the settings don't give is no home of a restricted request.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -51,6 +51,7 @@
     type: Literal["streaming", "idempotent", "non_idempotent"] = "streaming"
     worth: float = 1.0
     late_worth: float = 0.25
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Trouble(checking.Checked):
@@ -85,6 +86,9 @@
 
     Attributes:
         places: Entry VMs per data centre.
+        regions: The region of each data centre; empty for none.
+        account_regions: Regions in which the requests of some client accounts
+            may run, by account name.
         domains: Fabric domains per data centre.
         runners: Runners per fabric domain.
         plain_runners: Runners of the plain service per data centre.
@@ -97,6 +101,8 @@
     lead_s: float = 12.0
     length_s: float = 20.0
     places: dict[str, int] = {"a": 3, "b": 2, "c": 1}
+    regions: dict[str, str] = {}
+    account_regions: dict[str, tuple[str, ...]] = {}
     domains: int = 2
     runners: int = 9
     plain_runners: int = 1
@@ -185,10 +191,16 @@
             "tenants": [{
                 "name": name,
                 "apiKeys": owned,
-                "priority": 1
+                "priority": 1,
+                "allowedRegions": self.account_regions.get(name, ())
             } for name, owned in tenants.items()],
         }
 
+    def homes(self, allowed_regions: tuple[str, ...]) -> frozenset[str]:
+        """Returns the data centres of some regions."""
+        return frozenset(place for place in self.places
+                         if self.regions.get(place) in allowed_regions)
+
     def _route(self, spec: KindSpec) -> dict[str, Any]:
         return {
             "name": spec.name,
@@ -203,7 +215,8 @@
             "maxAttempts": 1 if spec.type == "non_idempotent" else 2,
             "public": False,
             "sticky": bool(spec.model),
-            "resumable": spec.type == "streaming"
+            "resumable": spec.type == "streaming",
+            "allowedRegions": spec.allowed_regions
         }
 
 
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -108,6 +108,7 @@
         self.store = modelstore.ModelStore()
         self.run_oracle = oracle.Oracle(
             oracle.Limits(deployment.engine.loads_per_s))
+        self._record_homes()
         self.keys = [(f"tenant{number % deployment.tenants}", f"key{number}")
                      for number in range(2 * deployment.tenants)]
         self.all_keys = list(self.keys)
@@ -125,6 +126,15 @@
         self._count = 0
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    def _record_homes(self) -> None:
+        rules = self.run_oracle.place_rules
+        for spec in self.deployment.kinds:
+            if spec.allowed_regions:
+                rules.route_homes[f"/{spec.name}/"] = self.deployment.homes(
+                    spec.allowed_regions)
+        for name, allowed in self.deployment.account_regions.items():
+            rules.account_homes[name] = self.deployment.homes(allowed)
+
     def _configuration_bytes(self) -> bytes:
         import json
         return json.dumps(self.deployment.configuration(self.version,
@@ -212,6 +222,7 @@
             node=name,
             data_centre=machine.place,
             data_centres=tuple(self.deployment.places),
+            regions=self.deployment.regions,
             ip=machine.host,
             callers=f"{machine.host}:{FRONT_PORT}",
             ready=f"{machine.host}:{READY_PORT}",
--- a/tests/gateway/requests/test_eligibility.py
+++ b/tests/gateway/requests/test_eligibility.py
@@ -33,6 +33,53 @@
     assert allowed(evacuated=evacuated) == expected
 
 
+@pytest.mark.parametrize("route,account,expected", [
+    ((), (), {"a1", "a2", "b1", "c1", "new"}),
+    ((), None, {"a1", "a2", "b1", "c1", "new"}),
+    (("north",), None, {"a1", "a2"}),
+    (("south",), (), {"b1"}),
+    ((), ("west",), {"c1"}),
+    (("north", "south"), (), {"a1", "a2", "b1"}),
+    (("north", "south"), ("south", "west"), {"b1"}),
+    (("north",), ("north",), {"a1", "a2"}),
+    (("north",), ("south",), set()),
+    (("nowhere",), (), set()),
+],
+                         ids=[
+                             "empty", "no-account", "route", "route-south",
+                             "account", "regions", "both", "same", "disjoint",
+                             "unknown"
+                         ])
+def test_homes_are_those_of_route_and_account(route, account, expected):
+    """Guards against requests in a region that either of them excludes.
+
+    A data centre without a known region is no home of a restricted request.
+    """
+    assert allowed(route, account) == expected
+
+
+@pytest.mark.parametrize("evacuated,expected", [
+    (("a1",), {"a2"}),
+    (("b1",), {"a1", "a2"}),
+    (("a1", "a2"), set()),
+])
+def test_evacuated_homes_are_not_replaced_by_other_regions(evacuated, expected):
+    """Guards against service elsewhere while all homes are evacuated."""
+    assert allowed(("north",), (), evacuated) == expected
+
+
+def test_restricted_request_goes_nowhere_where_no_regions_are_known():
+    """Guards against service anywhere because the settings lack regions."""
+    assert not allowed(("north",), regions={})
+
+
+def test_refusal_names_the_homes():
+    """Guards against refusals whose cause the log does not tell."""
+    found = eligibility.decide(with_regions("north"), None, frozenset(),
+                               REGIONS)
+    assert "homes a1,a2" in found.refusal_reason
+
+
 def test_request_without_restriction_is_not_filtered():
     """Guards against work for each request where nothing asks for it."""
     found = eligibility.decide(with_regions(), None, frozenset(), REGIONS)
--- a/tests/gateway/shell/test_eligibletargets.py
+++ b/tests/gateway/shell/test_eligibletargets.py
@@ -171,6 +171,37 @@
     run(script, engine)
 
 
+@ENGINES
+@pytest.mark.parametrize("route,account,expected", [
+    (("south",), (), "b"),
+    ((), ("south",), "b"),
+    (("north", "south"), ("south",), "b"),
+    (("north",), ("south",), None),
+])
+def test_request_goes_to_its_homes_only(engine, route, account, expected):
+    """Guards against runners in a region that is no home."""
+
+    async def script(node):
+        one = node.request(dataclasses.replace(ROUTE, allowed_regions=route),
+                           model.Tenant("t", (), None, allowed_regions=account))
+        assert {node.place(one) for _ in range(20)} == {expected}
+
+    run(script, engine)
+
+
+@ENGINES
+def test_retry_stays_in_the_homes(engine):
+    """Guards against a retry elsewhere once all homes have failed."""
+
+    async def script(node):
+        one = node.request(
+            dataclasses.replace(ROUTE, allowed_regions=("south",)))
+        one.attempted.append(node.requests.find_target(one))
+        assert node.place(one) is None
+
+    run(script, engine)
+
+
 def test_requests_that_run_in_a_data_centre_are_counted():
     """Guards against a status page that shows an emptied data centre."""
 
