Refuse configurations with values out of range as a whole

Cause: an unknown region, a coldS or coldPerS below zero, or a priority outside 0 to 9 took effect as written.

ConfigurationRows (gateway/shell/configurationrows.py) judges each configuration row: accepted, refused or undecodable. A refused one leaves the last good one in force, with its keys confirmed as before; it doesn't lift the suspension that an undecodable one has caused, and the handling of undecodable ones is unchanged. A refused configuration is checked again when the settings are reloaded, since a region may have been added to both.

--- a/cardamommill/gateway/shell/eligibletargets.py
+++ b/cardamommill/gateway/shell/eligibletargets.py
@@ -25,7 +25,6 @@
     def reload(self, settings: entrysettings.EntrySettings) -> None:
         """Applies changed settings."""
         self._regions = settings.regions
-        self._evacuations.reload(settings.named_data_centres)
 
     def decide(self, route: model.Route | None,
                tenant: model.Tenant | None) -> eligibility.Eligibility:
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -11,12 +11,7 @@
 
 from cardamommill import logs, metrics
 from cardamommill.domain import clock, entrysettings, model
-from cardamommill.gateway.fleet import (
-    availablegroups,
-    evacuations,
-    fleetview,
-    loadsums,
-)
+from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
 from cardamommill.gateway.groups import planning
 from cardamommill.gateway.nodes import peermessage, peers
 from cardamommill.gateway.requests import freshness, routetable
@@ -98,9 +93,7 @@
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
             self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
             self._freshness, settings.bounds.drain_ms, self._on_table,
-            operatorrows.OperatorRows(
-                evacuations.Evacuations(settings.named_data_centres),
-                self.metrics))
+            operatorrows.OperatorRows(settings, self.metrics))
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
@@ -411,4 +404,5 @@
         self._settings = settings
         self._freshness.revoke_ms = settings.bounds.revoke_ms
         self._requests.reload(settings)
+        self._reader.reload(settings)
         self._link.add_seeds(settings)
--- a/cardamommill/gateway/shell/operatorrows.py
+++ b/cardamommill/gateway/shell/operatorrows.py
@@ -1,10 +1,11 @@
-"""Applies the operator's evacuation rows; logs and counts what changes."""
+"""Applies the rows of the operator's table; logs and counts what changes."""
 
 import logbook
 
 from cardamommill import logs, metrics
-from cardamommill.domain import clock
+from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import evacuations
+from cardamommill.gateway.shell import configurationrows
 from cardamommill.gateway.tables import tablereader
 from cardamommill.platform import evacuationrows
 
@@ -12,20 +13,41 @@
 
 
 class OperatorRows:
-    """Follows the rows of the operator's table beside the configuration.
+    """What the rows of the operator's table ask for.
 
     Attributes:
         evacuations: The evacuations in force.
+        configurations: Decides which configurations take effect.
     """
 
-    def __init__(self, evacuated: evacuations.Evacuations,
+    def __init__(self, settings: entrysettings.EntrySettings,
                  node_metrics: metrics.Metrics) -> None:
+        """Initialises the instance before the first read.
+
+        Args:
+            settings: The settings of the node.
+            node_metrics: Receives the metrics.
+        """
+        evacuated = evacuations.Evacuations(settings.named_data_centres)
         self.evacuations = evacuated
+        self.configurations = configurationrows.ConfigurationRows(
+            settings.regions.values(), node_metrics)
         self._metrics = node_metrics
         node_metrics.collect(
             lambda:
             [metrics.Sample("evacuated_data_centres", len(evacuated.in_force))])
 
+    def reload(
+            self, settings: entrysettings.EntrySettings
+    ) -> model.Configuration | None:
+        """Applies changed settings.
+
+        Returns:
+            The last refused configuration, if it may take effect now.
+        """
+        self.evacuations.reload(settings.named_data_centres)
+        return self.configurations.reload(settings.regions.values())
+
     def apply(self, result: tablereader.ReadResult) -> None:
         """Applies a read of the operator's table."""
         now_ms = clock.now_ms()
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -7,12 +7,12 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.domain import clock, model
+from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
-from cardamommill.gateway.shell import operatorrows
+from cardamommill.gateway.shell import configurationrows, operatorrows
 from cardamommill.gateway.tables import restoration, tablereader
-from cardamommill.platform import configurations, entries, storecalls, wirenames
+from cardamommill.platform import entries, storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
 # for which a revoked key may still be accepted. A query confirms nothing until
@@ -209,10 +209,21 @@
             self._confirmed_from_ms = float("-inf")
         if row.deleted:
             self._stored_version = 0
-        elif not self._apply_configuration(row.value):
+            return
+        verdict, configuration = self._operator_rows.configurations.judge(
+            row.value, version)
+        if configuration is None:
+            # A version that can't be decoded may revoke keys. So the current
+            # one is not confirmed as the newest until a later one is decoded,
+            # even if the next answers contain no changes.
             self._undecodable_version = max(self._undecodable_version, version)
-        elif version > self._undecodable_version:
+            return
+        self._stored_version = configuration.version
+        if verdict is configurationrows.Verdict.REFUSED:
+            return
+        if version > self._undecodable_version:
             self._undecodable_version = 0
+        self._use_if_newer(configuration)
 
     def _is_newest(self, rows: storecalls.Rows) -> bool:
         """Whether an answer confirms that the current configuration is newest.
@@ -241,24 +252,16 @@
                       version=self._version(),
                       for_ms=restoration.REWRITE_TIMEOUT_MS))
 
-    def _apply_configuration(self, value: bytes) -> bool:
-        """Uses a stored configuration if it is newer than the current one.
+    def reload(self, settings: entrysettings.EntrySettings) -> None:
+        """Applies changed settings, which may make a configuration valid."""
+        configuration = self._operator_rows.reload(settings)
+        if configuration is not None:
+            self._use_if_newer(configuration)
 
-        Returns:
-            Whether it could be decoded.
-        """
-        try:
-            configuration = configurations.decode(value)
-        except exceptions.BadPeerMessage as error:
-            # A version that can't be decoded may revoke keys. So the current
-            # one is not confirmed as the newest until a later one is decoded,
-            # even if the next answers contain no changes.
-            _LOG.error(logs.line("configuration-refused", reason=str(error)))
-            return False
-        self._stored_version = configuration.version
+    def _use_if_newer(self, configuration: model.Configuration) -> None:
         before = self._version()
         if configuration.version <= before:
-            return True
+            return
         self.table = routetable.RouteTable(configuration)
         self._on_table(self.table)
         _LOG.info(
@@ -267,7 +270,6 @@
                       before=before,
                       routes=len(configuration.routes),
                       tenants=len(configuration.tenants)))
-        return True
 
     async def follow_list(self) -> None:
         """Keeps the runner list up to date; runs until the node ends.
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -5,9 +5,9 @@
 
 import pydantic
 
-from cardamommill import exceptions, units
+from cardamommill import units
 from cardamommill.domain import model
-from cardamommill.platform import wire
+from cardamommill.platform import configurationfaults, wire
 
 # Priorities run from 0, the most urgent, to 9.
 DEFAULT_PRIORITY = 5
@@ -135,18 +135,13 @@
         value: The row's value, JSON.
 
     Raises:
-        BadPeerMessage: The value is incomplete or invalid; no part of it is
-            used.
+        UndecodableConfiguration: The value is incomplete or invalid; no part
+            of it is used.
     """
     try:
         configuration = _Configuration.model_validate_json(value)
     except pydantic.ValidationError as error:
-        # The message leaves out the input, which may hold an API key.
-        first = error.errors(include_url=False, include_input=False)[0]
-        raise exceptions.BadPeerMessage(
-            f"{'.'.join(map(str, first['loc']))}: {first['type']}",
-            step="decode configuration",
-            peer="platform") from None
+        raise _undecodable(error) from None
     return model.Configuration(
         version=configuration.version,
         routes=tuple(_route(each) for each in configuration.routes),
@@ -161,6 +156,20 @@
             for each in configuration.tenants))
 
 
+def _undecodable(
+    error: pydantic.ValidationError
+) -> configurationfaults.UndecodableConfiguration:
+    """Returns the first fault, without the input, which may hold an API key."""
+    first = error.errors(include_url=False, include_context=False)[0]
+    field = ".".join(map(str, first["loc"]))
+    found = configurationfaults.kind_of(first["input"])
+    if first["type"] == "missing":
+        found = "nothing"
+    return configurationfaults.UndecodableConfiguration(
+        f"{field}: {first['type']}",
+        configurationfaults.Fault(field, found, first["msg"]))
+
+
 def _route(route: _Route) -> model.Route:
     backends = tuple((each.service, each.weight) for each in route.backends)
     return model.Route(name=route.name,
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -1,12 +1,28 @@
 """Functions that build test data for the gateway."""
 
-from cardamommill.domain import model
+from cardamommill.domain import entrysettings, model
 from cardamommill.gateway.fleet import fleetview
 
 LARGE = model.ServedModel("large", 4, 0.57, 1.0, 16_000.0, 1600.0)
 SMALL = model.ServedModel("small", 3, 0.43, 0.6, 12_000.0, 1100.0)
 
 
+def settings(**changes) -> entrysettings.EntrySettings:
+    figures = dict(node="n1",
+                   data_centre="a",
+                   data_centres=("a", "b"),
+                   regions={
+                       "a": "north",
+                       "b": "south"
+                   },
+                   ip="127.0.0.1",
+                   callers="127.0.0.1:1",
+                   ready="127.0.0.1:2",
+                   peer_port=3,
+                   platform="127.0.0.1:4")
+    return entrysettings.EntrySettings(**{**figures, **changes})
+
+
 def engine(**changes) -> model.Engine:
     figures = dict(slots=13,
                    kv_tokens=795_000,
--- a/tests/gateway/shell/test_eligibletargets.py
+++ b/tests/gateway/shell/test_eligibletargets.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cardamommill import metrics
-from cardamommill.domain import clock, entrysettings, eras, model
+from cardamommill.domain import clock, eras, model
 from cardamommill.experiment import virtualloop
 from cardamommill.gateway.fleet import evacuations
 from cardamommill.gateway.nodes import peers
@@ -17,16 +17,7 @@
 from tests.gateway import builders, relays
 
 STATE = model.MemberState
-REGIONS = {"a": "north", "b": "south"}
-SETTINGS = entrysettings.EntrySettings(node="n1",
-                                       data_centre="a",
-                                       data_centres=("a", "b"),
-                                       regions=REGIONS,
-                                       ip="127.0.0.1",
-                                       callers="127.0.0.1:1",
-                                       ready="127.0.0.1:2",
-                                       peer_port=3,
-                                       platform="127.0.0.1:4")
+SETTINGS = builders.settings()
 ROUTE = model.Route(name="r",
                     host="h",
                     prefix="/",
--- a/tests/gateway/shell/test_operatorrows.py
+++ b/tests/gateway/shell/test_operatorrows.py
@@ -8,17 +8,16 @@
 from cardamommill import metrics
 from cardamommill.domain import clock
 from cardamommill.experiment import virtualloop
-from cardamommill.gateway.fleet import evacuations
 from cardamommill.gateway.shell import operatorrows
 from cardamommill.gateway.tables import tablereader
 from cardamommill.platform import evacuationrows, storecalls
+from tests.gateway import builders
 
 
-def apply(*rows, data_centres=("a",)):
+def apply(*rows):
     """Applies reads of one row each; returns the log lines and the metrics."""
     registry = metrics.Metrics()
-    found = operatorrows.OperatorRows(evacuations.Evacuations(data_centres),
-                                      registry)
+    found = operatorrows.OperatorRows(builders.settings(), registry)
 
     async def script():
         await asyncio.sleep(1.0)
--- a/tests/gateway/shell/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -5,7 +5,7 @@
 from cardamommill import metrics
 from cardamommill.domain import clock
 from cardamommill.experiment import deployments, modelstore, virtualloop
-from cardamommill.gateway.fleet import evacuations, fleetview
+from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.requests import freshness
 from cardamommill.gateway.shell import operatorrows, platformreader
@@ -17,6 +17,7 @@
 )
 from cardamommill.platform import storecalls, wirenames
 from cardamommill.transport import upstream
+from tests.gateway import builders
 
 CONFIG = (wirenames.OPERATOR_TABLE, wirenames.CONFIGURATION_KEY)
 DRAIN_MS = 2000.0
@@ -53,8 +54,8 @@
                                                   wirenames.SERVERS_TABLE))
         self.fresh = freshness.Freshness(5000.0)
         self.metrics = metrics.Metrics()
-        self.operator_rows = operatorrows.OperatorRows(
-            evacuations.Evacuations(("a", "b")), self.metrics)
+        self.operator_rows = operatorrows.OperatorRows(builders.settings(),
+                                                       self.metrics)
         self.reader = platformreader.PlatformReader(operator, servers,
                                                     self.view, self.fresh,
                                                     DRAIN_MS,
@@ -124,6 +125,108 @@
     follow_configuration(script)
 
 
+def with_priority(version, priority):
+    """Returns a configuration with this priority of its client account."""
+    found = configuration(version)
+    found["tenants"][0]["priority"] = priority
+    return found
+
+
+def test_last_good_configuration_stays_in_force_when_one_is_refused():
+    """A value of the next one is out of range.
+
+    Guards against a part of it that takes effect, and against nodes that serve
+    nobody because the keys of the last good one are not confirmed any more.
+    """
+
+    async def script(harness):
+        harness.store.put(*CONFIG, with_priority(4, 12))
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            assert harness.reader.table.configuration.version == 3
+            assert harness.fresh.may_accept_keys(clock.now_ms())
+        harness.store.put(*CONFIG, with_priority(5, 9))
+        await asyncio.sleep(0.1)
+        assert harness.reader.table.configuration.version == 5
+
+    follow_configuration(script)
+
+
+def test_refused_configuration_does_not_replace_an_undecodable_one():
+    """Guards against keys that the undecodable one may have revoked."""
+
+    async def script(harness):
+        harness.store.put(*CONFIG, configuration(4, routes="none"))
+        await asyncio.sleep(0.1)
+        harness.store.put(*CONFIG, with_priority(5, 12))
+        await asyncio.sleep(6.0)
+        assert harness.reader.table.configuration.version == 3
+        assert not harness.fresh.may_accept_keys(clock.now_ms())
+        harness.store.put(*CONFIG, configuration(6))
+        await asyncio.sleep(0.1)
+        assert harness.fresh.may_accept_keys(clock.now_ms())
+
+    follow_configuration(script)
+
+
+def test_configuration_with_a_new_region_takes_effect_with_the_settings():
+    """The operator writes it before the node reloads its settings.
+
+    Guards against nodes that refuse for good what others have accepted.
+    """
+
+    async def script(harness):
+        changed = configuration(4)
+        changed["tenants"][0]["allowedRegions"] = ["west"]
+        harness.store.put(*CONFIG, changed)
+        await asyncio.sleep(0.5)
+        assert harness.reader.table.configuration.version == 3
+        harness.reader.reload(builders.settings(regions={"a": "west"}))
+        assert harness.reader.table.configuration.version == 4
+
+    follow_configuration(script)
+
+
+def test_evacuation_stays_in_force_while_the_store_is_lost():
+    """Guards against requests there because the row can't be read again."""
+
+    async def script(harness):
+        row = wirenames.EVACUATION_PREFIX + "b"
+        harness.store.put(wirenames.OPERATOR_TABLE, row, {})
+        await asyncio.sleep(0.1)
+        assert harness.reader.evacuations.in_force == {"b"}
+        harness.store.fault = "silent"
+        harness.store.drop(wirenames.OPERATOR_TABLE, row)
+        harness.store.compact()
+        await asyncio.sleep(8.0)
+        assert harness.reader.evacuations.in_force == {"b"}
+        harness.store.fault = ""
+        await asyncio.sleep(2.0)
+        assert not harness.reader.evacuations.in_force
+        assert set(harness.reader.evacuations.recently_returned(
+            clock.now_ms())) == {"b"}
+
+    follow_configuration(script)
+
+
+def test_evacuation_that_the_store_has_lost_in_a_restore_is_rewritten():
+    """Guards against an end of the evacuation between restore and rewrite."""
+
+    async def script(harness):
+        row = (wirenames.OPERATOR_TABLE, wirenames.EVACUATION_PREFIX + "b", {})
+        harness.store.put(*row)
+        await asyncio.sleep(0.5)
+        harness.store.restore(1000)
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            assert harness.reader.evacuations.in_force == {"b"}
+        harness.store.put(*row)
+        await asyncio.sleep(3.0)
+        assert harness.reader.evacuations.in_force == {"b"}
+
+    follow_configuration(script)
+
+
 def test_leaving_runner_is_known_well_within_its_bound():
     """Its entry changes just after an answer; it must soon get no requests."""
 
