Serve a status page about configuration, evacuations and refusals

Cause: whether a node obeys or refuses the operator's rows could be seen in its log only.

Change: GET /status on the ready server returns JSON: the configuration in force with its age and that of its confirmation, the last refused one (row, field, value unless it may be secret, kind found, expected), evacuations in force with the number of this node's requests that still run there, unknown evacuations, and refused list entries, whose count NodeStatus takes as a callable.

--- a/cardamommill/gateway/shell/configurationrows.py
+++ b/cardamommill/gateway/shell/configurationrows.py
@@ -123,3 +123,13 @@
                       value=fault.value,
                       found=fault.found_kind,
                       expected=fault.expected))
+
+
+def log_in_force(configuration: model.Configuration, before: int) -> None:
+    """Logs that a configuration takes effect, after another version."""
+    _LOG.info(
+        logs.line("configuration",
+                  version=configuration.version,
+                  before=before,
+                  routes=len(configuration.routes),
+                  tenants=len(configuration.tenants)))
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -21,6 +21,7 @@
     groupcontroller,
     heldrequests,
     nodelink,
+    nodestatus,
     openedgroups,
     operatorrows,
     platformreader,
@@ -80,7 +81,8 @@
         self._server = callers.CallerServer(self._on_request,
                                             self._on_unreadable_request)
         self._status_server = callers.CallerServer(
-            statuspages.StatusPages(self._is_ready, self.metrics).answer,
+            statuspages.StatusPages(self._is_ready, self.metrics,
+                                    lambda: self._status.page()).answer,
             self._on_unreadable_request)
         self._freshness = freshness.Freshness(settings.bounds.revoke_ms)
         self._store = storecalls.StoreClient(
@@ -89,15 +91,18 @@
         self._table_server = callers.CallerServer(
             peertables.PeerTableServer(copies, self.spawn).on_request,
             self._on_unreadable_request)
+        rows = operatorrows.OperatorRows(settings, self.metrics)
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
             self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
-            self._freshness, settings.bounds.drain_ms, self._on_table,
-            operatorrows.OperatorRows(settings, self.metrics))
+            self._freshness, settings.bounds.drain_ms, self._on_table, rows)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
                                                self.spawn)
+        self._status = nodestatus.NodeStatus(self._reader, rows,
+                                             self._freshness,
+                                             self._requests.eligible_targets)
         # Names of groups begin with a text that no other node or start uses.
         self._group_controller = groupcontroller.GroupController(
             self.view, self.pool,
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -11,7 +11,7 @@
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
 from cardamommill.gateway.shell import configurationrows, operatorrows
-from cardamommill.gateway.tables import restoration, tablereader
+from cardamommill.gateway.tables import restoration, storeoutages, tablereader
 from cardamommill.platform import entries, storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
@@ -77,6 +77,8 @@
         self._configuration_reader = operator
         self._list_reader = servers
         self.table: routetable.RouteTable | None = None
+        # When the route table took effect.
+        self.table_since_ms = 0.0
         self._view = view
         self._fresh = fresh
         self._on_table = on_table
@@ -86,7 +88,7 @@
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
         self._logged_rows: set[tuple[str, bytes]] = set()
-        self._unavailable: set[str] = set()
+        self._outages = storeoutages.StoreOutages()
         self._recovery_until_ms = float("-inf")
         self._list_requested = asyncio.Event()
         self._is_catching_up = False
@@ -118,13 +120,13 @@
                 _LOG.info(logs.line("history-lost", table="op"))
                 continue
             except exceptions.StoreError as error:
-                self._record_failure("configuration", error)
+                self._outages.record_failure("configuration", error)
                 # A single failure is retried at once.
                 await asyncio.sleep(RETRY_MS / 1000 if has_failed else 0)
                 has_failed = True
                 continue
             has_failed = False
-            self._record_success("configuration")
+            self._outages.record_success("configuration")
             try:
                 self._apply_rows(result)
             except Exception:
@@ -258,18 +260,18 @@
         if configuration is not None:
             self._use_if_newer(configuration)
 
+    def recently_returned(self, now_ms: float) -> dict[str, float]:
+        """Returns since when data centres have been back from an evacuation."""
+        return self.evacuations.recently_returned(now_ms)
+
     def _use_if_newer(self, configuration: model.Configuration) -> None:
         before = self._version()
         if configuration.version <= before:
             return
         self.table = routetable.RouteTable(configuration)
+        self.table_since_ms = clock.now_ms()
         self._on_table(self.table)
-        _LOG.info(
-            logs.line("configuration",
-                      version=configuration.version,
-                      before=before,
-                      routes=len(configuration.routes),
-                      tenants=len(configuration.tenants)))
+        configurationrows.log_in_force(configuration, before)
 
     async def follow_list(self) -> None:
         """Keeps the runner list up to date; runs until the node ends.
@@ -287,10 +289,10 @@
                 _LOG.info(logs.line("history-lost", table="servers"))
                 continue
             except exceptions.StoreError as error:
-                self._record_failure("list", error)
+                self._outages.record_failure("list", error)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
-            self._record_success("list")
+            self._outages.record_success("list")
             self._start_recovery_if_stale()
             try:
                 self._apply_list(result)
@@ -394,13 +396,3 @@
             self._logged_rows.add(row_text)
             _LOG.warning(
                 logs.line("entry-refused", runner=row.key, reason=str(error)))
-
-    def _record_failure(self, what: str, error: exceptions.StoreError) -> None:
-        if what not in self._unavailable:
-            self._unavailable.add(what)
-            _LOG.warning(logs.line("store-lost", what=what, reason=str(error)))
-
-    def _record_success(self, what: str) -> None:
-        if what in self._unavailable:
-            self._unavailable.discard(what)
-            _LOG.info(logs.line("store-regained", what=what))
