--- a/cardamommill/gateway/requests/eligibility.py
+++ b/cardamommill/gateway/requests/eligibility.py
@@ -40,11 +40,11 @@
 
     @property
     def refusal_reason(self) -> str:
-        """The reason for a refusal where no runner is in such a place."""
-        homes = ("any" if self.homes is None else
-                 ",".join(sorted(self.homes)) or "none")
-        evacuated = ",".join(sorted(self.evacuated)) or "none"
-        return f"no eligible runner: homes {homes}; evacuated {evacuated}"
+        """The reason for a refusal; callers get it, so it names no places."""
+        reason = "no runner" if self.homes is None else "no runner in its homes"
+        if not self.evacuated:
+            return reason
+        return f"{reason} outside evacuated data centres"
 
 
 UNRESTRICTED = Eligibility(None, frozenset())
