--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -22,7 +22,9 @@
     groupcontroller,
     heldrequests,
     nodelink,
+    nodestatus,
     openedgroups,
+    operatorrows,
     platformreader,
     relay,
     settingsfile,
@@ -80,7 +82,8 @@
         self._server = callers.CallerServer(self._on_request,
                                             self._on_unreadable_request)
         self._status_server = callers.CallerServer(
-            statuspages.StatusPages(self._is_ready, self.metrics).answer,
+            statuspages.StatusPages(self._is_ready, self.metrics,
+                                    lambda: self._status.page()).answer,
             self._on_unreadable_request)
         self._freshness = freshness.Freshness(settings.bounds.revoke_ms)
         self._store = storecalls.StoreClient(
@@ -89,14 +92,18 @@
         self._table_server = callers.CallerServer(
             peertables.PeerTableServer(copies, self.spawn).on_request,
             self._on_unreadable_request)
+        rows = operatorrows.OperatorRows(settings, self.metrics)
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
             self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
-            self._freshness, settings.bounds.drain_ms, self._on_table)
+            self._freshness, settings.bounds.drain_ms, self._on_table, rows)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
                                                self.spawn)
+        self._status = nodestatus.NodeStatus(self._reader, rows,
+                                             self._freshness,
+                                             self._requests.eligible_targets)
         # Names of groups begin with a text that no other node or start uses.
         self._group_controller = groupcontroller.GroupController(
             self.view, self.pool,
@@ -360,7 +367,8 @@
                                  self._peers.any_requests_seen())
         scope = planning.Scope(planned, len(self._settings.data_centres),
                                is_before_traffic, self._requests.loads(),
-                               self._settings.data_centres)
+                               self._settings.data_centres,
+                               self._reader.evacuations.in_force)
         self._group_controller.plan(table.configuration, scope, now_ms)
 
     def _on_opened(self, key: model.GroupKey, name: str, head: str) -> None:
@@ -412,4 +420,5 @@
         self._settings = settings
         self._freshness.revoke_ms = settings.bounds.revoke_ms
         self._requests.reload(settings)
+        self._reader.reload(settings)
         self._link.add_seeds(settings)
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -7,11 +7,12 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.domain import clock, model
+from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
-from cardamommill.gateway.tables import restoration, tablereader
-from cardamommill.platform import configurations, entries, storecalls, wirenames
+from cardamommill.gateway.shell import configurationrows, operatorrows
+from cardamommill.gateway.tables import restoration, storeoutages, tablereader
+from cardamommill.platform import entries, storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
 # for which a revoked key may still be accepted. A query confirms nothing until
@@ -60,7 +61,8 @@
     def __init__(self, operator: tablereader.TableReader,
                  servers: tablereader.TableReader, view: fleetview.FleetView,
                  fresh: freshness.Freshness, drain_ms: float,
-                 on_table: Callable[[routetable.RouteTable], None]) -> None:
+                 on_table: Callable[[routetable.RouteTable], None],
+                 rows: operatorrows.OperatorRows) -> None:
         """Initialises the reader.
 
         Args:
@@ -70,18 +72,23 @@
             fresh: Updated with each confirmation of the configuration.
             drain_ms: The drain bound.
             on_table: Called with the route table of each new configuration.
+            rows: Updated with each read of the operator's table.
         """
         self._configuration_reader = operator
         self._list_reader = servers
         self.table: routetable.RouteTable | None = None
+        # When the route table took effect.
+        self.table_since_ms = 0.0
         self._view = view
         self._fresh = fresh
         self._on_table = on_table
+        self._operator_rows = rows
+        self.evacuations = rows.evacuations
         self._drain_ms = drain_ms
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
         self._logged_rows: set[tuple[str, bytes]] = set()
-        self._unavailable: set[str] = set()
+        self._outages = storeoutages.StoreOutages()
         self._recovery_until_ms = float("-inf")
         self._list_requested = asyncio.Event()
         self._is_catching_up = False
@@ -113,13 +120,13 @@
                 _LOG.info(logs.line("history-lost", table="op"))
                 continue
             except exceptions.StoreError as error:
-                self._record_failure("configuration", error)
+                self._outages.record_failure("configuration", error)
                 # A single failure is retried at once.
                 await asyncio.sleep(RETRY_MS / 1000 if has_failed else 0)
                 has_failed = True
                 continue
             has_failed = False
-            self._record_success("configuration")
+            self._outages.record_success("configuration")
             try:
                 self._apply_rows(result)
             except Exception:
@@ -191,6 +198,7 @@
             self._suspend_confirmation(rows)
         if result.whole:
             self._stored_version = 0
+        self._operator_rows.apply(result)
         for row in rows.rows:
             if row.key == wirenames.CONFIGURATION_KEY:
                 self._apply_row(row, row.version or rows.version)
@@ -203,10 +211,21 @@
             self._confirmed_from_ms = float("-inf")
         if row.deleted:
             self._stored_version = 0
-        elif not self._apply_configuration(row.value):
+            return
+        verdict, configuration = self._operator_rows.configurations.judge(
+            row.value, version)
+        if configuration is None:
+            # A version that can't be decoded may revoke keys. So the current
+            # one is not confirmed as the newest until a later one is decoded,
+            # even if the next answers contain no changes.
             self._undecodable_version = max(self._undecodable_version, version)
-        elif version > self._undecodable_version:
+            return
+        self._stored_version = configuration.version
+        if verdict is configurationrows.Verdict.REFUSED:
+            return
+        if version > self._undecodable_version:
             self._undecodable_version = 0
+        self._use_if_newer(configuration)
 
     def _is_newest(self, rows: storecalls.Rows) -> bool:
         """Whether an answer confirms that the current configuration is newest.
@@ -235,33 +254,24 @@
                       version=self._version(),
                       for_ms=restoration.REWRITE_TIMEOUT_MS))
 
-    def _apply_configuration(self, value: bytes) -> bool:
-        """Uses a stored configuration if it is newer than the current one.
+    def reload(self, settings: entrysettings.EntrySettings) -> None:
+        """Applies changed settings, which may make a configuration valid."""
+        configuration = self._operator_rows.reload(settings)
+        if configuration is not None:
+            self._use_if_newer(configuration)
 
-        Returns:
-            Whether it could be decoded.
-        """
-        try:
-            configuration = configurations.decode(value)
-        except exceptions.BadPeerMessage as error:
-            # A version that can't be decoded may revoke keys. So the current
-            # one is not confirmed as the newest until a later one is decoded,
-            # even if the next answers contain no changes.
-            _LOG.error(logs.line("configuration-refused", reason=str(error)))
-            return False
-        self._stored_version = configuration.version
+    def recently_returned(self, now_ms: float) -> dict[str, float]:
+        """Returns since when data centres have been back from an evacuation."""
+        return self.evacuations.recently_returned(now_ms)
+
+    def _use_if_newer(self, configuration: model.Configuration) -> None:
         before = self._version()
         if configuration.version <= before:
-            return True
+            return
         self.table = routetable.RouteTable(configuration)
+        self.table_since_ms = clock.now_ms()
         self._on_table(self.table)
-        _LOG.info(
-            logs.line("configuration",
-                      version=configuration.version,
-                      before=before,
-                      routes=len(configuration.routes),
-                      tenants=len(configuration.tenants)))
-        return True
+        configurationrows.log_in_force(configuration, before)
 
     async def follow_list(self) -> None:
         """Keeps the runner list up to date; runs until the node ends.
@@ -279,10 +289,10 @@
                 _LOG.info(logs.line("history-lost", table="servers"))
                 continue
             except exceptions.StoreError as error:
-                self._record_failure("list", error)
+                self._outages.record_failure("list", error)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
-            self._record_success("list")
+            self._outages.record_success("list")
             self._start_recovery_if_stale()
             try:
                 self._apply_list(result)
@@ -386,13 +396,3 @@
             self._logged_rows.add(row_text)
             _LOG.warning(
                 logs.line("entry-refused", runner=row.key, reason=str(error)))
-
-    def _record_failure(self, what: str, error: exceptions.StoreError) -> None:
-        if what not in self._unavailable:
-            self._unavailable.add(what)
-            _LOG.warning(logs.line("store-lost", what=what, reason=str(error)))
-
-    def _record_success(self, what: str) -> None:
-        if what in self._unavailable:
-            self._unavailable.discard(what)
-            _LOG.info(logs.line("store-regained", what=what))
