Let runners of the model be cold, and check what they get

Cause: the model's runners took any number of requests at any time, so that no run could show nodes that flood a runner which has just started.

Change: a deployment may name cold_s and cold_per_s. Runners are then cold after a start during traffic, and say so in their rows and answers. The troubles cold_again and cold_return make heads cold while they serve, and a data centre's runners come back together, cold. The oracle's rule FAILBACK counts the requests of all nodes at a cold runner in any second.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -73,7 +73,7 @@
                   "store_restored", "store_cut", "configuration", "revoke",
                   "burst", "plain_cut", "heads_fail", "heads_reset",
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
-                  "plain_rest"]
+                  "plain_rest", "cold_again", "cold_return"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
@@ -88,6 +88,8 @@
         domains: Fabric domains per data centre.
         runners: Runners per fabric domain.
         plain_runners: Runners of the plain service per data centre.
+        cold_s: For how long runners are cold after a start during traffic.
+        cold_per_s: Requests per second that a cold runner takes; 0 for any.
         variants: By variant name, the values that override constants of
             decision modules, such as ``placing.PATIENT_PART``.
     """
@@ -101,6 +103,8 @@
     runners: int = 9
     plain_runners: int = 1
     tenants: int = 4
+    cold_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    cold_per_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
     engine: EngineSpec = EngineSpec()
     models: tuple[ModelSpec, ...]
     kinds: tuple[KindSpec, ...]
@@ -143,6 +147,8 @@
                 "name": "engine",
                 "healthPath": "/healthz",
                 "maxConns": 300,
+                "coldS": self.cold_s,
+                "coldPerS": self.cold_per_s,
                 "engine": {
                     "slots": engine.slots,
                     "kvCapacity": 795_000,
@@ -174,7 +180,9 @@
             }, {
                 "name": "plain",
                 "healthPath": "/healthz",
-                "maxConns": 96
+                "maxConns": 96,
+                "coldS": self.cold_s,
+                "coldPerS": self.cold_per_s
             }],
             "limits": {
                 "headerBytes": 16_384,
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -40,6 +40,7 @@
     Attributes:
         loading: The number of model loads in progress.
         is_before_traffic: Whether no runner has received a request yet.
+        cold_s: For how long a runner is cold after a start during traffic.
     """
 
     store: modelstore.ModelStore
@@ -48,6 +49,7 @@
     runners: dict[str, "ListedRunner"]
     loading: int = 0
     is_before_traffic: bool = True
+    cold_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -86,6 +88,7 @@
         limit_per_s: The rate limit that it advertises, if it has one.
         late_orders_ms: If not 0, orders are not answered and are carried out
             after this delay.
+        cold_until_ms: When it stops being cold.
         begun: The number of orders that it has begun, its order count.
         last_heartbeat_ms: When the platform last received its heartbeat.
         jobs: Its running and queued requests.
@@ -116,6 +119,9 @@
         self.rest_s = 0.0
         self.limit_per_s: float | None = None
         self.late_orders_ms = 0.0
+        self.cold_until_ms = -math.inf
+        if not fleet.is_before_traffic:
+            self.cold_until_ms = clock.now_ms() + 1000 * fleet.cold_s
         self.begun = 0
         self.last_heartbeat_ms = clock.now_ms()
         self.jobs: list[Job] = []
@@ -155,6 +161,30 @@
         """Ends the runner; its entry expires without heartbeats."""
         self.ended = True
 
+    @property
+    def cold_left_ms(self) -> int:
+        """For how much longer it is cold, rounded up; 0 if it is not."""
+        return max(
+            0,
+            math.ceil(max(self.cold_until_ms, clock.now_ms()) - clock.now_ms()))
+
+    def restart_cold(self) -> None:
+        """Makes it reachable and cold, and registers the change."""
+        self.network.host(self.host).is_unreachable = False
+        self.cold_until_ms = clock.now_ms() + 1000 * self.fleet.cold_s
+        self.send_heartbeat()
+
+    def record_cold_arrival(self) -> None:
+        """Records a request that it takes or refuses, if it is cold."""
+        if self.cold_left_ms:
+            self.fleet.oracle.record_cold_arrival(self.id)
+
+    def cold_headers(self) -> list[tuple[str, str]]:
+        """Returns the header of all answers that tells that it is cold."""
+        if not self.cold_left_ms:
+            return []
+        return [(wirenames.COLD_MS, str(self.cold_left_ms))]
+
     def acknowledged_leaving_ms(self) -> float:
         """Returns for how long the store has known that it is leaving."""
         if self.fleet.store.fault or self._last_era != self.fleet.store.era:
@@ -219,7 +249,7 @@
         """Returns the flow control headers that every answer carries."""
         run_oracle = self.fleet.oracle
         run_oracle.record_rate_limit(job.attempt, self.id, self.limit_per_s)
-        told = []
+        told = self.cold_headers()
         if self.limit_per_s is not None:
             told.append((wirenames.SERVER_LIMIT, f"{self.limit_per_s:g}"))
         if self.leaving:
@@ -244,7 +274,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": "draining" if self.leaving else "ready",
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_left_ms,
             # The heartbeat number; in a report, `seq` is the order count.
             "seq": int(clock.now_ms() // HEARTBEAT_MS),
         }
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -34,6 +34,7 @@
         if job.request.get(wirenames.MODEL) != runner.served:
             job.reply.send(421, [(wirenames.INSTANCE_ID, runner.id)], b"")
             return None
+        runner.record_cold_arrival()
         if len(runner.jobs) >= engine.slots * (1 + QUEUE_RATIO):
             runner.shed(job)
             return None
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -50,7 +50,8 @@
             reply.send(421, [(wirenames.INSTANCE_ID, self.id)], b"")
             return None
         if request.target == wirenames.REPORT_PATH:
-            reply.send(200, [], json.dumps(self.report()).encode())
+            reply.send(200, self.cold_headers(),
+                       json.dumps(self.report()).encode())
             return None
         if request.target == wirenames.ORDER_PATH:
             asyncio.get_running_loop().create_task(
@@ -99,6 +100,7 @@
             job.reply.abort()
 
     def _take_plain(self, job: modelfleet.Job) -> modelfleet.Job | None:
+        self.record_cold_arrival()
         if len(self.jobs) >= self.slots * PLAIN_CAPACITY_RATIO:
             self.shed(job)
             return None
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -12,6 +12,11 @@
 RATE_WINDOW_MS = 4000.0
 RATE_OVERAGE = 1.5
 RATE_EXTRA = 5
+# Within a window, a cold runner may receive COLD_OVERAGE times as many requests
+# as it takes, plus COLD_SLACK.
+COLD_WINDOW_MS = 1000.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
 # Time that a machine has to act on an answer that it received.
 REACTION_MS = 500.0
 # Requests that a machine may still send to a runner within a rest period.
@@ -89,6 +94,7 @@
             that a runner leaves must not reach that runner.
         contact_ms: Time after a rate limit is first advertised during which it
             may be exceeded.
+        cold_per_s: Requests per second that a cold runner takes; 0 for any.
     """
 
     loads_per_s: float
@@ -99,6 +105,7 @@
     revoke_ms: float = 5000
     drain_ms: float = 2000
     contact_ms: float = 3000
+    cold_per_s: float = 0.0
 
 
 class Oracle:
@@ -119,6 +126,9 @@
                                    list[float]] = collections.defaultdict(list)
         self._repeats_ms: dict[str, list[float]] = collections.defaultdict(list)
         self._rate_limits: dict[str, RateLimit] = {}
+        # Arrival times of the requests at each runner while it was cold.
+        self.cold_arrivals_ms: dict[str,
+                                    list[float]] = collections.defaultdict(list)
         # By runner and machine.
         self._rests: dict[tuple[str, str],
                           list[RestPeriod]] = collections.defaultdict(list)
@@ -254,6 +264,18 @@
                 "LIMIT",
                 f"{runner}: {recent} requests in a rate window, over limit")
 
+    def record_cold_arrival(self, runner: str) -> None:
+        """Records a request, not answered with 421, at a cold runner."""
+        now_ms = clock.now_ms()
+        arrivals_ms = self.cold_arrivals_ms[runner]
+        arrivals_ms.append(now_ms)
+        recent = sum(now_ms - each < COLD_WINDOW_MS for each in arrivals_ms)
+        per_s = self._limits.cold_per_s
+        if per_s and recent > per_s * COLD_OVERAGE + COLD_SLACK:
+            self.broken(
+                "FAILBACK",
+                f"{runner}: {recent} requests in a second while it was cold")
+
     def record_execution(self, attempt: str, runner: str) -> None:
         """Records that a runner starts to execute a request."""
         sent = self.sent.get(attempt)
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -171,6 +171,24 @@
         for runner in runners:
             setattr(runner, field, normal)
 
+    async def _cold_again(self, trouble: deployments.Trouble) -> None:
+        """Makes heads cold while they serve."""
+        for runner in self._draw_heads(trouble.count):
+            runner.restart_cold()
+
+    async def _cold_return(self, trouble: deployments.Trouble) -> None:
+        """Makes all runners of a data centre unreachable, then cold."""
+        place = self._choose_place(trouble)
+        away = [
+            each for each in self._world.fleet.runners.values()
+            if each.place == place and not each.ended
+        ]
+        for runner in away:
+            runner.network.host(runner.host).is_unreachable = True
+        await asyncio.sleep(trouble.for_s)
+        for runner in away:
+            runner.restart_cold()
+
     def _draw_plain_runners(self, count: int) -> list[modelfleet.ListedRunner]:
         plain = [
             each for each in self._world.fleet.runners.values()
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -59,6 +59,7 @@
         open_groups: Pairs of a time and the number of open groups by model.
         store_calls: Number of calls to the store.
         started_ms: When traffic started.
+        cold_requests: Number of requests at runners while they were cold.
     """
 
     name: str
@@ -67,6 +68,7 @@
     open_groups: list[tuple[float, dict[str, int]]]
     store_calls: int
     started_ms: float
+    cold_requests: int = 0
 
     @property
     def earned(self) -> float:
@@ -107,7 +109,8 @@
         self._seed = seed
         self.store = modelstore.ModelStore()
         self.run_oracle = oracle.Oracle(
-            oracle.Limits(deployment.engine.loads_per_s))
+            oracle.Limits(deployment.engine.loads_per_s,
+                          cold_per_s=deployment.cold_per_s))
         self.keys = [(f"tenant{number % deployment.tenants}", f"key{number}")
                      for number in range(2 * deployment.tenants)]
         self.all_keys = list(self.keys)
@@ -118,7 +121,10 @@
             for name, service in first.services.items()
             if service.engine is not None
         }
-        self.fleet = modelfleet.Fleet(self.store, self.run_oracle, engines, {})
+        self.fleet = modelfleet.Fleet(self.store,
+                                      self.run_oracle,
+                                      engines, {},
+                                      cold_s=deployment.cold_s)
         self.machines: dict[str, Machine] = {}
         self.clients: dict[str, modelclients.Clients] = {}
         self.open_groups: list[tuple[float, dict[str, int]]] = []
@@ -220,7 +226,9 @@
                         for each in list(self.machines.values())[:3]),
             platform="{}:{}".format(*modelstore.ADDRESS),
             metrics_port=0,
-            bounds=entrysettings.Bounds(retry_slack=130))
+            bounds=entrysettings.Bounds(retry_slack=130,
+                                        cold_overage=oracle.COLD_OVERAGE,
+                                        cold_slack=oracle.COLD_SLACK))
         machine.node = entrynode.EntryNode(settings,
                                            pathlib.Path("/nonexistent"))
         machine.task = self.spawn(machine.host, self._serve(machine))
@@ -309,8 +317,13 @@
                             longest_deadline_ms / 1000)
         return Outcome(self.deployment.name, [
             result for each in self.clients.values() for result in each.results
-        ], self.run_oracle.violations, self.open_groups, self.store.calls,
-                       started_ms)
+        ],
+                       self.run_oracle.violations,
+                       self.open_groups,
+                       self.store.calls,
+                       started_ms,
+                       cold_requests=sum(
+                           map(len, self.run_oracle.cold_arrivals_ms.values())))
 
 
 def play(deployment: deployments.Deployment,
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -55,7 +55,7 @@
                               deadline_ms=1500))
 
 
-def play(*troubles, seed=1, length_s=8.0, places=PLACES, kinds=KINDS):
+def play(*troubles, seed=1, length_s=8.0, places=PLACES, kinds=KINDS, **fields):
     """Runs a deployment, by default one of two data centres."""
     deployment = deployments.Deployment(
         name="test",
@@ -64,6 +64,7 @@
         places=places,
         models=MODELS,
         kinds=kinds,
+        **fields,
         troubles=[deployments.Trouble(**each) for each in troubles])
     return world.play(deployment, seed)
 
