Share a slow start for cold runners among all nodes

Cause: a runner that has just started, or a data centre that comes back, has the lowest load and attracts the requests of all nodes at once. Cold runners crash well above coldPerS.

Change: slowstart decides from rows, answers and returned data centres which runners are cold, and shares half of the bound among four nodes of the data centre; two halves that can't hear each other stay below the bound together. The members are the widest known ones (widestmembership), so that a node that lost all others takes no more. A node that has not read the table of nodes sends nothing to cold runners. The token bucket and the choice of senders are one module with the rate limits (ratesharing), whose behaviour stays. Reports of runners tell that they are cold, since a probe shows a return before its row is read. A diverted request checks its target again before it is sent: all streams of a silent group found the same head with one token.

The test of diverted streams failed before the check was added.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -80,6 +80,7 @@
         waiting: Requests in its queue.
         running: Requests in progress.
         pace: Slowness factor; over 1 is slower than normal.
+        cold_left_ms: For how much longer it is cold.
     """
 
     status: RunnerStatus
@@ -88,6 +89,7 @@
     waiting: int
     running: int
     pace: float
+    cold_left_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from cardamommill.domain import model
-from cardamommill.gateway.fleet import memberships
+from cardamommill.gateway.fleet import coldness, memberships
 
 # How long a runner that left the list is kept. It may still be probed, since
 # its group may still be open.
@@ -130,6 +130,7 @@
 
     def __init__(self) -> None:
         self.known: dict[str, RunnerRecord] = {}
+        self.cold = coldness.ColdEvidence()
         # Incremented with each change, so that derived data can be cached.
         self.version = 0
         self.list_as_of_ms = float("-inf")
@@ -138,13 +139,16 @@
         self._groups: dict[str, dict[model.GroupKey, Group]] = {}
         self._groups_version = -1
 
-    def apply_list(self, runners: Iterable[model.Runner],
-                   as_of_ms: float) -> list[tuple[str, str]]:
+    def apply_list(self,
+                   runners: Iterable[model.Runner],
+                   as_of_ms: float,
+                   read_ms: float | None = None) -> list[tuple[str, str]]:
         """Applies a newer list of all runners.
 
         Args:
             runners: All runners in the list.
             as_of_ms: Time of the list; one older than the last is ignored.
+            read_ms: When it was read, if that was later.
 
         Returns:
             Pairs of a runner's id and a description of the change.
@@ -157,7 +161,7 @@
         listed_ids = set()
         for runner in runners:
             listed_ids.add(runner.id)
-            changes += self._apply_entry(runner, as_of_ms)
+            changes += self._apply_entry(runner, as_of_ms, read_ms or as_of_ms)
         for runner_id, known in list(self.known.items()):
             if runner_id in listed_ids:
                 continue
@@ -168,8 +172,8 @@
                 del self.known[runner_id]
         return changes
 
-    def _apply_entry(self, runner: model.Runner,
-                     as_of_ms: float) -> Iterator[tuple[str, str]]:
+    def _apply_entry(self, runner: model.Runner, as_of_ms: float,
+                     read_ms: float) -> Iterator[tuple[str, str]]:
         known = self.known.get(runner.id)
         if known is None:
             known = RunnerRecord(
@@ -181,6 +185,7 @@
                     runner.status))
             self.known[runner.id] = known
             self._update_last_model(known)
+            self.cold.receive_row(runner, float("-inf"), read_ms)
             yield runner.id, "listed"
         if not known.listed:
             yield runner.id, "listed again"
@@ -196,6 +201,7 @@
         if not known.is_leaving:
             known.leaving_ms = 0.0
         if has_changed:
+            self.cold.receive_row(runner, last_listed_ms, read_ms)
             self._apply_changed_row(known, runner.status, previous,
                                     last_listed_ms, as_of_ms)
 
--- a/cardamommill/gateway/requests/ratelimits.py
+++ b/cardamommill/gateway/requests/ratelimits.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Iterable, Mapping
 import dataclasses
 import heapq
-import zlib
 
 from cardamommill import units
 from cardamommill.domain import clock
+from cardamommill.gateway.requests import ratesharing
 
 # Lower bound on the rate: a runner with a limit of 0 still gets a request now
 # and then, since it can lift its limit only in an answer.
@@ -80,37 +80,15 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Bucket:
+class _Bucket(ratesharing.TokenBucket):
     """Token bucket for the requests of this node to a limited runner.
 
     Attributes:
-        at_ms: When tokens were last added.
-        tokens: Requests that may be sent now.
-        share_per_s: Tokens added per second.
-        share_set_ms: When the share was last computed.
         turn: The last turn that this node used while the limit was stale.
     """
 
-    at_ms: float
-    tokens: float = 0.0
-    share_per_s: float = 0.0
-    share_set_ms: float = float("-inf")
     turn: int = _NO_TURN
 
-    def refill(self, now_ms: float) -> None:
-        """Adds the tokens for the time since the last refill."""
-        max_tokens = max(1.0, BURST_S * self.share_per_s)
-        added = (now_ms - self.at_ms) / units.MS_PER_S * self.share_per_s
-        self.tokens = min(max_tokens, self.tokens + added)
-        self.at_ms = now_ms
-
-    def set_share(self, share_per_s: float, now_ms: float) -> None:
-        """Sets the share; a node without one keeps no tokens."""
-        if not share_per_s:
-            self.tokens = min(0.0, self.tokens)
-        self.share_per_s = share_per_s
-        self.share_set_ms = now_ms
-
 
 class RateLimits:
     """The limits of runners, and this node's share of each."""
@@ -183,7 +161,8 @@
         if limit.per_s is None:
             self._buckets.pop(limit.runner, None)
         else:
-            bucket = self._buckets.setdefault(limit.runner, _Bucket(now_ms))
+            bucket = self._buckets.setdefault(limit.runner,
+                                              _Bucket(now_ms, burst_s=BURST_S))
             bucket.turn = _NO_TURN
         return (before.per_s if before else None) != limit.per_s
 
@@ -229,11 +208,9 @@
         if now_ms - bucket.share_set_ms > SHARE_LIFETIME_MS:
             bucket.set_share(self._share_per_s(limit, data_centre, now_ms),
                              now_ms)
-        if bucket.tokens >= 1:
-            return 0.0
-        if not bucket.share_per_s:
+        if bucket.tokens < 1 and not bucket.share_per_s:
             return limit.interval_ms
-        return units.MS_PER_S * (1 - bucket.tokens) / bucket.share_per_s
+        return bucket.wait_ms()
 
     def _has_turn(self, limit: RateLimit, bucket: _Bucket,
                   now_ms: float) -> bool:
@@ -251,7 +228,7 @@
         live_nodes = self._live_nodes(now_ms)
         nodes = list(live_nodes.get(data_centre, ())) or _all_names(live_nodes)
         per_s = units.MS_PER_S / limit.interval_ms
-        senders = _senders(limit.runner, nodes, int(per_s))
+        senders = ratesharing.choose_senders(limit.runner, nodes, int(per_s))
         return per_s / len(senders) if self._node in senders else 0.0
 
     def sent(self, runner: str, now_ms: float) -> None:
@@ -260,8 +237,7 @@
         if bucket is None:
             return
         bucket.turn = self._limits[runner].turn(now_ms)
-        bucket.refill(now_ms)
-        bucket.tokens -= 1
+        bucket.take(now_ms)
 
     def drop_expired(self, now_ms: float) -> None:
         """Drops limits that are too old."""
@@ -273,9 +249,3 @@
 
 def _all_names(live_nodes: NodesByDataCentre) -> list[str]:
     return [name for names in live_nodes.values() for name in names]
-
-
-def _senders(runner: str, nodes: list[str], count: int) -> list[str]:
-    """Returns the nodes that send to a runner, the same on every node."""
-    return heapq.nlargest(max(1, count), nodes,
-                          lambda node: zlib.crc32(f"{runner} {node}".encode()))
--- a/cardamommill/gateway/shell/backpressure.py
+++ b/cardamommill/gateway/shell/backpressure.py
@@ -1,8 +1,8 @@
-"""Backpressure that runners signal in answers.
+"""Backpressure that runners signal in answers, and their slow start.
 
 A runner can set a rate limit for all nodes together, ask this node for a rest
 (to send nothing until the time in Retry-After is over), or tell that it is
-leaving.
+leaving. A cold runner gets a bounded number of requests from all nodes.
 """
 
 from collections.abc import Iterator
@@ -15,6 +15,7 @@
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.nodes import peermessage
 from cardamommill.gateway.requests import ratelimits
+from cardamommill.gateway.shell import coldrunners
 from cardamommill.platform import flowcontrol
 from cardamommill.transport import upstream
 
@@ -31,10 +32,12 @@
 
     def __init__(self, view: fleetview.FleetView,
                  rate_limits: ratelimits.RateLimits,
-                 node_metrics: metrics.Metrics) -> None:
+                 node_metrics: metrics.Metrics,
+                 cold_runners: coldrunners.ColdRunners) -> None:
         self._view = view
         self._rate_limits = rate_limits
         self._metrics = node_metrics
+        self._cold_runners = cold_runners
         # When the rest that a runner asked this node for ends.
         self._rest_until_ms: dict[str, float] = {}
 
@@ -42,7 +45,8 @@
         """Returns the time until a runner takes a request, or 0 for now."""
         return max(
             self._remaining_rest_ms(runner.id, now_ms),
-            self._rate_limits.wait_ms(runner.id, runner.data_centre, now_ms))
+            self._rate_limits.wait_ms(runner.id, runner.data_centre, now_ms),
+            self._cold_runners.wait_ms(runner, now_ms))
 
     def _remaining_rest_ms(self, runner: str, now_ms: float) -> float:
         return max(0.0, self._rest_until_ms.get(runner, 0.0) - now_ms)
@@ -91,6 +95,9 @@
         with _ignoring_malformed(request):
             if flowcontrol.is_leaving(head.headers, runner):
                 self._receive_leaving(request, runner, now_ms)
+        with _ignoring_malformed(request):
+            self._cold_runners.receive_answer(
+                runner, flowcontrol.cold_left_ms(head.headers, runner), now_ms)
         if head.status in _REFUSALS:
             with _ignoring_malformed(request):
                 rest_ms = flowcontrol.rest_ms(head.headers, runner)
@@ -131,7 +138,8 @@
         return self._rate_limits.updates_for_peers(now_ms)
 
     def drop_expired(self, now_ms: float) -> None:
-        """Drops expired limits and rests."""
+        """Drops expired limits and rests, and runners that became warm."""
+        self._cold_runners.drop_expired(now_ms)
         self._rate_limits.drop_expired(now_ms)
         clock.drop_expired(self._rest_until_ms, float, 0.0, now_ms)
 
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -28,11 +28,13 @@
     retrybudget,
     routetable,
     silence,
+    slowstart,
 )
 from cardamommill.gateway.shell import (
     admitting,
     attempts,
     backpressure,
+    coldrunners,
     forwarding,
     platformreader,
     relay,
@@ -101,9 +103,14 @@
         self._plain_runners = plainrunners.PlainRunners(self.reliability,
                                                         settings.data_centre,
                                                         self._chance)
+        self.cold_runners = coldrunners.ColdRunners(
+            view,
+            slowstart.SlowStart(settings.node, view.cold,
+                                node_peers.widest.nodes_of, self._services,
+                                settings), node_metrics)
         self.backpressure = backpressure.Backpressure(
             view, ratelimits.RateLimits(settings.node, node_peers.live_nodes),
-            node_metrics)
+            node_metrics, self.cold_runners)
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
@@ -117,8 +124,13 @@
     def reload(self, settings: entrysettings.EntrySettings) -> None:
         """Applies changed settings."""
         self._settings = settings
+        self.cold_runners.slow_start.settings = settings
         self._retry_budgets = retrybudget.RetryBudgets(settings.bounds)
 
+    def _services(self) -> dict[str, model.Service]:
+        table = self._reader.table
+        return table.configuration.services if table is not None else {}
+
     def relays_at(self, key: model.GroupKey) -> list[relay.Relay]:
         """Returns the relays of this node's requests at a group."""
         return list(self._relays.get(key, ()))
@@ -145,10 +157,8 @@
 
     def loads(self) -> dict[model.GroupKey, inflight.GroupLoad]:
         """Returns the load of all nodes at every known group."""
-        table = self._reader.table
         return {
-            key: self._group_loads.load(key)
-            for service in (table.configuration.services if table else ())
+            key: self._group_loads.load(key) for service in self._services()
             for key in self._view.groups(service)
         }
 
@@ -278,6 +288,14 @@
                                                 self._chance.random())
         return relay.Target(self._plain_runners.choose(accepting, now_ms))
 
+    def may_send(self, target: relay.Target) -> bool:
+        """Whether a target that was found earlier still takes a request.
+
+        All streams of a silent group may have found the same cold runner.
+        """
+        return not self.cold_runners.wait_ms(target.known.runner,
+                                             clock.now_ms())
+
     def may_retry(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
         now_ms = clock.now_ms()
@@ -297,6 +315,7 @@
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
+        self.cold_runners.sent(one, runner_id, now_ms)
         self._unanswered_since_ms[one] = now_ms
         if target.key is None or target.placed is None:
             return
@@ -337,6 +356,7 @@
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
         self._plain_runners.remove_request(runner_id)
+        self.cold_runners.ended(one, outcome.head.status)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -179,6 +179,8 @@
                     logs.line("runner-down", runner=runner_id, reason=reason))
             return False
         was_down = bool(known.down_ms)
+        self._view.cold.receive_answer(runner_id, report.cold_left_ms,
+                                       clock.now_ms())
         self._view.apply_report(runner_id, report, asked_ms,
                                 self._report_lag_ms)
         if was_down:
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -344,7 +344,8 @@
                     row.key, row.value, row.version, rows.era)
             except exceptions.BadPeerMessage as error:
                 self._log_refused_entry(row, error)
-        changes = self._view.apply_list(self._valid_entries(), rows.as_of_ms)
+        changes = self._view.apply_list(self._valid_entries(), rows.as_of_ms,
+                                        clock.now_ms())
         for runner_id, change in changes:
             _LOG.info(
                 logs.line("runner",
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -76,6 +76,9 @@
     def find_target(self, relay: "Relay") -> Target | placing.Refused:
         """Returns the target of a request's next attempt, or a refusal."""
 
+    def may_send(self, target: Target) -> bool:
+        """Whether a target that was found earlier still takes a request."""
+
     def may_retry(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
 
@@ -346,7 +349,9 @@
         if not self.is_key_valid():
             return placing.Refused("key not confirmed",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
-        return reserved or self._node.find_target(self)
+        if reserved is not None and self._node.may_send(reserved):
+            return reserved
+        return self._node.find_target(self)
 
     async def _run_attempt(self, target: Target) -> attempts.Outcome:
         attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
--- a/cardamommill/platform/flowcontrol.py
+++ b/cardamommill/platform/flowcontrol.py
@@ -1,4 +1,4 @@
-"""Decodes rate limit, leaving flag and Retry-After from runners' answers."""
+"""Decodes the flow control headers of runners' answers."""
 
 import re
 
@@ -48,6 +48,21 @@
     return text.strip() == _TRUE
 
 
+def cold_left_ms(headers: httpheaders.Headers, runner: str) -> float:
+    """Returns for how much longer a runner is cold; 0 if it names no time.
+
+    Args:
+        headers: The headers of one of its answers.
+        runner: The id of the runner that answered.
+
+    Raises:
+        BadPeerMessage: The header holds no decimal number.
+    """
+    text = httpheaders.first_value(headers, wirenames.COLD_MS)
+    return 0.0 if text is None else _parse_decimal(wirenames.COLD_MS, text,
+                                                   runner)
+
+
 def rest_ms(headers: httpheaders.Headers, runner: str) -> float:
     """Returns for how long this node must not send to a runner that refused.
 
--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -1,11 +1,15 @@
 """Sends orders to runners and asks runners for their reports."""
 
+import dataclasses
 import enum
 import json
 from typing import Any
 
+import logbook
+
+from cardamommill import exceptions, logs
 from cardamommill.domain import model, orders
-from cardamommill.platform import entries, fetching, wirenames
+from cardamommill.platform import entries, fetching, flowcontrol, wirenames
 from cardamommill.transport import upstream
 
 # A runner answers in a few ms; an unreachable one never does. An unanswered
@@ -14,6 +18,8 @@
 ORDER_TIMEOUT_MS = 300
 REPORT_TIMEOUT_MS = 150
 
+_LOG = logbook.Logger("platform")
+
 
 class OrderReply(enum.Enum):
     """A runner's reply to an order."""
@@ -97,4 +103,19 @@
         return None
     if answer.head.status != 200:
         return None
-    return entries.decode_report(runner.id, answer.body)
+    return dataclasses.replace(entries.decode_report(runner.id, answer.body),
+                               cold_left_ms=_cold_left_ms(answer, runner.id))
+
+
+def _cold_left_ms(answer: fetching.Answer, runner: str) -> float:
+    """Returns for how much longer a runner is cold, by its answer.
+
+    A malformed header does not make the report invalid.
+    """
+    try:
+        return flowcontrol.cold_left_ms(answer.head.headers, runner)
+    except exceptions.BadPeerMessage as error:
+        _LOG.warning(
+            logs.line("answer-header-ignored", runner=runner,
+                      reason=str(error)))
+        return 0.0
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -1,6 +1,6 @@
 """Functions that build test data for the gateway."""
 
-from cardamommill.domain import model
+from cardamommill.domain import entrysettings, model
 from cardamommill.gateway.fleet import fleetview
 
 LARGE = model.ServedModel("large", 4, 0.57, 1.0, 16_000.0, 1600.0)
@@ -28,6 +28,20 @@
     return model.Engine(**{**figures, **changes})
 
 
+def settings(**changes) -> entrysettings.EntrySettings:
+    """Returns settings with bounds for cold runners."""
+    fields = dict(node="n",
+                  data_centre="a",
+                  data_centres=("a", "b"),
+                  ip="127.0.0.1",
+                  callers="127.0.0.1:1",
+                  ready="127.0.0.1:2",
+                  peer_port=3,
+                  platform="127.0.0.1:4",
+                  bounds=entrysettings.Bounds(cold_overage=1.5, cold_slack=5))
+    return entrysettings.EntrySettings(**{**fields, **changes})
+
+
 def service(**changes) -> model.Service:
     return model.Service("llm", "/healthz", 300, engine(**changes))
 
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -117,6 +117,7 @@
         groups: The number of groups, including those already attempted.
         are_keys_valid: Whether API keys are confirmed.
         repeats_left: The remaining retry budget.
+        waiting: Runners that take no request at the moment.
         route: The route of the request.
     """
 
@@ -127,6 +128,7 @@
         self.groups = 3
         self.are_keys_valid = True
         self.repeats_left = 10
+        self.waiting = set()
         self.route = model.Route(name="r",
                                  host="h",
                                  prefix="/v/",
@@ -165,7 +167,13 @@
     def find_target(self, one):
         if len(one.attempted) >= self.groups:
             return NO_GROUP
-        return relay.Target(self._known[len(one.attempted)])
+        return next(
+            relay.Target(each)
+            for each in self._known[len(one.attempted):]
+            if each.runner.id not in self.waiting)
+
+    def may_send(self, target):
+        return target.known.runner.id not in self.waiting
 
     def may_retry(self, service):
         del service
--- a/tests/gateway/shell/test_backpressure.py
+++ b/tests/gateway/shell/test_backpressure.py
@@ -1,15 +1,18 @@
 """Tests of the backpressure that runners signal in answers."""
 
+import dataclasses
+
 import pytest
 
 from cardamommill import metrics
 from cardamommill.domain import clock
-from cardamommill.gateway.requests import ratelimits
-from cardamommill.gateway.shell import backpressure
+from cardamommill.gateway.requests import ratelimits, slowstart
+from cardamommill.gateway.shell import backpressure, coldrunners
 from cardamommill.transport import upstream
 from tests.gateway import builders
 
 RUNNER = builders.runner(1)
+SERVICE = dataclasses.replace(builders.service(), cold_s=3.0, cold_per_s=14.0)
 
 
 class Node:
@@ -20,7 +23,12 @@
         self.view = builders.view(RUNNER)
         self.backpressure = backpressure.Backpressure(
             self.view, ratelimits.RateLimits("n", lambda _: {"a": ["n"]}),
-            metrics.Metrics())
+            metrics.Metrics(),
+            coldrunners.ColdRunners(
+                self.view,
+                slowstart.SlowStart("n", self.view.cold, lambda *_: {"n"},
+                                    lambda: {SERVICE.name: SERVICE},
+                                    builders.settings()), metrics.Metrics()))
 
     def answer(self, status=200, **headers):
         head = upstream.Head(status, [
@@ -115,3 +123,26 @@
     node.now_ms += 2001
     node.backpressure.drop_expired(node.now_ms)
     assert not node.backpressure._rest_until_ms
+
+
+def test_cold_runner_gets_requests_at_its_share_only():
+    """A header that is not applied lets all nodes send to the cold runner."""
+    node = Node()
+    node.answer(200, X_Cardamommill_Cold_Ms="2000")
+    assert node.wait_ms()
+    node.now_ms += 2000
+    assert not node.wait_ms()
+
+
+def test_misdirected_answer_does_not_make_a_runner_cold():
+    """Addresses of runners that are gone are reassigned."""
+    node = Node()
+    node.answer(421, X_Cardamommill_Cold_Ms="2000")
+    assert not node.wait_ms()
+
+
+def test_malformed_cold_header_is_ignored():
+    """One malformed header must not prevent the use of the others."""
+    node = Node()
+    node.answer(503, X_Cardamommill_Cold_Ms="-5", Retry_After="2")
+    assert node.wait_ms() == 2000
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -347,3 +347,25 @@
 
     _, node = run_scenario(scenario)
     assert len(node.exchanges) == 1
+
+
+def test_diverted_streams_do_not_flood_a_cold_head():
+    """All streams of a silent group find the same head with one token left.
+
+    Each finds it before any of them is sent there, so that one would send all
+    of them.
+    """
+
+    async def play():
+        node = relays.FakeNode()
+        one = relays.begin(node)
+        await asyncio.sleep(0)
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        one.divert("group silent")
+        # Another stream takes the token before this one is sent.
+        node.waiting.add("i-1")
+        await asyncio.sleep(0.05)
+        return [each.known.runner.id for each in one.attempted]
+
+    assert asyncio.run(play()) == ["i-0", "i-2"]
--- a/tests/platform/test_flowcontrol.py
+++ b/tests/platform/test_flowcontrol.py
@@ -22,6 +22,12 @@
     assert not flowcontrol.rest_ms([], "i-1")
 
 
+def test_cold_time_is_in_milliseconds():
+    assert flowcontrol.cold_left_ms([("x-cardamommill-cold-ms", "1500")],
+                                    "i-1") == 1500.0
+    assert not flowcontrol.cold_left_ms([], "i-1")
+
+
 def test_leaving_flag_is_decoded():
     assert flowcontrol.is_leaving([("server-leaving", "1")], "i-1")
     assert not flowcontrol.is_leaving([("server-leaving", "0")], "i-1")
@@ -34,11 +40,13 @@
         flowcontrol.is_leaving([("Server-Leaving", "soon")], "i-1")
 
 
-@pytest.mark.parametrize("decode",
-                         [flowcontrol.rate_limit_per_s, flowcontrol.rest_ms])
+@pytest.mark.parametrize("decode", [
+    flowcontrol.rate_limit_per_s, flowcontrol.rest_ms, flowcontrol.cold_left_ms
+])
 @pytest.mark.parametrize("text",
                          ["", "-1", "1e3", "nan", "1,5", "0x1", "9" * 30, "١"])
 def test_error_for_malformed_number_names_the_runner(text, decode):
-    headers = [("Server-Limit", text), ("Retry-After", text)]
+    headers = [("Server-Limit", text), ("Retry-After", text),
+               ("X-Cardamommill-Cold-Ms", text)]
     with pytest.raises(exceptions.BadPeerMessage, match=r"decode answer.*i-1"):
         decode(headers, "i-1")
