--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -44,6 +44,12 @@
     return model.Engine(**{**figures, **changes})
 
 
+def cold_settings(**changes) -> entrysettings.EntrySettings:
+    """Returns settings with bounds for cold runners."""
+    bounds = entrysettings.Bounds(cold_overage=1.5, cold_slack=5)
+    return settings(**{"node": "n", "bounds": bounds, **changes})
+
+
 def service(**changes) -> model.Service:
     return model.Service("llm", "/healthz", 300, engine(**changes))
 
--- a/tests/gateway/shell/test_eligibletargets.py
+++ b/tests/gateway/shell/test_eligibletargets.py
@@ -11,8 +11,13 @@
 from cardamommill.experiment import virtualloop
 from cardamommill.gateway.fleet import evacuations
 from cardamommill.gateway.nodes import peers
-from cardamommill.gateway.requests import freshness, placing, routetable
-from cardamommill.gateway.shell import dispatcher, relay
+from cardamommill.gateway.requests import (
+    attemptresult,
+    freshness,
+    placing,
+    routetable,
+)
+from cardamommill.gateway.shell import attempts, dispatcher, relay
 from cardamommill.transport import callers, upstream
 from tests.gateway import builders, relays
 
@@ -221,9 +226,7 @@
         node.requests.on_attempt_start(one, target, False)
         assert node.requests.eligible_targets.running("a") == 1
         node.requests.on_attempt_end(
-            one, target,
-            types.SimpleNamespace(
-                result=dispatcher.attemptresult.Result.ABANDONED, reason=""))
+            one, target, attempts.Outcome(attemptresult.Result.ABANDONED))
         assert node.requests.eligible_targets.running("a") == 0
 
     run(script, builders.engine())
