Keep the name of the step that puts a configuration in force

Cause: four tests of tests/experiment/test_sharing.py measure how late nodes apply a configuration at PlatformReader._apply_configuration, which the check of configurations had renamed; they failed with an AttributeError since then.

Change: the step has its former name again; the tests are unchanged.

Measurement: tests/experiment/test_sharing.py and tests/gateway/shell/test_platformreader.py passed.

--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -225,7 +225,7 @@
             return
         if version > self._undecodable_version:
             self._undecodable_version = 0
-        self._use_if_newer(configuration)
+        self._apply_configuration(configuration)
 
     def _is_newest(self, rows: storecalls.Rows) -> bool:
         """Whether an answer confirms that the current configuration is newest.
@@ -258,13 +258,14 @@
         """Applies changed settings, which may make a configuration valid."""
         configuration = self._operator_rows.reload(settings)
         if configuration is not None:
-            self._use_if_newer(configuration)
+            self._apply_configuration(configuration)
 
     def recently_returned(self, now_ms: float) -> dict[str, float]:
         """Returns since when data centres have been back from an evacuation."""
         return self.evacuations.recently_returned(now_ms)
 
-    def _use_if_newer(self, configuration: model.Configuration) -> None:
+    def _apply_configuration(self, configuration: model.Configuration) -> None:
+        """Uses a valid configuration if it is newer than the current one."""
         before = self._version()
         if configuration.version <= before:
             return
