Tell the starts of a runner that restarts under its id apart

Cause: a runner may restart under its id. What a node knew of its former life was then held against the next one: a runner that had told that it leaves, or that had asked for rest, was not used again, and a `born` in its row was ignored.

Change: `domain/incarnations.py` makes one id of id and `born`, and `model.Runner.id` is that id, so that all state is kept by incarnation. `model.Runner.instance` is the id on the wire, in Expect-Instance and in the members of a join. `gateway/fleet/succession.py` drops rows of former incarnations. Reports and answers to orders with another `born` are not applied, end the known incarnation and have the list read. Orders for an incarnation that isn't listed are not sent. `gateway/shell/restarts.py` ends attempts at a former incarnation as ones that may have run, closes its idle connections and has its group given up. A restored list is compared by instance. The model of the platform learns `born`, restarts under an id, and plain runners that announce in answers that they leave.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -5,6 +5,8 @@
 import functools
 import zlib
 
+from cardamommill.domain import incarnations
+
 
 class MemberState(enum.Enum):
     """State of a runner as a member of a group."""
@@ -80,6 +82,7 @@
         waiting: Requests in its queue.
         running: Requests in progress.
         pace: Slowness factor; over 1 is slower than normal.
+        born_ms: The start of the incarnation that answered, if it states it.
     """
 
     status: RunnerStatus
@@ -88,13 +91,15 @@
     waiting: int
     running: int
     pace: float
+    born_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Runner:
-    """A runner's entry in the runner list; a restarted runner gets a new id.
+    """A runner's entry in the runner list.
 
     Attributes:
+        id: The id of this incarnation of the runner; see `incarnations`.
         slots: Number of requests that it executes at once.
         row_version: Version of its row, which changes with the row's content.
         row_era: Era of the store in which that version was assigned.
@@ -114,11 +119,32 @@
     row_era: int = 0
     cold_left_ms: float = 0.0
 
+    @property
+    def instance(self) -> str:
+        """The id on the wire, which its next incarnation may have too."""
+        return incarnations.parse(self.id).instance
+
+    @property
+    def born_ms(self) -> int | None:
+        """Unix time of its start; None if it doesn't state it."""
+        return incarnations.parse(self.id).born_ms
+
     @property
     def row_position(self) -> tuple[int, int]:
         """Sort key for rows of this runner, from oldest to newest."""
         return self.row_era, self.row_version
 
+    def is_former_of(self, other: "Runner") -> bool:
+        """Whether this is an earlier incarnation of the same instance.
+
+        Without both times of birth, the order of the rows decides.
+        """
+        if self.id == other.id or self.instance != other.instance:
+            return False
+        if self.born_ms is None or other.born_ms is None:
+            return self.row_position < other.row_position
+        return self.born_ms < other.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServedModel:
--- a/cardamommill/domain/orders.py
+++ b/cardamommill/domain/orders.py
@@ -30,11 +30,11 @@
     """One order to one runner.
 
     Attributes:
-        runner: The runner's id.
+        runner: The runner's incarnation id.
         operation: The operation to carry out.
         group: The group; none for `STAGE`.
         model: The model, for `JOIN` and `STAGE`.
-        members: Ids of all members in order of rank, for `JOIN`.
+        members: Incarnation ids of all members in order of rank, for `JOIN`.
         expected_seq: The order count that the runner must have, which is the
             number of orders that it has started. It refuses the order if it has
             started another one meanwhile. So conflicting orders of two
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -73,7 +73,8 @@
                   "store_restored", "store_cut", "configuration", "revoke",
                   "burst", "plain_cut", "heads_fail", "heads_reset",
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
-                  "plain_rest"]
+                  "plain_rest", "plain_leave", "runners_restart",
+                  "plain_restart"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
@@ -88,6 +89,8 @@
         domains: Fabric domains per data centre.
         runners: Runners per fabric domain.
         plain_runners: Runners of the plain service per data centre.
+        states_born: Whether runners state the time of their start, and may
+            restart under their id.
         variants: By variant name, the values that override constants of
             decision modules, such as ``placing.PATIENT_PART``.
     """
@@ -100,6 +103,7 @@
     domains: int = 2
     runners: int = 9
     plain_runners: int = 1
+    states_born: bool = False
     tenants: int = 4
     engine: EngineSpec = EngineSpec()
     models: tuple[ModelSpec, ...]
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -7,7 +7,7 @@
 import math
 from typing import Any
 
-from cardamommill.domain import clock, model
+from cardamommill.domain import clock, incarnations, model
 from cardamommill.experiment import (
     modelstore,
     oracle,
@@ -19,6 +19,8 @@
 
 PORT = 8140
 HEARTBEAT_MS = 1200.0
+# Unix time of the start of simulated time.
+EPOCH_MS = 1_700_000_000_000
 # Past reports kept per runner, so that answers can lag behind its state.
 REPORTS_KEPT = 20
 
@@ -40,6 +42,7 @@
     Attributes:
         loading: The number of model loads in progress.
         is_before_traffic: Whether no runner has received a request yet.
+        states_born: Whether runners state the time of their start.
     """
 
     store: modelstore.ModelStore
@@ -48,6 +51,7 @@
     runners: dict[str, "ListedRunner"]
     loading: int = 0
     is_before_traffic: bool = True
+    states_born: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -80,6 +84,8 @@
     """The state of a simulated runner, and its reports of that state.
 
     Attributes:
+        born_ms: Unix time of its start; None if it doesn't state it.
+        incarnation: Its id in the oracle, which no other start has.
         pace: Slowdown; the factor by which all work takes longer.
         fault: How it fails every request.
         rest_s: If not 0, it refuses all requests with this `Retry-After`.
@@ -96,6 +102,10 @@
     def __init__(self, fleet: Fleet, runner_id: str, host: str, place: str,
                  domain: str, service: str, slots: int) -> None:
         self.id = runner_id
+        self.born_ms = (EPOCH_MS +
+                        int(clock.now_ms()) if fleet.states_born else None)
+        self.incarnation = str(incarnations.Incarnation(runner_id,
+                                                        self.born_ms))
         self.host = host
         self.place = place
         self.domain = domain
@@ -207,7 +217,7 @@
         """Refuses a request with an answer that says that it did not run."""
         rest = []
         if self.rest_s:
-            self.fleet.oracle.record_rest_request(job.attempt, self.id,
+            self.fleet.oracle.record_rest_request(job.attempt, self.incarnation,
                                                   1000 * self.rest_s)
             rest = [(wirenames.RETRY_AFTER, f"{self.rest_s:g}")]
         job.reply.send(503, [(wirenames.ATTEMPT_ID, job.attempt),
@@ -218,12 +228,13 @@
     def _flow_control_headers(self, job: Job) -> list[tuple[str, str]]:
         """Returns the flow control headers that every answer carries."""
         run_oracle = self.fleet.oracle
-        run_oracle.record_rate_limit(job.attempt, self.id, self.limit_per_s)
+        run_oracle.record_rate_limit(job.attempt, self.incarnation,
+                                     self.limit_per_s)
         told = []
         if self.limit_per_s is not None:
             told.append((wirenames.SERVER_LIMIT, f"{self.limit_per_s:g}"))
         if self.leaving:
-            run_oracle.record_leaving(job.attempt, self.id)
+            run_oracle.record_leaving(job.attempt, self.incarnation)
             told.append((wirenames.SERVER_LEAVING, "1"))
         return told
 
@@ -247,7 +258,7 @@
             "coldLeftMs": 0,
             # The heartbeat number; in a report, `seq` is the order count.
             "seq": int(clock.now_ms() // HEARTBEAT_MS),
-        }
+        } | self.born_fields()
         if self.engine is None:
             return entry
         entry |= {"domain": self.domain, "staged": list(self.staged)}
@@ -279,4 +290,8 @@
             "kvTotal": 1,
             "handles": 0,
             "pace": self.pace,
-        }
+        } | self.born_fields()
+
+    def born_fields(self) -> dict[str, Any]:
+        """Returns the field that tells its starts apart, if it states it."""
+        return {} if self.born_ms is None else {"born": self.born_ms}
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -132,7 +132,7 @@
         runner = self._runner
         if not job.reply.started:
             run_oracle = runner.fleet.oracle
-            run_oracle.record_execution(job.attempt, runner.id)
+            run_oracle.record_execution(job.attempt, runner.incarnation)
             run_oracle.check_group(job.attempt, key, runner.members,
                                    served.size)
             job.reply.start(200, [("Content-Type", "text/event-stream"),
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -64,13 +64,15 @@
             await asyncio.sleep(self.late_orders_ms / 1000)
             self._order_executor.execute(order)
             return
-        reply.send(self._order_executor.execute(order), [], b"")
+        status = self._order_executor.execute(order)
+        reply.send(status, [], json.dumps(self.born_fields()).encode())
 
     def _take_job(self, request: callers.CallerRequest,
                   reply: replies.Reply) -> modelfleet.Job | None:
         attempt = request.get(wirenames.ATTEMPT_ID) or ""
         self.fleet.is_before_traffic = False
-        self.fleet.oracle.record_arrival(attempt, self.service, self.id,
+        self.fleet.oracle.record_arrival(attempt, self.service,
+                                         self.incarnation,
                                          request.get(wirenames.TENANT) or "",
                                          request.method, request.target,
                                          request.body)
@@ -92,7 +94,7 @@
         return self._passes.take(job)
 
     def _fail(self, job: modelfleet.Job) -> None:
-        self.fleet.oracle.record_execution(job.attempt, self.id)
+        self.fleet.oracle.record_execution(job.attempt, self.incarnation)
         if self.fault is modelfleet.Fault.ERROR:
             job.reply.send(500, self.answer_headers(job), b"")
         else:
@@ -111,7 +113,7 @@
             await asyncio.sleep(0.005)
         if not job.gone:
             job.running = True
-            self.fleet.oracle.record_execution(job.attempt, self.id)
+            self.fleet.oracle.record_execution(job.attempt, self.incarnation)
             await asyncio.sleep(self._work_ms * self.pace / 1000)
         self.jobs.remove(job)
         if not job.gone and not self.is_unreachable:
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -57,6 +57,10 @@
                    service: str) -> modelfleet.ListedRunner:
         """Starts a runner."""
 
+    def restart_runners(self, runners: list[modelfleet.ListedRunner],
+                        for_s: float) -> None:
+        """Ends runners and starts them again under their ids."""
+
     async def kill_node(self, name: str, for_s: float) -> None:
         """Kills an entry VM's process and restarts it after `for_s`."""
 
@@ -123,6 +127,20 @@
             runner.end()
             self._world.loop.network.end_processes(runner.host)
 
+    async def _runners_restart(self, trouble: deployments.Trouble) -> None:
+        """Restarts members under their ids."""
+        self._world.restart_runners(self._draw_members(trouble), trouble.for_s)
+
+    async def _plain_restart(self, trouble: deployments.Trouble) -> None:
+        """Restarts plain runners under their ids."""
+        self._world.restart_runners(self._draw_plain_runners(trouble.count),
+                                    trouble.for_s)
+
+    async def _plain_leave(self, trouble: deployments.Trouble) -> None:
+        """Makes plain runners announce in answers only that they leave."""
+        for runner in self._draw_plain_runners(trouble.count):
+            runner.leaving = runner.store_cut = True
+
     async def _heads_fail(self, trouble: deployments.Trouble) -> None:
         """Makes heads fail all requests while they report good health."""
         await self._fail_heads(trouble, modelfleet.Fault.ERROR)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -118,7 +118,10 @@
             for name, service in first.services.items()
             if service.engine is not None
         }
-        self.fleet = modelfleet.Fleet(self.store, self.run_oracle, engines, {})
+        self.fleet = modelfleet.Fleet(self.store,
+                                      self.run_oracle,
+                                      engines, {},
+                                      states_born=deployment.states_born)
         self.machines: dict[str, Machine] = {}
         self.clients: dict[str, modelclients.Clients] = {}
         self.open_groups: list[tuple[float, dict[str, int]]] = []
@@ -205,6 +208,28 @@
         self.spawn(host, runner.live())
         return runner
 
+    def restart_runners(self, runners: list[modelfleet.ListedRunner],
+                        for_s: float) -> None:
+        """Ends runners and starts them again under their ids."""
+        for each in runners:
+            self.spawn("troubles", self._restart_runner(each, for_s))
+
+    async def _restart_runner(self, runner: modelfleet.ListedRunner,
+                              for_s: float) -> None:
+        """Ends a runner's process and starts it again under its id.
+
+        Args:
+            runner: The runner.
+            for_s: Time between the end and the next start.
+        """
+        runner.end()
+        self.loop.network.end_processes(runner.host)
+        await asyncio.sleep(for_s)
+        successor = modelrunner.ModelRunner(self.fleet, runner.id, runner.host,
+                                            runner.place, runner.domain,
+                                            runner.service, runner.slots)
+        self.spawn(runner.host, successor.live())
+
     def start_node(self, name: str) -> None:
         """Starts a node's process."""
         machine = self.machines[name]
@@ -277,8 +302,10 @@
             place = runner.membership
             if (place is not None and not place.rank and
                     not runner.is_unreachable and place.state.value == "open"):
-                all_reachable = all(not self.fleet.runners[each].is_unreachable
-                                    for each in runner.members)
+                members = [self.fleet.runners[each] for each in runner.members]
+                all_reachable = all(
+                    not each.is_unreachable and each.is_in(place.key)
+                    for each in members)
                 if all_reachable:
                     counts[runner.served] = counts.get(runner.served, 0) + 1
         return counts
--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -1,11 +1,11 @@
 """The state of runners and groups, from the runner list, reports and orders."""
 
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 import dataclasses
 
 from cardamommill.domain import model
-from cardamommill.gateway.fleet import memberships
+from cardamommill.gateway.fleet import memberships, runnerrecord, succession
 
 # How long a runner that left the list is kept. It may still be probed, since
 # its group may still be open.
@@ -14,65 +14,7 @@
 # changes, a list normally reaches a lower age before the next one arrives.
 LIST_STALE_MS = 2800.0
 
-
-@dataclasses.dataclass(slots=True)
-class RunnerRecord:
-    """The state of one runner, with the time of each piece of evidence.
-
-    Attributes:
-        runner: Its entry in the last list that contained it.
-        listed: Whether the newest list contains it.
-        listed_ms: Time of the newest list that contained it.
-        status: Its newest known status, from the list, reports or orders.
-        report_ms: When the query for its newest report was sent.
-        down_ms: When the first query that it failed to answer was sent; 0 while
-            it answers.
-        unanswered_ms: When the last query that it failed to answer was sent.
-        recovered_ms: When it last started to answer again.
-        leaving_ms: When it was first seen to be leaving; 0 while it is not.
-        has_reported_leaving: Whether the runner itself reported that it is
-            leaving.
-        last_model: Model of its last group; joining a group of the same model
-            is faster.
-        pace: Slowness factor of its newest report; over 1 is slow.
-        order_ms: When it last answered an order of this node.
-        list_change_ms: When the list last changed its status.
-        orders_begun: Its count of orders, as far as known. A runner refuses an
-            order with a wrong count and is then queried.
-        has_exact_order_count: Whether `orders_begun` is certain.
-    """
-
-    runner: model.Runner
-    listed: bool
-    listed_ms: float
-    status: model.RunnerStatus
-    report_ms: float = 0.0
-    down_ms: float = 0.0
-    unanswered_ms: float = 0.0
-    recovered_ms: float = 0.0
-    leaving_ms: float = 0.0
-    has_reported_leaving: bool = False
-    last_model: str = ""
-    pace: float = 1.0
-    order_ms: float = 0.0
-    list_change_ms: float = 0.0
-    orders_begun: int = 0
-    has_exact_order_count: bool = True
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether it may be given orders and requests."""
-        return self.listed and not self.down_ms and not self.is_leaving
-
-    @property
-    def is_leaving(self) -> bool:
-        """Whether it is leaving, according to the list or to itself."""
-        return self.runner.leaving or self.has_reported_leaving
-
-    @property
-    def membership(self) -> model.Membership | None:
-        """Its membership of a group, if any."""
-        return self.status.membership
+RunnerRecord = runnerrecord.RunnerRecord
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,7 +71,11 @@
     """All runners; merges evidence from lists, reports and orders."""
 
     def __init__(self) -> None:
+        # By incarnation id.
         self.known: dict[str, RunnerRecord] = {}
+        self.succession = succession.Succession(self.known)
+        # Called with each incarnation that is found to have ended.
+        self.on_ended: Callable[[RunnerRecord], None] = _ignore
         # Incremented with each change, so that derived data can be cached.
         self.version = 0
         self.list_as_of_ms = float("-inf")
@@ -155,9 +101,13 @@
         self.version += 1
         changes: list[tuple[str, str]] = []
         listed_ids = set()
-        for runner in runners:
+        for runner in self.succession.without_former(runners):
             listed_ids.add(runner.id)
             changes += self._apply_entry(runner, as_of_ms)
+            former = self.succession.succeed(runner)
+            if former is not None:
+                self._end(former, as_of_ms)
+                changes.append((former.runner.id, f"restarted as {runner.id}"))
         for runner_id, known in list(self.known.items()):
             if runner_id in listed_ids:
                 continue
@@ -165,9 +115,28 @@
                 known.listed = False
                 changes.append((runner_id, "left the list"))
             if as_of_ms - known.listed_ms > DELISTED_RETENTION_MS:
+                self.succession.forget(known.runner)
                 del self.known[runner_id]
         return changes
 
+    def record_ended(self, runner_id: str, now_ms: float) -> bool:
+        """Records that another incarnation answered in place of this one.
+
+        Returns:
+            Whether it was not known to have ended.
+        """
+        known = self.known.get(runner_id)
+        if known is None or known.has_ended:
+            return False
+        self._end(known, now_ms)
+        return True
+
+    def _end(self, known: RunnerRecord, now_ms: float) -> None:
+        if not known.has_ended:
+            known.end(now_ms)
+            self.version += 1
+            self.on_ended(known)
+
     def _apply_entry(self, runner: model.Runner,
                      as_of_ms: float) -> Iterator[tuple[str, str]]:
         known = self.known.get(runner.id)
@@ -182,6 +151,10 @@
             self.known[runner.id] = known
             self._update_last_model(known)
             yield runner.id, "listed"
+        if known.has_ended:
+            # The list doesn't hold the row of its next incarnation yet.
+            known.listed_ms = as_of_ms
+            return
         if not known.listed:
             yield runner.id, "listed again"
         has_changed = runner.row_position > known.runner.row_position
@@ -210,7 +183,7 @@
             lag_ms: How much older the reported state may be.
         """
         known = self.known.get(runner_id)
-        if known is None or asked_ms < known.report_ms:
+        if known is None or known.has_ended or asked_ms < known.report_ms:
             return
         if known.down_ms:
             known.down_ms = 0.0
@@ -249,7 +222,7 @@
             Whether it had not reported that before.
         """
         known = self.known.get(runner_id)
-        if known is None or known.has_reported_leaving:
+        if known is None or known.has_ended or known.has_reported_leaving:
             return False
         known.has_reported_leaving = True
         known.leaving_ms = known.leaving_ms or now_ms
@@ -261,7 +234,7 @@
                      now_ms: float) -> None:
         """Records the effect of an accepted order on a runner."""
         known = self.known.get(runner_id)
-        if known is None:
+        if known is None or known.has_ended:
             return
         known.order_ms = now_ms
         self._update_last_model(known)
@@ -392,3 +365,7 @@
             each for each in self.known.values()
             if each.listed and each.runner.service == service
         ]
+
+
+def _ignore(known: RunnerRecord) -> None:
+    del known
--- /dev/null
+++ b/cardamommill/gateway/fleet/succession.py
@@ -0,0 +1,68 @@
+"""Keeps the newest known incarnation of each runner's instance.
+
+Rows may arrive out of order, as when a peer's copy of the list is older than
+the one that was read before. A row of a former incarnation is dropped then.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import runnerrecord
+
+
+class Succession:
+    """The newest known incarnation by instance."""
+
+    def __init__(self, known: dict[str, runnerrecord.RunnerRecord]) -> None:
+        """Initialises the instance.
+
+        Args:
+            known: The records of all incarnations, which the owner maintains.
+        """
+        self._known = known
+        # Incarnation ids by instance.
+        self._newest: dict[str, str] = {}
+
+    def without_former(
+            self, runners: Iterable[model.Runner]) -> Iterator[model.Runner]:
+        """Yields the entries of a list without those of former incarnations.
+
+        A row that is older than that of the newest incarnation comes from an
+        older copy of the list, so the newest is still listed as it was. A row
+        that was written later replaced the newest one's, which isn't listed.
+        """
+        for runner in runners:
+            newest = self._record(runner.instance)
+            if newest is None or not runner.is_former_of(newest.runner):
+                yield runner
+            elif newest.listed and (runner.row_position
+                                    < newest.runner.row_position):
+                yield newest.runner
+
+    def succeed(self, runner: model.Runner) -> runnerrecord.RunnerRecord | None:
+        """Makes a listed runner the newest incarnation of its instance.
+
+        Returns:
+            The incarnation that it replaces, if any.
+        """
+        former = self._record(runner.instance)
+        self._newest[runner.instance] = runner.id
+        if former is None or former.runner.id == runner.id:
+            return None
+        return former
+
+    def forget(self, runner: model.Runner) -> None:
+        """Drops an incarnation whose record is dropped."""
+        if self._newest.get(runner.instance) == runner.id:
+            del self._newest[runner.instance]
+
+    def listed_id(self, instance: str) -> str | None:
+        """Returns the listed incarnation of an instance, or None."""
+        record = self._record(instance)
+        if record is None or not record.listed:
+            return None
+        return record.runner.id
+
+    def _record(self, instance: str) -> runnerrecord.RunnerRecord | None:
+        newest = self._newest.get(instance)
+        return self._known.get(newest) if newest is not None else None
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -93,6 +93,7 @@
         self._probed_by_peer_ms: dict[model.GroupKey, float] = {}
         # The group last found down in each data centre.
         self._last_down_group: dict[str, _DownGroup] = {}
+        requests.restarts.on_lost_member = self._handle_lost_member
 
     def updates_for_peers(self, now_ms: float) -> tuple[peermessage.Alarm, ...]:
         """Returns the alarms to report to peers."""
@@ -177,6 +178,13 @@
         self.probe(key, "silent")
         self._send_updates()
 
+    def _handle_lost_member(self, key: model.GroupKey, reason: str) -> None:
+        """Gives up a group whose member has certainly ended.
+
+        No member is probed, since all nodes learn of it from the list.
+        """
+        self._give_up(key, reason, clock.now_ms() + self._confirmed_alarm_ms)
+
     def _give_up(self,
                  key: model.GroupKey,
                  reason: str,
--- a/cardamommill/gateway/shell/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -21,6 +21,10 @@
 # without it they count as a failed run.
 _FAILURES_BELOW_500 = frozenset({408, 429})
 _SERVER_ERROR_FIRST = 500
+# Results that this node gives an attempt that it ends. Before the request was
+# sent, no runner can have run it.
+_UNSENT_IF_NOT_SENT = frozenset(
+    {attemptresult.Result.DIVERTED, attemptresult.Result.BROKEN})
 
 _LOG = logbook.Logger("attempts")
 
@@ -65,7 +69,7 @@
         if self.done.done():
             return
         was_sent = self.exchange is not None and self.exchange.sent
-        if result is attemptresult.Result.DIVERTED and not was_sent:
+        if result in _UNSENT_IF_NOT_SENT and not was_sent:
             result = attemptresult.Result.UNSENT
         if result is attemptresult.Result.TIMED_OUT and not was_sent:
             reason = f"unsent: {reason}"
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -37,6 +37,7 @@
     platformreader,
     relay,
     requestlog,
+    restarts,
 )
 from cardamommill.transport import upstream
 
@@ -104,6 +105,7 @@
         self.backpressure = backpressure.Backpressure(
             view, ratelimits.RateLimits(settings.node, node_peers.live_nodes),
             node_metrics)
+        self.restarts = restarts.Restarts(view, pool, node_metrics)
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
@@ -296,6 +298,7 @@
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
+        self.restarts.attempt_started(one, runner_id)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
         self._unanswered_since_ms[one] = now_ms
         if target.key is None or target.placed is None:
@@ -310,6 +313,9 @@
     def on_answer_head(self, one: relay.Relay, target: relay.Target,
                        head: upstream.Head, sent_ms: float) -> None:
         """Passes the head of an answer on to the backpressure handling."""
+        if target.known.has_ended:
+            # The next incarnation may have answered at the same address.
+            return
         self.backpressure.receive_head(one.attempt_id, target.known.runner.id,
                                        head, sent_ms)
 
@@ -337,6 +343,7 @@
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
         self._plain_runners.remove_request(runner_id)
+        self.restarts.attempt_ended(one, runner_id)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
@@ -369,6 +376,7 @@
                       runner=runner,
                       result=outcome.result.value,
                       reason=outcome.reason,
+                      at=self.restarts.runner_at_fault(outcome.head),
                       events=one.progress.events,
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
--- a/cardamommill/gateway/shell/forwarding.py
+++ b/cardamommill/gateway/shell/forwarding.py
@@ -47,7 +47,8 @@
     """Values that this node adds to a request for one attempt.
 
     Attributes:
-        runner: The id of the only runner that may run the request.
+        instance: The id on the wire of the only runner that may run the
+            request.
         remaining_ms: The time until the caller's deadline.
         tenant: The name of the caller's client account; None if the request
             needs no key.
@@ -57,7 +58,7 @@
             from its beginning.
     """
 
-    runner: str
+    instance: str
     remaining_ms: float
     tenant: str | None
     rank: int | None
@@ -81,7 +82,7 @@
     """Returns the encoded request for a runner."""
     remaining_ms = max(1, int(parameters.remaining_ms - DEADLINE_MARGIN_MS))
     node_headers = [(wirenames.DEADLINE_MS, str(remaining_ms)),
-                    (wirenames.EXPECT_INSTANCE, parameters.runner)]
+                    (wirenames.EXPECT_INSTANCE, parameters.instance)]
     if parameters.tenant is not None:
         node_headers.append((wirenames.TENANT, parameters.tenant))
     if parameters.rank is not None:
--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -8,7 +8,7 @@
 import logbook
 
 from cardamommill import exceptions, logs
-from cardamommill.domain import clock, model, orders
+from cardamommill.domain import clock, incarnations, model, orders
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.groups import planner, planning
 from cardamommill.platform import ordercalls
@@ -102,8 +102,9 @@
 
     async def _send_order(self, order: orders.Order) -> None:
         known = self._view.known.get(order.runner)
-        if known is None:
-            self.planner.refused(order, "unknown runner", clock.now_ms())
+        if known is None or not known.listed:
+            # The instance's next incarnation would take the order for its own.
+            self.planner.refused(order, "no longer listed", clock.now_ms())
             self.planner.rechecked(order)
             return
         reply, detail = await ordercalls.send_order(self._pool, known.runner,
@@ -111,6 +112,8 @@
         accepted = reply in (ordercalls.OrderReply.BEGUN,
                              ordercalls.OrderReply.DONE)
         now_ms = clock.now_ms()
+        if reply is ordercalls.OrderReply.ENDED:
+            self._record_ended(order.runner, now_ms)
         if accepted:
             self._record_accepted(order, known, reply, now_ms)
             self.planner.accepted(order, now_ms)
@@ -157,6 +160,11 @@
                                              state=model.MemberState.CLOSING)
         self._view.record_order(order.runner, begun, membership, now_ms)
 
+    def _record_ended(self, runner_id: str, now_ms: float) -> None:
+        """Records that another incarnation answered, and reads its row."""
+        self._view.record_ended(runner_id, now_ms)
+        self._read_list()
+
     async def _run_probe(self, probe: planning.Probe) -> None:
         await self.probe(probe.runner, probe.reason)
 
@@ -172,12 +180,18 @@
         if known is None:
             return False
         asked_ms = clock.now_ms()
+        if known.has_ended:
+            self._view.record_no_answer(runner_id, asked_ms)
+            return False
         report = await self._request_report_hedged(known.runner)
         if report is None:
             if self._view.record_no_answer(runner_id, asked_ms):
                 _LOG.warning(
                     logs.line("runner-down", runner=runner_id, reason=reason))
             return False
+        if incarnations.is_other(known.runner.born_ms, report.born_ms):
+            self._record_ended(runner_id, clock.now_ms())
+            return False
         was_down = bool(known.down_ms)
         self._view.apply_report(runner_id, report, asked_ms,
                                 self._report_lag_ms)
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -78,6 +78,7 @@
         self._fresh = fresh
         self._on_table = on_table
         self._drain_ms = drain_ms
+        # By the row's key, which is the instance id.
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
         self._logged_rows: set[tuple[str, bytes]] = set()
@@ -354,7 +355,7 @@
 
     def _begin_restoration(self, rows: storecalls.Rows) -> None:
         now_ms = clock.now_ms()
-        known = {each.id: each for each in self._valid_entries()}
+        known = {each.instance: each for each in self._valid_entries()}
         self._restoration = restoration.Restoration(now_ms, rows.position,
                                                     known)
         self._recovery_until_ms = now_ms + RECOVERY_MS
@@ -364,9 +365,9 @@
                       list_version=rows.version,
                       known=len(known)))
 
-    def _record_removal(self, runner: str) -> None:
+    def _record_removal(self, instance: str) -> None:
         if self._restoration is not None:
-            self._restoration.record_removal(runner)
+            self._restoration.record_removal(instance)
 
     def _valid_entries(self) -> Iterable[model.Runner]:
         """Returns the valid entries of the list."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -228,8 +228,12 @@
     def caller_left(self) -> None:
         """Cancels the current attempt, so that the runner's place is freed."""
         self.is_abandoned = True
+        self.end_attempt(attemptresult.Result.ABANDONED, "caller left")
+
+    def end_attempt(self, result: attemptresult.Result, reason: str) -> None:
+        """Ends the current attempt, if any, with a result."""
         if self._attempt is not None:
-            self._attempt.cancel(attemptresult.Result.ABANDONED, "caller left")
+            self._attempt.cancel(result, reason)
 
     def divert(self, reason: str, is_dead: bool = False) -> None:
         """Moves the request to another group as soon as one can take it.
@@ -434,7 +438,7 @@
         return forwarding.request_bytes(
             self.request,
             forwarding.AttemptParameters(
-                target.known.runner.id, self.deadline_at_ms - now_ms,
+                target.known.runner.instance, self.deadline_at_ms - now_ms,
                 self.tenant.name if self.tenant else None, rank,
                 self.progress.last_event_id))
 
--- a/cardamommill/gateway/tables/restoration.py
+++ b/cardamommill/gateway/tables/restoration.py
@@ -25,7 +25,7 @@
         started_ms: When the list was first read after the restore.
         position: Position of that read; newer rows were written after the
             restore.
-        before: The entries before the restore, by runner id.
+        before: The entries before the restore, by instance id.
     """
 
     started_ms: float
@@ -36,22 +36,26 @@
         """Whether all entries of the list are valid again."""
         return now_ms - self.started_ms >= ENTRY_EXPIRY_MS
 
-    def record_removal(self, runner: str) -> None:
+    def record_removal(self, instance: str) -> None:
         """Records that a runner's entry was deleted after the restore."""
-        self.before.pop(runner, None)
+        self.before.pop(instance, None)
 
     def valid_entries(self, listed: dict[str, model.Runner],
                       now_ms: float) -> Iterator[model.Runner]:
         """Yields the entries that are valid now.
 
         Args:
-            listed: The entries of the list, by runner id.
+            listed: The entries of the list, by instance id.
             now_ms: The current time.
         """
         for entry in listed.values():
-            before = self.before.get(entry.id)
+            before = self.before.get(entry.instance)
             if entry.row_position > self.position:
                 yield entry
+            elif before is not None and before.id != entry.id:
+                # A runner that restarted was born after all that the backup
+                # holds of its former incarnation.
+                yield before if entry.is_former_of(before) else entry
             elif before is not None:
                 # It may have been rewritten between the restore and the first
                 # read, to say that the runner is leaving.
@@ -59,6 +63,6 @@
                                           leaving=before.leaving or
                                           entry.leaving)
         if now_ms - self.started_ms < REWRITE_TIMEOUT_MS:
-            for runner, before in self.before.items():
-                if runner not in listed:
+            for instance, before in self.before.items():
+                if instance not in listed:
                     yield before
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -9,7 +9,7 @@
 import pydantic
 
 from cardamommill import exceptions
-from cardamommill.domain import model
+from cardamommill.domain import incarnations, model
 from cardamommill.platform import wire, wirenames
 
 _MEMBER_STATES = {each.value: each for each in model.MemberState}
@@ -34,12 +34,14 @@
     Attributes:
         domain: The fabric domain; missing if the service has no groups.
         staged: Models on the runner's host: names, or objects with a name.
+        born: Unix ms of the runner's start.
     """
 
     domain: str | int = ""
     staged: tuple[str | _WireModel, ...] = ()
     models: tuple[_WireModel, ...] = ()
     group: Annotated[_WireGroup | None, wire.NONE_IF_EMPTY] = None
+    born: Annotated[int | None, pydantic.Field(strict=True, ge=0)] = None
 
 
 class _WireEntry(_WireStatus):
@@ -68,14 +70,14 @@
     pace: float = 1.0
 
 
-def decode_entry(runner: str,
+def decode_entry(instance: str,
                  value: bytes,
                  row_version: int,
                  row_era: int = 0) -> model.Runner:
     """Returns the runner that a row of the runner list describes.
 
     Args:
-        runner: The row's key, the id of this incarnation of the runner.
+        instance: The row's key, which a restarted runner may have again.
         value: The row's value, JSON.
         row_version: The row's version.
         row_era: The era of the store in which that version was assigned.
@@ -84,14 +86,14 @@
         BadPeerMessage: The row is no valid entry, or its state is unknown to
             this version of the software. The runner then counts as unlisted.
     """
-    entry = _parse(_WireEntry, value, runner)
+    entry = _parse(_WireEntry, value, instance)
     if entry.state not in (wirenames.READY, wirenames.DRAINING):
         raise exceptions.BadPeerMessage(
             f"unknown runner state {entry.state!r}, expected ready or draining",
             step="decode entry",
-            peer=runner)
+            peer=instance)
     host, _, port = entry.address.rpartition(":")
-    return model.Runner(id=runner,
+    return model.Runner(id=str(incarnations.Incarnation(instance, entry.born)),
                         service=entry.service,
                         host=host,
                         port=int(port),
@@ -99,7 +101,7 @@
                         leaving=entry.state == wirenames.DRAINING,
                         slots=max(1, entry.slots),
                         row_version=row_version,
-                        status=_runner_status(entry, runner),
+                        status=_runner_status(entry, instance),
                         row_era=row_era,
                         cold_left_ms=max(0.0, entry.coldLeftMs))
 
@@ -120,7 +122,24 @@
                         busy=report.busy,
                         waiting=report.queued,
                         running=report.active,
-                        pace=max(0.05, report.pace))
+                        pace=max(0.05, report.pace),
+                        born_ms=report.born)
+
+
+class _WireOrderAnswer(wire.Wire):
+    born: Annotated[int, pydantic.Field(strict=True, ge=0)]
+
+
+def order_born_ms(body: bytes) -> int | None:
+    """Returns the start of the incarnation that answered an order.
+
+    Returns:
+        None if the body doesn't state it, as in refusals without a body.
+    """
+    try:
+        return _WireOrderAnswer.model_validate_json(body).born
+    except pydantic.ValidationError:
+        return None
 
 
 def _parse(kind: type[_T], value: bytes, peer: str) -> _T:
--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any
 
-from cardamommill.domain import model, orders
+from cardamommill.domain import incarnations, model, orders
 from cardamommill.platform import entries, fetching, wirenames
 from cardamommill.transport import upstream
 
@@ -27,6 +27,9 @@
     # Any other status, such as when another runner has the address or the epoch
     # is too old. Also if the order could not be sent.
     REFUSED = "refused"
+    # Another incarnation of the runner answered, so the one that the order was
+    # for has ended. The order may have been carried out by the other one.
+    ENDED = "ended"
     # No complete answer: the order may have been carried out, or may be yet.
     UNKNOWN = "unknown"
 
@@ -46,7 +49,7 @@
     if order.model:
         body["model"] = order.model
     if order.members:
-        body["members"] = list(order.members)
+        body["members"] = list(map(incarnations.instance_of, order.members))
     if order.operation is orders.Operation.CLOSE:
         body["closeMode"] = "queue"
     if order.expected_seq is not None:
@@ -64,7 +67,7 @@
     """
     request = fetching.request_bytes("POST", wirenames.ORDER_PATH, [
         ("Host", f"{runner.host}:{runner.port}"),
-        (wirenames.EXPECT_INSTANCE, runner.id),
+        (wirenames.EXPECT_INSTANCE, runner.instance),
         ("Content-Type", "application/json"),
     ],
                                      json.dumps(order_body(order)).encode())
@@ -74,6 +77,9 @@
         return OrderReply.REFUSED, answer.reason
     if answer.ending is not upstream.Ending.COMPLETE:
         return OrderReply.UNKNOWN, answer.reason
+    if incarnations.is_other(runner.born_ms,
+                             entries.order_born_ms(answer.body)):
+        return OrderReply.ENDED, f"{answer.head.status} of another incarnation"
     reply = _REPLY_BY_STATUS.get(answer.head.status, OrderReply.REFUSED)
     return reply, f"{answer.head.status} {answer.body[:120]!r}"
 
@@ -88,9 +94,10 @@
     Raises:
         BadPeerMessage: The answer's body is no valid report.
     """
-    request = fetching.request_bytes("GET", wirenames.REPORT_PATH,
-                                     [("Host", f"{runner.host}:{runner.port}"),
-                                      (wirenames.EXPECT_INSTANCE, runner.id)])
+    request = fetching.request_bytes(
+        "GET", wirenames.REPORT_PATH,
+        [("Host", f"{runner.host}:{runner.port}"),
+         (wirenames.EXPECT_INSTANCE, runner.instance)])
     answer = await fetching.fetch(pool, (runner.host, runner.port), request,
                                   REPORT_TIMEOUT_MS)
     if answer.ending is not upstream.Ending.COMPLETE:
--- a/cardamommill/platform/wirenames.py
+++ b/cardamommill/platform/wirenames.py
@@ -5,7 +5,8 @@
 ATTEMPT_ID = "X-Cardamommill-Attempt-Id"
 DEADLINE_MS = "X-Cardamommill-Deadline-Ms"
 # The id of the runner that a request is for, and of the one that received it.
-# An "instance" is one incarnation of a runner, as `model.Runner.id` names it.
+# An "instance" keeps its id when its runner restarts; see
+# `model.Runner.instance`.
 EXPECT_INSTANCE = "X-Cardamommill-Expect-Instance"
 INSTANCE_ID = "X-Cardamommill-Instance-Id"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -342,6 +342,11 @@
         """Whether a request to a peer can reuse an idle connection."""
         return any(each.is_usable for each in self._idle.get(address, ()))
 
+    def close_idle(self, address: Address) -> None:
+        """Closes the idle connections to a peer whose process has ended."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Closes idle connections that can no longer be reused."""
         for address, connections in list(self._idle.items()):
--- a/tests/experiment/test_world.py
+++ b/tests/experiment/test_world.py
@@ -55,7 +55,12 @@
                               deadline_ms=1500))
 
 
-def play(*troubles, seed=1, length_s=8.0, places=PLACES, kinds=KINDS):
+def play(*troubles,
+         seed=1,
+         length_s=8.0,
+         places=PLACES,
+         kinds=KINDS,
+         states_born=False):
     """Runs a deployment, by default one of two data centres."""
     deployment = deployments.Deployment(
         name="test",
@@ -64,6 +69,7 @@
         places=places,
         models=MODELS,
         kinds=kinds,
+        states_born=states_born,
         troubles=[deployments.Trouble(**each) for each in troubles])
     return world.play(deployment, seed)
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -1,6 +1,6 @@
 """Functions that build test data for the gateway."""
 
-from cardamommill.domain import model
+from cardamommill.domain import incarnations, model
 from cardamommill.gateway.fleet import fleetview
 
 LARGE = model.ServedModel("large", 4, 0.57, 1.0, 16_000.0, 1600.0)
@@ -43,8 +43,10 @@
            leaving: bool = False,
            membership: model.Membership | None = None,
            served: str = "",
-           staged: tuple[str, ...] = ()) -> model.Runner:
-    return model.Runner(id=f"i-{number}",
+           staged: tuple[str, ...] = (),
+           born_ms: int | None = None) -> model.Runner:
+    incarnation = incarnations.Incarnation(f"i-{number}", born_ms)
+    return model.Runner(id=str(incarnation),
                         service="llm",
                         host=f"10.0.0.{number}",
                         port=8140,
--- a/tests/gateway/shell/test_alarms.py
+++ b/tests/gateway/shell/test_alarms.py
@@ -82,7 +82,8 @@
         self.requests = types.SimpleNamespace(
             silence=silence.SilenceDetector(),
             available_groups=availablegroups.AvailableGroups(self.view),
-            relays_at=lambda key: [self.relay])
+            relays_at=lambda key: [self.relay],
+            restarts=types.SimpleNamespace())
         self.alarms = alarms.Alarms(
             self.view, self.requests, self.group_controller, metrics.Metrics(),
             6000.0, lambda key: plans, self._count_update,
--- a/tests/gateway/shell/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from cardamommill.domain import clock
 from cardamommill.experiment import deployments, modelstore, virtualloop
 from cardamommill.gateway.fleet import fleetview
@@ -164,6 +166,54 @@
     follow(script)
 
 
+def listed(harness):
+    return sorted(
+        each.runner.id for each in harness.view.known.values() if each.listed)
+
+
+def test_runner_that_restarts_under_its_id_is_another_one():
+    """What was known of its former life kept it out of use for ever."""
+
+    async def script(harness):
+        harness.put("i-1", born=1_000)
+        await asyncio.sleep(KNOWN_S)
+        assert listed(harness) == ["i-1@1000", "i-2"]
+        harness.view.record_leaving("i-1@1000", clock.now_ms())
+        harness.put("i-1", born=2_000)
+        await asyncio.sleep(KNOWN_S)
+        assert listed(harness) == ["i-1@2000", "i-2"]
+        assert harness.view.known["i-1@2000"].is_usable
+
+    follow(script)
+
+
+def test_restarted_runner_stays_listed_when_the_store_is_restored():
+    """The backup holds the row of its former incarnation only."""
+
+    async def script(harness):
+        harness.put("i-1", born=1_000)
+        await asyncio.sleep(1.0)
+        harness.put("i-1", born=2_000)
+        await asyncio.sleep(KNOWN_S)
+        harness.store.restore(2000)
+        for _ in range(18):
+            await asyncio.sleep(0.1)
+            assert listed(harness) == ["i-1@2000", "i-2"]
+
+    follow(script)
+
+
+@pytest.mark.parametrize("born", [3.0, True, "3", -3, {}])
+def test_entry_with_a_malformed_birth_lists_no_runner(born):
+
+    async def script(harness):
+        harness.put("i-1", born=born)
+        await asyncio.sleep(KNOWN_S)
+        assert listed(harness) == ["i-2"]
+
+    follow(script)
+
+
 def test_runner_with_an_undecodable_entry_is_not_listed():
 
     async def script(harness):
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -117,6 +117,22 @@
     assert took_ms < 10.0
 
 
+def test_connections_to_a_process_that_ended_are_not_reused():
+    """The next process at the address never got what is sent on them."""
+
+    async def script(pool):
+        await fetching.fetch(pool, ADDRESS, b"GET / HTTP/1.1\r\n\r\n", 500.0)
+        other = (ADDRESS[0], ADDRESS[1] + 1)
+        before = pool.has_idle(ADDRESS)
+        pool.close_idle(other)
+        kept = pool.has_idle(ADDRESS)
+        pool.close_idle(ADDRESS)
+        await asyncio.sleep(0.1)
+        return before, kept, pool.has_idle(ADDRESS), LimitedRunner.open_now
+
+    assert run(script) == (True, True, False, set())
+
+
 def test_request_whose_first_send_fails_is_not_sent():
     """A pooled connection was reset, and the loop has not noticed it yet.
 
