Refuse rows of other writers one by one, whatever they hold

Cause: a value in the runner list that isn't base64 failed the reading of all rows on every node. Values of another type were converted: `"8"`, `8.0` and `true` were numbers of slots, `"12"` was a time. A port above 65,535, a host of dots, an epoch beyond 64 bits and a key with a line end were accepted. After 1,000 different refused rows no further one was logged, and none was counted. A row of a service that the configuration doesn't name counted as a member of the group that it named.

Change: `platform/entries.py` validates key and value without conversions and within bounds; `platform/entryerrors.py` names field, value found and value expected. `platform/storecalls.py` keeps a value that isn't base64 behind a prefix that no reader takes for an entry, and peers pass it on as it is. `gateway/shell/entrydecoder.py` logs and counts each change of a refused row once, 60 lines a minute at most; `PlatformReader.refused_row_count` is for a status page. Members of groups are looked for only in services with groups.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -314,3 +314,9 @@
     services: dict[str, Service]
     limits: Limits
     tenants: tuple[Tenant, ...]
+
+    @property
+    def group_services(self) -> frozenset[str]:
+        """The names of the services whose runners form groups."""
+        return frozenset(name for name, service in self.services.items()
+                         if service.engine is not None)
--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -19,10 +19,15 @@
 
 @dataclasses.dataclass(slots=True)
 class StoreRow:
-    """A row and its version; the value of a deleted row is None."""
+    """A row and its version; the value of a deleted row is None.
+
+    Attributes:
+        answered: What answers hold as the value instead, if not None.
+    """
 
     value: bytes | None
     version: int
+    answered: Any = None
 
 
 class ModelStore:
@@ -50,9 +55,21 @@
         """Writes a row, as the operator or a runner does."""
         self._put(table, key, json.dumps(value).encode())
 
-    def _put(self, table: str, key: str, value: bytes | None) -> None:
+    def put_bytes(self,
+                  table: str,
+                  key: str,
+                  value: bytes,
+                  answered: Any = None) -> None:
+        """Writes a row of another writer, which may hold anything."""
+        self._put(table, key, value, answered)
+
+    def _put(self,
+             table: str,
+             key: str,
+             value: bytes | None,
+             answered: Any = None) -> None:
         self.version += 1
-        row = StoreRow(value, self.version)
+        row = StoreRow(value, self.version, answered)
         self.tables.setdefault(table, {})[key] = row
         self._written.append((clock.now_ms(), table, key, row))
         self._changed.set()
@@ -185,6 +202,8 @@
         }
         if row.value is None:
             return base | {"deleted": True}
+        if row.answered is not None:
+            return base | {"value": row.answered}
         return base | {"value": base64.b64encode(row.value).decode()}
 
     def _stamp(self, **fields: Any) -> dict[str, Any]:
--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -81,6 +81,9 @@
         self.list_as_of_ms = float("-inf")
         # Age beyond which the list is no longer acted upon; set by its reader.
         self.list_stale_ms = LIST_STALE_MS
+        # Services whose runners form groups; None before a configuration. Rows
+        # of others may name the groups of these.
+        self.group_services: frozenset[str] | None = None
         self._groups: dict[str, dict[model.GroupKey, Group]] = {}
         self._groups_version = -1
 
@@ -345,15 +348,20 @@
     def members(self, key: model.GroupKey) -> list[RunnerRecord]:
         """Returns the members of a group, listed or not."""
         return [
-            each for each in self.known.values()
+            each for each in self._grouped_runners()
             if each.membership is not None and each.membership.key == key
         ]
 
+    def _grouped_runners(self) -> Iterator[RunnerRecord]:
+        return (each for each in self.known.values()
+                if self.group_services is None or
+                each.runner.service in self.group_services)
+
     def open_groups_in(self, data_centre: str) -> list[model.GroupKey]:
         """Returns the groups with an open, usable head in a data centre."""
         return [
             each.membership.key
-            for each in self.known.values()
+            for each in self._grouped_runners()
             if each.is_usable and each.membership is not None and
             each.membership.rank == 0 and each.membership.state is
             model.MemberState.OPEN and each.runner.data_centre == data_centre
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -90,8 +90,9 @@
             self._on_unreadable_request)
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
-            self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
-            self._freshness, settings.bounds.drain_ms, self._on_table)
+            self._table_reader(wirenames.SERVERS_TABLE,
+                               copies), self.view, self._freshness,
+            settings.bounds.drain_ms, self._on_table, self.metrics)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
--- a/cardamommill/gateway/shell/nodelink.py
+++ b/cardamommill/gateway/shell/nodelink.py
@@ -10,7 +10,7 @@
 from cardamommill.domain import clock, entrysettings
 from cardamommill.gateway.nodes import peermessage, peers
 from cardamommill.gateway.tables import sourceselector
-from cardamommill.platform import storecalls, wirenames
+from cardamommill.platform import storecalls, wire, wirenames
 
 # How often a node reads the table of nodes. Each new node adds itself to this
 # table and sends messages to the nodes in it. In a large fleet, the interval
@@ -155,6 +155,9 @@
                 await asyncio.sleep(DISCOVERY_RETRY_MS / 1000)
                 continue
             for row in rows.rows:
+                if row.value.startswith(wire.NOT_BASE64):
+                    _LOG.warning(logs.line("node-refused", row=row.key[:80]))
+                    continue
                 address = (row.value.decode("ascii", "replace"),
                            self._settings.peer_port)
                 if self._peers.add_address(address):
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -6,12 +6,13 @@
 
 import logbook
 
-from cardamommill import exceptions, logs
+from cardamommill import exceptions, logs, metrics
 from cardamommill.domain import clock, model
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
+from cardamommill.gateway.shell import entrydecoder
 from cardamommill.gateway.tables import restoration, tablereader
-from cardamommill.platform import configurations, entries, storecalls, wirenames
+from cardamommill.platform import configurations, storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
 # for which a revoked key may still be accepted. A query confirms nothing until
@@ -60,7 +61,8 @@
     def __init__(self, operator: tablereader.TableReader,
                  servers: tablereader.TableReader, view: fleetview.FleetView,
                  fresh: freshness.Freshness, drain_ms: float,
-                 on_table: Callable[[routetable.RouteTable], None]) -> None:
+                 on_table: Callable[[routetable.RouteTable], None],
+                 node_metrics: metrics.Metrics) -> None:
         """Initialises the reader.
 
         Args:
@@ -70,6 +72,7 @@
             fresh: Updated with each confirmation of the configuration.
             drain_ms: The drain bound.
             on_table: Called with the route table of each new configuration.
+            node_metrics: Receives the metrics.
         """
         self._configuration_reader = operator
         self._list_reader = servers
@@ -81,7 +84,7 @@
         # By the row's key, which is the instance id.
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
-        self._logged_rows: set[tuple[str, bytes]] = set()
+        self._entry_decoder = entrydecoder.EntryDecoder(node_metrics)
         self._unavailable: set[str] = set()
         self._recovery_until_ms = float("-inf")
         self._list_requested = asyncio.Event()
@@ -255,6 +258,7 @@
         if configuration.version <= before:
             return True
         self.table = routetable.RouteTable(configuration)
+        self._view.group_services = configuration.group_services
         self._on_table(self.table)
         _LOG.info(
             logs.line("configuration",
@@ -333,18 +337,18 @@
             self._begin_restoration(rows)
         if result.whole:
             self._listed.clear()
+            self._entry_decoder.begin_whole_list()
         for row in rows.rows:
             # A row that can't be decoded lists no runner, even if its previous
             # version did.
             self._listed.pop(row.key, None)
             if row.deleted:
+                self._entry_decoder.remove(row.key)
                 self._record_removal(row.key)
                 continue
-            try:
-                self._listed[row.key] = entries.decode_entry(
-                    row.key, row.value, row.version, rows.era)
-            except exceptions.BadPeerMessage as error:
-                self._log_refused_entry(row, error)
+            entry = self._entry_decoder.decode(row, rows.era)
+            if entry is not None:
+                self._listed[row.key] = entry
         changes = self._view.apply_list(self._valid_entries(), rows.as_of_ms)
         for runner_id, change in changes:
             _LOG.info(
@@ -378,15 +382,9 @@
             return tuple(self._listed.values())
         return tuple(restored.valid_entries(self._listed, now_ms))
 
-    def _log_refused_entry(self, row: storecalls.Row,
-                           error: exceptions.BadPeerMessage) -> None:
-        # Logged once per content, since the list is read every second. The
-        # limit bounds the memory for the contents.
-        row_text = (row.key, row.value)
-        if row_text not in self._logged_rows and len(self._logged_rows) < 1000:
-            self._logged_rows.add(row_text)
-            _LOG.warning(
-                logs.line("entry-refused", runner=row.key, reason=str(error)))
+    def refused_row_count(self) -> int:
+        """Returns how many rows of the list are refused at the moment."""
+        return self._entry_decoder.refused_count()
 
     def _record_failure(self, what: str, error: exceptions.StoreError) -> None:
         if what not in self._unavailable:
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -3,18 +3,49 @@
 Also parses the JSON objects in other bodies, such as the store's answers.
 """
 
+import ipaddress
 import json
+import re
 from typing import Annotated, Any, TypeVar
 
 import pydantic
 
 from cardamommill import exceptions
 from cardamommill.domain import incarnations, model
-from cardamommill.platform import wire, wirenames
+from cardamommill.platform import entryerrors, wire, wirenames
 
 _MEMBER_STATES = {each.value: each for each in model.MemberState}
 
+# The key becomes the value of a header.
+_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+# JSON numbers up to this are whole and exact for all writers.
+_MAX_INT = 2**53
+_ADDRESS = "an IPv4 address and a port"
+
 _T = TypeVar("_T", bound=wire.Wire)
+_Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_INT)]
+_Born = Annotated[int, pydantic.Field(strict=True, ge=0, le=_MAX_INT)]
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ValueError(_ADDRESS) from None
+    if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) < 2**16:
+        raise ValueError(_ADDRESS)
+    return address
+
+
+def _none_if_empty(group: Any) -> Any:
+    return None if group == {} else group
+
+
+def _refuse_null(value: Any) -> Any:
+    if value is None:
+        raise ValueError("a value, or no such field")
+    return value
 
 
 class _WireModel(wire.Wire):
@@ -22,9 +53,9 @@
 
 
 class _WireGroup(wire.Wire):
-    name: str
-    epoch: int
-    rank: int
+    name: Annotated[str, pydantic.Field(max_length=200)]
+    epoch: _Count
+    rank: _Count
     state: str
 
 
@@ -37,27 +68,30 @@
         born: Unix ms of the runner's start.
     """
 
-    domain: str | int = ""
+    domain: str | Annotated[int, pydantic.Field(ge=-_MAX_INT, le=_MAX_INT)] = ""
     staged: tuple[str | _WireModel, ...] = ()
     models: tuple[_WireModel, ...] = ()
     group: Annotated[_WireGroup | None, wire.NONE_IF_EMPTY] = None
-    born: Annotated[int | None, pydantic.Field(strict=True, ge=0)] = None
+    born: _Born | None = None
 
 
 class _WireEntry(_WireStatus):
-    """A row of the runner list.
+    """A row of the runner list, which is validated without conversions.
 
     The row's `seq` is not read: it counts heartbeats, while that of a report
     counts orders.
     """
 
     service: str
-    address: Annotated[str,
-                       pydantic.StringConstraints(pattern=r"^[\d.]+:\d{1,5}$")]
+    address: Annotated[str, pydantic.AfterValidator(_check_address)]
     zone: str
-    slots: int = 1
+    slots: _Count
     state: str
-    coldLeftMs: float = 0.0  # noqa: N815
+    group: Annotated[_WireGroup | None,
+                     pydantic.BeforeValidator(_none_if_empty)] = None
+    born: Annotated[_Born | None, pydantic.BeforeValidator(_refuse_null)] = None
+    coldLeftMs: Annotated[  # noqa: N815
+        float, pydantic.Field(allow_inf_nan=False)] = 0.0
 
 
 class _WireReport(_WireStatus):
@@ -83,15 +117,10 @@
         row_era: The era of the store in which that version was assigned.
 
     Raises:
-        BadPeerMessage: The row is no valid entry, or its state is unknown to
+        EntryRefused: The row is no valid entry, or its state is unknown to
             this version of the software. The runner then counts as unlisted.
     """
-    entry = _parse(_WireEntry, value, instance)
-    if entry.state not in (wirenames.READY, wirenames.DRAINING):
-        raise exceptions.BadPeerMessage(
-            f"unknown runner state {entry.state!r}, expected ready or draining",
-            step="decode entry",
-            peer=instance)
+    entry = _parse_entry(instance, value)
     host, _, port = entry.address.rpartition(":")
     return model.Runner(id=str(incarnations.Incarnation(instance, entry.born)),
                         service=entry.service,
@@ -101,7 +130,7 @@
                         leaving=entry.state == wirenames.DRAINING,
                         slots=max(1, entry.slots),
                         row_version=row_version,
-                        status=_runner_status(entry, instance),
+                        status=_runner_status(entry),
                         row_era=row_era,
                         cold_left_ms=max(0.0, entry.coldLeftMs))
 
@@ -117,7 +146,8 @@
         BadPeerMessage: The body is no valid report.
     """
     report = _parse(_WireReport, body, runner)
-    return model.Report(status=_runner_status(report, runner),
+    _check_member_state(report.group, runner)
+    return model.Report(status=_runner_status(report),
                         orders_begun=report.seq,
                         busy=report.busy,
                         waiting=report.queued,
@@ -127,7 +157,7 @@
 
 
 class _WireOrderAnswer(wire.Wire):
-    born: Annotated[int, pydantic.Field(strict=True, ge=0)]
+    born: _Born
 
 
 def order_born_ms(body: bytes) -> int | None:
@@ -154,23 +184,47 @@
             peer=peer) from None
 
 
-def _runner_status(status: _WireStatus, peer: str) -> model.RunnerStatus:
+def _parse_entry(row: str, value: bytes) -> _WireEntry:
+    if not _KEY.fullmatch(row):
+        raise entryerrors.EntryRefused(row, "key", ascii(row),
+                                       "1 to 200 printable ASCII characters")
+    if value.startswith(wire.NOT_BASE64):
+        raise entryerrors.EntryRefused(row, "value",
+                                       value[len(wire.NOT_BASE64):], "base64")
+    try:
+        entry = _WireEntry.model_validate_json(value, strict=True)
+    except pydantic.ValidationError as error:
+        raise entryerrors.EntryRefused.from_validation(row, error) from None
+    if entry.state not in (wirenames.READY, wirenames.DRAINING):
+        raise entryerrors.EntryRefused(row, "state", entry.state,
+                                       "ready or draining")
+    group = entry.group
+    if group is not None and group.name and (group.state not in _MEMBER_STATES):
+        raise entryerrors.EntryRefused(row, "group.state", group.state,
+                                       "one of " + ", ".join(_MEMBER_STATES))
+    return entry
+
+
+def _runner_status(status: _WireStatus) -> model.RunnerStatus:
     return model.RunnerStatus(domain=str(status.domain),
                               staged=tuple(
                                   each if isinstance(each, str) else each.name
                                   for each in status.staged),
                               models=tuple(each.name for each in status.models),
-                              membership=_membership(status.group, peer))
+                              membership=_membership(status.group))
 
 
-def _membership(group: _WireGroup | None, peer: str) -> model.Membership | None:
-    if group is None or not group.name:
-        return None
-    if group.state not in _MEMBER_STATES:
+def _check_member_state(group: _WireGroup | None, peer: str) -> None:
+    if group is not None and group.name and (group.state not in _MEMBER_STATES):
         raise exceptions.BadPeerMessage(
             f"unknown group member state {group.state!r}",
             step="decode group",
             peer=peer)
+
+
+def _membership(group: _WireGroup | None) -> model.Membership | None:
+    if group is None or not group.name:
+        return None
     return model.Membership(group.name, group.epoch, group.rank,
                             _MEMBER_STATES[group.state])
 
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -12,7 +12,7 @@
 
 from cardamommill import exceptions, logs
 from cardamommill.domain import clock, eras
-from cardamommill.platform import entries, fetching, wirenames
+from cardamommill.platform import entries, fetching, wire, wirenames
 from cardamommill.transport import httpheaders, upstream
 
 # For reads of rows and for writes. Even a store that is slowed down sixty times
@@ -248,7 +248,7 @@
             rows = tuple(map(_row, answer.get("rows") or ()))
             version = int(answer["schemaVersion"])
             store_ms = float(answer["nowMs"])
-        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        except (KeyError, TypeError, ValueError) as error:
             raise exceptions.StoreError(
                 f"malformed answer with rows: {error!r}",
                 step="rows",
@@ -282,10 +282,23 @@
             peer=peer)
 
 
-def _row(wire: dict[str, Any]) -> Row:
-    deleted = bool(wire.get("deleted"))
-    return Row(key=str(wire["key"]),
-               value=b"" if deleted else base64.b64decode(wire["value"],
-                                                          validate=True),
-               version=int(wire.get("schemaVersion", 0)),
+def _row(wire_row: dict[str, Any]) -> Row:
+    deleted = bool(wire_row.get("deleted"))
+    return Row(key=str(wire_row["key"]),
+               value=b"" if deleted else _value(wire_row.get("value")),
+               version=int(wire_row.get("schemaVersion", 0)),
                deleted=deleted)
+
+
+def _value(encoded: object) -> bytes:
+    """Returns a row's value; one that can't be used if it isn't base64.
+
+    Another writer may write anything. The other rows must still be read.
+    """
+    try:
+        if isinstance(encoded, str):
+            return base64.b64decode(encoded, validate=True)
+    except (ValueError, binascii.Error):
+        pass
+    shown = ascii(encoded).encode()[:wire.MAX_UNREADABLE_BYTES]
+    return wire.NOT_BASE64 + shown
--- a/tests/gateway/shell/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cardamommill import metrics
 from cardamommill.domain import clock
 from cardamommill.experiment import deployments, modelstore, virtualloop
 from cardamommill.gateway.fleet import fleetview
@@ -52,11 +53,13 @@
             store, pool, sourceselector.SourceSelector("n1", others), name,
             tablecopies.TableCopy()) for name in (wirenames.OPERATOR_TABLE,
                                                   wirenames.SERVERS_TABLE))
+        self.metrics = metrics.Metrics()
         self.fresh = freshness.Freshness(5000.0)
         self.reader = platformreader.PlatformReader(operator, servers,
                                                     self.view, self.fresh,
                                                     DRAIN_MS,
-                                                    lambda table: None)
+                                                    lambda table: None,
+                                                    self.metrics)
 
     def put(self, runner, **fields):
         self.store.put(wirenames.SERVERS_TABLE, runner, entry(**fields))
--- a/tests/platform/test_storecalls.py
+++ b/tests/platform/test_storecalls.py
@@ -7,7 +7,7 @@
 from cardamommill import exceptions
 from cardamommill.domain import clock, eras
 from cardamommill.experiment import modelstore, virtualloop
-from cardamommill.platform import storecalls
+from cardamommill.platform import storecalls, wire
 from cardamommill.transport import upstream
 
 
@@ -37,6 +37,36 @@
     run(script)
 
 
+@pytest.mark.parametrize("answered", ["~", "abc", "\u0416", 7, [], {}, False])
+def test_value_that_is_no_base64_does_not_fail_the_other_rows(answered):
+    """All nodes lost the whole list by one row of another writer."""
+
+    async def script(store, client):
+        store.put("servers", "i-1", {"n": 1})
+        store.put_bytes("servers", "i-2", b"", answered)
+        whole = await client.table("servers")
+        feed = await client.wait_for_changes("servers",
+                                             eras.TablePosition(1, 0), 100)
+        for rows in (whole, feed):
+            good, bad = rows.rows
+            assert good.value == b'{"n": 1}'
+            assert bad.value.startswith(wire.NOT_BASE64)
+            with pytest.raises(UnicodeDecodeError):
+                bad.value.decode()
+
+    run(script)
+
+
+def test_unreadable_value_is_kept_shortened():
+
+    async def script(store, client):
+        store.put_bytes("servers", "i-1", b"", "~" * 10**6)
+        rows = await client.table("servers")
+        assert len(rows.rows[0].value) < 200
+
+    run(script)
+
+
 def test_feed_answers_at_once_when_something_changes():
 
     async def script(store, client):
