Keep an older copy of the list from dating the row of a restarted runner

Cause: a copy of the list that still held the row of a former incarnation counted as one that had held the newest one's row. A row of the newest from before an order would then have undone the order.

Change: `Succession.current` names the incarnations that stay listed apart from the entries that were read.

--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -103,8 +103,8 @@
         self.list_as_of_ms = as_of_ms
         self.version += 1
         changes: list[tuple[str, str]] = []
-        listed_ids = set()
-        for runner in self.succession.without_former(runners):
+        entries, listed_ids = self.succession.current(runners)
+        for runner in entries:
             listed_ids.add(runner.id)
             changes += self._apply_entry(runner, as_of_ms)
             former = self.succession.succeed(runner)
--- a/cardamommill/gateway/fleet/succession.py
+++ b/cardamommill/gateway/fleet/succession.py
@@ -4,7 +4,7 @@
 the one that was read before. A row of a former incarnation is dropped then.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 from cardamommill.domain import model
 from cardamommill.gateway.fleet import runnerrecord
@@ -23,21 +23,30 @@
         # Incarnation ids by instance.
         self._newest: dict[str, str] = {}
 
-    def without_former(
-            self, runners: Iterable[model.Runner]) -> Iterator[model.Runner]:
-        """Yields the entries of a list without those of former incarnations.
+    def current(
+            self, runners: Iterable[model.Runner]
+    ) -> tuple[list[model.Runner], set[str]]:
+        """Returns the entries of a list that are not of former incarnations.
 
-        A row that is older than that of the newest incarnation comes from an
-        older copy of the list, so the newest is still listed as it was. A row
-        that was written later replaced the newest one's, which isn't listed.
+        A row of a former incarnation that is older than the row of the newest
+        one comes from an older copy of the list, so the newest is still listed
+        as it was. A row that was written later has replaced the newest one's,
+        which isn't listed.
+
+        Returns:
+            The entries, and the ids of the newest incarnations that stay listed
+            without an entry.
         """
+        entries = []
+        kept = set()
         for runner in runners:
             newest = self._record(runner.instance)
             if newest is None or not runner.is_former_of(newest.runner):
-                yield runner
+                entries.append(runner)
             elif newest.listed and (runner.row_position
                                     < newest.runner.row_position):
-                yield newest.runner
+                kept.add(newest.runner.id)
+        return entries, kept
 
     def succeed(self, runner: model.Runner) -> runnerrecord.RunnerRecord | None:
         """Makes a listed runner the newest incarnation of its instance.
--- a/tests/gateway/fleet/test_succession.py
+++ b/tests/gateway/fleet/test_succession.py
@@ -116,6 +116,20 @@
     assert listed(view) == ["i-1@10"]
 
 
+def test_older_copy_of_the_list_does_not_date_the_newest_row():
+    """A row from before an order must not undo it.
+
+    The row counts as newer than the order if a list read after the order held
+    the row's former content. A copy without the incarnation held neither.
+    """
+    view = builders.view(row(10, 5))
+    view.apply_list([row(20, 6)], 2000)
+    view.record_order("i-1@20", 1, OPEN, 2500)
+    view.apply_list([row(10, 5)], 3000)
+    view.apply_list([row(20, 7)], 4000)
+    assert view.known["i-1@20"].membership == OPEN
+
+
 def test_nothing_is_kept_of_a_runner_that_is_gone():
     """Instances come and go for as long as a node runs."""
     view = builders.view(row(10, 5))
--- a/tests/gateway/shell/test_alarms.py
+++ b/tests/gateway/shell/test_alarms.py
@@ -353,3 +353,19 @@
     assert all(kept(bench))
     bench.alarms.drop_expired(known_ms + alarms.EXPIRY_MS + 200)
     assert not any(kept(bench))
+
+
+def test_group_of_a_restarted_member_is_given_up_without_a_probe():
+    """All nodes learn of the restart from the list, at about the same time.
+
+    If each of them probed the group's members, one restart would cost as many
+    probes as there are nodes and members.
+    """
+
+    def script(bench):
+        bench.requests.restarts.on_lost_member(KEY, "member restarted")
+
+    bench = run(script)
+    assert bench.is_avoided()
+    assert bench.relay.reasons == ["member restarted"] and bench.relay.is_dead
+    assert not bench.group_controller.probed and not bench.update_count
