--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -74,7 +74,8 @@
                   "store_restored", "store_cut", "configuration", "revoke",
                   "burst", "plain_cut", "heads_fail", "heads_reset",
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
-                  "plain_rest", "evacuate", "cold_again", "cold_return"]
+                  "plain_rest", "evacuate", "cold_again", "cold_return",
+                  "plain_leave", "runners_restart", "plain_restart"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
@@ -94,6 +95,8 @@
         plain_runners: Runners of the plain service per data centre.
         cold_s: For how long runners are cold after a start during traffic.
         cold_per_s: Requests per second that a cold runner takes; 0 for any.
+        states_born: Whether runners state the time of their start, and may
+            restart under their id.
         variants: By variant name, the values that override constants of
             decision modules, such as ``placing.PATIENT_PART``.
     """
@@ -108,6 +111,7 @@
     domains: int = 2
     runners: int = 9
     plain_runners: int = 1
+    states_born: bool = False
     tenants: int = 4
     cold_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
     cold_per_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -42,6 +42,7 @@
     platformreader,
     relay,
     requestlog,
+    restarts,
 )
 from cardamommill.transport import upstream
 
@@ -118,6 +119,7 @@
             reader.evacuations.recently_returned)
         self.eligible_targets = eligibletargets.EligibleTargets(
             settings, reader.evacuations)
+        self.restarts = restarts.Restarts(view, pool, node_metrics)
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
@@ -339,6 +341,7 @@
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
         self.eligible_targets.attempt_started(target.known.runner.data_centre)
+        self.restarts.attempt_started(one, runner_id)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
         self.cold_runners.sent(one, runner_id, now_ms)
         self._unanswered_since_ms[one] = now_ms
@@ -354,6 +357,9 @@
     def on_answer_head(self, one: relay.Relay, target: relay.Target,
                        head: upstream.Head, sent_ms: float) -> None:
         """Passes the head of an answer on to the backpressure handling."""
+        if target.known.has_ended:
+            # The next incarnation may have answered at the same address.
+            return
         self.backpressure.receive_head(one.attempt_id, target.known.runner.id,
                                        head, sent_ms)
 
@@ -383,6 +389,7 @@
         self._plain_runners.remove_request(runner_id)
         self.eligible_targets.attempt_ended(target.known.runner.data_centre)
         self.cold_runners.ended(one, outcome.head.status)
+        self.restarts.attempt_ended(one, runner_id)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
@@ -415,6 +422,7 @@
                       runner=runner,
                       result=outcome.result.value,
                       reason=outcome.reason,
+                      at=self.restarts.runner_at_fault(outcome.head),
                       events=one.progress.events,
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -13,7 +13,7 @@
 from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
 from cardamommill.gateway.groups import planning
-from cardamommill.gateway.nodes import peermessage, peers
+from cardamommill.gateway.nodes import peermessage, peers, plainids
 from cardamommill.gateway.requests import freshness, routetable
 from cardamommill.gateway.shell import (
     alarms,
@@ -95,15 +95,17 @@
         rows = operatorrows.OperatorRows(settings, self.metrics)
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
-            self._table_reader(wirenames.SERVERS_TABLE, copies), self.view,
-            self._freshness, settings.bounds.drain_ms, self._on_table, rows)
+            self._table_reader(wirenames.SERVERS_TABLE,
+                               copies), self.view, self._freshness,
+            settings.bounds.drain_ms, self._on_table, rows, self.metrics)
         self._requests = dispatcher.Dispatcher(settings, self.pool, self.view,
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
                                                self.spawn)
         self._status = nodestatus.NodeStatus(self._reader, rows,
                                              self._freshness,
-                                             self._requests.eligible_targets)
+                                             self._requests.eligible_targets,
+                                             self._reader.refused_row_count)
         # Names of groups begin with a text that no other node or start uses.
         self._group_controller = groupcontroller.GroupController(
             self.view, self.pool,
@@ -242,6 +244,7 @@
 
     def _on_message(self, message: peermessage.PeerMessage,
                     now_ms: float) -> None:
+        message = plainids.resolved(message, self.view)
         if self._reader.should_catch_up(message.config_version):
             self.spawn(self._reader.catch_up())
         is_remote = message.data_centre != self._settings.data_centre
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -6,13 +6,17 @@
 
 import logbook
 
-from cardamommill import exceptions, logs
+from cardamommill import exceptions, logs, metrics
 from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import freshness, routetable
-from cardamommill.gateway.shell import configurationrows, operatorrows
+from cardamommill.gateway.shell import (
+    configurationrows,
+    entrydecoder,
+    operatorrows,
+)
 from cardamommill.gateway.tables import restoration, storeoutages, tablereader
-from cardamommill.platform import entries, storecalls, wirenames
+from cardamommill.platform import storecalls, wirenames
 
 # How long a query for configuration changes is held, as a fraction of the time
 # for which a revoked key may still be accepted. A query confirms nothing until
@@ -61,8 +65,9 @@
     def __init__(self, operator: tablereader.TableReader,
                  servers: tablereader.TableReader, view: fleetview.FleetView,
                  fresh: freshness.Freshness, drain_ms: float,
-                 on_table: Callable[[routetable.RouteTable], None],
-                 rows: operatorrows.OperatorRows) -> None:
+                 on_table: Callable[[routetable.RouteTable],
+                                    None], rows: operatorrows.OperatorRows,
+                 node_metrics: metrics.Metrics) -> None:
         """Initialises the reader.
 
         Args:
@@ -73,6 +78,7 @@
             drain_ms: The drain bound.
             on_table: Called with the route table of each new configuration.
             rows: Updated with each read of the operator's table.
+            node_metrics: Receives the metrics.
         """
         self._configuration_reader = operator
         self._list_reader = servers
@@ -85,9 +91,10 @@
         self._operator_rows = rows
         self.evacuations = rows.evacuations
         self._drain_ms = drain_ms
+        # By the row's key, which is the instance id.
         self._listed: dict[str, model.Runner] = {}
         view.list_stale_ms = LIST_STALE_RATIO * drain_ms
-        self._logged_rows: set[tuple[str, bytes]] = set()
+        self._entry_decoder = entrydecoder.EntryDecoder(node_metrics)
         self._outages = storeoutages.StoreOutages()
         self._recovery_until_ms = float("-inf")
         self._list_requested = asyncio.Event()
@@ -271,6 +278,7 @@
             return
         self.table = routetable.RouteTable(configuration)
         self.table_since_ms = clock.now_ms()
+        self._view.group_services = configuration.group_services
         self._on_table(self.table)
         configurationrows.log_in_force(configuration, before)
 
@@ -343,18 +351,18 @@
             self._begin_restoration(rows)
         if result.whole:
             self._listed.clear()
+            self._entry_decoder.begin_whole_list()
         for row in rows.rows:
             # A row that can't be decoded lists no runner, even if its previous
             # version did.
             self._listed.pop(row.key, None)
             if row.deleted:
+                self._entry_decoder.remove(row.key)
                 self._record_removal(row.key)
                 continue
-            try:
-                self._listed[row.key] = entries.decode_entry(
-                    row.key, row.value, row.version, rows.era)
-            except exceptions.BadPeerMessage as error:
-                self._log_refused_entry(row, error)
+            entry = self._entry_decoder.decode(row, rows.era)
+            if entry is not None:
+                self._listed[row.key] = entry
         changes = self._view.apply_list(self._valid_entries(), rows.as_of_ms,
                                         clock.now_ms())
         for runner_id, change in changes:
@@ -366,7 +374,7 @@
 
     def _begin_restoration(self, rows: storecalls.Rows) -> None:
         now_ms = clock.now_ms()
-        known = {each.id: each for each in self._valid_entries()}
+        known = {each.instance: each for each in self._valid_entries()}
         self._restoration = restoration.Restoration(now_ms, rows.position,
                                                     known)
         self._recovery_until_ms = now_ms + RECOVERY_MS
@@ -376,9 +384,9 @@
                       list_version=rows.version,
                       known=len(known)))
 
-    def _record_removal(self, runner: str) -> None:
+    def _record_removal(self, instance: str) -> None:
         if self._restoration is not None:
-            self._restoration.record_removal(runner)
+            self._restoration.record_removal(instance)
 
     def _valid_entries(self) -> Iterable[model.Runner]:
         """Returns the valid entries of the list."""
@@ -389,12 +397,6 @@
             return tuple(self._listed.values())
         return tuple(restored.valid_entries(self._listed, now_ms))
 
-    def _log_refused_entry(self, row: storecalls.Row,
-                           error: exceptions.BadPeerMessage) -> None:
-        # Logged once per content, since the list is read every second. The
-        # limit bounds the memory for the contents.
-        row_text = (row.key, row.value)
-        if row_text not in self._logged_rows and len(self._logged_rows) < 1000:
-            self._logged_rows.add(row_text)
-            _LOG.warning(
-                logs.line("entry-refused", runner=row.key, reason=str(error)))
+    def refused_row_count(self) -> int:
+        """Returns how many rows of the list are refused at the moment."""
+        return self._entry_decoder.refused_count()
