--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -30,6 +30,7 @@
     silence,
 )
 from cardamommill.gateway.shell import (
+    admissioncontrol,
     admitting,
     attempts,
     backpressure,
@@ -104,6 +105,8 @@
         self.backpressure = backpressure.Backpressure(
             view, ratelimits.RateLimits(settings.node, node_peers.live_nodes),
             node_metrics)
+        self.admission = admissioncontrol.AdmissionControl(
+            settings.node, node_peers, node_metrics)
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
@@ -249,8 +252,14 @@
             unreported_requests=placing.unreported_requests(
                 engine, served.pace, others_requests, self._group_loads.age_ms),
             overhead_ms=self.forecast.overhead_ms(service.name))
-        placed = placing.place(engine, one.request_tokens, candidates, excluded,
-                               requirements, self.expected_recovery_ms())
+        placed, decision = self.admission.place(
+            admissioncontrol.Asked(service.name, served.name, one.priority,
+                                   one.tenant.name if one.tenant else "",
+                                   not one.attempted), engine,
+            candidates, lambda groups: placing.place(
+                engine, one.request_tokens, groups, excluded, requirements,
+                self.expected_recovery_ms()), now_ms)
+        one.admission = decision or one.admission
         if isinstance(placed, placing.Refused):
             return placed
         key = placed.candidate.key
@@ -302,6 +311,7 @@
         if target.key is None or target.placed is None:
             return
         self._relays.setdefault(target.key, {})[one] = None
+        self.admission.attempt_started(one, one.service, one.model_name, now_ms)
         placed = target.placed
         self.in_flight_requests.add_request(target.key, one.attempt_id,
                                             one.request_tokens.prompt_tokens,
@@ -348,6 +358,8 @@
                 self._relays.pop(target.key, None)
             self.in_flight_requests.remove_request(target.key, one.attempt_id)
             self.silence.ended(target.key, one.attempt_id)
+            self.admission.attempt_ended(one, outcome.result in _NO_FAULT,
+                                         clock.now_ms())
         self._record_outcome(one, target, outcome)
 
     def _record_outcome(self, one: relay.Relay, target: relay.Target,
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -248,6 +248,7 @@
         self._requests.reliability.receive(message.attempt_histories,
                                            message.node, now_ms)
         self._requests.backpressure.receive(message, now_ms)
+        self._requests.admission.receive(message, now_ms)
         if is_remote and has_new_information:
             # Other data centres send urgent updates only to the reporters here,
             # which pass them on at once.
@@ -284,7 +285,9 @@
             load_sums=self._load_sums(now_ms, update_scope),
             has_lost_store=self._reader.has_lost_store(now_ms),
             limits=() if is_remote else
-            self._requests.backpressure.updates_for_peers(now_ms))
+            self._requests.backpressure.updates_for_peers(now_ms),
+            sections=self._requests.admission.sections(now_ms)
+            if is_near else {})
 
     def _load_sums(self, now_ms: float,
                    update_scope: peers.UpdateScope) -> loadsums.LoadSums | None:
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -117,6 +117,8 @@
         progress: The part of a stream that the caller has received.
         first_event_ms: When the first event was passed on; 0 before that.
         is_abandoned: Whether the caller has left.
+        admission: The decision of admission control, for the log; empty where
+            it did not apply.
     """
 
     def __init__(self, node: RelayContext, request: callers.CallerRequest,
@@ -152,6 +154,7 @@
         self._reserved_target: Target | None = None
         self._divert_timer: asyncio.TimerHandle | None = None
         self.is_abandoned = False
+        self.admission = ""
 
     # Admission.
 
--- a/cardamommill/gateway/shell/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -30,6 +30,7 @@
                            arrived_ms) if first_event_at_ms else "",
         goal_ms=one.route.goal_ms if one.route else "",
         **_estimate_fields(one),
+        admission=one.admission,
         took_ms=int(now_ms - arrived_ms),
         version=version)
 
