--- a/cardamommill/gateway/requests/admissionlevel.py
+++ b/cardamommill/gateway/requests/admissionlevel.py
@@ -8,6 +8,7 @@
 would admit or refuse everything.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 import math
@@ -21,7 +22,7 @@
 # standard deviations of a Poisson process at each group. Nodes spread requests
 # by old views, so a reservation for the sum of the groups alone leaves some
 # groups full while others have free slots.
-RESERVED_DEVIATIONS = 2.0
+RESERVED_DEVIATIONS = 1.25
 # Less urgent requests in a group's queue that a more urgent one disregards, as
 # a fraction of the group's places. It overtakes them in the queue; if they
 # counted, all nodes would send urgent requests to the few groups without one.
@@ -30,6 +31,11 @@
 # above the age of the loads that other nodes report, so that no oscillation
 # builds up.
 CORRECTION_MS = 1000.0
+# An account is certain to be above its share only if its estimated demand is
+# this many times an equal part of the slots: a node estimates the demand of one
+# account of 24 from about two requests a second. While there is such an
+# account, no smaller one is refused for its share.
+LARGE_ACCOUNT_FACTOR = 2.0
 # Base of the retry delay: each caller's delay is drawn between it and its
 # double.
 MAX_RETRY_BASE_MS = placing.MAX_FULL_RETRY_AFTER_MS / 2
@@ -133,9 +139,15 @@
         if each.priority == source.priority
     }
     own = accounts.get(source.account, 0.0)
-    available = max(0.0, _fillable_slots(state) - reserved)
+    available = max(0.0, _fillable_slots(source.priority, state) - reserved)
     level = fairshares.max_min_level(accounts.values(), available)
-    part = 1.0 if own <= level else level / own
+    equal = max(0.0, state.slots - reserved) / max(1, len(accounts))
+    if _is_small_beside_large(own, accounts.values(), equal):
+        part = 1.0
+    elif not available:
+        part = 0.0
+    else:
+        part = min(1.0, level / own) if own else 1.0
     if draw < part:
         return Decision(Action.PLACE if reserved else Action.DEFER,
                         admitted_part=part,
@@ -149,6 +161,19 @@
         _retry_after_ms(state, sum(accounts.values()), available, jitter))
 
 
+def _is_small_beside_large(own: float, offered: Iterable[float],
+                           equal: float) -> bool:
+    """Whether an account is not refused, since others are far above its share.
+
+    Args:
+        own: The slots that the account would use.
+        offered: The slots that each account of the priority would use.
+        equal: The slots of each account if they had equal parts.
+    """
+    large = LARGE_ACCOUNT_FACTOR * equal
+    return 0 < own <= large < max(offered)
+
+
 def reserved_slots(priority: int, state: ModelState) -> float:
     """Returns the slots to keep for more urgent priorities.
 
@@ -183,14 +208,20 @@
     return state.in_flight > limit or sum(offered.values()) > limit
 
 
-def _fillable_slots(state: ModelState) -> float:
+def _fillable_slots(priority: int, state: ModelState) -> float:
     """Returns the slots to fill, corrected by what is in use.
 
-    Less than the slots if there are more requests in flight than slots, so that
-    the queues at the groups are drained; more if slots are unused.
+    More than the slots if some are unused, and less if there are more requests
+    in flight than slots, so that the queues at the groups are drained. The
+    excess counts as less urgent requests first: these may be refused for it,
+    but the more urgent ones overtake them.
     """
-    correction = state.demand.hold_ms / CORRECTION_MS
-    return state.slots + correction * (state.slots - state.in_flight)
+    unused = float(state.slots - state.in_flight)
+    if unused < 0:
+        lower = sum(slots for each, slots in state.offered.items()
+                    if each.priority > priority)
+        unused = min(0.0, unused + lower)
+    return state.slots + state.demand.hold_ms / CORRECTION_MS * unused
 
 
 def _cause(reserved: float, accounts: dict[int, float], level: float) -> Cause:
--- a/cardamommill/gateway/requests/competingdemand.py
+++ b/cardamommill/gateway/requests/competingdemand.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Iterable, Mapping
 import dataclasses
+import math
 import struct
 import zlib
 
@@ -26,6 +27,10 @@
 SUM_INTERVAL_MS = 60.0
 # Counts per model in a datagram. The smallest ones are combined by priority.
 MAX_ENTRIES = 16
+# Time constant of the accounts' parts in the demand of their priority, and the
+# count below which an account no longer counts as asking.
+ACCOUNT_SMOOTHING_MS = 3000.0
+MIN_SMOOTHED_COUNT = 0.02
 # Smoothing of the holding time, by the number of attempts.
 HOLD_WEIGHT = 0.05
 # Stands for several accounts, and for requests without one.
@@ -113,6 +118,53 @@
     models: Mapping[int, ModelDemand]
 
 
+class _AccountShares:
+    """Smooths the accounts' parts in the demand of each priority.
+
+    The counts of one account over a second are so small that they don't tell
+    whether it asks for more than its share.
+    """
+
+    def __init__(self) -> None:
+        self._smoothed: dict[Source, float] = {}
+        self._smoothed_ms = float("-inf")
+
+    def divide(self, counts: Mapping[Source, int],
+               now_ms: float) -> dict[Source, float]:
+        """Returns the current count of each priority, divided by account."""
+        if (now_ms - self._smoothed_ms > SUM_INTERVAL_MS or
+                counts.keys() - self._smoothed.keys()):
+            self._update(counts, now_ms)
+        totals = _by_priority(counts)
+        smoothed_totals = _by_priority(self._smoothed)
+        return {
+            source:
+                totals[source.priority] * smoothed /
+                smoothed_totals[source.priority]
+            for source, smoothed in self._smoothed.items()
+            if totals.get(source.priority)
+        }
+
+    def _update(self, counts: Mapping[Source, int], now_ms: float) -> None:
+        elapsed_ms = now_ms - self._smoothed_ms
+        weight = 1 - math.exp(-elapsed_ms / ACCOUNT_SMOOTHING_MS)
+        self._smoothed_ms = now_ms
+        for source in self._smoothed.keys() | counts.keys():
+            count = counts.get(source, 0)
+            before = self._smoothed.get(source, count)
+            after = before + weight * (count - before)
+            self._smoothed[source] = after
+            if after < MIN_SMOOTHED_COUNT:
+                del self._smoothed[source]
+
+
+def _by_priority(counts: Mapping[Source, float]) -> dict[int, float]:
+    totals: dict[int, float] = {}
+    for source, count in counts.items():
+        totals[source.priority] = totals.get(source.priority, 0.0) + count
+    return totals
+
+
 class CompetingDemand:
     """The demand for models, as counted by the nodes of a data centre."""
 
@@ -120,6 +172,7 @@
         self._own = RecentCounts()
         self._own_hold_ms: dict[int, float] = {}
         self._nodes: dict[str, _NodeCounts] = {}
+        self._shares: dict[int, _AccountShares] = {}
         self._sums: dict[int, tuple[collections.Counter[Source],
                                     list[float]]] = {}
         self._summed_ms = float("-inf")
@@ -184,10 +237,11 @@
         if own_hold_ms is not None:
             holds_ms = [*holds_ms, own_hold_ms]
         factor = scale * units.MS_PER_S / WINDOW_MS
-        counts = others + own
+        shares = self._shares.setdefault(model, _AccountShares())
+        divided = shares.divide(others + own, now_ms)
         return ModelDemand(
             sum(holds_ms) / len(holds_ms) if holds_ms else 0.0, {
-                source: count * factor for source, count in counts.items()
+                source: count * factor for source, count in divided.items()
             })
 
     def _sum_others(self, now_ms: float) -> None:
