--- a/cardamommill/gateway/requests/admissionlevel.py
+++ b/cardamommill/gateway/requests/admissionlevel.py
@@ -186,6 +186,12 @@
     return urgent + RESERVED_DEVIATIONS * math.sqrt(urgent * state.groups)
 
 
+def max_reserved_slots(state: ModelState) -> float:
+    """Returns the slots that the least urgent priority may not use."""
+    return reserved_slots(max(each.priority for each in state.demand.per_s),
+                          state)
+
+
 def _overtaken(priority: int, state: ModelState) -> int:
     """Returns the number of less urgent requests to disregard at a group.
 
--- a/cardamommill/gateway/shell/admissioncontrol.py
+++ b/cardamommill/gateway/shell/admissioncontrol.py
@@ -7,7 +7,7 @@
 import logbook
 
 from cardamommill import exceptions, logs, metrics
-from cardamommill.domain import model
+from cardamommill.domain import clock, model
 from cardamommill.gateway.nodes import peermessage, peers
 from cardamommill.gateway.requests import (
     admissionlevel,
@@ -62,7 +62,8 @@
         self._names: dict[int, tuple[str, str]] = {}
         # When attempts at groups began, by the id of the request's attempt.
         self._began_ms: dict[object, tuple[int, float]] = {}
-        self._reserved: dict[int, float] = {}
+        # Slots reserved for more urgent requests, and when that was decided.
+        self._reserved: dict[int, tuple[float, float]] = {}
         node_metrics.collect(self._samples)
 
     def place(self, asked: Asked, engine: model.Engine,
@@ -96,16 +97,17 @@
         self._names[identity] = asked.service, asked.model
         decision = admissionlevel.decide(source, state, self._chance.random(),
                                          self._chance.random())
-        self._reserved[identity] = decision.reserved
+        is_limited = decision is not admissionlevel.UNLIMITED
+        self._reserved[identity] = (admissionlevel.max_reserved_slots(state)
+                                    if is_limited else 0.0), now_ms
         found = _placed(decision, candidates, place)
         outcome = _outcome(decision, found)
         self._metrics.count("admissions_total",
                             model=asked.model,
                             priority=str(asked.priority),
                             outcome=outcome)
-        if decision is admissionlevel.UNLIMITED:
-            return found, ""
-        return found, f"{outcome}:{decision.admitted_part:.2f}"
+        part = f"{outcome}:{decision.admitted_part:.2f}"
+        return found, part if is_limited else ""
 
     def attempt_started(self, one: object, service: str, model_name: str,
                         now_ms: float) -> None:
@@ -160,9 +162,12 @@
         return (1 + len(known)) / (1 + telling)
 
     def _samples(self) -> Iterable[metrics.Sample]:
+        now_ms = clock.now_ms()
         for identity, (service, model_name) in list(self._names.items()):
+            reserved, decided_ms = self._reserved[identity]
+            is_recent = now_ms - decided_ms < TOLD_MS
             yield metrics.Sample("admission_reserved_slots",
-                                 self._reserved.get(identity, 0.0),
+                                 reserved if is_recent else 0.0,
                                  (("model", model_name), ("service", service)))
 
 
