State the encoded sizes of the demand in datagrams

Cause: the note gave the size of the demand as worked out from its fields.

Change: the note has the encoded sizes; no code.

--- a/tests/gateway/requests/test_competingdemand.py
+++ b/tests/gateway/requests/test_competingdemand.py
@@ -77,7 +77,7 @@
 def test_demand_takes_few_bytes():
     """Guards against datagrams that grow with the number of accounts.
 
-    A model takes 73 bytes at most, whatever the number of accounts.
+    A model and priority take 73 bytes at most, whatever the number of accounts.
     """
     one = demand_of([
         competingdemand.Source(1, competingdemand.account_id(str(each)))
