Merge admission control by priority and client account, off by default

Cause: where callers compete for a model, whoever comes first gets its slots, and the most urgent are late or refused.

Change: admission by priority, then by max-min shares of accounts, one door around placement; the setting admission_control turns it on.

--- a/cardamommill/domain/entrysettings.py
+++ b/cardamommill/domain/entrysettings.py
@@ -61,6 +61,8 @@
         memory_mb: Memory beyond which the process is killed; 0 if unlimited.
         metrics_port: Port of the metrics endpoint; 0 disables it.
         heartbeat_ms: Interval at which runners write to the store.
+        admission_control: Whether requests that compete for a model are
+            admitted by priority and client account.
         bounds: Service guarantees.
         logging: Logging settings.
     """
@@ -80,6 +82,7 @@
     memory_mb: Annotated[float, pydantic.Field(ge=0)] = 0
     metrics_port: Annotated[int, pydantic.Field(ge=0, le=65_535)] = 9464
     heartbeat_ms: Annotated[float, pydantic.Field(gt=0)] = 1200
+    admission_control: bool = False
     bounds: Bounds = Bounds()
     logging: checking.Logging = checking.Logging()
 
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -263,6 +263,7 @@
         self._requests.reliability.receive(message.attempt_histories,
                                            message.node, now_ms)
         self._requests.backpressure.receive(message, now_ms)
+        self._requests.admission.receive(message, now_ms)
         if is_remote and has_new_information:
             # Other data centres send urgent updates only to the reporters here,
             # which pass them on at once.
@@ -300,7 +301,8 @@
             has_lost_store=self._reader.has_lost_store(now_ms),
             limits=() if is_remote else
             self._requests.backpressure.updates_for_peers(now_ms),
-            sections=self._closed.section(now_ms))
+            sections=self._closed.section(now_ms) |
+            (self._requests.admission.sections(now_ms) if is_near else {}))
 
     def _load_sums(self, now_ms: float,
                    update_scope: peers.UpdateScope) -> loadsums.LoadSums | None:
