Move the engine's arithmetic and the candidates out of long functions

Cause: placing mixed the engine's cost model with the choice of a group, and Dispatcher._find_group built each candidate inside a loop of 40 lines.

Change: enginetimes.py has the durations; Dispatcher._candidate builds one candidate.

--- a/cardamommill/gateway/requests/placing.py
+++ b/cardamommill/gateway/requests/placing.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from cardamommill.domain import model
-from cardamommill.gateway.requests import reliability, silence
+from cardamommill.gateway.requests import enginetimes, reliability, silence
 
 # Maximum number of deferred requests at a group, as a fraction of its places:
 # more would not be served before their callers leave.
@@ -130,40 +130,6 @@
     retry_after_ms: float
 
 
-def pass_ms(engine: model.Engine, running: int, pace: float) -> float:
-    """Returns the duration of a pass that processes no prompts.
-
-    A pass consists of `engine.stride` decoding steps. At its end, each running
-    request gets one event with that many tokens.
-
-    Args:
-        engine: The engine's cost model.
-        running: The number of requests that run.
-        pace: Factor on all durations.
-    """
-    context = engine.usual_prompt_tokens + engine.usual_answer_tokens / 2
-    step_ms = engine.step_ms + running * (
-        engine.per_sequence_ms + engine.context_per_k_ms * context / 1000)
-    return engine.stride * step_ms * pace
-
-
-def max_pass_ms(engine: model.Engine, pace: float) -> float:
-    """Returns the duration of a pass with full prompt chunks in each step."""
-    prefill_time_ms = prefill_ms(engine, engine.chunk_tokens, pace)
-    return pass_ms(engine, engine.slots, pace) + engine.stride * prefill_time_ms
-
-
-def prefill_ms(engine: model.Engine, tokens: float, pace: float) -> float:
-    """Returns the time to process a prompt.
-
-    One part grows with the tokens; the other, for attention, grows with the
-    pairs of tokens, which the engine counts in millions.
-    """
-    token_pairs_m = tokens * tokens / 2 / 1e6
-    return (tokens / engine.read_tokens_per_ms +
-            token_pairs_m * engine.pairs_per_m_ms) * pace
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Requirements:
     """The time limits of a request, and corrections to the estimates.
@@ -205,7 +171,7 @@
         age_ms: Age of the report.
     """
     passes = max(1.0, engine.usual_answer_tokens / engine.stride)
-    duration_ms = passes * pass_ms(engine, engine.slots // 2, pace)
+    duration_ms = passes * enginetimes.pass_ms(engine, engine.slots // 2, pace)
     return requests * age_ms / duration_ms
 
 
@@ -328,7 +294,8 @@
     proportional to that group's share. With no unreported requests, the group
     with the lowest cost is chosen.
     """
-    usual_prefill_ms = prefill_ms(engine, engine.usual_prompt_tokens, 1.0)
+    usual_prefill_ms = enginetimes.prefill_ms(engine,
+                                              engine.usual_prompt_tokens, 1.0)
 
     def loaded_cost_ms(each: Placed) -> float:
         request_ms = IN_FLIGHT_WEIGHT * usual_prefill_ms * each.candidate.pace
@@ -416,8 +383,9 @@
 def _estimate(engine: model.Engine, counts: RequestTokens, candidate: Candidate,
               overhead_ms: float) -> Placed:
     running = min(candidate.in_flight, candidate.places)
-    one_pass_ms = pass_ms(engine, running + 1, candidate.pace)
-    own_prefill_ms = prefill_ms(engine, counts.prompt_tokens, candidate.pace)
+    one_pass_ms = enginetimes.pass_ms(engine, running + 1, candidate.pace)
+    own_prefill_ms = enginetimes.prefill_ms(engine, counts.prompt_tokens,
+                                            candidate.pace)
     pending_ms = candidate.pending_prompt_tokens / engine.read_tokens_per_ms * (
         candidate.pace)
     queued = candidate.in_flight - candidate.places + 1
@@ -429,18 +397,10 @@
     # pass produces its first event.
     first_ms = (overhead_ms + 1.5 * one_pass_ms + own_prefill_ms + pending_ms +
                 queue_ms)
-    finish_ms = first_ms + counts.answer_tokens / engine.stride * _mean_pass_ms(
+    answer_passes = counts.answer_tokens / engine.stride
+    finish_ms = first_ms + answer_passes * enginetimes.mean_pass_ms(
         engine, running + 1, candidate.pace)
-    expected = silence.ExpectedTiming(one_pass_ms,
-                                      max_pass_ms(engine, candidate.pace),
-                                      own_prefill_ms, first_ms)
+    expected = silence.ExpectedTiming(
+        one_pass_ms, enginetimes.max_pass_ms(engine, candidate.pace),
+        own_prefill_ms, first_ms)
     return Placed(candidate, expected, finish_ms, overhead_ms)
-
-
-def _mean_pass_ms(engine: model.Engine, running: int, pace: float) -> float:
-    # Processing the prompt of each running request delays the others: events
-    # came every 58 ms where a pass alone takes 45 ms.
-    passes = max(1.0, engine.usual_answer_tokens / engine.stride)
-    prefill_time_ms = running * prefill_ms(engine, engine.usual_prompt_tokens,
-                                           pace)
-    return pass_ms(engine, running, pace) + prefill_time_ms / passes
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -235,9 +235,6 @@
         if served is None:
             return placing.Refused("no such model",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
-        heads: dict[model.GroupKey, fleetview.RunnerRecord] = {}
-        candidates = []
-        others_requests = 0
         groups = [
             each for each in self.available_groups.of_model(
                 service.name, served.name)
@@ -245,37 +242,12 @@
         ]
         if not groups and not eligible.is_unrestricted:
             return eligibletargets.refusal(eligible)
-        for each in groups:
-            heads[each.key] = each.head
-            told = self._group_loads.others(each.key)
-            others_requests += told.total_requests
-            load = self.in_flight_requests.load(each.key).plus(told)
-            head = each.head.runner.id
-            odds = self.reliability.fail_odds(head, now_ms)
-            is_suspect = self.available_groups.is_avoided(each.key, now_ms)
-            candidates.append(
-                placing.Candidate(
-                    key=each.key,
-                    head=head,
-                    in_flight=load.requests,
-                    deferred=load.deferred,
-                    places=engine.slots,
-                    pace=served.pace *
-                    max(1.0, each.pace,
-                        engine.far_factor if each.spans_domains else 1.0),
-                    is_remote=(each.head.runner.data_centre
-                               != self._settings.data_centre),
-                    is_avoided=(each.has_leaving_member or is_suspect or
-                                odds > reliability.DOUBT_THRESHOLD),
-                    is_suspect=is_suspect,
-                    is_down=self.available_groups.is_down(each.key, now_ms),
-                    pending_prompt_tokens=load.pending_prompt_tokens,
-                    fail_odds=odds,
-                    is_cooling_down=self.reliability.is_cooling_down(
-                        head, now_ms),
-                    wait_ms=self.backpressure.wait_ms(each.head.runner, now_ms),
-                    has_idle_connection=self.pool.has_idle(
-                        (each.head.runner.host, each.head.runner.port))))
+        candidates = [
+            self._candidate(each, engine, served, now_ms) for each in groups
+        ]
+        others_requests = sum(
+            self._group_loads.others(each.key).total_requests
+            for each in groups)
         excluded = frozenset(
             each.key for each in one.attempted if each.key is not None)
         requirements = dataclasses.replace(
@@ -294,7 +266,36 @@
         if isinstance(placed, placing.Refused):
             return placed
         key = placed.candidate.key
-        return relay.Target(heads[key], key, placed)
+        head = next(each.head for each in groups if each.key == key)
+        return relay.Target(head, key, placed)
+
+    def _candidate(self, group: availablegroups.AvailableGroup,
+                   engine: model.Engine, served: model.ServedModel,
+                   now_ms: float) -> placing.Candidate:
+        """Returns an available group with all that placement asks about it."""
+        load = self._group_loads.load(group.key)
+        runner = group.head.runner
+        odds = self.reliability.fail_odds(runner.id, now_ms)
+        is_suspect = self.available_groups.is_avoided(group.key, now_ms)
+        return placing.Candidate(
+            key=group.key,
+            head=runner.id,
+            in_flight=load.requests,
+            deferred=load.deferred,
+            places=engine.slots,
+            pace=served.pace *
+            max(1.0, group.pace,
+                engine.far_factor if group.spans_domains else 1.0),
+            is_remote=runner.data_centre != self._settings.data_centre,
+            is_avoided=(group.has_leaving_member or is_suspect or
+                        odds > reliability.DOUBT_THRESHOLD),
+            is_suspect=is_suspect,
+            is_down=self.available_groups.is_down(group.key, now_ms),
+            pending_prompt_tokens=load.pending_prompt_tokens,
+            fail_odds=odds,
+            is_cooling_down=self.reliability.is_cooling_down(runner.id, now_ms),
+            wait_ms=self.backpressure.wait_ms(runner, now_ms),
+            has_idle_connection=self.pool.has_idle((runner.host, runner.port)))
 
     def _find_runner(
             self, one: relay.Relay, service: model.Service,
--- a/tests/gateway/requests/test_placing.py
+++ b/tests/gateway/requests/test_placing.py
@@ -5,7 +5,7 @@
 import random
 
 from cardamommill.domain import model
-from cardamommill.gateway.requests import placing
+from cardamommill.gateway.requests import enginetimes, placing
 from tests.gateway import builders
 
 ENGINE = builders.engine()
@@ -180,7 +180,7 @@
                     candidate("b", 40, deferred=7),
                     requirements=placing.Requirements(300.0, 1600.0, 8000.0,
                                                       0.0))
-    one_pass_ms = placing.pass_ms(ENGINE, 13, 1.0)
+    one_pass_ms = enginetimes.pass_ms(ENGINE, 13, 1.0)
     # 28 of the 40 requests must end before the next one gets a place.
     queue_ms = 28 * 180 / ENGINE.stride * one_pass_ms / 13
     assert queue_ms - 300 < refused.retry_after_ms < queue_ms + 300
