--- a/cardamommill/gateway/fleet/succession.py
+++ b/cardamommill/gateway/fleet/succession.py
@@ -40,6 +40,11 @@
         entries = []
         kept = set()
         for runner in runners:
+            if self._newest.get(runner.instance) == runner.id:
+                # Nearly all entries of each read; the list is read several
+                # times a second.
+                entries.append(runner)
+                continue
             newest = self._record(runner.instance)
             if newest is None or not runner.is_former_of(newest.runner):
                 entries.append(runner)
@@ -54,10 +59,11 @@
         Returns:
             The incarnation that it replaces, if any.
         """
-        former = self._record(runner.instance)
-        self._newest[runner.instance] = runner.id
-        if former is None or former.runner.id == runner.id:
+        instance = runner.instance
+        if self._newest.get(instance) == runner.id:
             return None
+        former = self._record(instance)
+        self._newest[instance] = runner.id
         return former
 
     def forget(self, runner: model.Runner) -> None:
