Leave room for sections in datagrams full of load sums

Cause: sections were left out before loads. The load sums of 26 data centres exceed a datagram, so a reporter would never have relayed which groups planners closed. Ruled out: dropping loads first whatever the sections take, since a large section would then hide the loads.

Change: sections may take 300 B; loads fill the rest.

Measurement: tests/gateway/nodes/test_peermessage.py: with 700 load sums, a closed group was left out before and is passed on now, beside more than 40 sums.

--- a/cardamommill/gateway/nodes/peermessage.py
+++ b/cardamommill/gateway/nodes/peermessage.py
@@ -14,6 +14,9 @@
 
 # Larger datagrams are fragmented, and losing one fragment loses all of them.
 MAX_DATAGRAM_BYTES = 1400
+# Sections may take this much. The load sums of many data centres fill the rest
+# of a datagram, and must not crowd out the groups that planners closed.
+MAX_SECTIONS_BYTES = 300
 # A message without sections is sent in the format before the newest, so that
 # nodes of the former version understand it.
 FORMAT = 6
@@ -139,27 +142,31 @@
 def encode_body(message: PeerMessage) -> EncodedBody:
     """Returns the body for all receivers.
 
-    What does not fit is left out: first sections, from the last one, then
-    loads.
+    What does not fit is left out: sections beyond `MAX_SECTIONS_BYTES`, from
+    the last one, then loads.
     """
     in_flight = [[key.name, key.epoch, *_load_fields(load)]
                  for key, load in message.in_flight.items()]
     load_sums = [[short_id, *_load_fields(load)] for short_id, load in (
         message.load_sums.loads.items() if message.load_sums else ())]
-    sections = dict(message.sections)
+    sections = _fitting_sections(message.sections)
     while True:
         data = _pack(message, in_flight, load_sums, sections)
-        if len(data) <= MAX_DATAGRAM_BYTES - _HEADER.size or not (
-                in_flight or load_sums or sections):
+        if len(data) <= MAX_DATAGRAM_BYTES - _HEADER.size or not (in_flight or
+                                                                  load_sums):
             return EncodedBody(FORMAT if sections else FORMAT_WITHOUT_SECTIONS,
                                data)
-        if sections:
-            sections.popitem()
-            continue
         in_flight = in_flight[:len(in_flight) * 3 // 4]
         load_sums = load_sums[:len(load_sums) * 3 // 4]
 
 
+def _fitting_sections(sections: dict[str, Any]) -> dict[str, Any]:
+    fitting = dict(sections)
+    while fitting and len(msgpack.packb(fitting)) > MAX_SECTIONS_BYTES:
+        fitting.popitem()
+    return fitting
+
+
 def _load_fields(load: inflight.GroupLoad) -> list[int]:
     return [load.requests, load.deferred, load.pending_prompt_tokens]
 
--- a/tests/gateway/nodes/test_peermessage.py
+++ b/tests/gateway/nodes/test_peermessage.py
@@ -94,18 +94,33 @@
                            "peer")
 
 
-def test_last_sections_are_left_out_of_a_full_datagram():
+def test_last_sections_are_left_out_beyond_their_bytes():
     sent = test_peers.message("n",
                               "a",
                               sections={
-                                  "first": [1] * 400,
-                                  "last": [2] * 1400
+                                  "first": [1] * 200,
+                                  "last": [2] * 200
                               })
     data = encoded(sent)
     assert len(data) <= peermessage.MAX_DATAGRAM_BYTES
     assert list(peermessage.decode(data, "peer").sections) == ["first"]
 
 
+def test_load_sums_of_many_data_centres_leave_room_for_sections():
+    """A reporter's load sums fill each datagram at the largest fleet."""
+    sums = loadsums.LoadSums(
+        40.0, {number: inflight.GroupLoad(9, 9, 9999) for number in range(700)})
+    sent = test_peers.message("n",
+                              "a",
+                              load_sums=sums,
+                              sections={"closed": [["group-1", 7]]})
+    data = encoded(sent)
+    assert len(data) <= peermessage.MAX_DATAGRAM_BYTES
+    received = peermessage.decode(data, "peer")
+    assert received.sections == sent.sections
+    assert len(received.load_sums.loads) > 40
+
+
 @pytest.mark.parametrize("load_sums",
                          [[1.0], [1.0, [[3, 1]]], [1.0, [["x", 1, 0, 0]]],
                           ["x", []], 7, [1.0, [[3, 1, 0, 0, 9]]]])
