Announce a closed group only once its head has accepted the order

Cause: a group was announced as closed before the order was sent. If the head refused the order, all nodes left out a group that went on serving, for a drain bound. Ruled out: a second announcement that takes the first one back, which can be lost as well.

Change: the announcement follows the accepted order. Where it is lost, or the planner ends before it, nodes learn from the head's 421.

Measurement: tests/gateway/shell/test_closedgroups.py and test_dispatcher.py: an order that is refused, in conflict or unanswered announces nothing; a 421 marks the group as down for a drain bound; a lost datagram is made good by a reporter.

--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -90,9 +90,8 @@
 
     def _execute(self, action: planning.Action) -> None:
         if isinstance(action, orders.Order):
-            self._announce_if_closed(action)
             self.planner.sent(action.runner)
-            self._spawn(self._send_order(action))
+            self._spawn(self.send_order(action))
         elif isinstance(action, planning.Probe):
             self._spawn(self._run_probe(action))
         elif isinstance(action, planning.ReadList):
@@ -106,15 +105,21 @@
                           took_ms=int(action.took_ms)))
             self._on_opened(action.key, action.model, action.head)
 
-    def _announce_if_closed(self, order: orders.Order) -> None:
-        """Announces a group whose head is ordered to close or to leave."""
-        known = self._view.known.get(order.runner)
-        membership = known.membership if known is not None else None
+    def _announce_if_closed(self, order: orders.Order,
+                            known: fleetview.RunnerRecord) -> None:
+        """Announces a group whose head accepted an order to close or to leave.
+
+        An order that was refused has closed nothing. After one without an
+        answer, and if this node ends before its announcement, other nodes learn
+        from the head's refusals.
+        """
+        membership = known.membership
         if (order.operation in _ENDING_OPERATIONS and membership is not None and
                 membership.rank == 0 and membership.key == order.group):
             self.on_closed(membership.key)
 
-    async def _send_order(self, order: orders.Order) -> None:
+    async def send_order(self, order: orders.Order) -> None:
+        """Sends an order and records its outcome."""
         known = self._view.known.get(order.runner)
         if known is None or not known.listed:
             # The instance's next incarnation would take the order for its own.
@@ -129,6 +134,7 @@
         if reply is ordercalls.OrderReply.ENDED:
             self._record_ended(order.runner, now_ms)
         if accepted:
+            self._announce_if_closed(order, known)
             self._record_accepted(order, known, reply, now_ms)
             self.planner.accepted(order, now_ms)
         else:
--- a/tests/gateway/shell/test_closedgroups.py
+++ b/tests/gateway/shell/test_closedgroups.py
@@ -3,8 +3,10 @@
 import pytest
 
 from cardamommill.domain import model, orders
+from cardamommill.experiment import virtualloop
 from cardamommill.gateway.fleet import availablegroups, fleetview
 from cardamommill.gateway.shell import alarms, closedgroups, groupcontroller
+from cardamommill.platform import ordercalls
 from cardamommill.transport import upstream
 from tests.gateway import builders
 from tests.gateway.nodes import test_peers
@@ -62,13 +64,8 @@
     assert not groups.is_down(model.GroupKey("g", 1), 0.0)
 
 
-@pytest.mark.parametrize("rank,operation,announced",
-                         [(0, orders.Operation.CLOSE, True),
-                          (0, orders.Operation.LEAVE, True),
-                          (1, orders.Operation.LEAVE, False),
-                          (0, orders.Operation.OPEN, False)])
-def test_group_is_announced_when_its_head_is_ordered_to_stop(
-        rank, operation, announced):
+def give_order(monkeypatch, rank, operation, reply):
+    """Sends an order to a group's member; returns the announced groups."""
     view = builders.view(
         builders.runner(1,
                         membership=builders.member(KEY, rank, STATE.OPEN),
@@ -79,5 +76,49 @@
                                                  lambda: None,
                                                  lambda work: work.close())
     controller.on_closed = found.append
-    controller._execute(orders.Order("i-1", operation, KEY))
+
+    async def answer(*_):
+        return reply, ""
+
+    async def probe(*_):
+        return True
+
+    monkeypatch.setattr(ordercalls, "send_order", answer)
+    monkeypatch.setattr(controller, "probe", probe)
+    order = orders.Order("i-1", operation, KEY)
+    with virtualloop.running(1) as loop:
+        loop.run_until_complete(controller.send_order(order))
+    return found
+
+
+@pytest.mark.parametrize("rank,operation,announced",
+                         [(0, orders.Operation.CLOSE, True),
+                          (0, orders.Operation.LEAVE, True),
+                          (1, orders.Operation.LEAVE, False),
+                          (0, orders.Operation.OPEN, False)])
+def test_group_is_announced_when_its_head_stops(monkeypatch, rank, operation,
+                                                announced):
+    found = give_order(monkeypatch, rank, operation,
+                       ordercalls.OrderReply.BEGUN)
     assert found == ([KEY] if announced else [])
+
+
+@pytest.mark.parametrize("reply", [
+    ordercalls.OrderReply.UNFIT, ordercalls.OrderReply.REFUSED,
+    ordercalls.OrderReply.UNKNOWN
+])
+def test_group_whose_head_did_not_accept_the_order_is_not_announced(
+        monkeypatch, reply):
+    """All nodes would leave out a group that goes on serving."""
+    assert not give_order(monkeypatch, 0, orders.Operation.CLOSE, reply)
+
+
+def test_announcement_by_way_of_another_data_centre_survives_one_lost_path():
+    """The planner's datagrams to one node are lost; a reporter relays them."""
+    _, planner = node()
+    _, reporter = node()
+    groups, other = node()
+    planner.note(KEY, 0.0)
+    assert reporter.receive(message(planner.section(10.0)), True, 20.0)
+    assert other.receive(message(reporter.section(30.0)), False, 40.0)
+    assert groups.is_down(KEY, 50.0)
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -13,6 +13,7 @@
     freshness,
     placing,
     routetable,
+    streamprogress,
 )
 from cardamommill.gateway.shell import attempts, dispatcher, relay
 from cardamommill.transport import upstream
@@ -51,6 +52,8 @@
     service = "llm"
     attempt_id = "a1"
     attempted = ()
+    request_tokens = placing.RequestTokens(10, 10)
+    progress = streamprogress.StreamProgress(None)
 
 
 class Node:
@@ -82,6 +85,27 @@
                 attempts.Outcome(attemptresult.Result.ANSWERED, head=head))
 
 
+@pytest.mark.parametrize("status,is_down", [(421, True), (503, False)])
+def test_group_whose_head_has_left_gets_nothing_more(status, is_down):
+    """The announcement was lost, or the planner died before sending it.
+
+    Until the list shows it, the empty group would attract all requests.
+    """
+    node, key = Node(), model.GroupKey("g", 1)
+    known = next(iter(node.requests._view.known.values()))
+    one = Request()
+    with clock.override(lambda: 1000.0):
+        target = relay.Target(known, key)
+        node.requests.on_attempt_start(one, target, False)
+        node.requests.on_attempt_end(
+            one, target,
+            attempts.Outcome(attemptresult.Result.NOT_RUN,
+                             head=upstream.Head(status, [])))
+    groups, drain_ms = node.requests.available_groups, 2000.0
+    assert groups.is_down(key, 1000.0 + drain_ms - 1) is is_down
+    assert not groups.is_down(key, 1000.0 + drain_ms)
+
+
 @pytest.mark.parametrize("repeat", [False, True])
 def test_attempt_at_a_cold_runner_takes_a_token(repeat):
     """If only first attempts did, retries would come on top of the rate."""
