Use the field's terms in the new modules

Cause: names such as WidestMembership, plainids, homes and told needed explaining, slots were called places in placement, a data centre was a place in planning scopes, and one field held a rate in one class and a count in another.

Change: names and comments alone, but for counts, which get a class of their own. Decisions under load name the load that they answer.

--- a/cardamommill/experiment/placerules.py
+++ b/cardamommill/experiment/datacentrerules.py
@@ -5,11 +5,11 @@
 from cardamommill.domain import clock
 
 
-class PlaceRules:
-    """Records evacuations and homes, and checks requests that arrive."""
+class DataCentreRules:
+    """Checks requests against evacuations and allowed regions."""
 
     def __init__(self, evacuate_ms: float) -> None:
-        """Initialises the instance without evacuations and homes.
+        """Initialises the instance without evacuations and allowed regions.
 
         Args:
             evacuate_ms: Requests that reach a runner later than this after its
@@ -19,8 +19,8 @@
         self._evacuated_ms: dict[str, float] = {}
         # The data centres in which requests of each path prefix, and of each
         # client account, may run; those without an entry may run in all.
-        self.route_homes: dict[str, frozenset[str]] = {}
-        self.account_homes: dict[str, frozenset[str]] = {}
+        self.route_data_centres: dict[str, frozenset[str]] = {}
+        self.account_data_centres: dict[str, frozenset[str]] = {}
 
     def record_evacuation(self, place: str) -> None:
         """Records that the store acknowledged an evacuation."""
@@ -48,11 +48,11 @@
         if (since_ms is not None and
                 clock.now_ms() > since_ms + self._evacuate_ms):
             yield "EVAC", f"reached {place}, which is evacuated"
-        homes = [self.account_homes[tenant]
-                ] if tenant in self.account_homes else []
-        homes += [
-            each for prefix, each in self.route_homes.items()
+        allowed = [self.account_data_centres[tenant]
+                  ] if tenant in self.account_data_centres else []
+        allowed += [
+            each for prefix, each in self.route_data_centres.items()
             if target.startswith(prefix)
         ]
-        if any(place not in each for each in homes):
-            yield "HOME", f"reached {place}, which is no home"
+        if any(place not in each for each in allowed):
+            yield "HOME", f"reached {place}, which is in no allowed region"
--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -208,7 +208,8 @@
             } for name, owned in tenants.items()],
         }
 
-    def homes(self, allowed_regions: tuple[str, ...]) -> frozenset[str]:
+    def data_centres_in(self, allowed_regions: tuple[str,
+                                                     ...]) -> frozenset[str]:
         """Returns the data centres of some regions."""
         return frozenset(place for place in self.places
                          if self.regions.get(place) in allowed_regions)
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from cardamommill.domain import clock, model
-from cardamommill.experiment import placerules
+from cardamommill.experiment import datacentrerules
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
@@ -138,7 +138,7 @@
                           list[RestPeriod]] = collections.defaultdict(list)
         # By runner and machine.
         self._leaving_informed_ms: dict[tuple[str, str], float] = {}
-        self.place_rules = placerules.PlaceRules(limits.evacuate_ms)
+        self.place_rules = datacentrerules.DataCentreRules(limits.evacuate_ms)
         # Loads are checked only while the platform's store is available.
         self.counts_loads = True
 
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -111,7 +111,7 @@
         self.run_oracle = oracle.Oracle(
             oracle.Limits(deployment.engine.loads_per_s,
                           cold_per_s=deployment.cold_per_s))
-        self._record_homes()
+        self._record_allowed_regions()
         self.keys = [(f"tenant{number % deployment.tenants}", f"key{number}")
                      for number in range(2 * deployment.tenants)]
         self.all_keys = list(self.keys)
@@ -133,14 +133,16 @@
         self._count = 0
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def _record_homes(self) -> None:
+    def _record_allowed_regions(self) -> None:
         rules = self.run_oracle.place_rules
         for spec in self.deployment.kinds:
             if spec.allowed_regions:
-                rules.route_homes[f"/{spec.name}/"] = self.deployment.homes(
-                    spec.allowed_regions)
+                rules.route_data_centres[
+                    f"/{spec.name}/"] = self.deployment.data_centres_in(
+                        spec.allowed_regions)
         for name, allowed in self.deployment.account_regions.items():
-            rules.account_homes[name] = self.deployment.homes(allowed)
+            rules.account_data_centres[name] = self.deployment.data_centres_in(
+                allowed)
 
     def _configuration_bytes(self) -> bytes:
         import json
--- a/cardamommill/gateway/fleet/coldness.py
+++ b/cardamommill/gateway/fleet/coldperiods.py
@@ -1,6 +1,6 @@
 """Evidence of which runners are cold, and until when.
 
-A runner tells in its row of the runner list, and in its answers, for how much
+A runner states in its row of the runner list, and in its answers, for how much
 longer it is cold. Both are counted from when this node reads them, so that the
 time is never too short.
 """
@@ -32,7 +32,7 @@
         return max(self.row_until_ms, self.answer_until_ms)
 
 
-class ColdEvidence:
+class ColdPeriods:
     """The cold runners that this node knows of, by runner ID."""
 
     def __init__(self) -> None:
--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -6,10 +6,10 @@
 
 from cardamommill.domain import model
 from cardamommill.gateway.fleet import (
-    coldness,
+    coldperiods,
+    incarnationindex,
     memberships,
     runnerrecord,
-    succession,
 )
 
 # How long a runner that left the list is kept. It may still be probed, since
@@ -78,8 +78,8 @@
     def __init__(self) -> None:
         # By incarnation id.
         self.known: dict[str, RunnerRecord] = {}
-        self.cold = coldness.ColdEvidence()
-        self.succession = succession.Succession(self.known)
+        self.cold_periods = coldperiods.ColdPeriods()
+        self.incarnations = incarnationindex.IncarnationIndex(self.known)
         # Called with each incarnation that is found to have ended.
         self.on_ended: Callable[[RunnerRecord], None] = _ignore
         # Incremented with each change, so that derived data can be cached.
@@ -112,11 +112,11 @@
         self.list_as_of_ms = as_of_ms
         self.version += 1
         changes: list[tuple[str, str]] = []
-        entries, listed_ids = self.succession.current(runners)
+        entries, listed_ids = self.incarnations.current(runners)
         for runner in entries:
             listed_ids.add(runner.id)
             changes += self._apply_entry(runner, as_of_ms, read_ms or as_of_ms)
-            former = self.succession.succeed(runner)
+            former = self.incarnations.succeed(runner)
             if former is not None:
                 self._end(former, as_of_ms)
                 changes.append((former.runner.id, f"restarted as {runner.id}"))
@@ -127,7 +127,7 @@
                 known.listed = False
                 changes.append((runner_id, "left the list"))
             if as_of_ms - known.listed_ms > DELISTED_RETENTION_MS:
-                self.succession.forget(known.runner)
+                self.incarnations.forget(known.runner)
                 del self.known[runner_id]
         return changes
 
@@ -162,7 +162,7 @@
                     runner.status))
             self.known[runner.id] = known
             self._update_last_model(known)
-            self.cold.receive_row(runner, float("-inf"), read_ms)
+            self.cold_periods.receive_row(runner, float("-inf"), read_ms)
             yield runner.id, "listed"
         if known.has_ended:
             # The list doesn't hold the row of its next incarnation yet.
@@ -182,7 +182,7 @@
         if not known.is_leaving:
             known.leaving_ms = 0.0
         if has_changed:
-            self.cold.receive_row(runner, last_listed_ms, read_ms)
+            self.cold_periods.receive_row(runner, last_listed_ms, read_ms)
             self._apply_changed_row(known, runner.status, previous,
                                     last_listed_ms, as_of_ms)
 
--- a/cardamommill/gateway/fleet/succession.py
+++ b/cardamommill/gateway/fleet/incarnationindex.py
@@ -10,7 +10,7 @@
 from cardamommill.gateway.fleet import runnerrecord
 
 
-class Succession:
+class IncarnationIndex:
     """The newest known incarnation by instance."""
 
     def __init__(self, known: dict[str, runnerrecord.RunnerRecord]) -> None:
--- a/cardamommill/gateway/groups/planning.py
+++ b/cardamommill/gateway/groups/planning.py
@@ -91,7 +91,7 @@
         is_before_traffic: Whether no request has arrived yet; loading a model
             takes less time then.
         loads: The requests of all nodes at each group.
-        places: The names of all data centres, whoever plans for them.
+        all_data_centres: The names of all data centres, whoever plans for them.
         evacuated: The evacuated data centres, which get no orders from any
             planner.
     """
@@ -100,7 +100,7 @@
     count: int
     is_before_traffic: bool
     loads: dict[model.GroupKey, inflight.GroupLoad]
-    places: tuple[str, ...] = ()
+    all_data_centres: tuple[str, ...] = ()
     evacuated: frozenset[str] = frozenset()
 
     def without_evacuated(self) -> "Scope":
--- a/cardamommill/gateway/groups/rebalancing.py
+++ b/cardamommill/gateway/groups/rebalancing.py
@@ -200,7 +200,7 @@
     for group in idle:
         assert group.head is not None
         counts[group.head.runner.data_centre] += 1
-    before = [each for each in scope.places if each < place]
+    before = [each for each in scope.all_data_centres if each < place]
     return 1 + sum(counts[each] > given for each in before)
 
 
--- a/cardamommill/gateway/nodes/plainids.py
+++ b/cardamommill/gateway/nodes/instanceids.py
@@ -59,7 +59,7 @@
     named = incarnations.parse(runner)
     if named.born_ms is not None:
         return None
-    listed = view.succession.listed_id(named.instance)
+    listed = view.incarnations.listed_id(named.instance)
     return None if listed == runner else listed
 
 
--- a/cardamommill/gateway/nodes/widestmembership.py
+++ b/cardamommill/gateway/nodes/knownnodes.py
@@ -1,4 +1,4 @@
-"""The widest membership that a node knows of, by data centre.
+"""All nodes that a node has ever received from or read of, by data centre.
 
 Unlike the live nodes, it keeps nodes that this node can't hear at the moment.
 Nodes that are cut off from each other thus still agree on it.
@@ -15,7 +15,7 @@
 UNHEARD_RETENTION_MS = 600_000.0
 
 
-class WidestMembership:
+class KnownNodes:
     """All nodes that were ever heard or read of, and have not expired."""
 
     def __init__(self, node: str, data_centre: str) -> None:
@@ -55,7 +55,7 @@
 
         Returns:
             The names; None if this node has not read the table of nodes yet.
-            It then can't tell how many other nodes there are.
+            It then does not know how many others there are.
         """
         if not self._has_read_table:
             return None
--- a/cardamommill/gateway/nodes/peers.py
+++ b/cardamommill/gateway/nodes/peers.py
@@ -8,8 +8,8 @@
 from cardamommill.gateway.fleet import inflight, loadsums
 from cardamommill.gateway.nodes import (
     election,
+    knownnodes,
     peermessage,
-    widestmembership,
 )
 
 Address = tuple[str, int]
@@ -139,7 +139,7 @@
         self._election = election.Election(node, data_centre)
         self._loads: dict[model.GroupKey, inflight.GroupLoad] = {}
         self.peers: dict[Address, Peer] = {}
-        self.widest = widestmembership.WidestMembership(node, data_centre)
+        self.known_nodes = knownnodes.KnownNodes(node, data_centre)
         # Whether this node reports the load of its data centre, and the
         # reporters of remote data centres that receive these reports.
         self.is_reporter = False
--- a/cardamommill/gateway/requests/admissionlevel.py
+++ b/cardamommill/gateway/requests/admissionlevel.py
@@ -1,5 +1,8 @@
 """Decides which requests a model takes while callers compete for its groups.
 
+The load that it answers: a burst of the least urgent requests, then of the most
+urgent, with callers who repeat refused requests at once.
+
 The most urgent priority comes first. What it leaves, the next one gets, and the
 client accounts of one priority get max-min fair shares. Each source of requests
 is admitted with a probability, which follows from the rates of all sources at
@@ -24,7 +27,7 @@
 # groups full while others have free slots.
 RESERVED_DEVIATIONS = 1.25
 # Less urgent requests in a group's queue that a more urgent one disregards, as
-# a fraction of the group's places. It overtakes them in the queue; if they
+# a fraction of the group's slots. It overtakes them in the queue; if they
 # counted, all nodes would send urgent requests to the few groups without one.
 OVERTAKEN_PART = 0.7
 # Time in which unused slots are filled, or excess requests are drained. It is
@@ -67,14 +70,14 @@
     """The load of a model's groups.
 
     Attributes:
-        places: Number of requests that a group runs concurrently.
+        slots_per_group: Number of requests that a group runs concurrently.
         groups: Number of groups.
         in_flight: Number of requests of all nodes at its groups, without
             deferred ones.
         demand: The demand at all nodes.
     """
 
-    places: int
+    slots_per_group: int
     groups: int
     in_flight: int
     demand: competingdemand.ModelDemand
@@ -82,7 +85,7 @@
     @property
     def slots(self) -> int:
         """Number of requests that all groups run concurrently."""
-        return self.places * self.groups
+        return self.slots_per_group * self.groups
 
     @property
     def offered(self) -> dict[competingdemand.Source, float]:
@@ -203,7 +206,8 @@
         slots for each, slots in offered.items() if each.priority > priority)
     if not state.groups or sum(offered.values()) - lower > state.slots:
         return 0
-    return round(min(OVERTAKEN_PART * state.places, lower / state.groups))
+    return round(
+        min(OVERTAKEN_PART * state.slots_per_group, lower / state.groups))
 
 
 def _is_contended(state: ModelState, offered: dict[competingdemand.Source,
--- a/cardamommill/gateway/requests/competingdemand.py
+++ b/cardamommill/gateway/requests/competingdemand.py
@@ -21,7 +21,7 @@
 # Counts of a node that sends no new ones are dropped after this long: three
 # lost datagrams at an interval of 0.6 s.
 COUNTS_LIFETIME_MS = 2000.0
-# A node that hears nobody uses the last known counts for this long.
+# A node that receives nothing uses the last known counts for this long.
 ISOLATED_LIFETIME_MS = 5000.0
 # How often the sums over other nodes are computed.
 SUM_INTERVAL_MS = 60.0
@@ -110,18 +110,31 @@
         return found
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ModelCounts:
+    """Requests for a model at one node in the last second.
+
+    Attributes:
+        hold_ms: Mean time that a request stays at a group; 0 if unknown.
+        counts: Number of requests.
+    """
+
+    hold_ms: float
+    counts: Mapping[Source, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _NodeCounts:
     """Counts of another node, by model, and when they were received."""
 
     received_ms: float
-    models: Mapping[int, ModelDemand]
+    models: Mapping[int, _ModelCounts]
 
 
 class _AccountShares:
     """Smooths the accounts' parts in the demand of each priority.
 
-    The counts of one account over a second are so small that they don't tell
+    The counts of one account over a second are too small to show
     whether it asks for more than its share.
     """
 
@@ -225,7 +238,7 @@
 
         Args:
             model: The hash of the model.
-            scale: Number of all nodes per node that tells its counts.
+            scale: Number of all nodes per node that reports its counts.
             now_ms: The time.
         """
         if now_ms - self._summed_ms > SUM_INTERVAL_MS:
@@ -249,8 +262,8 @@
                         default=float("-inf"))
         if now_ms - newest_ms > ISOLATED_LIFETIME_MS:
             self._nodes.clear()
-        # Ages are relative to the newest counts: a node that hears nobody
-        # keeps what it knew last.
+        # Ages are relative to the newest counts: a node that receives
+        # nothing keeps the last ones.
         self._nodes = {
             node: each
             for node, each in self._nodes.items()
@@ -258,13 +271,12 @@
         }
         self._sums = {}
         for each in self._nodes.values():
-            for model, told in each.models.items():
+            for model, reported in each.models.items():
                 counts, holds_ms = self._sums.setdefault(
                     model, (collections.Counter(), []))
-                for source, count in told.per_s.items():
-                    counts[source] += int(count)
-                if told.hold_ms:
-                    holds_ms.append(told.hold_ms)
+                counts.update(reported.counts)
+                if reported.hold_ms:
+                    holds_ms.append(reported.hold_ms)
 
 
 def _limited(counts: collections.Counter[Source]) -> list[tuple[Source, int]]:
@@ -278,7 +290,7 @@
     return kept.most_common()
 
 
-def _decode(data: object) -> dict[int, ModelDemand]:
+def _decode(data: object) -> dict[int, _ModelCounts]:
     if not isinstance(data, bytes):
         raise TypeError(f"demand is {type(data).__name__}, no bytes")
     found = {}
@@ -286,12 +298,12 @@
     while offset < len(data):
         model, hold_ms, entries = _MODEL.unpack_from(data, offset)
         offset += _MODEL.size
-        counts: dict[Source, float] = {}
+        counts: dict[Source, int] = {}
         for _ in range(entries):
             account, priority, count = _ENTRY.unpack_from(data, offset)
             offset += _ENTRY.size
             if priority > _MAX_PRIORITY:
                 raise ValueError(f"priority {priority} is above 9")
             counts[Source(priority, account)] = count
-        found[model] = ModelDemand(hold_ms, counts)
+        found[model] = _ModelCounts(hold_ms, counts)
     return found
--- a/cardamommill/gateway/requests/eligibility.py
+++ b/cardamommill/gateway/requests/eligibility.py
@@ -6,8 +6,8 @@
 from cardamommill.domain import model
 
 # When a caller may come back whose request may go to no data centre: the
-# operator ends an evacuation, or the runners of its homes come back, not within
-# the time for which full groups are waited for.
+# operator ends an evacuation, or the runners in its allowed regions come back,
+# not within the time for which full groups are waited for.
 RETRY_AFTER_MS = 1000.0
 
 
@@ -16,23 +16,23 @@
     """The data centres to which a request may go.
 
     Attributes:
-        homes: Those in which it may run, whether evacuated or not; None for no
-            restriction.
+        allowed: Those in its allowed regions, whether evacuated or not; None
+            for no restriction.
         evacuated: The evacuated ones.
     """
 
-    homes: frozenset[str] | None
+    allowed: frozenset[str] | None
     evacuated: frozenset[str]
 
     @property
     def is_unrestricted(self) -> bool:
         """Whether the request may go to any data centre."""
-        return self.homes is None and not self.evacuated
+        return self.allowed is None and not self.evacuated
 
     def allows(self, data_centre: str) -> bool:
         """Whether the request may go to a data centre."""
         return (data_centre not in self.evacuated and
-                (self.homes is None or data_centre in self.homes))
+                (self.allowed is None or data_centre in self.allowed))
 
     def allows_all(self, data_centres: Iterable[str]) -> bool:
         """Whether the request may go to each of some data centres."""
@@ -40,8 +40,10 @@
 
     @property
     def refusal_reason(self) -> str:
-        """The reason for a refusal; callers get it, so it names no places."""
-        reason = "no runner" if self.homes is None else "no runner in its homes"
+        """The reason for a refusal, which names no data centre to callers."""
+        reason = "no runner"
+        if self.allowed is not None:
+            reason += " in the allowed regions"
         if not self.evacuated:
             return reason
         return f"{reason} outside evacuated data centres"
@@ -55,8 +57,7 @@
                                                        str]) -> Eligibility:
     """Returns the data centres to which a request may go.
 
-    Where both the route and the client account have homes, both restrictions
-    apply. A data centre whose region the settings don't give is no home.
+    Where the route and the client account both restrict them, both apply. A data centre whose region the settings don't give is in none.
 
     Args:
         route: The route of the request.
@@ -71,6 +72,6 @@
     ]
     if not restrictions:
         return Eligibility(None, evacuated) if evacuated else UNRESTRICTED
-    homes = frozenset(data_centre for data_centre, region in regions.items()
-                      if all(region in allowed for allowed in restrictions))
-    return Eligibility(homes, evacuated)
+    allowed = frozenset(data_centre for data_centre, region in regions.items()
+                        if all(region in each for each in restrictions))
+    return Eligibility(allowed, evacuated)
--- a/cardamommill/gateway/requests/placing.py
+++ b/cardamommill/gateway/requests/placing.py
@@ -1,4 +1,8 @@
-"""Chooses the group that serves a request, or refuses the request."""
+"""Chooses the group that serves a request, or refuses the request.
+
+The loads that it answers: more requests than the groups can take, also while
+some groups are dead, and many nodes that choose by reports of some age.
+"""
 
 from collections.abc import Callable, Iterable
 import dataclasses
@@ -6,7 +10,7 @@
 from cardamommill.domain import model
 from cardamommill.gateway.requests import enginetimes, reliability, silence
 
-# Maximum number of deferred requests at a group, as a fraction of its places:
+# Maximum number of deferred requests at a group, as a fraction of its slots:
 # more would not be served before their callers leave.
 PATIENT_PART = 0.5
 # Much larger than the other costs, so an avoided group is chosen only if no
@@ -46,7 +50,7 @@
         key: The group's key.
         head: The id of the runner that is the group's head.
         in_flight: Number of requests of all nodes, without deferred ones.
-        places: Maximum number of requests that run concurrently.
+        slots: Maximum number of requests that run concurrently.
         pace: Factor on all durations, from the model and from slow members.
         is_remote: Whether the group is in another data centre.
         is_avoided: Whether the group was recently found silent, has a leaving
@@ -69,7 +73,7 @@
     key: model.GroupKey
     head: str
     in_flight: int
-    places: int
+    slots: int
     pace: float
     is_remote: bool
     is_avoided: bool
@@ -162,7 +166,7 @@
 
     Assumes a constant load, so that the reported requests are replaced by as
     many others within the duration of a request. The duration is that of a
-    usual answer with half of the places in use.
+    usual answer with half of the slots in use.
 
     Args:
         engine: The engine's cost model.
@@ -267,9 +271,8 @@
         each for each in placed if each.first_event_ms <= requirements.goal_ms
     ]
     deferrable = [
-        each for each in placed
-        if each.candidate.deferred < PATIENT_PART * each.candidate.places and
-        each.first_event_ms <= requirements.max_wait_ms
+        each for each in placed if each.candidate.deferred < PATIENT_PART *
+        each.candidate.slots and each.first_event_ms <= requirements.max_wait_ms
     ]
     for wanted in (_finishes_by_deadline(requirements), _any_group):
         chosen = [each for each in meeting_goal if wanted(each)]
@@ -377,22 +380,22 @@
 def _deferred_cost(placed: Placed) -> tuple[bool, float]:
     candidate = placed.candidate
     return (candidate.is_avoided, (candidate.in_flight + candidate.deferred) *
-            candidate.pace / candidate.places + candidate.fail_odds)
+            candidate.pace / candidate.slots + candidate.fail_odds)
 
 
 def _estimate(engine: model.Engine, counts: RequestTokens, candidate: Candidate,
               overhead_ms: float) -> Placed:
-    running = min(candidate.in_flight, candidate.places)
+    running = min(candidate.in_flight, candidate.slots)
     one_pass_ms = enginetimes.pass_ms(engine, running + 1, candidate.pace)
     own_prefill_ms = enginetimes.prefill_ms(engine, counts.prompt_tokens,
                                             candidate.pace)
     pending_ms = candidate.pending_prompt_tokens / engine.read_tokens_per_ms * (
         candidate.pace)
-    queued = candidate.in_flight - candidate.places + 1
+    queued = candidate.in_flight - candidate.slots + 1
     queue_ms = 0.0
     if queued > 0:
         passes = engine.usual_answer_tokens / engine.stride
-        queue_ms = queued * passes * one_pass_ms / candidate.places
+        queue_ms = queued * passes * one_pass_ms / candidate.slots
     # On average the request waits for half of the current pass, and the next
     # pass produces its first event.
     first_ms = (overhead_ms + 1.5 * one_pass_ms + own_prefill_ms + pending_ms +
--- a/cardamommill/gateway/requests/slowstart.py
+++ b/cardamommill/gateway/requests/slowstart.py
@@ -1,9 +1,12 @@
 """Slow start of cold runners, which all nodes share.
 
+The load that it answers: a data centre that comes back whole and cold under
+full traffic, whose idle groups attract the requests of all nodes.
+
 In any one second, a cold runner may get a bounded number of requests from all
 nodes together. A few nodes of its data centre, the senders, each have a fixed
 share of the rate that needs no answer from the others. They are chosen by a
-hash from the widest known membership. Two parts of a data centre that can't
+hash from all nodes ever known. Two parts of a data centre that can't
 hear each other may choose two disjoint sets of senders, so that each set may
 use half of the bound. The share of a dead sender is lost: if it were given to
 another node, both parts would give it away.
@@ -14,7 +17,7 @@
 
 from cardamommill import units
 from cardamommill.domain import entrysettings, model
-from cardamommill.gateway.fleet import coldness
+from cardamommill.gateway.fleet import coldperiods
 from cardamommill.gateway.requests import ratesharing
 
 # Disjoint sets of senders that together stay below the bound.
@@ -68,7 +71,7 @@
 class SlowStart:
     """Which runners are cold, and when this node may send to them."""
 
-    def __init__(self, node: str, evidence: coldness.ColdEvidence,
+    def __init__(self, node: str, evidence: coldperiods.ColdPeriods,
                  members: Callable[[str, float], Collection[str] | None],
                  services: Callable[[], Mapping[str, model.Service]],
                  settings: entrysettings.EntrySettings) -> None:
@@ -78,7 +81,7 @@
 
         Args:
             node: This node's name.
-            evidence: What runners tell about being cold.
+            evidence: What runners state about being cold.
             members: Returns the names of all nodes that may be in a data
                 centre at a given time; None while unknown.
             services: Returns the services of the configuration in force.
--- a/cardamommill/gateway/shell/admissioncontrol.py
+++ b/cardamommill/gateway/shell/admissioncontrol.py
@@ -17,11 +17,11 @@
 
 # The name of the demand in `peermessage.PeerMessage.sections`.
 SECTION = "demand"
-# Nodes tell each other their demand for a model while more than this part of
+# Nodes report their demand for a model while more than this part of
 # its slots is in use, so that it is known before callers compete.
-TOLD_PART = 0.5
+REPORTED_PART = 0.5
 # They go on for this long, so that others learn that the demand has ended.
-TOLD_MS = 2000.0
+REPORT_MS = 2000.0
 
 _LOG = logbook.Logger("requests")
 
@@ -67,7 +67,7 @@
         # Separate from the placement's, whose draws stay as they were.
         self._chance = random.Random(f"{node} admission")
         self._demand = competingdemand.CompetingDemand()
-        self._told_until_ms: dict[int, float] = {}
+        self._reported_until_ms: dict[int, float] = {}
         self._names: dict[int, tuple[str, str]] = {}
         # When attempts at groups began, by the id of the request's attempt.
         self._began_ms: dict[object, tuple[int, float]] = {}
@@ -101,8 +101,8 @@
         state = admissionlevel.ModelState(
             engine.slots, len(groups), sum(each.in_flight for each in groups),
             self._demand.demand(identity, self._scale(), now_ms))
-        if state.in_flight > TOLD_PART * state.slots:
-            self._told_until_ms[identity] = now_ms + TOLD_MS
+        if state.in_flight > REPORTED_PART * state.slots:
+            self._reported_until_ms[identity] = now_ms + REPORT_MS
         self._names[identity] = asked.service, asked.model
         decision = admissionlevel.decide(source, state, self._chance.random(),
                                          self._chance.random())
@@ -139,14 +139,16 @@
 
     def sections(self, now_ms: float) -> dict[str, bytes]:
         """Returns the sections of a datagram to a node of this data centre."""
-        told = [
-            identity for identity, until_ms in self._told_until_ms.items()
+        reported = [
+            identity for identity, until_ms in self._reported_until_ms.items()
             if now_ms < until_ms
         ]
-        return {SECTION: self._demand.encode(told, now_ms)} if told else {}
+        return {
+            SECTION: self._demand.encode(reported, now_ms)
+        } if reported else {}
 
     def receive(self, message: peermessage.PeerMessage, now_ms: float) -> None:
-        """Processes the demand that another node told."""
+        """Processes the demand that another node reported."""
         if SECTION not in message.sections:
             return
         try:
@@ -157,7 +159,7 @@
             _LOG.warning(logs.line("demand-refused", reason=str(error)))
 
     def _scale(self) -> float:
-        """Returns the number of all nodes per node that tells its demand.
+        """Returns the number of all nodes per node that reports its demand.
 
         Nodes that are not heard at the moment count too, near and far ones
         alike, so a partition leaves the ratio as it was.
@@ -166,16 +168,16 @@
             each for each in self._peers.peers.values()
             if each.last_message is not None
         ]
-        telling = sum(each.is_near or
-                      self._peers.update_scope(each) is peers.UpdateScope.NEAR
-                      for each in known)
-        return (1 + len(known)) / (1 + telling)
+        reporting = sum(each.is_near or
+                        self._peers.update_scope(each) is peers.UpdateScope.NEAR
+                        for each in known)
+        return (1 + len(known)) / (1 + reporting)
 
     def _samples(self) -> Iterable[metrics.Sample]:
         now_ms = clock.now_ms()
         for identity, (service, model_name) in list(self._names.items()):
             reserved, decided_ms = self._reserved[identity]
-            is_recent = now_ms - decided_ms < TOLD_MS
+            is_recent = now_ms - decided_ms < REPORT_MS
             yield metrics.Sample("admission_reserved_slots",
                                  reserved if is_recent else 0.0,
                                  (("model", model_name), ("service", service)))
@@ -189,7 +191,7 @@
                                decision.retry_after_ms)
     if decision.overtaken:
         candidates = [
-            dataclasses.replace(each, places=each.places + decision.overtaken)
+            dataclasses.replace(each, slots=each.slots + decision.overtaken)
             for each in candidates
         ]
     found = place(candidates)
--- a/cardamommill/gateway/shell/closedgroups.py
+++ b/cardamommill/gateway/shell/closedgroups.py
@@ -30,7 +30,7 @@
         """Initialises the instance without announcements.
 
         Args:
-            available_groups: Told which groups get no requests.
+            available_groups: Updated with the groups that get no requests.
             drain_ms: The time within which the runner list is up to date.
         """
         self._available_groups = available_groups
@@ -82,13 +82,13 @@
         clock.drop_expired(self._closed_ms, float, _EXPIRY_MS, now_ms)
 
 
-def _decode(told: Any) -> list[model.GroupKey]:
+def _decode(section: Any) -> list[model.GroupKey]:
     """Returns the groups of a section, without malformed entries."""
-    if not isinstance(told, list):
+    if not isinstance(section, list):
         return []
     return [
         model.GroupKey(each[0], each[1])
-        for each in told
+        for each in section
         if isinstance(each, list) and len(each) == 2 and
         isinstance(each[0], str) and isinstance(each[1], int)
     ]
--- a/cardamommill/gateway/shell/coldrunners.py
+++ b/cardamommill/gateway/shell/coldrunners.py
@@ -39,7 +39,7 @@
     def receive_answer(self, runner: str, left_ms: float,
                        now_ms: float) -> None:
         """Processes for how much longer a runner is cold, by its answer."""
-        self._view.cold.receive_answer(runner, left_ms, now_ms)
+        self._view.cold_periods.receive_answer(runner, left_ms, now_ms)
 
     def sent(self, attempt: Hashable, runner: str, now_ms: float) -> None:
         """Records an attempt that is sent to a runner."""
--- a/cardamommill/gateway/shell/configurationrows.py
+++ b/cardamommill/gateway/shell/configurationrows.py
@@ -64,8 +64,9 @@
         self._metrics = node_metrics
         self.last_refusal: Refusal | None = None
 
-    def judge(self, value: bytes,
-              row_version: int) -> tuple[Verdict, model.Configuration | None]:
+    def evaluate(
+            self, value: bytes,
+            row_version: int) -> tuple[Verdict, model.Configuration | None]:
         """Returns whether a stored configuration may take effect.
 
         Args:
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -112,8 +112,8 @@
                                                         self._chance)
         self.cold_runners = coldrunners.ColdRunners(
             view,
-            slowstart.SlowStart(settings.node, view.cold,
-                                node_peers.widest.nodes_of, self._services,
+            slowstart.SlowStart(settings.node, view.cold_periods,
+                                node_peers.known_nodes.nodes_of, self._services,
                                 settings), node_metrics)
         self.backpressure = backpressure.Backpressure(
             view, ratelimits.RateLimits(settings.node, node_peers.live_nodes),
@@ -284,7 +284,7 @@
             head=runner.id,
             in_flight=load.requests,
             deferred=load.deferred,
-            places=engine.slots,
+            slots=engine.slots,
             pace=served.pace *
             max(1.0, group.pace,
                 engine.far_factor if group.spans_domains else 1.0),
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -13,7 +13,7 @@
 from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
 from cardamommill.gateway.groups import planning
-from cardamommill.gateway.nodes import peermessage, peers, plainids
+from cardamommill.gateway.nodes import instanceids, peermessage, peers
 from cardamommill.gateway.requests import freshness, routetable
 from cardamommill.gateway.shell import (
     alarms,
@@ -244,7 +244,7 @@
 
     def _on_message(self, message: peermessage.PeerMessage,
                     now_ms: float) -> None:
-        message = plainids.resolved(message, self.view)
+        message = instanceids.resolved(message, self.view)
         if self._reader.should_catch_up(message.config_version):
             self.spawn(self._reader.catch_up())
         is_remote = message.data_centre != self._settings.data_centre
--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -213,8 +213,8 @@
             self._record_ended(runner_id, clock.now_ms())
             return False
         was_down = bool(known.down_ms)
-        self._view.cold.receive_answer(runner_id, report.cold_left_ms,
-                                       clock.now_ms())
+        self._view.cold_periods.receive_answer(runner_id, report.cold_left_ms,
+                                               clock.now_ms())
         self._view.apply_report(runner_id, report, asked_ms,
                                 self._report_lag_ms)
         if was_down:
--- a/cardamommill/gateway/shell/nodelink.py
+++ b/cardamommill/gateway/shell/nodelink.py
@@ -88,7 +88,7 @@
         except exceptions.BadPeerMessage as error:
             _LOG.warning(logs.line("datagram-refused", reason=str(error)))
             return
-        self._peers.widest.heard(message.node, message.data_centre, now_ms)
+        self._peers.known_nodes.heard(message.node, message.data_centre, now_ms)
         if self._peers.receive(message, address, now_ms):
             _LOG.info(
                 logs.line("peer-alive",
@@ -163,8 +163,8 @@
                            self._settings.peer_port)
                 if self._peers.add_address(address):
                     _LOG.info(logs.line("node-found", node=row.key))
-            self._peers.widest.listed((row.key for row in rows.rows),
-                                      clock.now_ms())
+            self._peers.known_nodes.listed((row.key for row in rows.rows),
+                                           clock.now_ms())
             self._has_read_nodes = True
             others = len(self._peers.live_peers(clock.now_ms()))
             if await store.eras.wait_for_newer(registered_era,
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -219,7 +219,7 @@
         if row.deleted:
             self._stored_version = 0
             return
-        verdict, configuration = self._operator_rows.configurations.judge(
+        verdict, configuration = self._operator_rows.configurations.evaluate(
             row.value, version)
         if configuration is None:
             # A version that can't be decoded may revoke keys. So the current
--- a/cardamommill/gateway/shell/restarts.py
+++ b/cardamommill/gateway/shell/restarts.py
@@ -50,7 +50,7 @@
     def runner_at_fault(self, head: upstream.Head) -> str | None:
         """Returns the listed incarnation that a refusal names, or None."""
         instance = head.get(wirenames.AT_SERVER)
-        return self._view.succession.listed_id(instance) if instance else None
+        return self._view.incarnations.listed_id(instance) if instance else None
 
     def _on_ended(self, known: fleetview.RunnerRecord) -> None:
         """Ends the attempts at an incarnation as ones that may have run.
--- a/cardamommill/routing.py
+++ b/cardamommill/routing.py
@@ -201,7 +201,7 @@
             actions.Record(f"replica/{change.replica_id}", change.event,
                            change.detail)
             for loads in services.values()
-            for change in stragglers.judge(loads, now_ms))
+            for change in stragglers.evaluate(loads, now_ms))
 
     def _read_caches(self, now_ms: int) -> actions.Actions:
         """Asks the head that was asked longest ago and has news."""
--- a/cardamommill/stragglers.py
+++ b/cardamommill/stragglers.py
@@ -53,8 +53,8 @@
         load.samples = max(load.samples, LEAST_SAMPLES)
 
 
-def judge(loads: Mapping[str, board_lib.ReplicaLoad],
-          now_ms: int) -> Iterator[Change]:
+def evaluate(loads: Mapping[str, board_lib.ReplicaLoad],
+             now_ms: int) -> Iterator[Change]:
     """Compares the replicas of a service; ejects and takes back.
 
     Args:
--- a/cardamommill/trial.py
+++ b/cardamommill/trial.py
@@ -124,7 +124,7 @@
                 for each in calling:
                     each.result()
             self._wait_serving()
-            return self._oracle.judge(self._runs())
+            return self._oracle.evaluate(self._runs())
 
     # --- Callers ---
 
--- a/cardamommill/trialoracle.py
+++ b/cardamommill/trialoracle.py
@@ -116,7 +116,7 @@
         name = f"{answer.status} {_title(answer)}"
         self.tally.refused[name] = self.tally.refused.get(name, 0) + 1
 
-    def judge(self, runs: Mapping[str, int]) -> Tally:
+    def evaluate(self, runs: Mapping[str, int]) -> Tally:
         """Compares what was told with what ran.
 
         Args:
--- a/tests/experiment/test_homes.py
+++ b/tests/experiment/test_allowed_regions.py
@@ -35,7 +35,7 @@
     return world.play(deployment, 1)
 
 
-def test_filter_is_what_keeps_requests_in_their_homes(monkeypatch):
+def test_filter_is_what_keeps_requests_in_their_regions(monkeypatch):
     """Shows that the oracle notices requests in another region."""
     monkeypatch.setattr(eligibility.Eligibility, "allows",
                         lambda self, data_centre: True)
@@ -51,7 +51,7 @@
         [trouble("place_cut", 2, place="b", for_s=3)],
     ],
     ids=["quiet", "retries", "resumed-streams", "evacuated", "cut-off"])
-def test_no_request_leaves_its_homes(troubles):
+def test_no_request_leaves_its_regions(troubles):
     """Guards against runners elsewhere when those of the homes fail."""
     outcome = play(*troubles)
     assert not outcome.violations
--- a/tests/gateway/fleet/test_succession.py
+++ b/tests/gateway/fleet/test_incarnationindex.py
@@ -134,14 +134,14 @@
     """Instances come and go for as long as a node runs."""
     view = builders.view(row(10, 5))
     view.apply_list([], 50_000)
-    assert not view.known and not view.succession._newest
+    assert not view.known and not view.incarnations._newest
 
 
 def test_listed_id_is_that_of_the_list():
     view = builders.view(row(10, 5))
-    assert view.succession.listed_id("i-1") == "i-1@10"
-    assert view.succession.listed_id("i-2") is None
+    assert view.incarnations.listed_id("i-1") == "i-1@10"
+    assert view.incarnations.listed_id("i-2") is None
     view.record_ended("i-1@10", 1500)
-    assert view.succession.listed_id("i-1") is None
+    assert view.incarnations.listed_id("i-1") is None
     view.apply_list([row(20, 6)], 2000)
-    assert view.succession.listed_id("i-1") == "i-1@20"
+    assert view.incarnations.listed_id("i-1") == "i-1@20"
--- a/tests/gateway/nodes/test_plainids.py
+++ b/tests/gateway/nodes/test_instanceids.py
@@ -1,7 +1,7 @@
 """Tests of datagrams that name runners by their instance ids."""
 
 from cardamommill.domain import model
-from cardamommill.gateway.nodes import peermessage, plainids
+from cardamommill.gateway.nodes import instanceids, peermessage
 from cardamommill.gateway.requests import ratelimits, reliability
 from tests.gateway import builders
 
@@ -32,7 +32,7 @@
 def resolved(runner, per_s=2.0, born_ms=20):
     view = builders.view(builders.runner(1, born_ms=born_ms),
                          builders.runner(9))
-    return plainids.resolved(message(runner, per_s), view)
+    return instanceids.resolved(message(runner, per_s), view)
 
 
 def test_limit_by_instance_id_holds_for_the_listed_incarnation():
--- a/tests/gateway/requests/admissionreplay.py
+++ b/tests/gateway/requests/admissionreplay.py
@@ -240,7 +240,7 @@
         decision = self._admit(request, node, candidates)
         action = decision.action
         candidates = [
-            dataclasses.replace(each, places=SLOTS + decision.overtaken)
+            dataclasses.replace(each, slots=SLOTS + decision.overtaken)
             for each in candidates
         ]
         if action is admissionlevel.Action.REFUSE:
--- a/tests/gateway/requests/test_eligibility.py
+++ b/tests/gateway/requests/test_eligibility.py
@@ -89,9 +89,9 @@
 
 @pytest.mark.parametrize("route,evacuated,expected", [
     ((), ("b1", "a1"), "no runner outside evacuated data centres"),
-    (("north",), (), "no runner in its homes"),
-    (("north",),
-     ("a1",), "no runner in its homes outside evacuated data centres"),
+    (("north",), (), "no runner in the allowed regions"),
+    (("north",), ("a1",),
+     "no runner in the allowed regions outside evacuated data centres"),
 ])
 def test_refusal_tells_the_cause_but_names_no_data_centre(
         route, evacuated, expected):
--- a/tests/gateway/requests/test_placing.py
+++ b/tests/gateway/requests/test_placing.py
@@ -17,7 +17,7 @@
     defaults = dict(key=model.GroupKey(name, 1),
                     head=f"i-{name}",
                     in_flight=in_flight,
-                    places=13,
+                    slots=13,
                     pace=1.0,
                     is_remote=False,
                     is_avoided=False)
--- a/tests/gateway/requests/test_slowstart.py
+++ b/tests/gateway/requests/test_slowstart.py
@@ -13,7 +13,7 @@
 import pytest
 
 from cardamommill.domain import entrysettings
-from cardamommill.gateway.fleet import coldness
+from cardamommill.gateway.fleet import coldperiods
 from cardamommill.gateway.requests import placing, slowstart
 from tests.gateway import builders
 from tests.gateway.requests import test_placing
@@ -30,7 +30,7 @@
 
 
 def node(name, members, service=SERVICE, settings=SETTINGS):
-    return slowstart.SlowStart(name, coldness.ColdEvidence(),
+    return slowstart.SlowStart(name, coldperiods.ColdPeriods(),
                                lambda place, _: members[place],
                                lambda: {service.name: service}, settings)
 
--- a/tests/gateway/shell/test_backpressure.py
+++ b/tests/gateway/shell/test_backpressure.py
@@ -26,7 +26,8 @@
             metrics.Metrics(),
             coldrunners.ColdRunners(
                 self.view,
-                slowstart.SlowStart("n", self.view.cold, lambda *_: {"n"},
+                slowstart.SlowStart("n", self.view.cold_periods,
+                                    lambda *_: {"n"},
                                     lambda: {SERVICE.name: SERVICE},
                                     builders.cold_settings()),
                 metrics.Metrics()))
--- a/tests/gateway/shell/test_coldrunners.py
+++ b/tests/gateway/shell/test_coldrunners.py
@@ -22,7 +22,7 @@
         self.metrics = metrics.Metrics()
         self.cold_runners = coldrunners.ColdRunners(
             view,
-            slowstart.SlowStart("n", view.cold, lambda *_: {"n"},
+            slowstart.SlowStart("n", view.cold_periods, lambda *_: {"n"},
                                 lambda: {SERVICE.name: SERVICE},
                                 builders.cold_settings()), self.metrics)
         self.runner = view.known["i-0"].runner
--- a/tests/gateway/shell/test_configurationrows.py
+++ b/tests/gateway/shell/test_configurationrows.py
@@ -29,10 +29,10 @@
                                                         self.metrics)
         self.lines = []
 
-    def judge(self, value, version):
+    def evaluate(self, value, version):
 
         async def run():
-            return self.rows.judge(value, version)
+            return self.rows.evaluate(value, version)
 
         with logbook.TestHandler() as handler, virtualloop.running(1) as loop:
             found = loop.run_until_complete(run())
@@ -61,7 +61,7 @@
     """
     judge = Judge()
     for _ in range(3):
-        assert judge.judge(value, 5) is verdict
+        assert judge.evaluate(value, 5) is verdict
     (line,) = judge.lines
     assert "row=config row_version=5" in line
     assert f"field={field}" in line
@@ -76,15 +76,15 @@
 def test_later_refusal_is_logged_again():
     """Guards against a second mistake that nobody is told of."""
     judge = Judge()
-    judge.judge(wire(priority=12), 5)
-    judge.judge(wire(priority=12), 6)
+    judge.evaluate(wire(priority=12), 5)
+    judge.evaluate(wire(priority=12), 6)
     assert len(judge.lines) == judge.count == 2
 
 
 def test_valid_configuration_is_accepted_without_a_line():
     """Guards against refusals of what is in range."""
     judge = Judge()
-    assert judge.judge(wire(allowedRegions=["north"]), 5) is VERDICT.ACCEPTED
+    assert judge.evaluate(wire(allowedRegions=["north"]), 5) is VERDICT.ACCEPTED
     assert not judge.lines
     assert judge.rows.last_refusal is None
 
@@ -92,6 +92,6 @@
 def test_refused_configuration_is_checked_again_with_changed_settings():
     """Guards against a new region that is refused for good."""
     judge = Judge()
-    judge.judge(wire(allowedRegions=["west"]), 5)
+    judge.evaluate(wire(allowedRegions=["west"]), 5)
     assert judge.rows.reload(("north", "south")) is None
     assert judge.rows.reload(("north", "west")).version == 7
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -63,7 +63,7 @@
         runner = dataclasses.replace(builders.runner(1), cold_left_ms=3000.0)
         settings = builders.cold_settings()
         self.peers = peers.Peers("n", "a", 1, ("127.0.0.1", 3), 0.0)
-        self.peers.widest.listed(["n"], 0.0)
+        self.peers.known_nodes.listed(["n"], 0.0)
         self.requests = dispatcher.Dispatcher(settings, upstream.Pool(),
                                               builders.view(runner), Reader(),
                                               freshness.Freshness(5000.0),
--- a/tests/gateway/shell/test_eligibletargets.py
+++ b/tests/gateway/shell/test_eligibletargets.py
@@ -186,7 +186,7 @@
 
 
 @ENGINES
-def test_retry_stays_in_the_homes(engine):
+def test_retry_stays_in_the_allowed_regions(engine):
     """Guards against a retry elsewhere once all homes have failed."""
 
     async def script(node):
--- a/tests/gateway/shell/test_nodestatus.py
+++ b/tests/gateway/shell/test_nodestatus.py
@@ -51,7 +51,7 @@
                                    False, False))
 
     def use(self, value):
-        verdict, configuration = self.rows.configurations.judge(value, 4)
+        verdict, configuration = self.rows.configurations.evaluate(value, 4)
         if verdict is configurationrows.Verdict.ACCEPTED:
             self.reader.table = routetable.RouteTable(configuration)
             self.reader.table_since_ms = clock.now_ms()
--- a/tests/gateway/shell/test_restarts.py
+++ b/tests/gateway/shell/test_restarts.py
@@ -38,7 +38,7 @@
 
     def find_target(self, one):
         del one
-        listed = self.view.succession.listed_id("i-1")
+        listed = self.view.incarnations.listed_id("i-1")
         if listed is None:
             return placing.Refused("no runner", 300.0)
         return relay.Target(self.view.known[listed])
--- a/tests/gateway/test_incarnation_machine.py
+++ b/tests/gateway/test_incarnation_machine.py
@@ -122,7 +122,7 @@
                    kind=strategies.sampled_from(["report", "order"]))
     def ask(self, number, key, kind):
         """Asks the listed incarnation; whoever lives at the address answers."""
-        asked = self.view.succession.listed_id(f"i-{number}")
+        asked = self.view.incarnations.listed_id(f"i-{number}")
         if asked is None:
             return
         life = self.current[number]
@@ -150,7 +150,7 @@
 
     @stateful.rule(number=NUMBERS)
     def no_answer(self, number):
-        asked = self.view.succession.listed_id(f"i-{number}")
+        asked = self.view.incarnations.listed_id(f"i-{number}")
         if asked is not None:
             self.now_ms += 1
             self.view.record_no_answer(asked, self.now_ms)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -209,7 +209,7 @@
     """
     loads = loads_of([1000.0] * slow + [100.0] * (10 - slow))
     for now_ms in range(0, 5000, 500):
-        list(stragglers.judge(loads, now_ms))
+        list(stragglers.evaluate(loads, now_ms))
     ejected = sum(load.ejected_until_ms > 5000 for load in loads.values())
     assert ejected == (min(slow, 2) if slow <= 5 else 0)
 
@@ -218,15 +218,15 @@
     loads = loads_of([1000.0] + [100.0] * 9)
     now_ms = 1000
     for expected_ms in (10_000, 20_000):
-        change, = stragglers.judge(loads, now_ms)
+        change, = stragglers.evaluate(loads, now_ms)
         assert (change.replica_id, change.event) == ("r0", "ejected")
         assert loads["r0"].ejected_until_ms == now_ms + expected_ms
         now_ms += expected_ms
-        assert not list(stragglers.judge(loads, now_ms))
+        assert not list(stragglers.evaluate(loads, now_ms))
         assert loads["r0"].probing
         stragglers.sample(loads["r0"], 1000)
     loads["r0"].first_byte_ms = 100.0
-    change, = stragglers.judge(loads, now_ms)
+    change, = stragglers.evaluate(loads, now_ms)
     assert change.event == "ejection-ended"
     assert not loads["r0"].probing
 
--- a/tests/test_trialoracle.py
+++ b/tests/test_trialoracle.py
@@ -32,7 +32,7 @@
 def test_stream(answer, kind):
     oracle = trialoracle.Oracle()
     oracle.streamed(answer, 3)
-    found = oracle.judge({}).violations()
+    found = oracle.evaluate({}).violations()
     assert [line.split(":")[0] for line in found][:1] == [kind] * bool(kind)
 
 
@@ -50,5 +50,5 @@
         oracle.called(
             "k",
             webclient.Answer(status, {"cardamommill-outcome": outcome}, body))
-    found = oracle.judge({"k": runs}).violations()
+    found = oracle.evaluate({"k": runs}).violations()
     assert [line.split(":")[0] for line in found] == [kind] * bool(kind)
