Give targets, diversions and the spreading of load modules of their own

Change: moves. targetfinder.py joins the decisions about where a request goes, diversion.py moves it to another group, targets.py has what a relay and its node share, loadspreading.py spreads requests by water-filling, httpheaders.py reads header fields.

--- a/cardamommill/gateway/requests/placing.py
+++ b/cardamommill/gateway/requests/placing.py
@@ -8,7 +8,12 @@
 import dataclasses
 
 from cardamommill.domain import model
-from cardamommill.gateway.requests import enginetimes, reliability, silence
+from cardamommill.gateway.requests import (
+    enginetimes,
+    loadspreading,
+    reliability,
+    silence,
+)
 
 # Maximum number of deferred requests at a group, as a fraction of its slots:
 # more would not be served before their callers leave.
@@ -309,38 +314,10 @@
     # The increase of each group's cost by one more request.
     steps_ms = [(1 + IN_FLIGHT_WEIGHT) * usual_prefill_ms * each.candidate.pace
                 for each in ranked]
-    level_ms = _water_level_ms(costs_ms, steps_ms,
-                               requirements.unreported_requests)
-    shares = [
-        max(0.0, level_ms - each_ms) / step_ms
-        for each_ms, step_ms in zip(costs_ms, steps_ms, strict=True)
-    ]
-    remainder = requirements.jitter * sum(shares)
-    for each, share in zip(ranked, shares, strict=True):
-        remainder -= share
-        if remainder < 0:
-            return each
-    return ranked[0]
-
-
-def _water_level_ms(costs_ms: list[float], steps_ms: list[float],
-                    requests: float) -> float:
-    """Returns the common cost after distributing requests by water-filling.
-
-    Args:
-        costs_ms: The cost of each group, in ascending order.
-        steps_ms: The increase of each group's cost per request.
-        requests: The number of requests to distribute.
-    """
-    rate = weighted = 0.0
-    level_ms = costs_ms[0]
-    for cost_ms, step_ms in zip(costs_ms, steps_ms, strict=True):
-        if rate and cost_ms >= level_ms:
-            break
-        rate += 1 / step_ms
-        weighted += cost_ms / step_ms
-        level_ms = (requests + weighted) / rate
-    return level_ms
+    index = loadspreading.draw(costs_ms, steps_ms,
+                               requirements.unreported_requests,
+                               requirements.jitter)
+    return ranked[index]
 
 
 def _full_retry_after_ms(placed: list[Placed],
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -1,7 +1,6 @@
 """Assigns requests to runners and tracks the attempts in progress."""
 
 from collections.abc import Callable, Coroutine
-import dataclasses
 from http import HTTPStatus
 import random
 from typing import Any
@@ -21,7 +20,6 @@
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.requests import (
     attemptresult,
-    eligibility,
     forecast,
     freshness,
     placing,
@@ -45,6 +43,8 @@
     relay,
     requestlog,
     restarts,
+    targetfinder,
+    targets,
 )
 from cardamommill.transport import upstream
 
@@ -65,7 +65,7 @@
 class Dispatcher:
     """Provides relays with targets and records the course of their attempts.
 
-    It implements `relay.RelayContext`.
+    It implements `targets.RelayContext`.
     """
 
     def __init__(self, settings: entrysettings.EntrySettings,
@@ -134,6 +134,13 @@
         self.on_refusal: Callable[[model.GroupKey, str], None] = _ignore
         # Returns the estimated time until a missing group is available again.
         self.expected_recovery_ms: Callable[[], float] = _default_recovery_ms
+        self._finder = targetfinder.TargetFinder(
+            settings.data_centre, pool, view,
+            targetfinder.Evidence(self.available_groups, self._group_loads,
+                                  self.forecast, self.reliability,
+                                  self.backpressure, self._plain_runners,
+                                  self.eligible_targets, self.admission),
+            self._chance, lambda: self.expected_recovery_ms())
 
     def reload(self, settings: entrysettings.EntrySettings) -> None:
         """Applies changed settings."""
@@ -207,127 +214,13 @@
         as_of_ms = self._peers.config_confirmed_ms(version)
         self._freshness.confirm(min(as_of_ms, now_ms))
 
-    def find_target(self, one: relay.Relay) -> relay.Target | placing.Refused:
+    def find_target(self, one: relay.Relay) -> targets.Target | placing.Refused:
         """Returns the target of a request's next attempt, or a refusal."""
         table = self._reader.table
-        assert table is not None and one.route is not None
-        refused = placing.Refused("no service",
-                                  admitting.DEFAULT_RETRY_AFTER_MS)
-        eligible = self.eligible_targets.decide(one.route, one.tenant)
-        for name in routetable.draw_service_order(one.route, self._chance):
-            service = table.configuration.services.get(name)
-            if service is None:
-                continue
-            if service.engine is not None and one.model_name:
-                found = self._find_group(one, service, service.engine, eligible)
-            else:
-                found = self._find_runner(one, service, eligible)
-            if isinstance(found, relay.Target):
-                one.service = name
-                return found
-            refused = found
-        return refused
-
-    def _find_group(
-            self, one: relay.Relay, service: model.Service,
-            engine: model.Engine, eligible: eligibility.Eligibility
-    ) -> relay.Target | placing.Refused:
-        now_ms = clock.now_ms()
-        served = engine.model(one.model_name)
-        if served is None:
-            return placing.Refused("no such model",
-                                   admitting.DEFAULT_RETRY_AFTER_MS)
-        groups = [
-            each for each in self.available_groups.of_model(
-                service.name, served.name)
-            if eligible.allows_all(each.data_centres)
-        ]
-        if not groups and not eligible.is_unrestricted:
-            return eligibletargets.refusal(eligible)
-        candidates = [
-            self._candidate(each, engine, served, now_ms) for each in groups
-        ]
-        others_requests = sum(
-            self._group_loads.others(each.key).total_requests
-            for each in groups)
-        excluded = frozenset(
-            each.key for each in one.attempted if each.key is not None)
-        requirements = dataclasses.replace(
-            one.requirements(self._chance.random()),
-            unreported_requests=placing.unreported_requests(
-                engine, served.pace, others_requests, self._group_loads.age_ms),
-            overhead_ms=self.forecast.overhead_ms(service.name))
-        placed, decision = self.admission.place(
-            admissioncontrol.Asked(service.name, served.name, one.priority,
-                                   one.tenant.name if one.tenant else "",
-                                   not one.attempted), engine,
-            candidates, lambda groups: placing.place(
-                engine, one.request_tokens, groups, excluded, requirements,
-                self.expected_recovery_ms()), now_ms)
-        one.admission = decision or one.admission
-        if isinstance(placed, placing.Refused):
-            return placed
-        key = placed.candidate.key
-        head = next(each.head for each in groups if each.key == key)
-        return relay.Target(head, key, placed)
-
-    def _candidate(self, group: availablegroups.AvailableGroup,
-                   engine: model.Engine, served: model.ServedModel,
-                   now_ms: float) -> placing.Candidate:
-        """Returns an available group with all that placement asks about it."""
-        load = self._group_loads.load(group.key)
-        runner = group.head.runner
-        odds = self.reliability.fail_odds(runner.id, now_ms)
-        is_suspect = self.available_groups.is_avoided(group.key, now_ms)
-        return placing.Candidate(
-            key=group.key,
-            head=runner.id,
-            in_flight=load.requests,
-            deferred=load.deferred,
-            slots=engine.slots,
-            pace=served.pace *
-            max(1.0, group.pace,
-                engine.far_factor if group.spans_domains else 1.0),
-            is_remote=runner.data_centre != self._settings.data_centre,
-            is_avoided=(group.has_leaving_member or is_suspect or
-                        odds > reliability.DOUBT_THRESHOLD),
-            is_suspect=is_suspect,
-            is_down=self.available_groups.is_down(group.key, now_ms),
-            pending_prompt_tokens=load.pending_prompt_tokens,
-            fail_odds=odds,
-            is_cooling_down=self.reliability.is_cooling_down(runner.id, now_ms),
-            wait_ms=self.backpressure.wait_ms(runner, now_ms),
-            has_idle_connection=self.pool.has_idle((runner.host, runner.port)))
-
-    def _find_runner(
-            self, one: relay.Relay, service: model.Service,
-            eligible: eligibility.Eligibility
-    ) -> relay.Target | placing.Refused:
-        now_ms = clock.now_ms()
-        attempted = {each.known.runner.id for each in one.attempted}
-        candidates = [
-            each for each in self._view.runners_of(service.name)
-            if each.is_usable and each.runner.id not in attempted and
-            eligible.allows(each.runner.data_centre)
-        ]
-        if not candidates and not eligible.is_unrestricted:
-            return eligibletargets.refusal(eligible)
-        if not candidates:
-            return placing.Refused("no runner",
-                                   admitting.DEFAULT_RETRY_AFTER_MS)
-        waits_ms = {
-            each.runner.id: self.backpressure.wait_ms(each.runner, now_ms)
-            for each in candidates
-        }
-        accepting = [
-            each for each in candidates if not waits_ms[each.runner.id]
-        ]
-        if not accepting:
-            return placing.backpressure_refusal(waits_ms.values(),
-                                                self._chance.random())
-        return relay.Target(self._plain_runners.choose(accepting, now_ms))
-
-    def may_send(self, target: relay.Target) -> bool:
+        assert table is not None
+        return self._finder.find(one, table.configuration)
+
+    def may_send(self, target: targets.Target) -> bool:
         """Whether a target that was found earlier still takes a request.
 
         All streams of a silent group may have found the same cold runner.
@@ -345,7 +238,7 @@
         """Whether this node suspects that it is itself cut off."""
         return self.isolation.is_suspected(clock.now_ms())
 
-    def on_attempt_start(self, one: relay.Relay, target: relay.Target,
+    def on_attempt_start(self, one: relay.Relay, target: targets.Target,
                          repeat: bool) -> None:
         """Records the start of an attempt; `repeat` marks a retry."""
         now_ms = clock.now_ms()
@@ -372,7 +265,7 @@
                                             placed.is_deferred)
         self.silence.sent(target.key, one.attempt_id, placed.expected, now_ms)
 
-    def on_answer_head(self, one: relay.Relay, target: relay.Target,
+    def on_answer_head(self, one: relay.Relay, target: targets.Target,
                        head: upstream.Head, sent_ms: float) -> None:
         """Passes the head of an answer on to the backpressure handling."""
         if target.known.has_ended:
@@ -381,7 +274,7 @@
         self.backpressure.receive_head(one.attempt_id, target.known.runner.id,
                                        head, sent_ms)
 
-    def on_stream_event(self, one: relay.Relay, target: relay.Target) -> None:
+    def on_stream_event(self, one: relay.Relay, target: targets.Target) -> None:
         """Records an event of a stream."""
         now_ms = clock.now_ms()
         sent_ms = self._unanswered_since_ms.pop(one, None)
@@ -393,14 +286,14 @@
         self.in_flight_requests.event(target.key, one.attempt_id)
         self.silence.event(target.key, one.attempt_id, now_ms)
 
-    def _record_first_event(self, one: relay.Relay, target: relay.Target,
+    def _record_first_event(self, one: relay.Relay, target: targets.Target,
                             took_ms: float) -> None:
         placed = target.placed
         if placed is not None and not placed.is_deferred:
             self.forecast.add_sample(one.service, took_ms,
                                      placed.first_event_ms - placed.overhead_ms)
 
-    def on_attempt_end(self, one: relay.Relay, target: relay.Target,
+    def on_attempt_end(self, one: relay.Relay, target: targets.Target,
                        outcome: attempts.Outcome) -> None:
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
@@ -422,7 +315,7 @@
                                          clock.now_ms())
         self._record_outcome(one, target, outcome)
 
-    def _record_outcome(self, one: relay.Relay, target: relay.Target,
+    def _record_outcome(self, one: relay.Relay, target: targets.Target,
                         outcome: attempts.Outcome) -> None:
         now_ms = clock.now_ms()
         runner = target.known.runner.id
@@ -464,7 +357,7 @@
             self.available_groups.avoid(target.key, now_ms + FAULT_AVOID_MS)
             investigate(target.key, outcome.reason)
 
-    def _is_runner_fault(self, one: relay.Relay, target: relay.Target,
+    def _is_runner_fault(self, one: relay.Relay, target: targets.Target,
                          outcome: attempts.Outcome, took_ms: float) -> bool:
         """Whether an attempt without an event failed by the runner's fault.
 
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -1,16 +1,12 @@
 """Relays one request of a caller: admission, placement, attempts, answer."""
 
 import asyncio
-from collections.abc import Coroutine
-import dataclasses
 import math
-from typing import Any, Protocol
 
 import logbook
 
 from cardamommill import logs
 from cardamommill.domain import clock, model
-from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import (
     attemptlimit,
     attemptresult,
@@ -23,7 +19,9 @@
     admitting,
     attempts,
     conclusion,
+    diversion,
     forwarding,
+    targets,
 )
 from cardamommill.platform import wirenames
 from cardamommill.transport import callers, httpheaders, replies, upstream
@@ -37,8 +35,6 @@
 # How long a started stream waits for a group to continue at: callers leave
 # after a pause of two seconds.
 RESUME_WAIT_MS = 1500.0
-# Interval of the search for that group.
-RESUME_POLL_MS = 40.0
 # Maximum estimated time to the first event of a deferred request: callers leave
 # after two seconds without an event.
 PATIENCE_MS = 1600.0
@@ -46,65 +42,6 @@
 _LOG = logbook.Logger("requests")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """The target of an attempt.
-
-    Attributes:
-        known: The runner that gets the request.
-        key: The key of the runner's group; None if it serves without a group.
-        placed: The placement at the group; None without a group.
-    """
-
-    known: fleetview.RunnerRecord
-    key: model.GroupKey | None = None
-    placed: placing.Placed | None = None
-
-    @property
-    def name(self) -> str:
-        """The name of the target in the log."""
-        return str(self.key) if self.key else self.known.runner.id
-
-
-class RelayContext(admitting.ConfigurationState, Protocol):
-    """The services that a relay uses of its node."""
-
-    pool: upstream.Pool
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine in the background until the node stops."""
-
-    def find_target(self, relay: "Relay") -> Target | placing.Refused:
-        """Returns the target of a request's next attempt, or a refusal."""
-
-    def may_send(self, target: Target) -> bool:
-        """Whether a target that was found earlier still takes a request."""
-
-    def may_retry(self, service: str) -> bool:
-        """Whether the retry budget of a service allows one more retry."""
-
-    def is_isolated(self) -> bool:
-        """Whether this node suspects that it is itself cut off."""
-
-    def on_attempt_start(self, relay: "Relay", target: Target,
-                         repeat: bool) -> None:
-        """Records the start of an attempt; `repeat` marks a retry."""
-
-    def on_attempt_end(self, relay: "Relay", target: Target,
-                       outcome: attempts.Outcome) -> None:
-        """Records the end of an attempt."""
-
-    def on_answer_head(self, relay: "Relay", target: Target,
-                       head: upstream.Head, sent_ms: float) -> None:
-        """Records the head of an answer to an attempt sent at `sent_ms`."""
-
-    def on_stream_event(self, relay: "Relay", target: Target) -> None:
-        """Records an event of a stream."""
-
-    def ended(self, relay: "Relay", status: int, reason: str) -> None:
-        """Records the end of a request; status 0 means no complete answer."""
-
-
 class Relay:
     """One request of a caller, from its admission to the end of its answer.
 
@@ -128,8 +65,8 @@
             it did not apply.
     """
 
-    def __init__(self, node: RelayContext, request: callers.CallerRequest,
-                 reply: replies.Reply) -> None:
+    def __init__(self, node: targets.RelayContext,
+                 request: callers.CallerRequest, reply: replies.Reply) -> None:
         self._node = node
         self.request = request
         self.reply = reply
@@ -140,23 +77,20 @@
         self.service = ""
         self.request_tokens = forwarding.request_tokens(request)
         self.model_name = request.get(wirenames.MODEL) or ""
-        self.attempted: list[Target] = []
-        self.may_have_run_at: list[Target] = []
+        self.attempted: list[targets.Target] = []
+        self.may_have_run_at: list[targets.Target] = []
         self._attempt_limit = attemptlimit.AttemptLimit()
         self._attempt_sent_ms = 0.0
-        # Whether the group of the current attempt has lost a member.
-        self._has_lost_member = False
         self.deadline_at_ms = math.inf
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
         self._attempt: attempts.Attempt | None = None
-        self._target: Target | None = None
+        self._target: targets.Target | None = None
         self._conclusion = conclusion.Conclusion(
             reply, lambda status, reason: node.ended(self, status, reason))
-        # The target that a diverted attempt continues at.
-        self._reserved_target: Target | None = None
-        self._divert_timer: asyncio.TimerHandle | None = None
+        self._diversion = diversion.Diversion(self._find_diversion,
+                                              lambda: reply.started)
         self.is_abandoned = False
         self.admission = ""
 
@@ -245,40 +179,17 @@
     def divert(self, reason: str, is_dead: bool = False) -> None:
         """Moves the request to another group as soon as one can take it.
 
-        Until then the attempt continues: a silent runner may still finish an
-        answer that no other runner can continue. Without this wait, a stream
-        was cut off at a healthy runner because its node could not confirm the
-        API key for another 14 ms.
-
         Args:
             reason: The reason for the log.
-            is_dead: Whether the group has lost a member. If the answer has not
-                started, the attempt then ends at once even if no other group
-                can take the request: holding it until its caller leaves gains
-                nothing.
+            is_dead: Whether the group has lost a member; see
+                `diversion.Diversion.start`.
         """
         if self._attempt is None or self.route is None:
             return
-        if not self.route.repeatable:
-            return
-        self._cancel_diversion()
-        self._has_lost_member = is_dead
-        self._divert_if_possible(self._attempt, reason)
-
-    def _divert_if_possible(self, attempt: attempts.Attempt,
-                            reason: str) -> None:
-        if attempt is not self._attempt or attempt.done.done():
-            return
-        target = self._find_diversion()
-        if target is not None or (self._has_lost_member and
-                                  not self.reply.started):
-            self._reserved_target = target
-            attempt.cancel(attemptresult.Result.DIVERTED, reason)
-            return
-        self._divert_timer = asyncio.get_running_loop().call_later(
-            RESUME_POLL_MS / 1000, self._divert_if_possible, attempt, reason)
+        if self.route.repeatable:
+            self._diversion.start(self._attempt, reason, is_dead)
 
-    def _find_diversion(self) -> Target | None:
+    def _find_diversion(self) -> targets.Target | None:
         """Returns a target to divert the request to, or None."""
         if not self._may_retry(
                 leaving=self._may_be_running() or self._node.is_isolated()):
@@ -292,11 +203,6 @@
             return None
         return found
 
-    def _cancel_diversion(self) -> None:
-        if self._divert_timer is not None:
-            self._divert_timer.cancel()
-            self._divert_timer = None
-
     async def _serve_logged(self) -> None:
         try:
             await self._serve()
@@ -329,7 +235,7 @@
                 self._conclusion.finish(step, outcome)
                 return
 
-    async def _next_target(self) -> Target | placing.Refused | None:
+    async def _next_target(self) -> targets.Target | placing.Refused | None:
         waited_from_ms = clock.now_ms()
         if self.attempted:
             # Lets the event loop report a caller's close that was read in the
@@ -346,15 +252,15 @@
                 return placing.Refused("out of time",
                                        admitting.DEFAULT_RETRY_AFTER_MS)
             found = self._find_target()
-            if isinstance(found, Target) or not self.reply.started:
+            if isinstance(found, targets.Target) or not self.reply.started:
                 return found
             if (now_ms - waited_from_ms > RESUME_WAIT_MS or
                 (self.tenant is not None and not self._key_is_known())):
                 return found
-            await asyncio.sleep(RESUME_POLL_MS / 1000)
+            await asyncio.sleep(diversion.POLL_MS / 1000)
 
-    def _find_target(self) -> Target | placing.Refused:
-        reserved, self._reserved_target = self._reserved_target, None
+    def _find_target(self) -> targets.Target | placing.Refused:
+        reserved = self._diversion.take_target()
         if not self.is_key_valid():
             return placing.Refused("key not confirmed",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
@@ -362,14 +268,14 @@
             return reserved
         return self._node.find_target(self)
 
-    async def _run_attempt(self, target: Target) -> attempts.Outcome:
+    async def _run_attempt(self, target: targets.Target) -> attempts.Outcome:
         attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
         self._attempt = attempt
         self._target = target
         self._node.on_attempt_start(self, target, bool(self.attempted))
         self.attempted.append(target)
         self.progress.begin_attempt()
-        self._has_lost_member = False
+        self._diversion.begin_attempt()
         runner = target.known.runner
         self._attempt_sent_ms = now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
@@ -385,7 +291,7 @@
             outcome = self._check_complete(await attempt.done)
         finally:
             timer.cancel()
-            self._cancel_diversion()
+            self._diversion.cancel()
             self._attempt = None
         if retrydecision.may_have_run(outcome.result):
             self.may_have_run_at.append(target)
@@ -417,7 +323,7 @@
         all answer may be running the request without giving events.
         """
         return (not self.streaming or self.progress.attempt_events > 0 or
-                not self._has_lost_member)
+                not self._diversion.has_lost_member)
 
     def _may_retry(self, leaving: bool = False) -> bool:
         """Whether another attempt is allowed.
@@ -438,7 +344,7 @@
             return False
         return self._node.may_retry(self.service)
 
-    def _request_bytes(self, target: Target, now_ms: float) -> bytes:
+    def _request_bytes(self, target: targets.Target, now_ms: float) -> bytes:
         rank = None
         if target.key is not None:
             deferred = target.placed is not None and target.placed.is_deferred
@@ -465,7 +371,7 @@
             Whether the stream may continue: False for an event after a gap.
         """
         assert self._target is not None
-        self._cancel_diversion()
+        self._diversion.cancel()
         self._node.on_stream_event(self, self._target)
         order = self.progress.record(event)
         if order is not streamprogress.EventPosition.NEXT:
--- /dev/null
+++ b/cardamommill/gateway/shell/targets.py
@@ -0,0 +1,73 @@
+"""The targets of attempts, and what a relay uses of its node."""
+
+from collections.abc import Coroutine
+import dataclasses
+from typing import TYPE_CHECKING, Any, Protocol
+
+from cardamommill.domain import model
+from cardamommill.gateway.fleet import fleetview
+from cardamommill.gateway.requests import placing
+from cardamommill.gateway.shell import admitting, attempts
+from cardamommill.transport import upstream
+
+if TYPE_CHECKING:
+    from cardamommill.gateway.shell.relay import Relay
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The target of an attempt.
+
+    Attributes:
+        known: The runner that gets the request.
+        key: The key of the runner's group; None if it serves without a group.
+        placed: The placement at the group; None without a group.
+    """
+
+    known: fleetview.RunnerRecord
+    key: model.GroupKey | None = None
+    placed: placing.Placed | None = None
+
+    @property
+    def name(self) -> str:
+        """The name of the target in the log."""
+        return str(self.key) if self.key else self.known.runner.id
+
+
+class RelayContext(admitting.ConfigurationState, Protocol):
+    """The services that a relay uses of its node."""
+
+    pool: upstream.Pool
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine in the background until the node stops."""
+
+    def find_target(self, relay: "Relay") -> Target | placing.Refused:
+        """Returns the target of a request's next attempt, or a refusal."""
+
+    def may_send(self, target: Target) -> bool:
+        """Whether a target that was found earlier still takes a request."""
+
+    def may_retry(self, service: str) -> bool:
+        """Whether the retry budget of a service allows one more retry."""
+
+    def is_isolated(self) -> bool:
+        """Whether this node suspects that it is itself cut off."""
+
+    def on_attempt_start(self, relay: "Relay", target: Target,
+                         repeat: bool) -> None:
+        """Records the start of an attempt; `repeat` marks a retry."""
+
+    def on_attempt_end(self, relay: "Relay", target: Target,
+                       outcome: attempts.Outcome) -> None:
+        """Records the end of an attempt."""
+
+    def on_answer_head(self, relay: "Relay", target: Target,
+                       head: upstream.Head, sent_ms: float) -> None:
+        """Records the head of an answer to an attempt sent at `sent_ms`."""
+
+    def on_stream_event(self, relay: "Relay", target: Target) -> None:
+        """Records an event of a stream."""
+
+    def ended(self, relay: "Relay", status: int, reason: str) -> None:
+        """Records the end of a request; status 0 means no complete answer."""
--- a/cardamommill/transport/httpheaders.py
+++ b/cardamommill/transport/httpheaders.py
@@ -20,3 +20,19 @@
                                                         > MAX_DIGITS):
         return None
     return int(digits)
+
+
+def delimits_body(name: str, value: str) -> bool:
+    """Whether a field, in lower case, determines where the body ends."""
+    return name == "content-length" or (name == "transfer-encoding" and
+                                        "chunked" in value)
+
+
+def keep_alive_ms(headers: Headers) -> float | None:
+    """Returns the peer's keep-alive timeout, or None if it states none."""
+    for part in (first_value(headers, "keep-alive") or "").split(","):
+        name, _, value = part.strip().partition("=")
+        seconds = number(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return seconds * 1000.0
+    return None
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -214,7 +214,7 @@
         if self._is_informational:
             return
         self._is_body_delimited = any(
-            _delimits_body(name.lower(), value.lower())
+            httpheaders.delimits_body(name.lower(), value.lower())
             for name, value in self._head.headers)
         self._is_skipping = not self._receiver.on_head(self._head)
         self._has_accepted_head = not self._is_skipping
@@ -243,7 +243,9 @@
         unsent = transport is None or transport.get_write_buffer_size() > 0
         if unsent or not self._parser.should_keep_alive():
             self._must_close = True
-        timeout = _keep_alive_ms(self._head)
+        timeout = httpheaders.keep_alive_ms(self._head.headers)
+        if timeout is None:
+            timeout = DEFAULT_KEEP_ALIVE_MS
         self.reusable_until_ms = clock.now_ms() + timeout - KEEP_ALIVE_MARGIN_MS
 
     def _finish(self, ending: Ending, reason: str) -> None:
@@ -266,21 +268,6 @@
             self._transport.abort()
 
 
-def _delimits_body(name: str, value: str) -> bool:
-    """Whether a header determines where the body ends."""
-    return name == "content-length" or (name == "transfer-encoding" and
-                                        "chunked" in value)
-
-
-def _keep_alive_ms(head: Head) -> float:
-    for part in (head.get("keep-alive") or "").split(","):
-        name, _, value = part.strip().partition("=")
-        seconds = httpheaders.number(value)
-        if name.lower() == "timeout" and seconds is not None:
-            return seconds * 1000.0
-    return DEFAULT_KEEP_ALIVE_MS
-
-
 Address = tuple[str, int]
 
 
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -5,7 +5,7 @@
 
 from cardamommill.domain import model
 from cardamommill.gateway.requests import eventparser, placing
-from cardamommill.gateway.shell import relay
+from cardamommill.gateway.shell import relay, targets
 from cardamommill.platform import wirenames
 from cardamommill.transport import callers, upstream
 from tests.gateway import builders
@@ -170,7 +170,7 @@
         if len(one.attempted) >= self.groups:
             return NO_GROUP
         return next(
-            relay.Target(each)
+            targets.Target(each)
             for each in self._known[len(one.attempted):]
             if each.runner.id not in self.waiting)
 
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -15,7 +15,7 @@
     routetable,
     streamprogress,
 )
-from cardamommill.gateway.shell import attempts, dispatcher, relay
+from cardamommill.gateway.shell import attempts, dispatcher, targets
 from cardamommill.transport import upstream
 from tests.gateway import builders
 
@@ -95,7 +95,7 @@
     known = next(iter(node.requests._view.known.values()))
     one = Request()
     with clock.override(lambda: 1000.0):
-        target = relay.Target(known, key)
+        target = targets.Target(known, key)
         node.requests.on_attempt_start(one, target, False)
         node.requests.on_attempt_end(
             one, target,
@@ -123,4 +123,4 @@
     node = Node()
     node.find(1000)
     node.send(2000, False, status)
-    assert isinstance(node.find(2001), relay.Target) == (status == 421)
+    assert isinstance(node.find(2001), targets.Target) == (status == 421)
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -6,7 +6,7 @@
 
 from cardamommill.domain import clock, model
 from cardamommill.gateway.requests import placing
-from cardamommill.gateway.shell import relay
+from cardamommill.gateway.shell import diversion, relay, targets
 from cardamommill.transport import callers
 from tests.gateway import builders, relays
 
@@ -52,7 +52,7 @@
     one = relay.Relay(node, request, reply)
     if ran:
         known = next(iter(builders.view(builders.runner(1)).known.values()))
-        one.may_have_run_at.append(relay.Target(known))
+        one.may_have_run_at.append(targets.Target(known))
     one.start()
     (work,) = node.work
     asyncio.run(work)
@@ -188,7 +188,7 @@
         await asyncio.sleep(0)
         assert not first.cancelled
         node.are_keys_valid, node.repeats_left, node.groups = True, 10, 3
-        await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         assert first.cancelled
         second = node.exchanges[1]
         second.head(200)
@@ -212,7 +212,7 @@
         one.divert("group silent")
         first.event(2)
         node.groups = 3
-        await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         assert not first.cancelled
         first.complete()
         await asyncio.sleep(0)
@@ -236,7 +236,7 @@
         first.cut()
         await asyncio.sleep(0.02)
         node.are_keys_valid = True
-        await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         node.exchanges[1].head(200)
         node.exchanges[1].event(2)
         node.exchanges[1].complete()
@@ -262,7 +262,7 @@
                 exchange.head(200)
                 exchange.event(number + 1)
             one.divert("member does not answer", is_dead=True)
-            await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+            await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         assert len(node.exchanges) == (2 if begun else 3)
         assert node.exchanges[1].cancelled is not begun
 
@@ -278,10 +278,10 @@
 
     async def scenario(node, one):
         one.divert("member does not answer", is_dead=True)
-        await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         node.is_cut_off = True
         one.divert("member does not answer", is_dead=True)
-        await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         assert len(node.exchanges) == 2
 
     run_scenario(scenario)
@@ -299,7 +299,7 @@
     async def scenario(node, one):
         for _ in range(2):
             one.divert("group stands still")
-            await asyncio.sleep(2 * relay.RESUME_POLL_MS / 1000)
+            await asyncio.sleep(2 * diversion.POLL_MS / 1000)
         assert len(node.exchanges) == 2
         assert not node.exchanges[1].cancelled
 
@@ -339,9 +339,9 @@
         first.head(200)
         first.event(1)
         node.are_keys_valid = False
-        one.deadline_at_ms = clock.now_ms() + 1.2 * relay.RESUME_POLL_MS
+        one.deadline_at_ms = clock.now_ms() + 1.2 * diversion.POLL_MS
         first.cut()
-        await asyncio.sleep(1.5 * relay.RESUME_POLL_MS / 1000)
+        await asyncio.sleep(1.5 * diversion.POLL_MS / 1000)
         node.are_keys_valid = True
         await asyncio.sleep(0.1)
 
--- a/tests/gateway/shell/test_restarts.py
+++ b/tests/gateway/shell/test_restarts.py
@@ -9,7 +9,7 @@
 from cardamommill.experiment import virtualloop
 from cardamommill.gateway.fleet import fleetview
 from cardamommill.gateway.requests import placing
-from cardamommill.gateway.shell import relay, restarts
+from cardamommill.gateway.shell import restarts, targets
 from cardamommill.platform import wirenames
 from cardamommill.transport import upstream
 from tests.gateway import builders, relays
@@ -41,7 +41,7 @@
         listed = self.view.incarnations.listed_id("i-1")
         if listed is None:
             return placing.Refused("no runner", 300.0)
-        return relay.Target(self.view.known[listed])
+        return targets.Target(self.view.known[listed])
 
     def on_attempt_start(self, one, target, repeat):
         super().on_attempt_start(one, target, repeat)
