Log which attempts are copies of one request, and each repeat

The logs could not tell whether two attempts are copies of one request, nor what a node had counted and allowed when it repeated one. attempt-failed and request-ended now carry a digest of method, host, path, account and body, and attempt-repeated tells the node's retries of the window, its allowance and the nodes it shares the budget with. No decision changes.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -35,9 +35,21 @@
     def may_retry(self, nodes: int, now_ms: float) -> bool:
         """Whether one more retry is within this node's share of the budget."""
         self._trim(now_ms)
-        allowed = (self._ratio * len(self._first_attempts_ms) +
-                   self._slack / max(1, nodes)) * SHARE_SAFETY_FACTOR
-        return len(self._retries_ms) + 1 <= allowed
+        return self.retries + 1 <= self.allowed(nodes)
+
+    @property
+    def retries(self) -> int:
+        """The number of this node's retries within the window."""
+        return len(self._retries_ms)
+
+    def allowed(self, nodes: int) -> float:
+        """Returns how many retries this node may make within the window.
+
+        Args:
+            nodes: The number of nodes that share the budget.
+        """
+        return (self._ratio * len(self._first_attempts_ms) +
+                self._slack / max(1, nodes)) * SHARE_SAFETY_FACTOR
 
     def repeat(self, now_ms: float) -> None:
         """Counts a retry."""
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -26,6 +26,7 @@
     plainrunners,
     ratelimits,
     reliability,
+    requestdigest,
     retrybudget,
     routetable,
     silence,
@@ -246,6 +247,7 @@
         if repeat:
             budget.repeat(now_ms)
             self._metrics.count("repeats_total", service=one.service)
+            self._log_repeat(one, budget, now_ms)
         else:
             budget.request(now_ms)
         runner_id = target.known.runner.id
@@ -265,6 +267,17 @@
                                             placed.is_deferred)
         self.silence.sent(target.key, one.attempt_id, placed.expected, now_ms)
 
+    def _log_repeat(self, one: relay.Relay, budget: retrybudget.RetryBudget,
+                    now_ms: float) -> None:
+        nodes = self._peers.nodes(now_ms)
+        _LOG.info(
+            logs.line("attempt-repeated",
+                      request=one.attempt_id,
+                      service=one.service,
+                      retries=budget.retries,
+                      allowed=int(budget.allowed(nodes)),
+                      nodes=nodes))
+
     def on_answer_head(self, one: relay.Relay, target: targets.Target,
                        head: upstream.Head, sent_ms: float) -> None:
         """Passes the head of an answer on to the backpressure handling."""
@@ -331,6 +344,7 @@
         _LOG.info(
             logs.line("attempt-failed",
                       request=one.attempt_id,
+                      digest=requestdigest.text(one.digest),
                       target=target.name,
                       runner=runner,
                       result=outcome.result.value,
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -1,6 +1,7 @@
 """Relays one request of a caller: admission, placement, attempts, answer."""
 
 import asyncio
+import functools
 import math
 
 import logbook
@@ -12,6 +13,7 @@
     attemptresult,
     eventparser,
     placing,
+    requestdigest,
     retrydecision,
     streamprogress,
 )
@@ -113,6 +115,15 @@
         self.deadline_at_ms = found.deadline_at_ms
         return True
 
+    @functools.cached_property
+    def digest(self) -> int:
+        """Identifies copies of the request; valid once it is admitted."""
+        request = self.request
+        return requestdigest.digest(request.method,
+                                    request.get("host") or "", request.target,
+                                    self.tenant.name if self.tenant else "",
+                                    request.body)
+
     def is_key_valid(self) -> bool:
         """Whether the API key is valid at the moment."""
         return self.tenant is None or (self._key_is_known() and
--- a/cardamommill/gateway/shell/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -1,6 +1,7 @@
 """Formats the log line for the end of a request."""
 
 from cardamommill import logs
+from cardamommill.gateway.requests import requestdigest
 from cardamommill.gateway.shell import relay
 
 
@@ -20,6 +21,7 @@
     return logs.line(
         "request-ended",
         request=one.attempt_id,
+        digest=requestdigest.text(one.digest),
         route=one.route.name if one.route else "",
         tenant=one.tenant.name if one.tenant else "",
         status=status,
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -51,6 +51,7 @@
     model_name = ""
     service = "llm"
     attempt_id = "a1"
+    digest = 7
     attempted = ()
     request_tokens = placing.RequestTokens(10, 10)
     progress = streamprogress.StreamProgress(None)
