--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -75,7 +75,8 @@
                   "burst", "plain_cut", "heads_fail", "heads_reset",
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
                   "plain_rest", "evacuate", "cold_again", "cold_return",
-                  "plain_leave", "runners_restart", "plain_restart"]
+                  "plain_leave", "runners_restart", "plain_restart",
+                  "deadly_request"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -59,6 +59,27 @@
     tenant: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """What all copies of a request have in common.
+
+    Attributes:
+        target: Its path.
+        body: Its body.
+        prompt: The number of tokens of its prompt.
+        answer: The number of tokens of its answer.
+        tenant: The name of its client account.
+        key: The API key.
+    """
+
+    target: str
+    body: bytes
+    prompt: int
+    answer: int
+    tenant: str
+    key: str
+
+
 class _Receiver:
     """Receives an answer and verifies its bytes against the expected ones."""
 
@@ -151,55 +172,73 @@
             if clock.now_ms() >= until_ms:
                 return
             self._count += 1
-            loop.create_task(self._request(kind, self._count))
+            loop.create_task(self._request_counted(kind, self._count))
 
-    async def _request(self, kind: Kind, number: int) -> None:
-        began_ms = clock.now_ms()
-        target = f"{kind.prefix}{self._place}/{number}"
+    def _draw(self, kind: Kind, number: int) -> Content:
+        """Returns the content of the next request of a kind."""
         prompt = max(8, int(self._rng.expovariate(1) * kind.prompt_tokens))
         prompt = min(prompt, int(4 * kind.prompt_tokens) or 8)
         answer = max(1, int(self._rng.expovariate(1) * kind.answer_tokens))
         answer = min(answer, int(3 * kind.answer_tokens) or 1)
         # Some clients keep using a revoked key; their results do not count.
         tenant, key = self._rng.choice(self._world.all_keys)
-        owed = kind.worth
+        return Content(f"{kind.prefix}{self._place}/{number}",
+                       b"" if kind.method == "GET" else b"x" * 200, prompt,
+                       answer, tenant, key)
+
+    async def _request_counted(self, kind: Kind, number: int) -> None:
+        content = self._draw(kind, number)
+        result = await self.request(kind, content, number)
+        if content.key not in self._run_oracle.revoked_ms:
+            self.results.append(result)
+
+    async def request(self, kind: Kind, content: Content,
+                      number: int | str) -> Result:
+        """Sends a request, once more if it fails, and returns the outcome.
+
+        Args:
+            kind: The kind of the request.
+            content: What its copies have in common.
+            number: Tells it from the other requests of these clients.
+        """
+        began_ms = clock.now_ms()
         result = Result(kind.name,
                         self._place,
                         began_ms,
                         "failed",
                         0.0,
-                        owed,
-                        tenant=tenant)
+                        kind.worth,
+                        tenant=content.tenant)
         for retry in range(2):
             left_ms = began_ms + kind.deadline_ms - clock.now_ms()
             if left_ms < 50:
                 break
             retry_after_ms = await self._attempt(
-                kind, target, prompt, answer, tenant, key, began_ms, left_ms,
+                kind, content, began_ms, left_ms,
                 f"{self._place}-{number}-{retry}", result)
             if retry_after_ms is None:
                 break
             await asyncio.sleep(min(retry_after_ms, left_ms / 3) / 1000)
-        if key not in self._run_oracle.revoked_ms:
-            self.results.append(result)
+        return result
 
-    async def _attempt(self, kind: Kind, target: str, prompt: int, answer: int,
-                       tenant: str, key: str, began_ms: float, left_ms: float,
-                       attempt: str, result: Result) -> float | None:
+    async def _attempt(self, kind: Kind, content: Content, began_ms: float,
+                       left_ms: float, attempt: str,
+                       result: Result) -> float | None:
         """Makes one attempt; returns the delay in ms of a retry, or None."""
-        body = b"" if kind.method == "GET" else b"x" * 200
+        target, body = content.target, content.body
         headers = [("Host", kind.host), (wirenames.ATTEMPT_ID, attempt),
                    (wirenames.DEADLINE_MS, str(int(left_ms))),
-                   ("Authorization", f"Bearer {key}")]
+                   ("Authorization", f"Bearer {content.key}")]
         if kind.model:
             headers += [(wirenames.MODEL, self._world.model_name(kind.model)),
-                        (wirenames.TOKEN_COUNTS, f"{prompt},{answer}"),
-                        (wirenames.LENGTH_HINT, str(answer))]
+                        (wirenames.TOKEN_COUNTS,
+                         f"{content.prompt},{content.answer}"),
+                        (wirenames.LENGTH_HINT, str(content.answer))]
         address = self._world.choose_node(self._place, self._rng)
         self._run_oracle.record_send(
             attempt,
-            oracle.Sent(clock.now_ms(), kind.method, target, body, key, tenant,
-                        kind.service, kind.repeatable,
+            oracle.Sent(clock.now_ms(), kind.method, target, body, content.key,
+                        content.tenant, kind.service, kind.repeatable,
                         address[0] if address else ""))
         receiver = _Receiver(kind, target, self._run_oracle, attempt)
         if address is None:
@@ -214,7 +253,8 @@
         result.status = receiver.status
         complete = end == upstream.Ending.COMPLETE.value
         if receiver.status == 200 and complete:
-            self._check_complete(kind, receiver, target, answer, attempt)
+            self._check_complete(kind, receiver, target, content.answer,
+                                 attempt)
             result.first_ms = receiver.first_ms - began_ms
             in_aim = (result.first_ms <= kind.goal_ms and
                       receiver.longest_gap_ms <= kind.gap_goal_ms)
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -1,6 +1,7 @@
 """State of simulated runners: registration, reports and answer headers."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 import json
@@ -9,6 +10,7 @@
 
 from cardamommill.domain import clock, incarnations, model
 from cardamommill.experiment import (
+    crashrules,
     modelstore,
     oracle,
     virtualloop,
@@ -44,6 +46,7 @@
         is_before_traffic: Whether no runner has received a request yet.
         cold_s: For how long a runner is cold after a start during traffic.
         states_born: Whether runners state the time of their start.
+        on_crash: Called with a runner that a request has crashed.
     """
 
     store: modelstore.ModelStore
@@ -54,6 +57,7 @@
     is_before_traffic: bool = True
     cold_s: float = 0.0
     states_born: bool = False
+    on_crash: Callable[["ListedRunner"], None] = lambda _: None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -77,6 +81,11 @@
     running: bool = False
     gone: bool = False
 
+    @property
+    def is_deadly(self) -> bool:
+        """Whether it crashes the runner that runs it."""
+        return self.request.body == crashrules.DEADLY_BODY
+
     def caller_left(self) -> None:
         """Handles the node closing the connection."""
         self.gone = True
@@ -171,6 +180,15 @@
         """Ends the runner; its entry expires without heartbeats."""
         self.ended = True
 
+    def crash(self, job: Job) -> None:
+        """Ends its process, and with it all requests, because of one."""
+        sent = self.fleet.oracle.sent.get(job.attempt)
+        if sent is not None:
+            self.fleet.oracle.crash_rules.record_crash(sent)
+        self.end()
+        self.network.end_processes(self.host)
+        self.fleet.on_crash(self)
+
     @property
     def cold_left_ms(self) -> int:
         """For how much longer it is cold, rounded up; 0 if it is not."""
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -114,6 +114,10 @@
         await asyncio.sleep(pass_ms / 1000)
         if self._missing_member(key) or runner.is_unreachable:
             return
+        for job in running:
+            if job.is_deadly and job.to_read <= 0 and not job.gone:
+                runner.crash(job)
+                return
         for job in running:
             if job.to_read <= 0 and not job.gone:
                 self._emit(job, key, served)
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -119,6 +119,9 @@
             self.fleet.oracle.record_execution(job.attempt, self.incarnation)
             await asyncio.sleep(self._work_ms * self.pace / 1000)
         self.jobs.remove(job)
+        if job.is_deadly and not job.gone and not self.ended:
+            self.crash(job)
+            return
         if not job.gone and not self.is_unreachable:
             job.reply.send(200, self.answer_headers(job),
                            rightanswers.plain_body(job.request.target))
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from cardamommill.domain import clock, model
-from cardamommill.experiment import datacentrerules
+from cardamommill.experiment import crashrules, datacentrerules
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
@@ -139,6 +139,7 @@
         # By runner and machine.
         self._leaving_informed_ms: dict[tuple[str, str], float] = {}
         self.place_rules = datacentrerules.DataCentreRules(limits.evacuate_ms)
+        self.crash_rules = crashrules.CrashRules(limits.contact_ms)
         # Loads are checked only while the platform's store is available.
         self.counts_loads = True
 
@@ -169,6 +170,9 @@
         self._check_rate(sent.machine, runner)
         self._check_rests(sent.machine, runner)
         self._check_leaving(attempt, runner)
+        broken = self.crash_rules.check_arrival(sent)
+        if broken is not None:
+            self.broken("BUDGET", f"{attempt} at {runner}: {broken}")
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
             self._repeats_ms[service].append(clock.now_ms())
@@ -236,6 +240,7 @@
 
     def record_partition(self, machine: str) -> None:
         """Records a partition, in which a machine may miss limits and rests."""
+        self.crash_rules.out_of_touch_ms[machine] = clock.now_ms()
         for limit in self._rate_limits.values():
             limit.informed_ms.pop(machine, None)
         for (_, asked_machine), rests in self._rests.items():
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -10,6 +10,7 @@
 
 from cardamommill.domain import clock
 from cardamommill.experiment import (
+    crashrules,
     deployments,
     modelclients,
     modelfleet,
@@ -127,6 +128,41 @@
             runner.end()
             self._world.loop.network.end_processes(runner.host)
 
+    async def _deadly_request(self, trouble: deployments.Trouble) -> None:
+        """Sends copies of a request that crashes each runner that runs it.
+
+        One copy comes each `factor` seconds, through the clients of any data
+        centre, until `for_s` is over. `count` different requests do so at once.
+        """
+        world = self._world
+        until_ms = clock.now_ms() + 1000 * trouble.for_s
+        kinds = [
+            world.deployment.kind(each)
+            for each in world.deployment.kinds
+            if each.model and each.type == "streaming"
+        ]
+        contents = [
+            modelclients.Content(f"{kind.prefix}deadly/{number}",
+                                 crashrules.DEADLY_BODY,
+                                 int(kind.prompt_tokens),
+                                 int(kind.answer_tokens),
+                                 *world.rng.choice(world.keys))
+            for number, kind in enumerate(
+                world.rng.choice(kinds) for _ in range(trouble.count))
+        ]
+        copies = 0
+        while clock.now_ms() < until_ms:
+            for content in contents:
+                place = world.rng.choice(list(world.clients))
+                kind = next(each for each in kinds
+                            if content.target.startswith(each.prefix))
+                copies += 1
+                world.spawn(
+                    f"clients-{place}",
+                    world.clients[place].request(kind, content,
+                                                 f"deadly-{copies}"))
+            await asyncio.sleep(trouble.factor)
+
     async def _runners_restart(self, trouble: deployments.Trouble) -> None:
         """Restarts members under their ids."""
         self._world.restart_runners(self._draw_members(trouble), trouble.for_s)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -30,6 +30,8 @@
 CONTROL_PORT = 8229
 PEER_PORT = 7340
 RESTART_S = 0.5
+# Time between the crash of a runner and its next start.
+CRASH_RESTART_S = 3.0
 # A runner's entry expires after three missed heartbeats.
 ENTRY_EXPIRY_MS = 3 * modelfleet.HEARTBEAT_MS
 
@@ -60,6 +62,7 @@
         store_calls: Number of calls to the store.
         started_ms: When traffic started.
         cold_requests: Number of requests at runners while they were cold.
+        crashes: Number of runners that crashed under a request.
     """
 
     name: str
@@ -69,6 +72,7 @@
     store_calls: int
     started_ms: float
     cold_requests: int = 0
+    crashes: int = 0
 
     @property
     def earned(self) -> float:
@@ -126,7 +130,8 @@
                                       self.run_oracle,
                                       engines, {},
                                       cold_s=deployment.cold_s,
-                                      states_born=deployment.states_born)
+                                      states_born=deployment.states_born,
+                                      on_crash=self._replace_crashed)
         self.machines: dict[str, Machine] = {}
         self.clients: dict[str, modelclients.Clients] = {}
         self.open_groups: list[tuple[float, dict[str, int]]] = []
@@ -224,6 +229,14 @@
         self.spawn(host, runner.live())
         return runner
 
+    def _replace_crashed(self, runner: modelfleet.ListedRunner) -> None:
+        self.spawn("troubles", self._start_replacement(runner))
+
+    async def _start_replacement(self, runner: modelfleet.ListedRunner) -> None:
+        """Starts a runner in place of one that crashed, under a new id."""
+        await asyncio.sleep(CRASH_RESTART_S)
+        self.add_runner(runner.place, runner.domain, runner.service)
+
     def restart_runners(self, runners: list[modelfleet.ListedRunner],
                         for_s: float) -> None:
         """Ends runners and starts them again under their ids."""
@@ -361,7 +374,8 @@
                        self.store.calls,
                        started_ms,
                        cold_requests=sum(
-                           map(len, self.run_oracle.cold_arrivals_ms.values())))
+                           map(len, self.run_oracle.cold_arrivals_ms.values())),
+                       crashes=self.run_oracle.crash_rules.crashes)
 
 
 def play(deployment: deployments.Deployment,
