Keep requests that crash runners from all runners

What callers saw: streams of all accounts broke as one head after the other ended, and over a tenth of a route wasn't served.

Cause: nothing remembered what ran at a runner that ended.

Now nodes record which requests had just begun at a runner that ended, tell each other, and blame the one that alone explains at least one of its crashes. After two crashes a node sends it to no further runner, after three all nodes refuse it for ten minutes: 503, as it has not run in that attempt. Peers tell each other all decisions in each datagram, so a node that restarts or was cut off has them with the first one. A request that runs whole is cleared everywhere; crashes within a second of more others blame nobody.

--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -136,11 +136,10 @@
         """
         world = self._world
         until_ms = clock.now_ms() + 1000 * trouble.for_s
-        kinds = [
-            world.deployment.kind(each)
-            for each in world.deployment.kinds
-            if each.model and each.type == "streaming"
-        ]
+        specs = world.deployment.kinds
+        # Of streams, if there are any.
+        specs = [each for each in specs if each.model] or specs
+        kinds = [world.deployment.kind(each) for each in specs]
         contents = [
             modelclients.Content(f"{kind.prefix}deadly/{number}",
                                  crashrules.DEADLY_BODY,
--- a/cardamommill/gateway/requests/attemptresult.py
+++ b/cardamommill/gateway/requests/attemptresult.py
@@ -26,3 +26,7 @@
     TIMED_OUT = "timed-out"
     # The caller closed its connection.
     ABANDONED = "abandoned"
+
+
+# The runner gave a complete answer that reports no failure of its own.
+SUCCEEDED = frozenset({Result.ANSWERED, Result.STREAMED})
--- /dev/null
+++ b/cardamommill/gateway/requests/crashcauses.py
@@ -0,0 +1,245 @@
+"""Finds the requests that crash the runners that run them.
+
+Runners crash under many requests at once, and a caller whose answer broke sends
+its request again, so requests that do no harm are in several crashes too. A
+request is blamed if it was in several crashes, no other ones explain them as
+well, and few other runners crashed at the same time.
+
+The load that it answers: a runner crashes under all requests in its slots, many
+runners crash at once by a common cause, and the reports come late, repeatedly
+and in any order.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+# A request that was in this many crashes is not sent to another runner by the
+# same node, and after this many it is kept from all runners.
+SUSPECT_CRASHES = 2
+QUARANTINE_CRASHES = 3
+# After this many, it is blamed even if others may explain the same crashes.
+CERTAIN_CRASHES = 6
+# Crashes within this time may have a common cause that is no request.
+COINCIDENCE_MS = 1000.0
+# How long a crash is remembered, and a request that ran whole after one: long
+# enough that a request whose quarantine is over is blamed for its next crash.
+LIFETIME_MS = 3_600_000.0
+MAX_CRASHES = 128
+MAX_ACCUSED = 64
+MAX_CLEARED = 1024
+# Requests that ran whole lately are not accused: copies of a harmless request
+# come all the time, and some of them are in any crash.
+MAX_RAN_WHOLE = 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """A runner's crash.
+
+    Attributes:
+        at_ms: When it was noticed first.
+        accused: Digests of the requests that had just begun there.
+    """
+
+    at_ms: float
+    accused: set[int] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Blame:
+    """What a request is blamed for.
+
+    Attributes:
+        crashes: The number of crashes.
+        newest_ms: When the last of them was noticed.
+    """
+
+    crashes: int
+    newest_ms: float
+
+
+class CrashCauses:
+    """The crashes that all nodes saw lately, by runner."""
+
+    def __init__(self) -> None:
+        self._crashes: collections.OrderedDict[int, Crash] = (
+            collections.OrderedDict())
+        # When each request last ran whole, as far as it was accused before.
+        self._cleared_ms: collections.OrderedDict[int, float] = (
+            collections.OrderedDict())
+        self._ran_whole: collections.OrderedDict[int, None] = (
+            collections.OrderedDict())
+        self._blamed: dict[int, Blame] = {}
+        self._is_changed = False
+
+    def crash(self, runner: int) -> Crash | None:
+        """Returns what is known of the crash of a runner."""
+        return self._crashes.get(runner)
+
+    def is_accused(self, digest: int) -> bool:
+        """Whether a request was in any crash that it is not cleared of."""
+        return bool(self._crashes_of(digest))
+
+    def accused(self, digests: Iterable[int]) -> list[int]:
+        """Returns those requests that this node accuses of a crash it saw."""
+        found = []
+        for digest in digests:
+            if digest in self._ran_whole:
+                # A new version of a model may fail on what ran before, so this
+                # excuse holds for one crash.
+                del self._ran_whole[digest]
+            else:
+                found.append(digest)
+        return found
+
+    def record(self, runner: int, accused: Iterable[int], at_ms: float) -> bool:
+        """Records a crash, or further requests that were in it.
+
+        Args:
+            runner: Identifies the incarnation of the runner.
+            accused: Digests of the requests.
+            at_ms: When it was noticed.
+
+        Returns:
+            Whether anything was new.
+        """
+        known = self._crashes.get(runner)
+        is_new = known is None
+        if known is None:
+            known = self._crashes[runner] = Crash(at_ms)
+            if len(self._crashes) > MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        added = sorted(set(accused) - known.accused)
+        added = added[:MAX_ACCUSED - len(known.accused)]
+        known.accused.update(added)
+        is_new |= bool(added)
+        self._is_changed |= is_new
+        return is_new
+
+    def retract(self, runner: int) -> None:
+        """Drops a crash of a runner that has answered since."""
+        if self._crashes.pop(runner, None) is not None:
+            self._is_changed = True
+
+    def ran_whole(self, digest: int, now_ms: float) -> bool:
+        """Records that a request was answered whole.
+
+        Returns:
+            Whether it was in several crashes, so that peers should know.
+        """
+        self._ran_whole[digest] = None
+        self._ran_whole.move_to_end(digest)
+        if len(self._ran_whole) > MAX_RAN_WHOLE:
+            self._ran_whole.popitem(last=False)
+        crashes = len(self._crashes_of(digest))
+        if crashes:
+            self.clear(digest, now_ms)
+        return crashes >= SUSPECT_CRASHES
+
+    def clear(self, digest: int, at_ms: float) -> None:
+        """Excuses a request from all crashes before a time."""
+        self._cleared_ms[digest] = max(
+            at_ms, self._cleared_ms.get(digest, float("-inf")))
+        self._cleared_ms.move_to_end(digest)
+        if len(self._cleared_ms) > MAX_CLEARED:
+            self._cleared_ms.popitem(last=False)
+        self._is_changed = True
+
+    def blamed(self) -> dict[int, Blame]:
+        """Returns the requests that are blamed for several crashes.
+
+        No two are blamed for the same crash, unless they were in exactly the
+        same ones.
+        """
+        if self._is_changed:
+            self._is_changed = False
+            self._blamed = self._find_blamed()
+        return self._blamed
+
+    def drop_expired(self, now_ms: float) -> None:
+        """Drops crashes that are too old."""
+        for runner, crash in list(self._crashes.items()):
+            if now_ms - crash.at_ms > LIFETIME_MS:
+                self.retract(runner)
+        for digest, at_ms in list(self._cleared_ms.items()):
+            if now_ms - at_ms > LIFETIME_MS:
+                del self._cleared_ms[digest]
+
+    def _crashes_of(self, digest: int) -> set[int]:
+        cleared_ms = self._cleared_ms.get(digest, float("-inf"))
+        return {
+            runner for runner, crash in self._crashes.items()
+            if digest in crash.accused and crash.at_ms > cleared_ms
+        }
+
+    def _crashes_by_request(self) -> dict[int, set[int]]:
+        found: dict[int, set[int]] = collections.defaultdict(set)
+        for runner, crash in self._crashes.items():
+            for digest in crash.accused:
+                if crash.at_ms > self._cleared_ms.get(digest, float("-inf")):
+                    found[digest].add(runner)
+        return found
+
+    def _find_blamed(self) -> dict[int, Blame]:
+        blamed: dict[int, Blame] = {}
+        explained: set[int] = set()
+        by_request = self._crashes_by_request()
+        while True:
+            suspects = {
+                digest: crashes - explained
+                for digest, crashes in by_request.items()
+                if len(crashes - explained) >= SUSPECT_CRASHES
+            }
+            found = self._most_certain(suspects, explained)
+            if not found:
+                return blamed
+            crashes = suspects[found[0]]
+            newest_ms = max(self._crashes[each].at_ms for each in crashes)
+            for digest in found:
+                blamed[digest] = Blame(len(crashes), newest_ms)
+            explained |= crashes
+
+    def _most_certain(self, suspects: dict[int, set[int]],
+                      explained: set[int]) -> list[int]:
+        """Returns the next requests to blame, all for the same crashes.
+
+        A request is certain if it alone explains one of its crashes, and no
+        other suspect of the same crashes was in more of them.
+
+        Args:
+            suspects: The crashes that each may be blamed for.
+            explained: Crashes for which other requests are blamed.
+        """
+        suspects_of = collections.Counter(
+            crash for crashes in suspects.values() for crash in crashes)
+        best: list[int] = []
+        most = 0
+        for digest, crashes in sorted(suspects.items()):
+            if len(crashes) <= most or any(
+                    len(others) > len(crashes) and others & crashes
+                    for others in suspects.values()):
+                continue
+            if len(crashes) >= CERTAIN_CRASHES:
+                best = [
+                    each for each, others in suspects.items()
+                    if others == crashes
+                ]
+            elif (any(suspects_of[each] == 1 for each in crashes) and
+                  not self._is_coincidence(crashes, explained)):
+                best = [digest]
+            else:
+                continue
+            most = len(crashes)
+        return best
+
+    def _is_coincidence(self, crashes: set[int], explained: set[int]) -> bool:
+        """Whether more other runners crashed at the time of these crashes."""
+        times_ms = [self._crashes[each].at_ms for each in crashes]
+        others = sum(
+            any(
+                abs(crash.at_ms - at_ms) < COINCIDENCE_MS
+                for at_ms in times_ms)
+            for runner, crash in self._crashes.items()
+            if runner not in crashes and runner not in explained)
+        return others > len(crashes)
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -38,6 +38,7 @@
     attempts,
     backpressure,
     coldrunners,
+    crashes,
     eligibletargets,
     forwarding,
     platformreader,
@@ -56,9 +57,7 @@
 # uses the confirmations of its peers.
 OWN_CONFIRMATION_MS = 1500.0
 
-_SUCCEEDED = frozenset(
-    {attemptresult.Result.ANSWERED, attemptresult.Result.STREAMED})
-_NO_FAULT = _SUCCEEDED | {attemptresult.Result.ABANDONED}
+_NO_FAULT = attemptresult.SUCCEEDED | {attemptresult.Result.ABANDONED}
 
 _LOG = logbook.Logger("requests")
 
@@ -105,6 +104,7 @@
         self.in_flight_requests = self._group_loads.own
         self.available_groups = availablegroups.AvailableGroups(view)
         self.isolation = isolation.Isolation()
+        self.crashes = crashes.Crashes(self.isolation, node_metrics, spawn)
         self.silence = silence.SilenceDetector()
         self.forecast = forecast.Forecast()
         self.reliability = reliability.Reliability(self._chance)
@@ -191,6 +191,7 @@
         self._plain_runners.drop_expired(now_ms)
         self.reliability.drop_expired(now_ms)
         self.backpressure.drop_expired(now_ms)
+        self.crashes.drop_expired(now_ms)
 
     def table(self) -> routetable.RouteTable | None:
         """Returns the route table in force, or None before the first one."""
@@ -229,6 +230,18 @@
         return not self.cold_runners.wait_ms(target.known.runner,
                                              clock.now_ms())
 
+    def quarantine_left_ms(self, one: relay.Relay) -> float:
+        """Returns for how long a request is still refused; 0 if it is not."""
+        return self.crashes.quarantine_left_ms(one)
+
+    def is_crash_suspect(self, one: relay.Relay) -> bool:
+        """Whether a request seems to crash the runners that run it."""
+        return self.crashes.is_suspect(one)
+
+    def repeat_delay_ms(self, one: relay.Relay) -> float:
+        """Returns how long a request whose attempt broke waits for evidence."""
+        return self.crashes.repeat_delay_ms(one)
+
     def may_retry(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
         now_ms = clock.now_ms()
@@ -292,6 +305,7 @@
         now_ms = clock.now_ms()
         sent_ms = self._unanswered_since_ms.pop(one, None)
         if sent_ms is not None:
+            self.crashes.first_event(one, now_ms)
             self.reliability.succeeded(target.known.runner.id, now_ms)
             self._record_first_event(one, target, now_ms - sent_ms)
         if target.key is None:
@@ -326,6 +340,7 @@
             self.silence.ended(target.key, one.attempt_id)
             self.admission.attempt_ended(one, outcome.result in _NO_FAULT,
                                          clock.now_ms())
+        self.crashes.attempt_ended(one, target, outcome, clock.now_ms())
         self._record_outcome(one, target, outcome)
 
     def _record_outcome(self, one: relay.Relay, target: targets.Target,
@@ -334,7 +349,8 @@
         runner = target.known.runner.id
         sent_ms = self._unanswered_since_ms.pop(one, None)
         if outcome.result in _NO_FAULT:
-            if outcome.result in _SUCCEEDED and sent_ms is not None:
+            if sent_ms is not None and (outcome.result
+                                        in attemptresult.SUCCEEDED):
                 self.reliability.succeeded(runner, now_ms)
             return
         if sent_ms is not None and self._is_runner_fault(
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -120,6 +120,7 @@
                                                settings.bounds.drain_ms),
             self._is_planned_here, self._send_update_now, self.spawn)
         self._requests.on_fault = self._alarms.probe
+        self._requests.crashes.on_news = self._send_update_now
         self._requests.on_refusal = self._alarms.refused
         self._requests.expected_recovery_ms = (
             self._group_controller.expected_recovery_ms)
@@ -257,6 +258,8 @@
             has_new_information |= self._opened.receive(opened, message.node,
                                                         is_remote, now_ms)
         has_new_information |= self._closed.receive(message, is_remote, now_ms)
+        has_new_information |= self._requests.crashes.receive(
+            message, is_remote, now_ms)
         for alarm in message.alarms:
             has_new_information |= self._alarms.receive(alarm, message.node,
                                                         now_ms, is_remote)
@@ -302,6 +305,7 @@
             limits=() if is_remote else
             self._requests.backpressure.updates_for_peers(now_ms),
             sections=self._closed.section(now_ms) |
+            self._requests.crashes.sections(now_ms) |
             (self._requests.admission.sections(now_ms) if is_near else {}))
 
     def _load_sums(self, now_ms: float,
@@ -339,6 +343,7 @@
     def _tick_once(self, now_ms: float) -> None:
         self._ticks += 1
         self._alarms.check_groups(now_ms)
+        self._requests.crashes.check(now_ms)
         self._link.send_due(now_ms)
         if self._ticks % PLAN_EVERY_TICKS == 0:
             self._requests.update_from_peers(self._remote_loads.loads(now_ms),
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -40,6 +40,8 @@
 # Maximum estimated time to the first event of a deferred request: callers leave
 # after two seconds without an event.
 PATIENCE_MS = 1600.0
+# Why a request is refused that crashed several runners.
+QUARANTINED = "crashed the backend servers that ran it before; not run again"
 
 _LOG = logbook.Logger("requests")
 
@@ -113,8 +115,17 @@
         self.tenant = found.tenant
         self._key_digest = found.key_digest
         self.deadline_at_ms = found.deadline_at_ms
+        quarantined = self._refused_by_quarantine()
+        if quarantined is not None:
+            self._conclusion.refuse(503, quarantined.reason,
+                                    quarantined.retry_after_ms)
+            return False
         return True
 
+    def _refused_by_quarantine(self) -> placing.Refused | None:
+        left_ms = self._node.quarantine_left_ms(self)
+        return placing.Refused(QUARANTINED, left_ms) if left_ms else None
+
     @functools.cached_property
     def digest(self) -> int:
         """Identifies copies of the request; valid once it is admitted."""
@@ -233,6 +244,8 @@
                 self._conclusion.caller_left()
                 return
             outcome = await self._run_attempt(target)
+            if outcome.result is attemptresult.Result.BROKEN:
+                await self._wait_for_evidence()
             state = retrydecision.RequestState(
                 self.route is not None and self.route.repeatable,
                 self.may_have_run, self._may_retry(), self.reply.started)
@@ -246,6 +259,12 @@
                 self._conclusion.finish(step, outcome)
                 return
 
+    async def _wait_for_evidence(self) -> None:
+        """Waits for what other nodes know, if the request may crash runners."""
+        delay_ms = self._node.repeat_delay_ms(self)
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+
     async def _next_target(self) -> targets.Target | placing.Refused | None:
         waited_from_ms = clock.now_ms()
         if self.attempted:
@@ -262,6 +281,9 @@
                 # connection has not arrived yet.
                 return placing.Refused("out of time",
                                        admitting.DEFAULT_RETRY_AFTER_MS)
+            quarantined = self._refused_by_quarantine()
+            if quarantined is not None:
+                return quarantined
             found = self._find_target()
             if isinstance(found, targets.Target) or not self.reply.started:
                 return found
@@ -353,6 +375,8 @@
         counted = self._attempt_limit.count(self._node.is_isolated())
         if leaving + counted >= self.route.max_attempts:
             return False
+        if self._node.is_crash_suspect(self):
+            return False
         return self._node.may_retry(self.service)
 
     def _request_bytes(self, target: targets.Target, now_ms: float) -> bytes:
--- a/cardamommill/gateway/shell/targets.py
+++ b/cardamommill/gateway/shell/targets.py
@@ -48,6 +48,15 @@
     def may_send(self, target: Target) -> bool:
         """Whether a target that was found earlier still takes a request."""
 
+    def quarantine_left_ms(self, relay: "Relay") -> float:
+        """Returns for how long a request is still refused; 0 if it is not."""
+
+    def is_crash_suspect(self, relay: "Relay") -> bool:
+        """Whether a request seems to crash the runners that run it."""
+
+    def repeat_delay_ms(self, relay: "Relay") -> float:
+        """Returns how long a request whose attempt broke waits for evidence."""
+
     def may_retry(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
 
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -119,6 +119,8 @@
         repeats_left: The remaining retry budget.
         waiting: Runners that take no request at the moment.
         is_cut_off: Whether the node suspects its own isolation.
+        quarantined_ms: For how long the request is kept from all runners.
+        is_suspect: Whether the request seems to crash runners.
         route: The route of the request.
     """
 
@@ -131,6 +133,8 @@
         self.repeats_left = 10
         self.waiting = set()
         self.is_cut_off = False
+        self.quarantined_ms = 0.0
+        self.is_suspect = False
         self.route = model.Route(name="r",
                                  host="h",
                                  prefix="/v/",
@@ -180,6 +184,18 @@
     def is_isolated(self):
         return self.is_cut_off
 
+    def quarantine_left_ms(self, one):
+        del one
+        return self.quarantined_ms
+
+    def is_crash_suspect(self, one):
+        del one
+        return self.is_suspect
+
+    def repeat_delay_ms(self, one):
+        del one
+        return 0.0
+
     def may_retry(self, service):
         del service
         return self.repeats_left > 0
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -23,6 +23,10 @@
     def spawn(self, work):
         self.work.append(work)
 
+    def quarantine_left_ms(self, one):
+        del one
+        return 0.0
+
     def find_target(self, one):
         del one
         return REFUSED
