--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -138,7 +138,7 @@
         until_ms = clock.now_ms() + 1000 * trouble.for_s
         specs = world.deployment.kinds
         # Of streams, if there are any.
-        specs = [each for each in specs if each.model] or specs
+        specs = tuple(each for each in specs if each.model) or specs
         kinds = [world.deployment.kind(each) for each in specs]
         contents = [
             modelclients.Content(f"{kind.prefix}deadly/{number}",
