Count a retry against the budget where it is sent

Cause: the budget was read when an attempt ended and counted when the next one began. A runner's end breaks all its streams before any is repeated, so all read the same count. The test shows five streams with one retry left: ten sends before, six now. The budget is read again where nothing can come between it and the send; the others are told that it is used up (502, may have run).

--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -285,13 +285,27 @@
             if quarantined is not None:
                 return quarantined
             found = self._find_target()
-            if isinstance(found, targets.Target) or not self.reply.started:
+            if isinstance(found, targets.Target):
+                return self._within_budget(found)
+            if not self.reply.started:
                 return found
             if (now_ms - waited_from_ms > RESUME_WAIT_MS or
                 (self.tenant is not None and not self._key_is_known())):
                 return found
             await asyncio.sleep(diversion.POLL_MS / 1000)
 
+    def _within_budget(
+            self, found: targets.Target) -> targets.Target | placing.Refused:
+        """Returns a target, unless the retry budget was used up meanwhile.
+
+        All streams of a runner that ends break before the first of them is
+        repeated and counts.
+        """
+        if self.attempted and not self._node.may_retry(self.service):
+            return placing.Refused("retry budget is used up",
+                                   admitting.DEFAULT_RETRY_AFTER_MS)
+        return found
+
     def _find_target(self) -> targets.Target | placing.Refused:
         reserved = self._diversion.take_target()
         if not self.is_key_valid():
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -97,6 +97,28 @@
     return asyncio.run(run()), node
 
 
+def test_streams_that_break_together_share_what_is_left_of_the_budget():
+    """A runner's end breaks all its streams before any of them is repeated.
+
+    All read the same number of repeats, and each was sent once more.
+    """
+    node = relays.FakeNode()
+    node.repeats_left = 1
+
+    async def run():
+        streams = [relays.begin(node) for _ in range(5)]
+        await asyncio.sleep(0)
+        for each in node.exchanges[:]:
+            each.cut()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return streams
+
+    streams = asyncio.run(run())
+    assert len(node.exchanges) == len(streams) + 1
+    assert [each.reply.status for each in streams].count(502) == 4
+
+
 def test_failed_resumption_breaks_the_stream():
     """The connection breaks after two events; the next runner answers 500.
 
