Keep the counted retries when settings are reloaded

Cause: a reload, by SIGHUP or a changed file, made the budgets anew, so that a node could use its share of the slack again within the same window. The test gets a whole new share after a reload before, none now; changed limits apply to what was counted.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -21,11 +21,15 @@
             window_ms: The length of the window.
             slack: Allowed retries in addition, of all nodes together.
         """
+        self.set_limits(ratio, window_ms, slack)
+        self._first_attempts_ms: collections.deque[float] = collections.deque()
+        self._retries_ms: collections.deque[float] = collections.deque()
+
+    def set_limits(self, ratio: float, window_ms: float, slack: float) -> None:
+        """Changes the limits; what was counted goes on counting."""
         self._ratio = ratio
         self._window_ms = window_ms
         self._slack = slack
-        self._first_attempts_ms: collections.deque[float] = collections.deque()
-        self._retries_ms: collections.deque[float] = collections.deque()
 
     def request(self, now_ms: float) -> None:
         """Counts the first attempt of a request."""
@@ -69,11 +73,19 @@
         self._bounds = bounds
         self._budgets: dict[str, RetryBudget] = {}
 
+    def reload(self, bounds: entrysettings.Bounds) -> None:
+        """Applies changed settings."""
+        self._bounds = bounds
+        for budget in self._budgets.values():
+            budget.set_limits(*self._limits())
+
     def for_service(self, service: str) -> RetryBudget:
         """Returns the budget of a service; creates it at its first use."""
         if service not in self._budgets:
-            bounds = self._bounds
-            self._budgets[service] = RetryBudget(bounds.retry_ratio,
-                                                 bounds.retry_window_s * 1000,
-                                                 bounds.retry_slack)
+            self._budgets[service] = RetryBudget(*self._limits())
         return self._budgets[service]
+
+    def _limits(self) -> tuple[float, float, float]:
+        bounds = self._bounds
+        return (bounds.retry_ratio, bounds.retry_window_s * 1000,
+                bounds.retry_slack)
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -147,7 +147,7 @@
         """Applies changed settings."""
         self._settings = settings
         self.cold_runners.slow_start.settings = settings
-        self._retry_budgets = retrybudget.RetryBudgets(settings.bounds)
+        self._retry_budgets.reload(settings.bounds)
         self.eligible_targets.reload(settings)
         self.admission.is_enabled = settings.admission_control
 
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamommill import metrics
-from cardamommill.domain import clock, model
+from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import evacuations
 from cardamommill.gateway.nodes import peers
 from cardamommill.gateway.requests import (
@@ -125,3 +125,20 @@
     node.find(1000)
     node.send(2000, False, status)
     assert isinstance(node.find(2001), targets.Target) == (status == 421)
+
+
+def test_reload_does_not_forget_the_retries_of_the_window():
+    """A node that gets SIGHUP would use its share of the budget twice."""
+    settings = builders.cold_settings(bounds=entrysettings.Bounds(
+        cold_overage=1.5, cold_slack=5, retry_slack=10))
+    node = Node()
+    target = targets.Target(next(iter(node.requests._view.known.values())))
+    with clock.override(lambda: 1000.0):
+        node.requests.reload(settings)
+        retries = 0
+        while node.requests.may_retry("llm"):
+            node.requests.on_attempt_start(Request(), target, True)
+            retries += 1
+        assert retries
+        node.requests.reload(settings)
+        assert not node.requests.may_retry("llm")
--- a/tests/gateway/test_freshness_and_retries.py
+++ b/tests/gateway/test_freshness_and_retries.py
@@ -1,7 +1,10 @@
 """Tests of key freshness and of the retry budget."""
 
+from cardamommill.domain import entrysettings
 from cardamommill.gateway.requests import freshness, retrybudget
 
+BOUNDS = entrysettings.Bounds(retry_slack=130)
+
 
 def test_keys_are_trusted_while_the_confirmation_is_recent():
     fresh = freshness.Freshness(5000)
@@ -34,6 +37,19 @@
     assert retries > 100
 
 
+def test_reloaded_settings_do_not_forget_retries():
+    """A node that reloads its settings would use its share twice."""
+    budgets = retrybudget.RetryBudgets(BOUNDS)
+    budget = budgets.for_service("llm")
+    while budget.may_retry(1, 0.0):
+        budget.repeat(0.0)
+    budgets.reload(BOUNDS.model_copy(update={"retry_slack": 10.0}))
+    assert not budgets.for_service("llm").may_retry(1, 100.0)
+    assert budgets.for_service("llm").may_retry(1, 10_100.0)
+    budgets.reload(BOUNDS.model_copy(update={"retry_slack": 0.0}))
+    assert not budgets.for_service("llm").may_retry(1, 10_100.0)
+
+
 def test_retries_outside_the_window_are_not_counted():
     budget = retrybudget.RetryBudget(0.0, 10_000, 10)
     for now_ms in range(8):
