Use no slack of the retry budget within a window after a start

Cause: a node that restarts has forgotten what it sent within the window before its end and used its share of the slack again; nodes that are restarted in turn, or all at once, could together send twice the slack. In the test a node that has just started allows 33 retries for 100 requests before, 16 now (the ratio alone), and its share of the slack again after a window. Nodes start before traffic, so that a first start is not affected after 10 s.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -13,14 +13,21 @@
 class RetryBudget:
     """The retry budget of one service on this node, over a sliding window."""
 
-    def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
+    def __init__(self,
+                 ratio: float,
+                 window_ms: float,
+                 slack: float,
+                 started_ms: float = float("-inf")) -> None:
         """Initialises an empty window.
 
         Args:
             ratio: Allowed retries per request, in any window.
             window_ms: The length of the window.
             slack: Allowed retries in addition, of all nodes together.
+            started_ms: When the node started. It does not know what it sent
+                before, so it uses no slack within a window after that.
         """
+        self._started_ms = started_ms
         self.set_limits(ratio, window_ms, slack)
         self._first_attempts_ms: collections.deque[float] = collections.deque()
         self._retries_ms: collections.deque[float] = collections.deque()
@@ -39,21 +46,24 @@
     def may_retry(self, nodes: int, now_ms: float) -> bool:
         """Whether one more retry is within this node's share of the budget."""
         self._trim(now_ms)
-        return self.retries + 1 <= self.allowed(nodes)
+        return self.retries + 1 <= self.allowed(nodes, now_ms)
 
     @property
     def retries(self) -> int:
         """The number of this node's retries within the window."""
         return len(self._retries_ms)
 
-    def allowed(self, nodes: int) -> float:
+    def allowed(self, nodes: int, now_ms: float) -> float:
         """Returns how many retries this node may make within the window.
 
         Args:
             nodes: The number of nodes that share the budget.
+            now_ms: The current time.
         """
+        is_recent_start = now_ms - self._started_ms < self._window_ms
+        slack = 0.0 if is_recent_start else self._slack / max(1, nodes)
         return (self._ratio * len(self._first_attempts_ms) +
-                self._slack / max(1, nodes)) * SHARE_SAFETY_FACTOR
+                slack) * SHARE_SAFETY_FACTOR
 
     def repeat(self, now_ms: float) -> None:
         """Counts a retry."""
@@ -69,8 +79,15 @@
 class RetryBudgets:
     """The retry budgets of all services."""
 
-    def __init__(self, bounds: entrysettings.Bounds) -> None:
+    def __init__(self, bounds: entrysettings.Bounds, started_ms: float) -> None:
+        """Initialises the instance without budgets.
+
+        Args:
+            bounds: The limits.
+            started_ms: When the node started.
+        """
         self._bounds = bounds
+        self._started_ms = started_ms
         self._budgets: dict[str, RetryBudget] = {}
 
     def reload(self, bounds: entrysettings.Bounds) -> None:
@@ -82,7 +99,8 @@
     def for_service(self, service: str) -> RetryBudget:
         """Returns the budget of a service; creates it at its first use."""
         if service not in self._budgets:
-            self._budgets[service] = RetryBudget(*self._limits())
+            self._budgets[service] = RetryBudget(*self._limits(),
+                                                 self._started_ms)
         return self._budgets[service]
 
     def _limits(self) -> tuple[float, float, float]:
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -98,7 +98,8 @@
         self._peers = node_peers
         self._metrics = node_metrics
         self._chance = random.Random(settings.node)
-        self._retry_budgets = retrybudget.RetryBudgets(settings.bounds)
+        self._retry_budgets = retrybudget.RetryBudgets(settings.bounds,
+                                                       clock.now_ms())
         self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
         self._group_loads = grouploads.GroupLoads()
         self.in_flight_requests = self._group_loads.own
@@ -288,7 +289,7 @@
                       request=one.attempt_id,
                       service=one.service,
                       retries=budget.retries,
-                      allowed=int(budget.allowed(nodes)),
+                      allowed=int(budget.allowed(nodes, now_ms)),
                       nodes=nodes))
 
     def on_answer_head(self, one: relay.Relay, target: targets.Target,
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -132,8 +132,9 @@
     settings = builders.cold_settings(bounds=entrysettings.Bounds(
         cold_overage=1.5, cold_slack=5, retry_slack=10))
     node = Node()
+    clock_ms = clock.now_ms() + 20_000.0
     target = targets.Target(next(iter(node.requests._view.known.values())))
-    with clock.override(lambda: 1000.0):
+    with clock.override(lambda: clock_ms):
         node.requests.reload(settings)
         retries = 0
         while node.requests.may_retry("llm"):
--- a/tests/gateway/test_freshness_and_retries.py
+++ b/tests/gateway/test_freshness_and_retries.py
@@ -39,7 +39,7 @@
 
 def test_reloaded_settings_do_not_forget_retries():
     """A node that reloads its settings would use its share twice."""
-    budgets = retrybudget.RetryBudgets(BOUNDS)
+    budgets = retrybudget.RetryBudgets(BOUNDS, -20_000.0)
     budget = budgets.for_service("llm")
     while budget.may_retry(1, 0.0):
         budget.repeat(0.0)
@@ -50,6 +50,20 @@
     assert not budgets.for_service("llm").may_retry(1, 10_100.0)
 
 
+def test_node_that_restarts_does_not_use_its_share_again():
+    """It has forgotten what it sent within the window before its end."""
+    started_ms = 5000.0
+    budget = retrybudget.RetryBudgets(BOUNDS, started_ms).for_service("llm")
+    for _ in range(100):
+        budget.request(started_ms)
+    sent = 0
+    while budget.may_retry(6, started_ms + 9999.0):
+        budget.repeat(started_ms + 9999.0)
+        sent += 1
+    assert sent <= BOUNDS.retry_ratio * 100
+    assert budget.may_retry(6, started_ms + 20_000.0)
+
+
 def test_retries_outside_the_window_are_not_counted():
     budget = retrybudget.RetryBudget(0.0, 10_000, 10)
     for now_ms in range(8):
