Keep decisions about requests that crash runners in the store

The first node by name writes one row with the newest 64 decisions, with the store's time; the reporters of each data centre read it once after a start. A crash that this node alone saw counts no more when the runner answers again.

Also tests of what nodes tell each other, and of what the caller is told.

--- a/cardamommill/experiment/modelstore.py
+++ b/cardamommill/experiment/modelstore.py
@@ -14,7 +14,8 @@
 ADDRESS = ("10.200.1.7", 8223)
 ANSWER_MS = 4.0
 # Tables that nodes may write; writes to others get status 403.
-WRITABLE_BY_SYSTEM = ("nodes", "status")
+WRITABLE_BY_SYSTEM = frozenset(
+    {wirenames.NODES_TABLE, wirenames.QUARANTINE_TABLE, "status"})
 
 
 @dataclasses.dataclass(slots=True)
--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -1,7 +1,7 @@
 """Keeps requests that crash runners from further runners, with all nodes."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 import dataclasses
 from typing import Any, TypeVar
 import zlib
@@ -104,10 +104,14 @@
         # When the current attempt of a relay brought its first event.
         self._first_event_ms: dict[relay.Relay, float] = {}
         self._broken: dict[str, _Broken] = {}
+        # The runners whose crash this node itself noticed.
+        self._crashed: dict[int, fleetview.RunnerRecord] = {}
         self._announced: dict[int, _Announcement] = {}
         # Times of the first and the last evidence that no decision considers.
         self._first_change_ms = self._last_change_ms = 0.0
         self._told_decisions = 0
+        # How many decisions were put into force, by this node or a peer.
+        self.decision_count = 0
         # Called when peers should be told at once.
         self.on_news: Callable[[], None] = _ignore
 
@@ -214,6 +218,7 @@
                       age_ms=int(now_ms - broken.at_ms),
                       requests=",".join(map(requestdigest.text, accused))))
         self._record_change(now_ms)
+        self._crashed[short_id] = broken.known
         self._announced[short_id] = _Announcement(now_ms)
         self.on_news()
 
@@ -231,6 +236,7 @@
         """Puts a decision into force; returns whether it is new."""
         if not self.quarantine.receive(decision, now_ms):
             return False
+        self.decision_count += 1
         if decision.is_cleared:
             self._causes.clear(decision.digest, decision.at_ms)
         event = ("request-cleared"
@@ -243,8 +249,21 @@
                       age_ms=int(now_ms - decision.at_ms)))
         return True
 
+    def restore(self, decisions: Iterable[quarantine.Decision],
+                now_ms: float) -> None:
+        """Puts decisions into force that were made before this node's start."""
+        for decision in decisions:
+            self._decide(decision, "read from the store", now_ms)
+
     def drop_expired(self, now_ms: float) -> None:
-        """Drops what no longer matters."""
+        """Drops what no longer matters, and crashes that were none."""
+        for short_id, known in list(self._crashed.items()):
+            crash = self._causes.crash(short_id)
+            if crash is None:
+                del self._crashed[short_id]
+            elif known.recovered_ms > crash.at_ms and not known.has_ended:
+                # It was only out of this node's reach.
+                self._causes.retract(short_id)
         self._causes.drop_expired(now_ms)
         self.quarantine.drop_expired(now_ms)
         clock.drop_expired(self._announced, lambda told: told.since_ms,
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -26,6 +26,7 @@
     openedgroups,
     operatorrows,
     platformreader,
+    quarantinetable,
     relay,
     settingsfile,
     statuspages,
@@ -102,6 +103,8 @@
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
                                                self.spawn)
+        self._quarantine_table = quarantinetable.QuarantineTable(
+            self._store, self._requests.crashes, self._peers, settings.node)
         self._status = nodestatus.NodeStatus(self._reader, rows,
                                              self._freshness,
                                              self._requests.eligible_targets,
@@ -171,6 +174,7 @@
                 self.spawn(self._link.discover_nodes(self._store))
                 self.spawn(self._tick())
                 self.spawn(self._follow_platform())
+                self.spawn(self._quarantine_table.follow())
                 await self._ended.wait()
             finally:
                 for task in list(self._tasks):
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -5,6 +5,7 @@
 import binascii
 import dataclasses
 import json
+import math
 from typing import Any
 from urllib import parse
 
@@ -51,12 +52,14 @@
         as_of_ms: A time on this node's clock, not later than when the
             store answered.
         era: The era in which the store assigned all these versions.
+        store_ms: The store's clock when it answered.
     """
 
     rows: tuple[Row, ...]
     version: int
     as_of_ms: float
     era: int = 0
+    store_ms: float = 0.0
 
     @property
     def position(self) -> eras.TablePosition:
@@ -159,6 +162,12 @@
                 step="rows",
                 peer=self._peer)
 
+    def store_time_ms(self, local_ms: float) -> float | None:
+        """Returns the store's clock at a time; None before any answer."""
+        if not math.isfinite(self._offset_ms):
+            return None
+        return local_ms - self._offset_ms
+
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row unconditionally, whatever it held before.
 
@@ -259,7 +268,7 @@
             self._offset_era = era
         self._offset_ms = max(self._offset_ms, sent_ms - store_ms)
         as_of_ms = min(self._offset_ms + store_ms, clock.now_ms())
-        return Rows(rows, version, max(as_of_ms, sent_ms), era)
+        return Rows(rows, version, max(as_of_ms, sent_ms), era, store_ms)
 
 
 def check(answer: fetching.Answer, step: str, peer: str) -> None:
--- a/cardamommill/platform/wirenames.py
+++ b/cardamommill/platform/wirenames.py
@@ -52,6 +52,9 @@
 # must get nothing more.
 EVACUATION_PREFIX = "evacuate/"
 NODES_TABLE = "nodes"
+# Has one row, with all decisions about requests that crash runners.
+QUARANTINE_TABLE = "quarantine"
+QUARANTINE_KEY = "requests"
 
 # Kinds of routes.
 IDEMPOTENT = "idempotent"
--- a/tests/experiment/test_deadly_requests.py
+++ b/tests/experiment/test_deadly_requests.py
@@ -94,6 +94,25 @@
     assert all(map(is_deadly, quarantined))
 
 
+@SEEDS
+@FLEETS
+@pytest.mark.parametrize("store",
+                         [[], [trouble("store_silent", 2.0, for_s=6.5)]],
+                         ids=["sound", "silent-store"])
+def test_all_nodes_that_restart_learn_it_from_the_store(seed, places, store):
+    """No node is left that could tell the others."""
+    kills = [trouble("all_nodes_kill", 12.0), trouble("all_nodes_kill", 22.0)]
+    outcome = play(deadly(for_s=28.0),
+                   *kills,
+                   *store,
+                   seed=seed,
+                   places=places,
+                   length_s=30.0)
+    assert not outcome.violations
+    # Nodes that knew nothing would need three more crashes after each restart.
+    assert outcome.crashes < 3 * crashrules.CRASHES
+
+
 @SEEDS
 @FLEETS
 def test_data_centre_that_was_cut_off_learns_it_afterwards(seed, places):
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -6,7 +6,7 @@
 
 from cardamommill.domain import clock, model
 from cardamommill.gateway.requests import placing
-from cardamommill.gateway.shell import diversion, relay, targets
+from cardamommill.gateway.shell import admitting, diversion, relay, targets
 from cardamommill.transport import callers
 from tests.gateway import builders, relays
 
@@ -119,6 +119,50 @@
     assert [each.reply.status for each in streams].count(502) == 4
 
 
+@pytest.mark.parametrize("is_suspect,sends", [(False, 2), (True, 1)])
+def test_request_that_seems_to_crash_runners_is_not_repeated(is_suspect, sends):
+    """A node took one head after the other with its own attempts."""
+
+    async def scenario(node, one):
+        del one
+        node.is_suspect = is_suspect
+        node.exchanges[0].cut()
+        await asyncio.sleep(0)
+
+    reply, node = run_scenario(scenario)
+    assert len(node.exchanges) == sends
+    assert reply.status == (502 if is_suspect else 0)
+
+
+def test_quarantined_request_is_refused_at_once_and_has_not_run(monkeypatch):
+    """Its caller may rely on the status, and is told when it may run again."""
+    node, reply = relays.FakeNode(), RecordingReply()
+    node.quarantined_ms = 90_000.0
+    monkeypatch.setattr(
+        admitting, "admit",
+        lambda *_: admitting.Admitted(node.route, relays.FAR_DEADLINE_MS))
+    request = callers.CallerRequest("POST", "/v/1", [], b"", 0.0)
+    assert not relay.Relay(node, request, reply).admit()
+    status, headers, _ = reply.answer
+    assert (status, headers["Retry-After"]) == (503, "90.000")
+    assert not node.exchanges
+
+
+def test_request_that_is_quarantined_after_an_attempt_may_have_run():
+    """The answer must not promise that it has not run."""
+
+    async def scenario(node, one):
+        del one
+        node.quarantined_ms = 60_000.0
+        node.exchanges[0].cut()
+        await asyncio.sleep(0)
+
+    reply, node = run_scenario(scenario)
+    assert len(node.exchanges) == 1
+    assert reply.status == 502
+    assert reply.complete_bodies[0].startswith(b"crashed the backend servers")
+
+
 def test_failed_resumption_breaks_the_stream():
     """The connection breaks after two events; the next runner answers 500.
 
