Let a node that has just started use what it left of its slack

Cause: after a restart of all nodes no node used any slack for a window, though each had left a fifth of its share before.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -25,7 +25,8 @@
             window_ms: The length of the window.
             slack: Allowed retries in addition, of all nodes together.
             started_ms: When the node started. It does not know what it sent
-                before, so it uses no slack within a window after that.
+                before, so within a window after that it uses only what it left
+                of its share of the slack then.
         """
         self._started_ms = started_ms
         self.set_limits(ratio, window_ms, slack)
@@ -61,9 +62,11 @@
             now_ms: The current time.
         """
         is_recent_start = now_ms - self._started_ms < self._window_ms
-        slack = 0.0 if is_recent_start else self._slack / max(1, nodes)
-        return (self._ratio * len(self._first_attempts_ms) +
-                slack) * SHARE_SAFETY_FACTOR
+        slack_factor = (1 - SHARE_SAFETY_FACTOR
+                        if is_recent_start else SHARE_SAFETY_FACTOR)
+        return (
+            self._ratio * len(self._first_attempts_ms) * SHARE_SAFETY_FACTOR +
+            self._slack / max(1, nodes) * slack_factor)
 
     def repeat(self, now_ms: float) -> None:
         """Counts a retry."""
