Log which requests ended while their node suspected its own isolation

The logs of the incident (a node cut off from all runners) could not tell which refusals a node gave while it suspected itself: the suspicion was one line when it began. request-ended now says isolated=True for its whole length. Nothing else changes; measured with the tests of the relay and the dispatcher.

--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -418,7 +418,7 @@
         _LOG.info(
             requestlog.ended(one, status, reason,
                              table.configuration.version if table else 0,
-                             now_ms))
+                             now_ms, self.isolation.is_suspected(now_ms)))
 
 
 def _ignore(key: model.GroupKey, reason: str) -> None:
--- a/cardamommill/gateway/shell/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -5,8 +5,12 @@
 from cardamommill.gateway.shell import relay
 
 
-def ended(one: relay.Relay, status: int, reason: str, version: int,
-          now_ms: float) -> str:
+def ended(one: relay.Relay,
+          status: int,
+          reason: str,
+          version: int,
+          now_ms: float,
+          is_isolated: bool = False) -> str:
     """Returns the log line for a request that ended.
 
     Args:
@@ -15,6 +19,7 @@
         reason: Why the request was not served; empty if it was.
         version: Version of the configuration in force; 0 for none.
         now_ms: The current time.
+        is_isolated: Whether the node suspects that it is itself cut off.
     """
     arrived_ms = one.request.arrived_ms
     first_event_at_ms = one.first_event_ms
@@ -34,7 +39,10 @@
         **_estimate_fields(one),
         admission=one.admission,
         took_ms=int(now_ms - arrived_ms),
-        version=version)
+        version=version,
+        **({
+            "isolated": True
+        } if is_isolated else {}))
 
 
 def _estimate_fields(one: relay.Relay) -> dict[str, object]:
