--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -213,9 +213,12 @@
             left_ms = began_ms + kind.deadline_ms - clock.now_ms()
             if left_ms < 50:
                 break
-            retry_after_ms = await self._attempt(
-                kind, content, began_ms, left_ms,
-                f"{self._place}-{number}-{retry}", result)
+            attempt = f"{self._place}-{number}-{retry}"
+            retry_after_ms = await self._attempt(kind, content, began_ms,
+                                                 left_ms, attempt, result)
+            if not retry and result.outcome != "denied":
+                self._run_oracle.record_first_try(
+                    attempt, result.outcome in ("in-aim", "late"))
             if retry_after_ms is None:
                 break
             await asyncio.sleep(min(retry_after_ms, left_ms / 3) / 1000)
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -4,7 +4,11 @@
 import dataclasses
 
 from cardamommill.domain import clock, model
-from cardamommill.experiment import crashrules, datacentrerules
+from cardamommill.experiment import (
+    crashrules,
+    datacentrerules,
+    recoverrules,
+)
 
 LOAD_WINDOW_MS = 5000.0
 REPEAT_WINDOW_MS = 10_000.0
@@ -140,6 +144,7 @@
         self._leaving_informed_ms: dict[tuple[str, str], float] = {}
         self.place_rules = datacentrerules.DataCentreRules(limits.evacuate_ms)
         self.crash_rules = crashrules.CrashRules(limits.contact_ms)
+        self.recover_rules = recoverrules.RecoverRules(limits.contact_ms)
         # Loads are checked only while the platform's store is available.
         self.counts_loads = True
 
@@ -335,6 +340,14 @@
             self.broken("REFUSED",
                         f"{attempt} had run but its client got {status}")
 
+    def record_first_try(self, attempt: str, is_served: bool) -> None:
+        """Records the end of a client's first attempt for a request."""
+        sent = self.sent[attempt]
+        broken = self.recover_rules.check_first_try(sent.machine, sent.at_ms,
+                                                    is_served)
+        if broken is not None:
+            self.broken("RECOVER", broken)
+
     def record_load(self) -> None:
         """Records the start of a load from the weight store."""
         if not self.counts_loads:
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import math
 import random
 import signal
@@ -366,6 +366,50 @@
         await asyncio.sleep(trouble.for_s)
         network.heal()
 
+    async def _nodes_cut(self, trouble: deployments.Trouble) -> None:
+        """Cuts nodes off from runners; their connections hang."""
+        await self._cut_nodes(trouble, self._world.loop.network.cut)
+
+    async def _nodes_reset(self, trouble: deployments.Trouble) -> None:
+        """Cuts nodes off from runners, which reset and refuse connections."""
+        network = self._world.loop.network
+
+        def cut(node: str, runner: str) -> None:
+            network.reset_link(node, runner)
+            network.refuse(node, runner)
+
+        await self._cut_nodes(trouble, cut)
+
+    async def _nodes_refused(self, trouble: deployments.Trouble) -> None:
+        """Has runners refuse nodes; open connections go on."""
+        await self._cut_nodes(trouble, self._world.loop.network.refuse)
+
+    async def _cut_nodes(self, trouble: deployments.Trouble,
+                         cut: Callable[[str, str], None]) -> None:
+        """Cuts nodes off from a `factor` of the runners, with `cut`."""
+        world = self._world
+        nodes = [
+            each.host
+            for each in world.machines.values()
+            if not trouble.place or each.place == trouble.place
+        ]
+        nodes = sorted(world.rng.sample(nodes, min(trouble.count, len(nodes))))
+        runners = sorted({each.host for each in world.fleet.runners.values()})
+        runners = sorted(
+            world.rng.sample(runners, round(trouble.factor * len(runners))))
+        for node in nodes:
+            world.run_oracle.record_partition(node)
+            for runner in runners:
+                cut(node, runner)
+        if len(runners) == len(world.fleet.runners):
+            world.run_oracle.recover_rules.record_cut(frozenset(nodes),
+                                                      1000 * trouble.for_s)
+        await asyncio.sleep(trouble.for_s)
+        for node in nodes:
+            world.run_oracle.record_partition(node)
+            for runner in runners:
+                world.loop.network.restore(node, runner)
+
     async def _fail_store(self, fault: str, for_s: float) -> None:
         self._world.store.fault = fault
         self._world.run_oracle.counts_loads = False
--- a/cardamommill/experiment/virtualloop.py
+++ b/cardamommill/experiment/virtualloop.py
@@ -88,7 +88,7 @@
         if not network.reaches(source, address[0]):
             await asyncio.sleep(1e6)
         factory = network.listeners.get(address)
-        if factory is None:
+        if factory is None or network.refuses(source, address[0]):
             raise ConnectionRefusedError("connection refused")
         protocol = protocol_factory()
         here = virtualnetwork.FakeTransport(self, network, source, address[0],
--- a/cardamommill/experiment/virtualnetwork.py
+++ b/cardamommill/experiment/virtualnetwork.py
@@ -48,6 +48,8 @@
         self.between_places_ms = 1.4
         self.loss = 0.0
         self._cut_links: set[frozenset[str]] = set()
+        # Links on which new connections are refused; open ones go on.
+        self._refusing_links: set[frozenset[str]] = set()
         self._rng = rng
 
     def host(self, name: str) -> Host:
@@ -58,9 +60,23 @@
         """Cuts the link between two hosts."""
         self._cut_links.add(frozenset((one, other)))
 
+    def refuse(self, one: str, other: str) -> None:
+        """Has new connections between two hosts refused."""
+        self._refusing_links.add(frozenset((one, other)))
+
+    def refuses(self, source: str, target: str) -> bool:
+        """Whether new connections from one host to another are refused."""
+        return frozenset((source, target)) in self._refusing_links
+
+    def restore(self, one: str, other: str) -> None:
+        """Restores the link between two hosts."""
+        self._cut_links.discard(frozenset((one, other)))
+        self._refusing_links.discard(frozenset((one, other)))
+
     def heal(self) -> None:
-        """Restores all links that were cut."""
+        """Restores all links."""
         self._cut_links.clear()
+        self._refusing_links.clear()
 
     def reaches(self, source: str, target: str) -> bool:
         """Returns whether packets from one host arrive at another."""
@@ -78,6 +94,14 @@
         """Returns at random whether a datagram is lost."""
         return self._rng.random() < self.loss
 
+    def reset_link(self, one: str, other: str) -> None:
+        """Resets all connections between two hosts, as seen by both."""
+        for transport in [
+                each for each in self.transports
+                if {each.host, each.peer_host} == {one, other}
+        ]:
+            transport.on_peer_closed(ConnectionResetError("reset by peer"))
+
     def reset_connections(self, name: str) -> None:
         """Resets all connections of a host; its listeners stay open."""
         for transport in [
@@ -112,7 +136,7 @@
         self.host = host
         self._loop = loop
         self._network = network
-        self._peer_host = peer_host
+        self.peer_host = peer_host
         self._protocol = protocol
         self._peer: FakeTransport | None = None
         self._closing = False
@@ -195,14 +219,14 @@
         # Packets of a connection stay in order.
         at_s = max(
             self._loop.time() +
-            self._network.delay_s(self.host, self._peer_host),
+            self._network.delay_s(self.host, self.peer_host),
             self._last_arrival_s + MIN_PACKET_GAP_S)
         self._last_arrival_s = at_s
         self._loop.call_at(at_s, self._arrive, handler, what)
 
     def _arrive(self, handler: Callable[[Any], None], what: Any) -> None:
         # Whatever arrives while the link is cut is lost, also a close or reset.
-        if self._network.reaches(self.host, self._peer_host):
+        if self._network.reaches(self.host, self.peer_host):
             handler(what)
 
     def _deliver(self, data: bytes) -> None:
--- a/tests/experiment/test_evacuation.py
+++ b/tests/experiment/test_evacuation.py
@@ -87,7 +87,7 @@
             (to_nodes if is_node(target) else to_runners).append(target)
 
     def record_write(transport, data):
-        record(transport.host, transport._peer_host, data)
+        record(transport.host, transport.peer_host, data)
         write(transport, data)
 
     def record_datagram(transport, data, addr=None):
