Blame no request while a node finds out what it can't reach

Cause: a node whose link is reset sees all its connections break at once and every runner refuse it, which is what a crash looks like. Its suspicion of itself came only after two groups were probed, while crashes were recorded and told to peers with the first.

--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -187,10 +187,14 @@
     def check(self, now_ms: float) -> None:
         """Confirms crashes and decides about requests; called each tick."""
         for runner, broken in list(self._broken.items()):
+            is_overdue = now_ms - broken.at_ms > CONFIRMATION_MS
+            if self._isolation.is_in_question and not is_overdue:
+                # To a node whose link was cut, all runners seem to have ended.
+                continue
             if broken.is_crash:
                 del self._broken[runner]
                 self._confirm(runner, broken, now_ms)
-            elif now_ms - broken.at_ms > CONFIRMATION_MS:
+            elif is_overdue:
                 del self._broken[runner]
         if not self._first_change_ms or (
                 now_ms - self._last_change_ms < SETTLE_MS and
