Pass requests to peers while a node reaches no runner

Cause: a node's own connections were the only way to a runner, and nothing told a failed link from failed runners.

A node that gets no answer of a whole group connects to up to three runners of other places. If most refuse or hang, it is cut off: it raises no alarm, and passes its callers' requests to a peer until most of three runners take a connection again. Requests that wait for a runner go along. A peer also gets a request that this node could not send twice, or would refuse for want of a model whose listed runners do not answer it.

Why this and not the balancer: a node that is not ready still keeps its open connections, and where most nodes of a data centre are cut off the balancer uses all of them.

The peer admits the request anew and serves it by its own limits, budgets and shares; the first node counts no attempt. The header Entry-Hop carries the age, the configuration, and the attempts made, and is why the peer passes it on no further. A refusal by the peer says that the request was not run; a broken hop leaves that open. Bodies go only where a request may run.

--- a/cardamommill/gateway/requests/attemptlimit.py
+++ b/cardamommill/gateway/requests/attemptlimit.py
@@ -25,8 +25,18 @@
 class AttemptLimit:
     """The attempts of one request that may have run it."""
 
-    def __init__(self) -> None:
+    def __init__(self, by_peers: int = 0) -> None:
+        """Initialises the instance.
+
+        Args:
+            by_peers: How many attempts other nodes have made for the request.
+        """
         self._runs: list[_PossibleRun] = []
+        self._by_peers = by_peers
+
+    def record_by_peer(self, attempts: int) -> None:
+        """Records attempts that another node made for the request."""
+        self._by_peers += attempts
 
     def record(self, known: fleetview.RunnerRecord, is_unlikely: bool) -> None:
         """Records an attempt that may have run the request.
@@ -48,5 +58,6 @@
         Args:
             is_isolated: Whether the node suspects its own isolation.
         """
-        return sum(is_isolated or not (each.is_unlikely or each.known.down_ms)
-                   for each in self._runs)
+        return self._by_peers + sum(
+            is_isolated or not (each.is_unlikely or each.known.down_ms)
+            for each in self._runs)
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -96,7 +96,13 @@
         requests.restarts.on_lost_member = self._handle_lost_member
 
     def updates_for_peers(self, now_ms: float) -> tuple[peermessage.Alarm, ...]:
-        """Returns the alarms to report to peers."""
+        """Returns the alarms to report to peers.
+
+        A node that may be cut off reports none: it would have peers give up
+        groups that they reach.
+        """
+        if self._requests.isolation.is_cut_off(now_ms):
+            return ()
         return tuple(
             peermessage.Alarm(key, now_ms -
                               told.at_ms, told.confirmed, told.silent)
@@ -238,11 +244,22 @@
                              members: list[fleetview.RunnerRecord],
                              reason: str) -> None:
         was_up = {each.runner.id for each in members if not each.down_ms}
-        answers = await asyncio.gather(
-            *(self._group_controller.probe(each.runner.id, reason)
-              for each in members))
+        isolation = self._requests.isolation
+        is_sound = True
+        with isolation.in_question():
+            answers = await asyncio.gather(
+                *(self._group_controller.probe(each.runner.id, reason)
+                  for each in members))
+            self._record_reachability(key, members, any(answers),
+                                      clock.now_ms())
+            if not any(answers):
+                is_sound = await self._requests.link.is_sound(
+                    self._view.members(key))
         now_ms = clock.now_ms()
-        self._record_reachability(key, members, any(answers), now_ms)
+        if not is_sound:
+            # Peers may reach the group; this node's requests go to them.
+            self._alarms.pop(key, None)
+            return
         if all(answers):
             self._alarms.pop(key, None)
             self._requests.available_groups.stop_avoiding(key)
@@ -277,6 +294,23 @@
             self._metrics.count("isolation_suspected_total")
             _LOG.warning(logs.line("isolation-suspected", group=key))
 
+    def probe_avoided_groups(self) -> None:
+        """Probes all groups that are avoided, since they may be reached again.
+
+        The marks of a node that was cut off would outlast the cut by seconds.
+        """
+        now_ms = clock.now_ms()
+        for known in list(self._view.known.values()):
+            membership = known.membership
+            if membership is None or membership.rank or not known.listed:
+                continue
+            members = self._view.members(membership.key)
+            if (self._requests.available_groups.is_avoided(
+                    membership.key, now_ms) or
+                    any(each.down_ms for each in members)):
+                self._probed_ms.pop(membership.key, None)
+                self.probe(membership.key, "this node was cut off")
+
     def _probe_related_groups(self, key: model.GroupKey,
                               members: list[fleetview.RunnerRecord],
                               now_ms: float) -> None:
--- a/cardamommill/gateway/shell/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -60,7 +60,7 @@
         self._attempt_id = attempt_id
         self._streaming = streaming
         self._sink = sink
-        self._head = upstream.Head()
+        self.head = upstream.Head()
         self._body = bytearray()
         self._parser: eventparser.EventParser | None = None
 
@@ -87,7 +87,7 @@
                           answers=echo,
                           status=head.status))
             return False
-        self._head = head
+        self.head = head
         if echo is not None:
             self._sink.on_head(head)
         if self._streaming and head.status == _OK_FIRST and (
@@ -110,7 +110,7 @@
             self._fail(str(error))
             return
         for event in events:
-            if not self._sink.on_event(self._head, event):
+            if not self._sink.on_event(self.head, event):
                 self._fail("an event that does not follow the last")
                 return
 
@@ -126,37 +126,37 @@
             self.done.set_result(self._complete())
 
     def _complete(self) -> Outcome:
-        status = self._head.status
+        status = self.head.status
         if self._parser is not None:
             if self._parser.has_partial_event:
                 return Outcome(attemptresult.Result.BROKEN,
                                "ended within an event")
-            return Outcome(attemptresult.Result.STREAMED, head=self._head)
+            return Outcome(attemptresult.Result.STREAMED, head=self.head)
         if _OK_FIRST <= status <= _OK_LAST:
             if not self._has_valid_success_head():
                 return Outcome(attemptresult.Result.BROKEN,
                                f"{status} that is not its own")
-            return Outcome(attemptresult.Result.ANSWERED, "", self._head,
+            return Outcome(attemptresult.Result.ANSWERED, "", self.head,
                            bytes(self._body))
         # 421 (Misdirected Request): the request reached a runner that it was
         # not meant for, which does not run it.
-        if self._head.get(wirenames.NOT_EXECUTED) is not None or status == 421:
+        if self.head.get(wirenames.NOT_EXECUTED) is not None or status == 421:
             return Outcome(attemptresult.Result.NOT_RUN,
-                           f"runner said {status}", self._head)
-        if self._head.get(wirenames.ATTEMPT_ID) is None:
+                           f"runner said {status}", self.head)
+        if self.head.get(wirenames.ATTEMPT_ID) is None:
             return Outcome(attemptresult.Result.BROKEN,
                            f"{status} without the request's id")
         if status >= _SERVER_ERROR_FIRST or status in _FAILURES_BELOW_500:
             return Outcome(attemptresult.Result.FAILED, f"runner said {status}",
-                           self._head, bytes(self._body))
-        return Outcome(attemptresult.Result.ANSWERED, "", self._head,
+                           self.head, bytes(self._body))
+        return Outcome(attemptresult.Result.ANSWERED, "", self.head,
                        bytes(self._body))
 
     def _has_valid_success_head(self) -> bool:
         """Whether the head has this attempt's id, a seal and no encoding."""
-        return (self._head.get(wirenames.ATTEMPT_ID) == self._attempt_id and
-                self._head.get(wirenames.RESPONSE_SEAL) is not None and
-                self._head.get("content-encoding") is None)
+        return (self.head.get(wirenames.ATTEMPT_ID) == self._attempt_id and
+                self.head.get(wirenames.RESPONSE_SEAL) is not None and
+                self.head.get("content-encoding") is None)
 
     def _fail(self, reason: str) -> None:
         if not self.done.done():
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -41,6 +41,8 @@
     crashes,
     eligibletargets,
     forwarding,
+    hops,
+    linkcheck,
     platformreader,
     relay,
     requestlog,
@@ -105,6 +107,11 @@
         self.in_flight_requests = self._group_loads.own
         self.available_groups = availablegroups.AvailableGroups(view)
         self.isolation = isolation.Isolation()
+        self.link = linkcheck.LinkCheck(settings.data_centre, view,
+                                        self.isolation, node_metrics,
+                                        self._chance, spawn)
+        self.hops = hops.Hops(settings.node, node_peers, node_metrics,
+                              self._chance)
         self.crashes = crashes.Crashes(self.isolation, node_metrics, spawn)
         self.silence = silence.SilenceDetector()
         self.forecast = forecast.Forecast()
@@ -130,6 +137,7 @@
         # When the current attempt of a relay was sent; removed with its first
         # event.
         self._unanswered_since_ms: dict[relay.Relay, float] = {}
+        self._running: dict[relay.Relay, None] = {}
         # Called with a group that failed a request, and the reason.
         self.on_fault: Callable[[model.GroupKey, str], None] = _ignore
         # Called with a group that refused a request, and the reason.
@@ -217,17 +225,55 @@
         as_of_ms = self._peers.config_confirmed_ms(version)
         self._freshness.confirm(min(as_of_ms, now_ms))
 
-    def find_target(self, one: relay.Relay) -> targets.Target | placing.Refused:
-        """Returns the target of a request's next attempt, or a refusal."""
+    def find_target(
+        self, one: relay.Relay
+    ) -> targets.Target | targets.PeerTarget | placing.Refused:
+        """Returns the target of a request's next attempt, or a refusal.
+
+        A peer gets the request if this node is cut off, or can't reach what it
+        would send it to.
+        """
         table = self._reader.table
         assert table is not None
-        return self._finder.find(one, table.configuration)
-
-    def may_send(self, target: targets.Target) -> bool:
+        configuration = table.configuration
+        if self.reaches_no_runner() or one.unsent_count >= hops.MAX_UNSENT:
+            peer = self._find_peer(one, configuration)
+            if peer is not None:
+                return peer
+        found = self._finder.find(one, configuration)
+        if self._is_out_of_reach(one, found):
+            return self._find_peer(one, configuration) or found
+        return found
+
+    def _find_peer(
+            self, one: relay.Relay,
+            configuration: model.Configuration) -> targets.PeerTarget | None:
+        # Where a request may not run, its body must not go either.
+        eligible = self.eligible_targets.decide(one.route, one.tenant)
+        return self.hops.find(one, configuration.version, eligible.allows)
+
+    def _is_out_of_reach(self, one: relay.Relay,
+                         found: targets.Target | placing.Refused) -> bool:
+        """Whether only this node may have failed to reach what it needs."""
+        now_ms = clock.now_ms()
+        if isinstance(found, targets.Target):
+            return found.key is None and self._plain_runners.has_failed(
+                found.known.runner.id, now_ms)
+        return (self.hops.may_question_refusal(one, now_ms) and
+                one.model_name in self._view.unanswered_models())
+
+    def on_cut(self) -> None:
+        """Moves requests away from runners that this node can't reach."""
+        for one in list(self._running):
+            one.leave_runner("this node is cut off")
+
+    def may_send(self, target: targets.Target | targets.PeerTarget) -> bool:
         """Whether a target that was found earlier still takes a request.
 
         All streams of a silent group may have found the same cold runner.
         """
+        if isinstance(target, targets.PeerTarget):
+            return True
         return not self.cold_runners.wait_ms(target.known.runner,
                                              clock.now_ms())
 
@@ -249,10 +295,29 @@
         nodes = self._peers.nodes(now_ms)
         return self._retry_budgets.for_service(service).may_retry(nodes, now_ms)
 
+    def reaches_no_runner(self) -> bool:
+        """Whether this node has lately reached no runner anywhere."""
+        return self.isolation.is_cut_off(clock.now_ms())
+
     def is_isolated(self) -> bool:
         """Whether this node suspects that it is itself cut off."""
         return self.isolation.is_suspected(clock.now_ms())
 
+    def hop_request_bytes(self, one: relay.Relay, target: targets.PeerTarget,
+                          attempts: int, has_arrived: bool) -> bytes:
+        """Returns a request for a peer."""
+        return self.hops.request_bytes(one, target, attempts, has_arrived)
+
+    def on_hop_start(self, one: relay.Relay,
+                     target: targets.PeerTarget) -> None:
+        """Records that a request is sent to a peer."""
+        self.hops.started(one, target)
+
+    def on_hop_end(self, one: relay.Relay, target: targets.PeerTarget,
+                   outcome: attempts.Outcome) -> None:
+        """Records the end of a hop."""
+        self.hops.ended(one, target, outcome)
+
     def on_attempt_start(self, one: relay.Relay, target: targets.Target,
                          repeat: bool) -> None:
         """Records the start of an attempt; `repeat` marks a retry."""
@@ -271,6 +336,7 @@
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
         self.cold_runners.sent(one, runner_id, now_ms)
         self._unanswered_since_ms[one] = now_ms
+        self._running[one] = None
         if target.key is None or target.placed is None:
             return
         self._relays.setdefault(target.key, {})[one] = None
@@ -325,6 +391,7 @@
                        outcome: attempts.Outcome) -> None:
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
+        self._running.pop(one, None)
         self._plain_runners.remove_request(runner_id)
         self.eligible_targets.attempt_ended(target.known.runner.data_centre)
         self.cold_runners.ended(one, outcome.head.status)
@@ -378,6 +445,8 @@
         if outcome.result is not attemptresult.Result.FAILED:
             self._plain_runners.failed(runner, now_ms)
         if target.key is None:
+            if outcome.result is attemptresult.Result.UNSENT:
+                self.link.check_plain(target.known, now_ms)
             return
         investigate = {
             attemptresult.Result.BROKEN: self.on_fault,
--- a/cardamommill/gateway/shell/diversion.py
+++ b/cardamommill/gateway/shell/diversion.py
@@ -18,7 +18,8 @@
             member.
     """
 
-    def __init__(self, find_target: Callable[[], targets.Target | None],
+    def __init__(self, find_target: Callable[[], targets.Target |
+                                             targets.PeerTarget | None],
                  is_started: Callable[[], bool]) -> None:
         """Initialises the instance without a diversion.
 
@@ -28,7 +29,7 @@
         """
         self._find_target = find_target
         self._is_started = is_started
-        self._target: targets.Target | None = None
+        self._target: targets.Target | targets.PeerTarget | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.has_lost_member = False
 
@@ -75,7 +76,7 @@
             self._timer.cancel()
             self._timer = None
 
-    def take_target(self) -> targets.Target | None:
+    def take_target(self) -> targets.Target | targets.PeerTarget | None:
         """Returns the target that was found, once."""
         target, self._target = self._target, None
         return target
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+import dataclasses
 import os
 import pathlib
 import signal
@@ -13,7 +14,12 @@
 from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
 from cardamommill.gateway.groups import planning
-from cardamommill.gateway.nodes import instanceids, peermessage, peers
+from cardamommill.gateway.nodes import (
+    hopheaders,
+    instanceids,
+    peermessage,
+    peers,
+)
 from cardamommill.gateway.requests import freshness, routetable
 from cardamommill.gateway.shell import (
     alarms,
@@ -21,6 +27,7 @@
     dispatcher,
     groupcontroller,
     heldrequests,
+    hops,
     nodelink,
     nodestatus,
     openedgroups,
@@ -90,9 +97,9 @@
         self._store = storecalls.StoreClient(
             self.pool, entrysettings.address(settings.platform))
         copies = tablecopies.TableCopies()
-        self._table_server = callers.CallerServer(
-            peertables.PeerTableServer(copies, self.spawn).on_request,
-            self._on_unreadable_request)
+        self._peer_tables = peertables.PeerTableServer(copies, self.spawn)
+        self._peer_server = callers.CallerServer(self._on_peer_request,
+                                                 self._on_unreadable_request)
         rows = operatorrows.OperatorRows(settings, self.metrics)
         self._reader = platformreader.PlatformReader(
             self._table_reader(wirenames.OPERATOR_TABLE, copies),
@@ -103,6 +110,10 @@
                                                self._reader, self._freshness,
                                                self._peers, self.metrics,
                                                self.spawn)
+        self._hop_server = hops.HopServer(
+            self._requests,
+            lambda: self._has_initial_state() and not self._stopping_ms,
+            self.metrics)
         self._quarantine_table = quarantinetable.QuarantineTable(
             self._store, self._requests.crashes, self._peers, settings.node)
         self._status = nodestatus.NodeStatus(self._reader, rows,
@@ -123,6 +134,8 @@
                                                settings.bounds.drain_ms),
             self._is_planned_here, self._send_update_now, self.spawn)
         self._requests.on_fault = self._alarms.probe
+        self._requests.link.on_cut = self._on_cut
+        self._requests.link.on_return = self._on_return
         self._requests.crashes.on_news = self._send_update_now
         self._requests.on_refusal = self._alarms.refused
         self._requests.expected_recovery_ms = (
@@ -192,7 +205,7 @@
         await self._status_server.listen(*entrysettings.address(settings.ready))
         if settings.metrics_port:
             await self._status_server.listen(settings.ip, settings.metrics_port)
-        await self._table_server.listen(settings.ip, settings.peer_port)
+        await self._peer_server.listen(settings.ip, settings.peer_port)
         await self._link.listen()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -230,6 +243,12 @@
         self.spawn(held.serve_when_ready(self._has_initial_state))
         return held
 
+    def _on_peer_request(self, request: callers.CallerRequest,
+                         reply: replies.Reply) -> callers.ActiveRequest | None:
+        if request.get(hopheaders.HEADER) is not None:
+            return self._hop_server.on_request(request, reply)
+        return self._peer_tables.on_request(request, reply)
+
     def _has_initial_state(self) -> bool:
         return self._reader.table is not None and self.view.list_as_of_ms > 0
 
@@ -264,7 +283,7 @@
         has_new_information |= self._closed.receive(message, is_remote, now_ms)
         has_new_information |= self._requests.crashes.receive(
             message, is_remote, now_ms)
-        for alarm in message.alarms:
+        for alarm in () if message.is_cut_off else message.alarms:
             has_new_information |= self._alarms.receive(alarm, message.node,
                                                         now_ms, is_remote)
         self._requests.reliability.receive(message.attempt_histories,
@@ -276,6 +295,14 @@
             # which pass them on at once.
             self._link.send_now(now_ms, far=False)
 
+    def _on_cut(self) -> None:
+        self._send_update_now()
+        self._requests.on_cut()
+
+    def _on_return(self) -> None:
+        self._send_update_now()
+        self._alarms.probe_avoided_groups()
+
     def _on_data_centre_return(self, data_centre: str) -> None:
         self._alarms.probe_down_runners(clock.now_ms(), data_centre)
 
@@ -308,7 +335,10 @@
             has_lost_store=self._reader.has_lost_store(now_ms),
             limits=() if is_remote else
             self._requests.backpressure.updates_for_peers(now_ms),
-            sections=self._closed.section(now_ms) |
+            sections=({
+                peermessage.CUT_OFF_SECTION: True
+            } if self._requests.reaches_no_runner() else {}) |
+            self._closed.section(now_ms) |
             self._requests.crashes.sections(now_ms) |
             (self._requests.admission.sections(now_ms) if is_near else {}))
 
@@ -327,8 +357,9 @@
         self._link.send_now(clock.now_ms(), far=True)
 
     def _is_planned_here(self, key: model.GroupKey) -> bool:
-        planned = self._peers.planned_data_centres(self._settings.data_centres,
-                                                   clock.now_ms())
+        planned = self._peers.planned_data_centres(
+            self._settings.data_centres, clock.now_ms(),
+            self._requests.reaches_no_runner())
         return any(each.runner.data_centre in planned
                    for each in self.view.members(key))
 
@@ -346,7 +377,9 @@
 
     def _tick_once(self, now_ms: float) -> None:
         self._ticks += 1
+        self._requests.link.update(now_ms)
         self._alarms.check_groups(now_ms)
+        self._requests.hops.check(now_ms)
         self._requests.crashes.check(now_ms)
         self._link.send_due(now_ms)
         if self._ticks % PLAN_EVERY_TICKS == 0:
@@ -356,7 +389,7 @@
         if self._ticks % SWEEP_EVERY_TICKS == 0:
             self._server.enforce_timeouts(now_ms)
             self._status_server.enforce_timeouts(now_ms)
-            self._table_server.enforce_timeouts(now_ms)
+            self._peer_server.enforce_timeouts(now_ms)
             self.pool.close_expired()
             if self._settings_file.has_changed:
                 self._reload("settings file changed")
@@ -373,8 +406,9 @@
         table = self._reader.table
         if table is None or self._stopping_ms:
             return
-        planned = self._peers.planned_data_centres(self._settings.data_centres,
-                                                   now_ms)
+        planned = self._peers.planned_data_centres(
+            self._settings.data_centres, now_ms,
+            self._requests.reaches_no_runner())
         if not planned:
             return
         is_before_traffic = not (self._requests_seen or
@@ -395,7 +429,12 @@
             self._send_update_now()
 
     def _on_table(self, table: routetable.RouteTable) -> None:
-        self._server.limits = table.configuration.limits
+        limits = table.configuration.limits
+        self._server.limits = limits
+        self._peer_server.limits = dataclasses.replace(
+            limits,
+            header_bytes=limits.header_bytes + hopheaders.HEADER_BYTES,
+            idle_ms=callers.DEFAULT_LIMITS.idle_ms)
 
     # Readiness, reload and shutdown.
 
@@ -421,10 +460,11 @@
             self._server.close_idle()
         grace_ms = self._settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
         if since_ms > grace_ms or (since_ms > LEAVE_ROTATION_MS and
-                                   not self._server.busy):
+                                   not self._server.busy and
+                                   not self._hop_server.busy):
             self._server.close()
             self._server.close_idle()
-            self._table_server.close()
+            self._peer_server.close()
             self._ended.set()
 
     def _reload(self, why: str) -> None:
--- a/cardamommill/gateway/shell/forwarding.py
+++ b/cardamommill/gateway/shell/forwarding.py
@@ -3,6 +3,7 @@
 import dataclasses
 import zlib
 
+from cardamommill.gateway.nodes import hopheaders
 from cardamommill.gateway.requests import placing
 from cardamommill.platform import fetching, wirenames
 from cardamommill.transport import callers, httpheaders, upstream
@@ -19,21 +20,28 @@
     "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
     "content-length", "expect"
 })
+# Of an answer that another node passed on.
+_ANSWER_HEADERS = _HOP_HEADERS | {hopheaders.ATTEMPTS_HEADER.lower()}
 _NODE_HEADERS = frozenset(
     each.lower()
     for each in ("Authorization", wirenames.DEADLINE_MS,
                  wirenames.EXPECT_INSTANCE, wirenames.TENANT,
                  wirenames.REQUEST_PRIORITY, wirenames.LAST_EVENT_ID))
 
-_NOT_FORWARDED = _HOP_HEADERS | _NODE_HEADERS
-
 
 def runner_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
     """Returns a caller's headers without those that a runner must not get.
 
     These are the hop-by-hop headers and those that this node sets itself.
     """
-    dropped = _NOT_FORWARDED
+    return [(name, value)
+            for name, value in end_to_end_headers(headers)
+            if name.lower() not in _NODE_HEADERS]
+
+
+def end_to_end_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns headers without those that concern one connection only."""
+    dropped = _HOP_HEADERS
     for name, value in headers:
         if name.lower() == "connection":
             dropped |= {each.strip().lower() for each in value.split(",")}
@@ -99,7 +107,7 @@
     """Returns the headers of a runner's answer that its caller gets."""
     return [(name, value)
             for name, value in head.headers
-            if name.lower() not in _HOP_HEADERS]
+            if name.lower() not in _ANSWER_HEADERS]
 
 
 def request_tokens(request: callers.CallerRequest) -> placing.RequestTokens:
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -8,6 +8,7 @@
 
 from cardamommill import logs
 from cardamommill.domain import clock, model
+from cardamommill.gateway.nodes import hopheaders
 from cardamommill.gateway.requests import (
     attemptlimit,
     attemptresult,
@@ -40,6 +41,13 @@
 # Maximum estimated time to the first event of a deferred request: callers leave
 # after two seconds without an event.
 PATIENCE_MS = 1600.0
+# A stream that a peer serves goes on elsewhere after this long without an
+# event. The peer itself would have moved it to another group long before.
+HOP_SILENCE_MS = 1200.0
+# The same before its first event.
+HOP_FIRST_EVENT_MS = PATIENCE_MS + 400.0
+# A stream with an event this recently is alive.
+LIVE_STREAM_MS = 250.0
 # Why a request is refused that crashed several runners.
 QUARANTINED = "crashed the backend servers that ran it before; not run again"
 
@@ -60,17 +68,24 @@
         request_tokens: Prompt length and expected length of the answer.
         model_name: The name of the requested model; empty for none.
         attempted: The targets of all attempts so far.
-        may_have_run_at: Those of `attempted` that may have run the request.
+        unsent_count: How many of these no byte of the request was sent to.
+        hops: The peers that the request was passed to so far.
+        hop: What the node that passed the request to this one says of it; None
+            if it came from a caller.
         deadline_at_ms: When the request times out.
         progress: The part of a stream that the caller has received.
         first_event_ms: When the first event was passed on; 0 before that.
+        may_have_run: Whether any attempt may have run the request.
         is_abandoned: Whether the caller has left.
         admission: The decision of admission control, for the log; empty where
             it did not apply.
     """
 
-    def __init__(self, node: targets.RelayContext,
-                 request: callers.CallerRequest, reply: replies.Reply) -> None:
+    def __init__(self,
+                 node: targets.RelayContext,
+                 request: callers.CallerRequest,
+                 reply: replies.Reply,
+                 hop: hopheaders.Hop | None = None) -> None:
         self._node = node
         self.request = request
         self.reply = reply
@@ -82,14 +97,22 @@
         self.request_tokens = forwarding.request_tokens(request)
         self.model_name = request.get(wirenames.MODEL) or ""
         self.attempted: list[targets.Target] = []
-        self.may_have_run_at: list[targets.Target] = []
-        self._attempt_limit = attemptlimit.AttemptLimit()
+        self.unsent_count = 0
+        self.hops: list[targets.PeerTarget] = []
+        self.hop = hop
+        self.may_have_run = False
+        # Whether a runner got the request, so that another attempt is a retry.
+        self._has_arrived = hop is not None and hop.has_arrived
+        self._attempt_limit = attemptlimit.AttemptLimit(
+            hop.attempts if hop is not None else 0)
+        self._last_event_ms = 0.0
         self._attempt_sent_ms = 0.0
         self.deadline_at_ms = math.inf
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
         self._attempt: attempts.Attempt | None = None
+        # Where the current attempt was sent; None on a hop.
         self._target: targets.Target | None = None
         self._conclusion = conclusion.Conclusion(
             reply, lambda status, reason: node.ended(self, status, reason))
@@ -145,11 +168,6 @@
         return (table is not None and
                 table.tenant(self._key_digest) is not None)
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any attempt may have run the request."""
-        return bool(self.may_have_run_at)
-
     @property
     def priority(self) -> int:
         """The priority in the runner's queue, from 0 for the first to 9."""
@@ -186,7 +204,7 @@
 
     def start(self) -> None:
         """Serves the request in a separate task."""
-        self._node.spawn(self._serve_logged())
+        self._node.spawn(self.serve())
 
     def caller_left(self) -> None:
         """Cancels the current attempt, so that the runner's place is freed."""
@@ -211,7 +229,28 @@
         if self.route.repeatable:
             self._diversion.start(self._attempt, reason, is_dead)
 
-    def _find_diversion(self) -> targets.Target | None:
+    def leave_runner(self, reason: str) -> None:
+        """Moves the request to a peer, if its runner is out of reach.
+
+        Runners may go on with open connections and refuse new ones.
+        """
+        attempt = self._attempt
+        if attempt is None or self._target is None:
+            return
+        if attempt.exchange is not None and not attempt.exchange.sent:
+            attempt.cancel(attemptresult.Result.BROKEN, reason)
+        elif clock.now_ms() - self._last_event_ms > LIVE_STREAM_MS:
+            self.divert(reason)
+
+    def is_hop_silent(self, now_ms: float) -> bool:
+        """Whether the peer that serves a stream brings no events."""
+        if not self.streaming:
+            return False
+        if self.progress.attempt_events:
+            return now_ms - self._last_event_ms > HOP_SILENCE_MS
+        return now_ms - self._attempt_sent_ms > HOP_FIRST_EVENT_MS
+
+    def _find_diversion(self) -> targets.Target | targets.PeerTarget | None:
         """Returns a target to divert the request to, or None."""
         if not self._may_retry(
                 leaving=self._may_be_running() or self._node.is_isolated()):
@@ -221,11 +260,13 @@
         found = self._node.find_target(self)
         if isinstance(found, placing.Refused):
             return None
-        if found.placed is not None and found.placed.candidate.is_avoided:
+        if (isinstance(found, targets.Target) and found.placed is not None and
+                found.placed.candidate.is_avoided):
             return None
         return found
 
-    async def _serve_logged(self) -> None:
+    async def serve(self) -> None:
+        """Serves the request until its answer has ended."""
         try:
             await self._serve()
         except Exception as error:
@@ -243,7 +284,17 @@
             if target is None:
                 self._conclusion.caller_left()
                 return
-            outcome = await self._run_attempt(target)
+            if isinstance(target, targets.PeerTarget):
+                outcome = await self._run_hop(target)
+                if hopheaders.is_refusal(outcome.head):
+                    # No other peer would decide otherwise.
+                    self._conclusion.not_placed(
+                        placing.Refused(outcome.reason,
+                                        _retry_after_ms(outcome.head)),
+                        self.may_have_run)
+                    return
+            else:
+                outcome = await self._run_attempt(target)
             if outcome.result is attemptresult.Result.BROKEN:
                 await self._wait_for_evidence()
             state = retrydecision.RequestState(
@@ -265,7 +316,9 @@
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
 
-    async def _next_target(self) -> targets.Target | placing.Refused | None:
+    async def _next_target(
+            self
+    ) -> targets.Target | targets.PeerTarget | placing.Refused | None:
         waited_from_ms = clock.now_ms()
         if self.attempted:
             # Lets the event loop report a caller's close that was read in the
@@ -285,6 +338,9 @@
             if quarantined is not None:
                 return quarantined
             found = self._find_target()
+            if isinstance(found, targets.PeerTarget):
+                # The peer counts the attempts that it makes.
+                return found
             if isinstance(found, targets.Target):
                 return self._within_budget(found)
             if not self.reply.started:
@@ -301,12 +357,19 @@
         All streams of a runner that ends break before the first of them is
         repeated and counts.
         """
-        if self.attempted and not self._node.may_retry(self.service):
+        if self._is_retry and not self._node.may_retry(self.service):
             return placing.Refused("retry budget is used up",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
         return found
 
-    def _find_target(self) -> targets.Target | placing.Refused:
+    @property
+    def _is_retry(self) -> bool:
+        """Whether another attempt counts towards the retry budget."""
+        return bool(self.attempted) or (self.hop is not None and
+                                        self.hop.has_arrived)
+
+    def _find_target(
+            self) -> targets.Target | targets.PeerTarget | placing.Refused:
         reserved = self._diversion.take_target()
         if not self.is_key_valid():
             return placing.Refused("key not confirmed",
@@ -319,34 +382,65 @@
         attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
         self._attempt = attempt
         self._target = target
-        self._node.on_attempt_start(self, target, bool(self.attempted))
+        self._node.on_attempt_start(self, target, self._is_retry)
         self.attempted.append(target)
         self.progress.begin_attempt()
         self._diversion.begin_attempt()
         runner = target.known.runner
+        outcome = await self._exchange(
+            attempt, (runner.host, runner.port),
+            self._request_bytes(target, clock.now_ms()))
+        self.unsent_count += outcome.result is attemptresult.Result.UNSENT
+        self._has_arrived |= outcome.result is not attemptresult.Result.UNSENT
+        if retrydecision.may_have_run(outcome.result):
+            self.may_have_run = True
+            diverted = outcome.result is attemptresult.Result.DIVERTED
+            self._attempt_limit.record(target.known, diverted and
+                                       not self._may_be_running())
+        self._node.on_attempt_end(self, target, outcome)
+        return outcome
+
+    async def _run_hop(self, target: targets.PeerTarget) -> attempts.Outcome:
+        attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
+        self._attempt = attempt
+        self._target = None
+        self._node.on_hop_start(self, target)
+        self.hops.append(target)
+        self.progress.begin_attempt()
+        self._diversion.begin_attempt()
+        made = self._attempt_limit.count(True)
+        outcome = await self._exchange(
+            attempt, target.address,
+            self._node.hop_request_bytes(self, target, made, self._has_arrived))
+        if retrydecision.may_have_run(outcome.result):
+            self.may_have_run = self._has_arrived = True
+            assert self.route is not None
+            # Without its answer, the peer may have made all that were left.
+            by_peer = hopheaders.attempts_made(attempt.head)
+            self._attempt_limit.record_by_peer(
+                self.route.max_attempts - made if by_peer is None else by_peer)
+        self._node.on_hop_end(self, target, outcome)
+        return outcome
+
+    async def _exchange(self, attempt: attempts.Attempt,
+                        address: upstream.Address,
+                        data: bytes) -> attempts.Outcome:
+        """Sends an attempt and waits for its outcome."""
         self._attempt_sent_ms = now_ms = clock.now_ms()
         repeatable = self.route is not None and self.route.repeatable
-        attempt.exchange = self._node.pool.send(
-            (runner.host, runner.port),
-            self._request_bytes(target, now_ms),
-            attempt,
-            new_connection=not repeatable)
+        attempt.exchange = self._node.pool.send(address,
+                                                data,
+                                                attempt,
+                                                new_connection=not repeatable)
         timer = asyncio.get_running_loop().call_later(
             max(0.0, self.deadline_at_ms - now_ms) / 1000, attempt.cancel,
             attemptresult.Result.TIMED_OUT, "out of time")
         try:
-            outcome = self._check_complete(await attempt.done)
+            return self._check_complete(await attempt.done)
         finally:
             timer.cancel()
             self._diversion.cancel()
             self._attempt = None
-        if retrydecision.may_have_run(outcome.result):
-            self.may_have_run_at.append(target)
-            diverted = outcome.result is attemptresult.Result.DIVERTED
-            self._attempt_limit.record(target.known, diverted and
-                                       not self._may_be_running())
-        self._node.on_attempt_end(self, target, outcome)
-        return outcome
 
     def _check_complete(self, outcome: attempts.Outcome) -> attempts.Outcome:
         """Treats a stream that ended before the caller's last event as broken.
@@ -379,18 +473,24 @@
             leaving: Whether the current attempt, which is to be diverted and
                 has not been counted yet, counts towards the route's limit.
         """
-        if self.route is None or len(self.attempted) >= MAX_TOTAL_ATTEMPTS:
+        total = len(self.attempted) + len(self.hops)
+        if self.route is None or total >= MAX_TOTAL_ATTEMPTS:
             return False
         if self.reply.started and self.progress.last_event_id is None:
             # Without an event id another runner can't know where to continue.
             return False
         if self.deadline_at_ms - clock.now_ms() < MIN_REMAINING_MS:
             return False
-        counted = self._attempt_limit.count(self._node.is_isolated())
+        is_isolated = self._node.is_isolated()
+        counted = self._attempt_limit.count(is_isolated)
         if leaving + counted >= self.route.max_attempts:
             return False
         if self._node.is_crash_suspect(self):
             return False
+        if (self._node.reaches_no_runner() and not self._has_arrived and
+                not leaving):
+            # No runner got the request, so the next attempt is its first one.
+            return True
         return self._node.may_retry(self.service)
 
     def _request_bytes(self, target: targets.Target, now_ms: float) -> bytes:
@@ -409,9 +509,9 @@
 
     def on_head(self, head: upstream.Head) -> None:
         """Handles the head of the answer to the current attempt."""
-        assert self._target is not None
-        self._node.on_answer_head(self, self._target, head,
-                                  self._attempt_sent_ms)
+        if self._target is not None:
+            self._node.on_answer_head(self, self._target, head,
+                                      self._attempt_sent_ms)
 
     def on_event(self, head: upstream.Head, event: eventparser.Event) -> bool:
         """Passes an event on to the caller if it is the next one.
@@ -419,9 +519,10 @@
         Returns:
             Whether the stream may continue: False for an event after a gap.
         """
-        assert self._target is not None
         self._diversion.cancel()
-        self._node.on_stream_event(self, self._target)
+        self._last_event_ms = clock.now_ms()
+        if self._target is not None:
+            self._node.on_stream_event(self, self._target)
         order = self.progress.record(event)
         if order is not streamprogress.EventPosition.NEXT:
             return order is streamprogress.EventPosition.REPEATED
@@ -430,3 +531,11 @@
             self.reply.start(head.status, forwarding.caller_headers(head))
         self.reply.write(event.data)
         return True
+
+
+def _retry_after_ms(head: upstream.Head) -> float:
+    """Returns when a peer says that a retry is worthwhile."""
+    try:
+        return 1000 * float(head.get("Retry-After") or "")
+    except ValueError:
+        return admitting.DEFAULT_RETRY_AFTER_MS
--- a/cardamommill/gateway/shell/targets.py
+++ b/cardamommill/gateway/shell/targets.py
@@ -34,6 +34,22 @@
         return str(self.key) if self.key else self.known.runner.id
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerTarget:
+    """A peer that serves a request which this node can't serve.
+
+    Attributes:
+        name: The peer's name.
+        address: Its address for messages between nodes.
+        config_version: The configuration by which this node admitted the
+            request.
+    """
+
+    name: str
+    address: upstream.Address
+    config_version: int
+
+
 class RelayContext(admitting.ConfigurationState, Protocol):
     """The services that a relay uses of its node."""
 
@@ -42,10 +58,11 @@
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine in the background until the node stops."""
 
-    def find_target(self, relay: "Relay") -> Target | placing.Refused:
+    def find_target(self,
+                    relay: "Relay") -> Target | PeerTarget | placing.Refused:
         """Returns the target of a request's next attempt, or a refusal."""
 
-    def may_send(self, target: Target) -> bool:
+    def may_send(self, target: Target | PeerTarget) -> bool:
         """Whether a target that was found earlier still takes a request."""
 
     def quarantine_left_ms(self, relay: "Relay") -> float:
@@ -60,9 +77,23 @@
     def may_retry(self, service: str) -> bool:
         """Whether the retry budget of a service allows one more retry."""
 
+    def reaches_no_runner(self) -> bool:
+        """Whether this node has lately reached no runner anywhere."""
+
     def is_isolated(self) -> bool:
         """Whether this node suspects that it is itself cut off."""
 
+    def hop_request_bytes(self, relay: "Relay", target: PeerTarget,
+                          attempts: int, has_arrived: bool) -> bytes:
+        """Returns a request for a peer; see `hopheaders.Hop`."""
+
+    def on_hop_start(self, relay: "Relay", target: PeerTarget) -> None:
+        """Records that a request is sent to a peer."""
+
+    def on_hop_end(self, relay: "Relay", target: PeerTarget,
+                   outcome: attempts.Outcome) -> None:
+        """Records the end of a hop."""
+
     def on_attempt_start(self, relay: "Relay", target: Target,
                          repeat: bool) -> None:
         """Records the start of an attempt; `repeat` marks a retry."""
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -121,6 +121,9 @@
         is_cut_off: Whether the node suspects its own isolation.
         quarantined_ms: For how long the request is kept from all runners.
         is_suspect: Whether the request seems to crash runners.
+        peers: Peers to which requests are passed, in order; none if empty.
+        told: The peer, the attempts and whether a runner got the request, of
+            each hop.
         route: The route of the request.
     """
 
@@ -135,6 +138,8 @@
         self.is_cut_off = False
         self.quarantined_ms = 0.0
         self.is_suspect = False
+        self.peers = []
+        self.told = []
         self.route = model.Route(name="r",
                                  host="h",
                                  prefix="/v/",
@@ -171,6 +176,8 @@
         return self.are_keys_valid
 
     def find_target(self, one):
+        if len(one.hops) < len(self.peers):
+            return self.peers[len(one.hops)]
         if len(one.attempted) >= self.groups:
             return NO_GROUP
         return next(
@@ -184,6 +191,22 @@
     def is_isolated(self):
         return self.is_cut_off
 
+    def reaches_no_runner(self):
+        return bool(self.peers)
+
+    def hop_request_bytes(self, one, target, attempts, has_arrived):
+        self.told.append((target.name, attempts, has_arrived))
+        last = one.progress.last_event_id
+        if last is None:
+            return b""
+        return f"{wirenames.LAST_EVENT_ID}: {last}\r\n".encode()
+
+    def on_hop_start(self, one, target):
+        pass
+
+    def on_hop_end(self, one, target, outcome):
+        pass
+
     def quarantine_left_ms(self, one):
         del one
         return self.quarantined_ms
--- a/tests/gateway/shell/test_alarms.py
+++ b/tests/gateway/shell/test_alarms.py
@@ -49,6 +49,20 @@
         return runner not in self.dead
 
 
+class FakeLink:
+    """The link to runners elsewhere, sound unless the test says otherwise."""
+
+    def __init__(self):
+        self.sound = True
+
+    async def is_sound(self, unreachable):
+        del unreachable
+        return self.sound
+
+    def update(self, now_ms):
+        pass
+
+
 class FakeRelay:
     """A request at a group; records the reasons for which it is diverted."""
 
@@ -84,6 +98,7 @@
             available_groups=availablegroups.AvailableGroups(self.view),
             relays_at=lambda key: [self.relay],
             isolation=isolation.Isolation(),
+            link=FakeLink(),
             restarts=types.SimpleNamespace())
         self.alarms = alarms.Alarms(
             self.view, self.requests, self.group_controller, metrics.Metrics(),
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -53,6 +53,8 @@
     attempt_id = "a1"
     digest = 7
     attempted = ()
+    hop = None
+    unsent_count = 0
     request_tokens = placing.RequestTokens(10, 10)
     progress = streamprogress.StreamProgress(None)
 
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -6,9 +6,9 @@
 
 from cardamommill.domain import clock, model
 from cardamommill.gateway.requests import placing
-from cardamommill.gateway.shell import admitting, diversion, relay, targets
+from cardamommill.gateway.shell import admitting, diversion, relay
 from cardamommill.transport import callers
-from tests.gateway import builders, relays
+from tests.gateway import relays
 
 REFUSED = placing.Refused("all groups are full", 1300.0)
 
@@ -54,9 +54,7 @@
     node, reply = NodeWithoutTargets(), RecordingReply()
     request = callers.CallerRequest("POST", "/v1", [], b"", 0.0)
     one = relay.Relay(node, request, reply)
-    if ran:
-        known = next(iter(builders.view(builders.runner(1)).known.values()))
-        one.may_have_run_at.append(targets.Target(known))
+    one.may_have_run = ran
     one.start()
     (work,) = node.work
     asyncio.run(work)
