--- a/cardamommill/gateway/shell/linkcheck.py
+++ b/cardamommill/gateway/shell/linkcheck.py
@@ -118,7 +118,7 @@
     def _draw(
         self, runners: Iterable[fleetview.RunnerRecord]
     ) -> list[fleetview.RunnerRecord]:
-        """Draws one runner of this data centre, and others of other places.
+        """Draws one runner of this data centre, and one each of other places.
 
         If this data centre is cut off from the others, its own runners can
         still be reached.
@@ -131,11 +131,11 @@
         for each in drawn:
             place = each.runner.data_centre, each.status.domain
             by_place.setdefault(place, []).append(each)
-        first, *others = by_place.values()
+        if len(by_place) == 1:
+            return drawn[:TRIED_RUNNERS]
+        first, *others = (found[0] for found in by_place.values())
         self._chance.shuffle(others)
-        chosen = [found.pop() for found in (first, *others)]
-        chosen += [each for found in (first, *others) for each in found]
-        return chosen[:TRIED_RUNNERS]
+        return [first, *others][:TRIED_RUNNERS]
 
     async def _most_connect(self,
                             runners: list[fleetview.RunnerRecord]) -> bool:
