--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import random
-from typing import Any
 
 import logbook
 
@@ -12,11 +10,7 @@
 from cardamommill.domain import clock, model
 from cardamommill.gateway.fleet import availablegroups, fleetview
 from cardamommill.gateway.nodes import peermessage
-from cardamommill.gateway.shell import (
-    dispatcher,
-    groupcontroller,
-    refutations,
-)
+from cardamommill.gateway.shell import dispatcher, groupcontroller
 
 # Minimum time between probes of one group by this node.
 PROBE_INTERVAL_MS = 400.0
@@ -31,9 +25,6 @@
 # How many silent members an alarm names: enough for the planner to probe, and
 # few enough that a datagram holds the alarms of a whole fabric domain.
 MAX_REPORTED_SILENT = 2
-# Nodes that can refute an alarm do so within this time, at random, so that few
-# of them tell all others.
-REFUTE_SPREAD_MS = 30.0
 # Two groups of a data centre found down within this time may have the same
 # cause.
 SAME_CAUSE_MS = 500.0
@@ -100,9 +91,6 @@
         # When a peer last began to probe a group; it sends an unconfirmed alarm
         # then.
         self._probed_by_peer_ms: dict[model.GroupKey, float] = {}
-        # When peers' alarms were last heeded, by group.
-        self._heeded_ms: dict[model.GroupKey, float] = {}
-        self._refutations = refutations.Refutations()
         # The group last found down in each data centre.
         self._last_down_group: dict[str, _DownGroup] = {}
         requests.restarts.on_lost_member = self._handle_lost_member
@@ -128,8 +116,6 @@
         clock.drop_expired(self._probed_ms, float, EXPIRY_MS, now_ms)
         clock.drop_expired(self._probed_by_peer_ms, float, EXPIRY_MS, now_ms)
         clock.drop_expired(self._down_probed_ms, float, EXPIRY_MS, now_ms)
-        clock.drop_expired(self._heeded_ms, float, EXPIRY_MS, now_ms)
-        self._refutations.drop_expired(now_ms)
 
     def check_groups(self, now_ms: float) -> None:
         """Handles groups that have become silent or stalled."""
@@ -277,8 +263,6 @@
         if all(answers):
             self._alarms.pop(key, None)
             self._requests.available_groups.stop_avoiding(key)
-            if self._heeded_ms.pop(key, None) is not None:
-                self._refute(key, now_ms)
             return
         silent = {
             each.runner.id
@@ -384,12 +368,9 @@
 
     def _receive_confirmed(self, alarm: peermessage.Alarm, peer: str,
                            since_ms: float, now_ms: float) -> bool:
-        if self._refutations.is_refuted(alarm.key, now_ms):
-            return False
         if self._requests.silence.has_recent_event(alarm.key, now_ms):
             # The group sends events to this node, so the peer itself may be cut
             # off.
-            self._spawn(self._refute_later(alarm.key))
             return False
         until_ms = since_ms + self._confirmed_alarm_ms
         # Alarms about one failure differ in age. If the group is avoided for
@@ -402,41 +383,8 @@
                       group=alarm.key,
                       peer=peer,
                       age_ms=int(alarm.age_ms)))
-        self._heeded_ms[alarm.key] = now_ms
         self._give_up(alarm.key, "a peer found a member down", until_ms)
         if self._plans_for(alarm.key) and not any(
                 each.down_ms for each in self._view.members(alarm.key)):
             self.probe(alarm.key, f"alarm of {peer}", alarm.silent)
         return True
-
-    async def _refute_later(self, key: model.GroupKey) -> None:
-        """Refutes an alarm, unless another node does first."""
-        await asyncio.sleep(random.uniform(0, REFUTE_SPREAD_MS) / 1000)
-        now_ms = clock.now_ms()
-        if self._requests.silence.has_recent_event(key, now_ms):
-            self._refute(key, now_ms)
-
-    def _refute(self, key: model.GroupKey, now_ms: float) -> None:
-        if self._refutations.note(key, now_ms):
-            self._metrics.count("alarms_refuted_total")
-            _LOG.info(logs.line("alarm-refuted", group=key))
-            self._send_updates()
-
-    def refutations_section(self, now_ms: float) -> dict[str, Any]:
-        """Returns the section of a message with the groups found sound."""
-        return self._refutations.section(now_ms)
-
-    def receive_refutations(self, message: peermessage.PeerMessage,
-                            now_ms: float) -> bool:
-        """Uses groups again whose alarms a peer refutes.
-
-        A group with a member that does not answer this node stays avoided.
-
-        Returns:
-            Whether any of it was new.
-        """
-        found = self._refutations.receive(message, now_ms)
-        for key in found:
-            if self._heeded_ms.pop(key, None) is not None:
-                self._requests.available_groups.stop_avoiding(key)
-        return bool(found)
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -283,7 +283,6 @@
         has_new_information |= self._closed.receive(message, is_remote, now_ms)
         has_new_information |= self._requests.crashes.receive(
             message, is_remote, now_ms)
-        has_new_information |= self._alarms.receive_refutations(message, now_ms)
         for alarm in () if message.is_cut_off else message.alarms:
             has_new_information |= self._alarms.receive(alarm, message.node,
                                                         now_ms, is_remote)
@@ -340,7 +339,6 @@
                 peermessage.CUT_OFF_SECTION: True
             } if self._requests.reaches_no_runner() else {}) |
             self._closed.section(now_ms) |
-            self._alarms.refutations_section(now_ms) |
             self._requests.crashes.sections(now_ms) |
             (self._requests.admission.sections(now_ms) if is_near else {}))
 
