Pass requests to peers only while a node reaches no runner

Cause, found by the whole tests: requests that a node could not send twice, or refused while a listed runner of the model did not answer, went to peers too, in plays without any cut. test_no_node_sends_a_body_to_another_node saw bodies on their way between nodes, and test_cold_runners and test_deadly_requests other plays. Both rules are removed: the plays of cut nodes, also those that lose a tenth to nine tenths of the runners, pass without them. Peers are drawn with random numbers of their own. Crashes wait for the link check alone, no longer for each probe, and members that a peer named are probed without another check.

--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -92,8 +92,6 @@
         self.group_services: frozenset[str] | None = None
         self._groups: dict[str, dict[model.GroupKey, Group]] = {}
         self._groups_version = -1
-        self._unanswered_models: frozenset[str] = frozenset()
-        self._unanswered_version = -1
 
     def apply_list(self,
                    runners: Iterable[model.Runner],
@@ -380,15 +378,6 @@
             model.MemberState.OPEN and each.runner.data_centre == data_centre
         ]
 
-    def unanswered_models(self) -> frozenset[str]:
-        """Returns the models of listed runners that don't answer this node."""
-        if self._unanswered_version != self.version:
-            self._unanswered_version = self.version
-            self._unanswered_models = frozenset(
-                name for each in self.known.values()
-                if each.down_ms and each.listed for name in each.status.models)
-        return self._unanswered_models
-
     def runners_of(self, service: str) -> list[RunnerRecord]:
         """Returns a service's listed runners."""
         return [
--- a/cardamommill/gateway/requests/plainrunners.py
+++ b/cardamommill/gateway/requests/plainrunners.py
@@ -50,11 +50,6 @@
         """Records that a runner gave no answer, or refused a request."""
         self._faults_ms[runner] = now_ms
 
-    def has_failed(self, runner: str, now_ms: float) -> bool:
-        """Whether a runner lately gave no answer, or refused a request."""
-        return now_ms - self._faults_ms.get(runner,
-                                            float("-inf")) < FAULT_PENALTY_MS
-
     def drop_expired(self, now_ms: float) -> None:
         """Drops faults that no longer matter."""
         clock.drop_expired(self._faults_ms, float, 10 * FAULT_PENALTY_MS,
@@ -72,8 +67,9 @@
         def cost(
                 known: fleetview.RunnerRecord) -> tuple[bool, int, bool, float]:
             runner = known.runner
+            fault_ms = self._faults_ms.get(runner.id, float("-inf"))
             odds = self._reliability.fail_odds(runner.id, now_ms)
-            is_last = (self.has_failed(runner.id, now_ms) or
+            is_last = (now_ms - fault_ms < FAULT_PENALTY_MS or
                        odds > reliability.DOUBT_THRESHOLD)
             load = self._in_flight.get(runner.id, 0) // 2
             return (is_last, load + int(FAILURE_WEIGHT * odds),
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -244,19 +244,16 @@
                              members: list[fleetview.RunnerRecord],
                              reason: str) -> None:
         was_up = {each.runner.id for each in members if not each.down_ms}
-        isolation = self._requests.isolation
-        is_sound = True
-        with isolation.in_question():
-            answers = await asyncio.gather(
-                *(self._group_controller.probe(each.runner.id, reason)
-                  for each in members))
-            self._record_reachability(key, members, any(answers),
-                                      clock.now_ms())
-            if not any(answers):
-                is_sound = await self._requests.link.is_sound(
-                    self._view.members(key))
+        answers = await asyncio.gather(
+            *(self._group_controller.probe(each.runner.id, reason)
+              for each in members))
+        self._record_reachability(key, members, any(answers), clock.now_ms())
+        whole_group = self._view.members(key)
+        # Of members that a peer named, it has checked its own link.
+        is_cut_off = (not any(answers) and len(members) == len(whole_group) and
+                      not await self._requests.link.is_sound(whole_group))
         now_ms = clock.now_ms()
-        if not is_sound:
+        if is_cut_off:
             # Peers may reach the group; this node's requests go to them.
             self._alarms.pop(key, None)
             return
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -109,9 +109,10 @@
         self.isolation = isolation.Isolation()
         self.link = linkcheck.LinkCheck(settings.data_centre, view,
                                         self.isolation, node_metrics,
-                                        self._chance, spawn)
+                                        random.Random(f"link {settings.node}"),
+                                        spawn)
         self.hops = hops.Hops(settings.node, node_peers, node_metrics,
-                              self._chance)
+                              random.Random(f"hops {settings.node}"))
         self.crashes = crashes.Crashes(self.isolation, node_metrics, spawn)
         self.silence = silence.SilenceDetector()
         self.forecast = forecast.Forecast()
@@ -230,20 +231,16 @@
     ) -> targets.Target | targets.PeerTarget | placing.Refused:
         """Returns the target of a request's next attempt, or a refusal.
 
-        A peer gets the request if this node is cut off, or can't reach what it
-        would send it to.
+        A peer gets the request while this node reaches no runner.
         """
         table = self._reader.table
         assert table is not None
         configuration = table.configuration
-        if self.reaches_no_runner() or one.unsent_count >= hops.MAX_UNSENT:
+        if self.reaches_no_runner():
             peer = self._find_peer(one, configuration)
             if peer is not None:
                 return peer
-        found = self._finder.find(one, configuration)
-        if self._is_out_of_reach(one, found):
-            return self._find_peer(one, configuration) or found
-        return found
+        return self._finder.find(one, configuration)
 
     def _find_peer(
             self, one: relay.Relay,
@@ -252,16 +249,6 @@
         eligible = self.eligible_targets.decide(one.route, one.tenant)
         return self.hops.find(one, configuration.version, eligible.allows)
 
-    def _is_out_of_reach(self, one: relay.Relay,
-                         found: targets.Target | placing.Refused) -> bool:
-        """Whether only this node may have failed to reach what it needs."""
-        now_ms = clock.now_ms()
-        if isinstance(found, targets.Target):
-            return found.key is None and self._plain_runners.has_failed(
-                found.known.runner.id, now_ms)
-        return (self.hops.may_question_refusal(one, now_ms) and
-                one.model_name in self._view.unanswered_models())
-
     def on_cut(self) -> None:
         """Moves requests away from runners that this node can't reach."""
         for one in list(self._running):
--- a/cardamommill/gateway/shell/hops.py
+++ b/cardamommill/gateway/shell/hops.py
@@ -22,11 +22,6 @@
 NOT_TAKEN = 421
 # The most requests of other nodes that a node serves at once.
 MAX_CONCURRENT = 256
-# After this many attempts in vain to reach a runner, a request goes to a peer.
-MAX_UNSENT = 2
-# After a refusal by a peer, a node that is not cut off passes no request of the
-# model on for this long.
-REFUSED_PAUSE_MS = 300.0
 
 _LOG = logbook.Logger("requests")
 
@@ -49,9 +44,6 @@
         self._metrics = node_metrics
         self._chance = chance
         self._active: dict[relay.Relay, targets.PeerTarget] = {}
-        # Until when no request of a model takes a hop because of a refusal by
-        # this node alone.
-        self._refused_until_ms: dict[str, float] = {}
 
     def find(self, one: relay.Relay, config_version: int,
              allows: Callable[[str], bool]) -> targets.PeerTarget | None:
@@ -74,10 +66,6 @@
         return targets.PeerTarget(found.last_message.node, found.address,
                                   config_version)
 
-    def may_question_refusal(self, one: relay.Relay, now_ms: float) -> bool:
-        """Whether a request that this node would refuse may try a peer."""
-        return now_ms >= self._refused_until_ms.get(one.model_name, 0.0)
-
     def request_bytes(self, one: relay.Relay, target: targets.PeerTarget,
                       attempts_so_far: int, has_arrived: bool) -> bytes:
         """Returns the request for a peer, as the caller sent it.
@@ -118,9 +106,6 @@
         """Records the end of a hop."""
         self._active.pop(one, None)
         self._metrics.count("hops_ended_total", result=outcome.result.value)
-        if hopheaders.is_refusal(outcome.head):
-            self._refused_until_ms[one.model_name] = (clock.now_ms() +
-                                                      REFUSED_PAUSE_MS)
         _LOG.info(
             logs.line("hop-ended",
                       request=one.attempt_id,
--- a/cardamommill/gateway/shell/linkcheck.py
+++ b/cardamommill/gateway/shell/linkcheck.py
@@ -71,11 +71,14 @@
             (not each.status.domain or
              (each.runner.data_centre, each.status.domain) not in domains)
         ]
-        if not others or await self._most_connect(self._draw(others)):
+        if not others:
             return True
-        self._isolation.record_no_connection(clock.now_ms())
-        self.update(clock.now_ms())
-        return False
+        with self._isolation.in_question():
+            is_sound = await self._most_connect(self._draw(others))
+            if not is_sound:
+                self._isolation.record_no_connection(clock.now_ms())
+                self.update(clock.now_ms())
+        return is_sound
 
     def check_plain(self, runner: fleetview.RunnerRecord,
                     now_ms: float) -> None:
@@ -85,8 +88,7 @@
             self._spawn(self._check_plain(runner))
 
     async def _check_plain(self, runner: fleetview.RunnerRecord) -> None:
-        with self._isolation.in_question():
-            await self.is_sound([runner])
+        await self.is_sound([runner])
 
     def update(self, now_ms: float) -> None:
         """Reports a cut or its end; called each tick."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -68,7 +68,6 @@
         request_tokens: Prompt length and expected length of the answer.
         model_name: The name of the requested model; empty for none.
         attempted: The targets of all attempts so far.
-        unsent_count: How many of these no byte of the request was sent to.
         hops: The peers that the request was passed to so far.
         hop: What the node that passed the request to this one says of it; None
             if it came from a caller.
@@ -97,7 +96,6 @@
         self.request_tokens = forwarding.request_tokens(request)
         self.model_name = request.get(wirenames.MODEL) or ""
         self.attempted: list[targets.Target] = []
-        self.unsent_count = 0
         self.hops: list[targets.PeerTarget] = []
         self.hop = hop
         self.may_have_run = False
@@ -390,7 +388,6 @@
         outcome = await self._exchange(
             attempt, (runner.host, runner.port),
             self._request_bytes(target, clock.now_ms()))
-        self.unsent_count += outcome.result is attemptresult.Result.UNSENT
         self._has_arrived |= outcome.result is not attemptresult.Result.UNSENT
         if retrydecision.may_have_run(outcome.result):
             self.may_have_run = True
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -54,7 +54,6 @@
     digest = 7
     attempted = ()
     hop = None
-    unsent_count = 0
     request_tokens = placing.RequestTokens(10, 10)
     progress = streamprogress.StreamProgress(None)
 
