Test alarms and planning of nodes that are cut off, and document hops

The tests guard what the plays of cut nodes show as a whole: no alarm from a node whose link check fails, groups used again once the link is back, a planner that resigns and is replaced, also from other data centres, and stays where no node reaches runners. A caller refused by way of a peer is told so in plain words.

--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -287,7 +287,7 @@
                 if hopheaders.is_refusal(outcome.head):
                     # No other peer would decide otherwise.
                     self._conclusion.not_placed(
-                        placing.Refused(outcome.reason,
+                        placing.Refused("a peer refused it",
                                         _retry_after_ms(outcome.head)),
                         self.may_have_run)
                     return
--- a/tests/gateway/nodes/test_peers.py
+++ b/tests/gateway/nodes/test_peers.py
@@ -315,3 +315,34 @@
     membership = fleet(near=19, far=60)
     membership.peers = None
     assert not membership.in_flight(9000)
+
+
+def cut_off(name, place, **changes):
+    return message(name,
+                   place,
+                   sections={peermessage.CUT_OFF_SECTION: True},
+                   **changes)
+
+
+def test_planner_that_reaches_no_runner_is_replaced():
+    """Nobody repaired the groups of its data centre while it was cut off."""
+    planner, other = node(), node("a-2")
+    receive(planner, 1000, message("a-2", "a"))
+    assert "a" in planner.planned_data_centres(PLACES, 1000)
+    assert not planner.planned_data_centres(PLACES, 1100, is_cut_off=True)
+    assert not planner.planning_age_ms(1100)
+    receive(other, 1200, cut_off("a-1", "a"))
+    assert "a" in other.planned_data_centres(PLACES, 1200)
+
+
+def test_data_centre_whose_nodes_reach_no_runner_is_planned_from_elsewhere():
+    remote = node("b-1", "b")
+    receive(remote, 1000, cut_off("a-1", "a"), cut_off("a-2", "a"))
+    assert remote.planned_data_centres(PLACES, 1000) == {"a", "b"}
+
+
+def test_runners_that_no_node_reaches_keep_their_planner():
+    """Then the runners have failed, not all links."""
+    planner = node()
+    receive(planner, 1000, cut_off("a-2", "a"), cut_off("b-1", "b"))
+    assert "a" in planner.planned_data_centres(PLACES, 1000, is_cut_off=True)
--- a/tests/gateway/shell/test_alarms.py
+++ b/tests/gateway/shell/test_alarms.py
@@ -403,3 +403,32 @@
 
     bench = run(script)
     assert bench.requests.isolation.is_suspected(200.0) is is_suspected
+
+
+def test_node_that_is_cut_off_raises_no_alarm():
+    """Its peers gave up groups that served all their requests."""
+
+    def script(bench):
+        bench.requests.link.sound = False
+        bench.group_controller.dead = set(bench.view.known)
+        bench.fall_silent()
+
+    bench = run(script)
+    assert not bench.updates
+    assert not bench.relay.reasons
+
+
+def test_groups_are_used_again_once_the_link_is_back():
+    """The marks of a cut would last for seconds after it."""
+
+    def script(bench):
+        bench.group_controller.dead = {f"i-{number}" for number in range(4)}
+        bench.fall_silent()
+
+    async def after_script(bench):
+        bench.group_controller.dead.clear()
+        assert bench.requests.available_groups.is_avoided(KEY, clock.now_ms())
+        bench.alarms.probe_avoided_groups()
+        await asyncio.sleep(0.1)
+
+    assert not run(script, after_script=after_script).is_avoided()
