--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -249,8 +249,10 @@
               for each in members))
         self._record_reachability(key, members, any(answers), clock.now_ms())
         whole_group = self._view.members(key)
-        # Of members that a peer named, it has checked its own link.
-        is_cut_off = (not any(answers) and len(members) == len(whole_group) and
+        # A peer has checked its own link before it names members, and the last
+        # member of a group may just have crashed.
+        is_cut_off = (not any(answers) and
+                      1 < len(members) == len(whole_group) and
                       not await self._requests.link.is_sound(whole_group))
         now_ms = clock.now_ms()
         if is_cut_off:
