--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -496,6 +496,8 @@
                 for each in nodes:
                     await each.end()
 
+    # Ends the nodes too if the case is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = asyncio.run(run())
     except OSError as error:
