--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,7 +42,8 @@
 class Caller:
     """Sends one request and reads its answer slowly."""
 
-    def __init__(self, attempt: str) -> None:
+    def __init__(self, record: standins.Record, attempt: str) -> None:
+        self._record = record
         self.attempt = attempt
         self.sent_ms = 0.0
         self.ended_ms = 0.0
@@ -61,6 +62,7 @@
             await loop.sock_sendall(one, standins.request_bytes(
                 "POST", "/records/7", HOST, self.attempt, DEADLINE_MS, KEY,
                 b"{}"))
+            self._record.quiet(f"sent   {self.attempt}: POST /records/7")
             found = bytearray()
             with contextlib.suppress(ConnectionError):
                 while not self._is_whole(found):
@@ -131,7 +133,7 @@
     await asyncio.sleep(3.5)
 
     node = nodes[0]
-    callers = [Caller(standins.attempt_id()) for _ in range(CALLERS)]
+    callers = [Caller(record, standins.attempt_id()) for _ in range(CALLERS)]
     calls = [asyncio.create_task(each.call(node.callers)) for each in callers]
     await asyncio.sleep(SIGTERM_AFTER_S)
     given = {run.attempt for runner in runners for run in runner.runs
