Log for how long a request was silent when its answer ended early

Cause: request-ended and attempt-failed told why an attempt ended, not how long its runner had brought nothing, and no metric told answers that the node ended from callers that left. So a runner that was left after 0.5 s of silence, and one that had ended, looked the same in the record of the incident. Change: silent_ms on both lines, and answers_broken_off_total. No decision reads them.

--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -422,6 +422,7 @@
                       reason=outcome.reason,
                       at=self.restarts.runner_at_fault(outcome.head),
                       events=one.progress.events,
+                      silent_ms=one.silent_ms(now_ms),
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
@@ -465,6 +466,8 @@
         now_ms = clock.now_ms()
         route = one.route.name if one.route is not None else ""
         self._metrics.count("requests_total", route=route, status=str(status))
+        if not status and one.reply.started and not one.is_abandoned:
+            self._metrics.count("answers_broken_off_total", route=route)
         arrived_ms = one.request.arrived_ms
         if one.first_event_ms:
             self._metrics.observe_ms("first_event",
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -240,6 +240,12 @@
         elif clock.now_ms() - self._last_event_ms > LIVE_STREAM_MS:
             self.divert(reason)
 
+    def silent_ms(self, now_ms: float) -> int | None:
+        """Returns the time since the last event; None before the first one."""
+        if not self._last_event_ms:
+            return None
+        return int(now_ms - self._last_event_ms)
+
     def is_hop_silent(self, now_ms: float) -> bool:
         """Whether the peer that serves a stream brings no events."""
         if not self.streaming:
--- a/cardamommill/gateway/shell/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -39,6 +39,7 @@
         **_estimate_fields(one),
         admission=one.admission,
         took_ms=int(now_ms - arrived_ms),
+        silent_ms=None if status else one.silent_ms(now_ms),
         version=version,
         **({
             "isolated": True
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -57,6 +57,9 @@
     request_tokens = placing.RequestTokens(10, 10)
     progress = streamprogress.StreamProgress(None)
 
+    def silent_ms(self, now_ms):
+        return None
+
 
 class Node:
     """The dispatcher of a data centre's only node, with one cold runner."""
