--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -14,6 +14,10 @@
 CONNECT_TIMEOUT_MS = 1000.0
 # Lower bound of the time without an event after which a client gives up.
 MIN_GAP_TIMEOUT_MS = 2000.0
+# An answer that ends this long before its deadline ends at the deadline.
+DEADLINE_MARGIN_MS = 50.0
+# How the reason begins for an exchange that its peer ended.
+_CLOSED = "closed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,9 +242,10 @@
                          f"{content.prompt},{content.answer}"),
                         (wirenames.LENGTH_HINT, str(content.answer))]
         address = self._world.choose_node(self._place, self._rng)
+        sent_ms = clock.now_ms()
         self._run_oracle.record_send(
             attempt,
-            oracle.Sent(clock.now_ms(), kind.method, target, body, content.key,
+            oracle.Sent(sent_ms, kind.method, target, body, content.key,
                         content.tenant, kind.service, kind.repeatable,
                         address[0] if address else ""))
         receiver = _Receiver(kind, target, self._run_oracle, attempt)
@@ -253,6 +258,9 @@
                                    new_connection=True)
         end = await self._wait_for_end(kind, receiver, exchange, left_ms)
         self._run_oracle.record_final_status(attempt, receiver.status)
+        ends_at_ms = clock.now_ms() + DEADLINE_MARGIN_MS
+        if end.startswith(_CLOSED) and ends_at_ms < sent_ms + left_ms:
+            self._run_oracle.record_broken_answer(attempt)
         result.status = receiver.status
         complete = end == upstream.Ending.COMPLETE.value
         if receiver.status == 200 and complete:
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -103,6 +103,9 @@
         limit_per_s: The rate limit that it advertises, if it has one.
         late_orders_ms: If not 0, orders are not answered and are carried out
             after this delay.
+        silent_until_ms: Until when it makes no progress with requests.
+        answers_reports: Whether it answers reports and orders, and sends
+            heartbeats, while it is silent.
         cold_until_ms: When it stops being cold.
         begun: The number of orders that it has begun, its order count.
         last_heartbeat_ms: When the platform last received its heartbeat.
@@ -138,6 +141,8 @@
         self.rest_s = 0.0
         self.limit_per_s: float | None = None
         self.late_orders_ms = 0.0
+        self.silent_until_ms = -math.inf
+        self.answers_reports = True
         self.cold_until_ms = -math.inf
         if not fleet.is_before_traffic:
             self.cold_until_ms = clock.now_ms() + 1000 * fleet.cold_s
@@ -167,6 +172,16 @@
         """Whether it has ended or can neither send nor receive."""
         return self.ended or self.network.host(self.host).is_unreachable
 
+    @property
+    def silent_left_ms(self) -> float:
+        """For how much longer it makes no progress; 0 if it makes some."""
+        return max(0.0, self.silent_until_ms - clock.now_ms())
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether it does nothing at all, though its connections stay open."""
+        return not self.answers_reports and self.silent_left_ms > 0
+
     @property
     def running(self) -> int:
         """The number of requests being executed."""
@@ -179,6 +194,11 @@
     def end(self) -> None:
         """Ends the runner; its entry expires without heartbeats."""
         self.ended = True
+        self.record_disruption()
+
+    def record_disruption(self) -> None:
+        """Records what excuses answers that end early."""
+        self.fleet.oracle.lost_rules.record_disruption(self.incarnation)
 
     def crash(self, job: Job) -> None:
         """Ends its process, and with it all requests, because of one."""
@@ -236,7 +256,8 @@
         entry = self._entry()
         self._reports.append((clock.now_ms(), self._report(entry)))
         del self._reports[:-REPORTS_KEPT]
-        if self.is_unreachable or self.store_cut or self.fleet.store.fault:
+        if (self.is_unreachable or self.is_frozen or self.store_cut or
+                self.fleet.store.fault):
             return
         self.last_heartbeat_ms = clock.now_ms()
         # A row is written only if more than the heartbeat number changed.
--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -35,7 +35,8 @@
             job.reply.send(421, [(wirenames.INSTANCE_ID, runner.id)], b"")
             return None
         runner.record_cold_arrival()
-        if len(runner.jobs) >= engine.slots * (1 + QUEUE_RATIO):
+        if (len(runner.jobs) >= _capacity(engine) and
+                not runner.silent_left_ms):
             runner.shed(job)
             return None
         tokens = [
@@ -60,6 +61,7 @@
             if job.gone:
                 continue
             if job.running:
+                self._runner.record_disruption()
                 job.reply.abort()
             else:
                 self._runner.shed(job)
@@ -75,7 +77,9 @@
                 self.cut()
                 break
             if self._missing_member(key):
+                runner.record_disruption()
                 await asyncio.sleep(STALL_MS / 1000)
+                runner.record_disruption()
                 if runner.is_in(key):
                     runner.set_state(model.MemberState.BROKEN)
                 self.cut()
@@ -112,6 +116,7 @@
                    read_tokens / engine.read_tokens_per_ms) * self._slowdown(
                        engine, served)
         await asyncio.sleep(pass_ms / 1000)
+        await self._wait_for_silent_members(engine)
         if self._missing_member(key) or runner.is_unreachable:
             return
         for job in running:
@@ -123,6 +128,22 @@
                 self._emit(job, key, served)
         runner.jobs = [each for each in runner.jobs if not each.reply.ended]
 
+    async def _wait_for_silent_members(self, engine: model.Engine) -> None:
+        """Waits while a member makes no progress, then refuses the excess."""
+        runner = self._runner
+        members = [runner.fleet.runners[each] for each in runner.members]
+        silent_ms = max((each.silent_left_ms for each in members), default=0.0)
+        if not silent_ms:
+            return
+        await asyncio.sleep(silent_ms / 1000)
+        excess = [
+            each for each in runner.jobs[_capacity(engine):]
+            if not each.running and not each.gone
+        ]
+        for job in excess:
+            runner.jobs.remove(job)
+            runner.shed(job)
+
     def _slowdown(self, engine: model.Engine,
                   served: model.ServedModel) -> float:
         """Returns the factor by which passes of this group take longer."""
@@ -149,3 +170,8 @@
             job.events_left -= 1
         if job.events_left <= 0:
             job.reply.end()
+
+
+def _capacity(engine: model.Engine) -> int:
+    """Returns how many requests a head accepts, queued ones included."""
+    return engine.slots * (1 + QUEUE_RATIO)
--- a/cardamommill/experiment/modelrunner.py
+++ b/cardamommill/experiment/modelrunner.py
@@ -50,8 +50,11 @@
             reply.send(421, [(wirenames.INSTANCE_ID, self.id)], b"")
             return None
         if request.target == wirenames.REPORT_PATH:
-            reply.send(200, self.cold_headers(),
-                       json.dumps(self.report()).encode())
+            if self.is_frozen:
+                asyncio.get_running_loop().call_later(
+                    self.silent_left_ms / 1000, self._answer_report, reply)
+            else:
+                self._answer_report(reply)
             return None
         if request.target == wirenames.ORDER_PATH:
             asyncio.get_running_loop().create_task(
@@ -59,8 +62,13 @@
             return None
         return self._take_job(request, reply)
 
+    def _answer_report(self, reply: replies.Reply) -> None:
+        reply.send(200, self.cold_headers(), json.dumps(self.report()).encode())
+
     async def _answer_order(self, order: dict[str, Any],
                             reply: replies.Reply) -> None:
+        if self.is_frozen:
+            await asyncio.sleep(self.silent_left_ms / 1000)
         if self.late_orders_ms:
             await asyncio.sleep(self.late_orders_ms / 1000)
             self._order_executor.execute(order)
@@ -100,6 +108,7 @@
         if self.fault is modelfleet.Fault.ERROR:
             job.reply.send(500, self.answer_headers(job), b"")
         else:
+            self.record_disruption()
             job.reply.abort()
 
     def _take_plain(self, job: modelfleet.Job) -> modelfleet.Job | None:
@@ -118,6 +127,8 @@
             job.running = True
             self.fleet.oracle.record_execution(job.attempt, self.incarnation)
             await asyncio.sleep(self._work_ms * self.pace / 1000)
+            if self.silent_left_ms:
+                await asyncio.sleep(self.silent_left_ms / 1000)
         self.jobs.remove(job)
         if job.is_deadly and not job.gone and not self.ended:
             self.crash(job)
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -7,6 +7,7 @@
 from cardamommill.experiment import (
     crashrules,
     datacentrerules,
+    lostrules,
     recoverrules,
 )
 
@@ -145,6 +146,7 @@
         self.place_rules = datacentrerules.DataCentreRules(limits.evacuate_ms)
         self.crash_rules = crashrules.CrashRules(limits.contact_ms)
         self.recover_rules = recoverrules.RecoverRules(limits.contact_ms)
+        self.lost_rules = lostrules.LostRules(limits.contact_ms)
         # Loads are checked only while the platform's store is available.
         self.counts_loads = True
 
@@ -178,6 +180,7 @@
         broken = self.crash_rules.check_arrival(sent)
         if broken is not None:
             self.broken("BUDGET", f"{attempt} at {runner}: {broken}")
+        self.lost_rules.record_arrival(attempt, runner)
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
             self._repeats_ms[service].append(clock.now_ms())
@@ -246,6 +249,7 @@
     def record_partition(self, machine: str) -> None:
         """Records a partition, in which a machine may miss limits and rests."""
         self.crash_rules.out_of_touch_ms[machine] = clock.now_ms()
+        self.lost_rules.record_disruption(machine)
         for limit in self._rate_limits.values():
             limit.informed_ms.pop(machine, None)
         for (_, asked_machine), rests in self._rests.items():
@@ -340,6 +344,14 @@
             self.broken("REFUSED",
                         f"{attempt} had run but its client got {status}")
 
+    def record_broken_answer(self, attempt: str) -> None:
+        """Records an answer whose connection a node closed before its end."""
+        sent = self.sent[attempt]
+        broken = self.lost_rules.check_broken_answer(attempt, sent.machine,
+                                                     sent.at_ms)
+        if broken is not None:
+            self.broken("LOST", f"{attempt}: {broken}")
+
     def record_first_try(self, attempt: str, is_served: bool) -> None:
         """Records the end of a client's first attempt for a request."""
         sent = self.sent[attempt]
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -98,6 +98,7 @@
         """Makes members unreachable; without a duration they also end."""
         for runner in self._draw_members(trouble):
             self._world.loop.network.host(runner.host).is_unreachable = True
+            runner.record_disruption()
             if not trouble.for_s:
                 runner.end()
             else:
@@ -120,6 +121,7 @@
         for runner in self._world.fleet.runners.values():
             if runner.domain == domain and not runner.ended:
                 self._world.loop.network.host(runner.host).is_unreachable = True
+                runner.record_disruption()
                 self._world.spawn("troubles",
                                   self._reconnect_later(runner, trouble.for_s))
 
@@ -128,6 +130,26 @@
             runner.end()
             self._world.loop.network.end_processes(runner.host)
 
+    async def _runners_silent(self, trouble: deployments.Trouble) -> None:
+        """Makes a `factor` of the members silent, though they are sound."""
+        self._silence(trouble, answers_reports=True)
+
+    async def _runners_frozen(self, trouble: deployments.Trouble) -> None:
+        """Freezes a `factor` of the members; their connections stay open."""
+        self._silence(trouble, answers_reports=False)
+
+    def _silence(self, trouble: deployments.Trouble,
+                 answers_reports: bool) -> None:
+        members = [
+            each for each in self._world.fleet.runners.values()
+            if each.membership and not each.ended
+        ]
+        until_ms = clock.now_ms() + 1000 * trouble.for_s
+        for runner in self._world.rng.sample(
+                members, round(trouble.factor * len(members))):
+            runner.silent_until_ms = until_ms
+            runner.answers_reports = answers_reports
+
     async def _deadly_request(self, trouble: deployments.Trouble) -> None:
         """Sends copies of a request that crashes each runner that runs it.
 
@@ -238,6 +260,7 @@
         ]
         for runner in away:
             runner.network.host(runner.host).is_unreachable = True
+            runner.record_disruption()
         await asyncio.sleep(trouble.for_s)
         for runner in away:
             runner.restart_cold()
@@ -507,6 +530,7 @@
         # Requests in flight at plain runners lose their connections.
         for runner in self._world.fleet.runners.values():
             if runner.service == "plain":
+                runner.record_disruption()
                 self._world.loop.network.reset_connections(runner.host)
 
     async def _burst(self, trouble: deployments.Trouble) -> None:
