Keep a silent attempt until another one brings the next event

What callers saw: the connection of a stream that had begun was closed by its node while its runner was only silent, and would have gone on after 1.2 s. Cause: a diversion closed the live attempt as soon as another group could take the request, before that group had answered anything. Two things then ended the answer: the other group refused it (503, its queue was full), or the retry budget, which each of the streams of a silent group had been asked before any of them counted, was used up by the first of them. Change: a silent attempt stays open beside the next one. The one that brings the next event goes on alone; if one ends without, the other goes on; the second is sent, and counted, in the step that finds its target. A peer that serves a begun stream and is silent is treated alike. Only an attempt at a group that lost a member before the answer began still ends at once. What the dispatcher keeps of attempts is by request and runner. 'may_send' goes: nothing lies between finding a target and sending any more.

--- a/cardamommill/gateway/requests/streamprogress.py
+++ b/cardamommill/gateway/requests/streamprogress.py
@@ -16,14 +16,12 @@
 
 
 class StreamProgress:
-    """Counts the events of all attempts of a request.
+    """Counts the events that the caller of a request has, from any attempt.
 
     Attributes:
         last_event_id: The id of the last event that the caller has; None if it
             has no event, or none with an id.
         events: The number of events passed to the caller by this node.
-        attempt_events: The number of events of the current attempt, including
-            those that the caller already had.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
@@ -35,33 +33,44 @@
         """
         self.last_event_id = last_event_id
         self.events = 0
-        self.attempt_events = 0
-        self._attempt_last_id: int | None = None
 
-    def begin_attempt(self) -> None:
-        """Resets the state of the current attempt for a new one."""
-        self.attempt_events = 0
-        self._attempt_last_id = None
+    def begin_attempt(self) -> "AttemptProgress":
+        """Returns the progress of a new attempt; several may be in progress."""
+        return AttemptProgress(self)
+
+
+class AttemptProgress:
+    """Counts the events of one attempt.
+
+    Attributes:
+        events: Their number, including those that the caller already had.
+    """
+
+    def __init__(self, stream: StreamProgress) -> None:
+        self.events = 0
+        self._stream = stream
+        self._last_event_id: int | None = None
 
     @property
     def is_replaying(self) -> bool:
         """Whether the attempt has not yet reached the caller's last event."""
-        return (self._attempt_last_id is not None and
-                self._attempt_last_id < (self.last_event_id or 0))
+        return (self._last_event_id is not None and
+                self._last_event_id < (self._stream.last_event_id or 0))
 
     def record(self, event: eventparser.Event) -> EventPosition:
         """Counts an event of the attempt and returns its position.
 
         Only an event with the position NEXT may be passed to the caller.
         """
-        self.attempt_events += 1
+        self.events += 1
+        stream = self._stream
         if event.id is not None:
-            self._attempt_last_id = event.id
-            if self.last_event_id is not None:
-                if event.id <= self.last_event_id:
+            self._last_event_id = event.id
+            if stream.last_event_id is not None:
+                if event.id <= stream.last_event_id:
                     return EventPosition.REPEATED
-                if event.id > self.last_event_id + 1:
+                if event.id > stream.last_event_id + 1:
                     return EventPosition.GAP
-            self.last_event_id = event.id
-        self.events += 1
+            stream.last_event_id = event.id
+        stream.events += 1
         return EventPosition.NEXT
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -209,7 +209,7 @@
     def _divert_requests(self, key: model.GroupKey, reason: str,
                          is_dead: bool) -> None:
         for relay in self._requests.relays_at(key):
-            relay.divert(reason, is_dead)
+            relay.divert(reason, is_dead, key)
 
     def probe(self,
               key: model.GroupKey,
--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -101,8 +101,8 @@
         self._spawn = spawn
         self._causes = crashcauses.CrashCauses()
         self.quarantine = quarantine.Quarantine()
-        # When the current attempt of a relay brought its first event.
-        self._first_event_ms: dict[relay.Relay, float] = {}
+        # When an attempt brought its first event, by request and runner.
+        self._first_event_ms: dict[tuple[relay.Relay, str], float] = {}
         self._broken: dict[str, _Broken] = {}
         # The runners whose crash this node itself noticed.
         self._crashed: dict[int, fleetview.RunnerRecord] = {}
@@ -131,14 +131,16 @@
         """Returns how long a request whose attempt broke waits for evidence."""
         return EVIDENCE_MS if self._causes.is_accused(one.digest) else 0.0
 
-    def first_event(self, one: relay.Relay, now_ms: float) -> None:
+    def first_event(self, one: relay.Relay, target: targets.Target,
+                    now_ms: float) -> None:
         """Records the first event of an attempt."""
-        self._first_event_ms[one] = now_ms
+        self._first_event_ms[one, target.known.runner.id] = now_ms
 
     def attempt_ended(self, one: relay.Relay, target: targets.Target,
                       outcome: attempts.Outcome, now_ms: float) -> None:
         """Records the end of an attempt."""
-        first_event_ms = self._first_event_ms.pop(one, now_ms)
+        first_event_ms = self._first_event_ms.pop((one, target.known.runner.id),
+                                                  now_ms)
         if outcome.result in attemptresult.SUCCEEDED:
             self._record_whole_run(one, now_ms)
         elif (outcome.result is attemptresult.Result.BROKEN and
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -135,10 +135,10 @@
         self.restarts = restarts.Restarts(view, pool, node_metrics)
         self.admission = admissioncontrol.AdmissionControl(
             settings.node, node_peers, node_metrics, settings.admission_control)
-        # When the current attempt of a relay was sent; removed with its first
-        # event.
-        self._unanswered_since_ms: dict[relay.Relay, float] = {}
-        self._running: dict[relay.Relay, None] = {}
+        # When each attempt was sent, by request and runner; removed with its
+        # first event.
+        self._unanswered_since_ms: dict[tuple[relay.Relay, str], float] = {}
+        self._running: dict[tuple[relay.Relay, str], None] = {}
         # Called with a group that failed a request, and the reason.
         self.on_fault: Callable[[model.GroupKey, str], None] = _ignore
         # Called with a group that refused a request, and the reason.
@@ -251,19 +251,9 @@
 
     def on_cut(self) -> None:
         """Moves requests away from runners that this node can't reach."""
-        for one in list(self._running):
+        for one in dict.fromkeys(one for one, _ in self._running):
             one.leave_runner("this node is cut off")
 
-    def may_send(self, target: targets.Target | targets.PeerTarget) -> bool:
-        """Whether a target that was found earlier still takes a request.
-
-        All streams of a silent group may have found the same cold runner.
-        """
-        if isinstance(target, targets.PeerTarget):
-            return True
-        return not self.cold_runners.wait_ms(target.known.runner,
-                                             clock.now_ms())
-
     def quarantine_left_ms(self, one: relay.Relay) -> float:
         """Returns for how long a request is still refused; 0 if it is not."""
         return self.crashes.quarantine_left_ms(one)
@@ -321,13 +311,15 @@
         self.eligible_targets.attempt_started(target.known.runner.data_centre)
         self.restarts.attempt_started(one, runner_id)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
-        self.cold_runners.sent(one, runner_id, now_ms)
-        self._unanswered_since_ms[one] = now_ms
-        self._running[one] = None
+        attempt = one, runner_id
+        self.cold_runners.sent(attempt, runner_id, now_ms)
+        self._unanswered_since_ms[attempt] = now_ms
+        self._running[attempt] = None
         if target.key is None or target.placed is None:
             return
         self._relays.setdefault(target.key, {})[one] = None
-        self.admission.attempt_started(one, one.service, one.model_name, now_ms)
+        self.admission.attempt_started(attempt, one.service, one.model_name,
+                                       now_ms)
         placed = target.placed
         self.in_flight_requests.add_request(target.key, one.attempt_id,
                                             one.request_tokens.prompt_tokens,
@@ -357,10 +349,11 @@
     def on_stream_event(self, one: relay.Relay, target: targets.Target) -> None:
         """Records an event of a stream."""
         now_ms = clock.now_ms()
-        sent_ms = self._unanswered_since_ms.pop(one, None)
+        runner_id = target.known.runner.id
+        sent_ms = self._unanswered_since_ms.pop((one, runner_id), None)
         if sent_ms is not None:
-            self.crashes.first_event(one, now_ms)
-            self.reliability.succeeded(target.known.runner.id, now_ms)
+            self.crashes.first_event(one, target, now_ms)
+            self.reliability.succeeded(runner_id, now_ms)
             self._record_first_event(one, target, now_ms - sent_ms)
         if target.key is None:
             return
@@ -378,10 +371,11 @@
                        outcome: attempts.Outcome) -> None:
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
-        self._running.pop(one, None)
+        attempt = one, runner_id
+        self._running.pop(attempt, None)
         self._plain_runners.remove_request(runner_id)
         self.eligible_targets.attempt_ended(target.known.runner.data_centre)
-        self.cold_runners.ended(one, outcome.head.status)
+        self.cold_runners.ended(attempt, outcome.head.status)
         self.restarts.attempt_ended(one, runner_id)
         self._metrics.count("attempts_total",
                             service=one.service,
@@ -393,7 +387,7 @@
                 self._relays.pop(target.key, None)
             self.in_flight_requests.remove_request(target.key, one.attempt_id)
             self.silence.ended(target.key, one.attempt_id)
-            self.admission.attempt_ended(one, outcome.result in _NO_FAULT,
+            self.admission.attempt_ended(attempt, outcome.result in _NO_FAULT,
                                          clock.now_ms())
         self.crashes.attempt_ended(one, target, outcome, clock.now_ms())
         self._record_outcome(one, target, outcome)
@@ -402,7 +396,7 @@
                         outcome: attempts.Outcome) -> None:
         now_ms = clock.now_ms()
         runner = target.known.runner.id
-        sent_ms = self._unanswered_since_ms.pop(one, None)
+        sent_ms = self._unanswered_since_ms.pop((one, runner), None)
         if outcome.result in _NO_FAULT:
             if sent_ms is not None and (outcome.result
                                         in attemptresult.SUCCEEDED):
--- a/cardamommill/gateway/shell/hops.py
+++ b/cardamommill/gateway/shell/hops.py
@@ -13,7 +13,6 @@
 from cardamommill import exceptions, logs, metrics
 from cardamommill.domain import clock
 from cardamommill.gateway.nodes import hopheaders, hoppeers, peers
-from cardamommill.gateway.requests import attemptresult
 from cardamommill.gateway.shell import attempts, forwarding, relay, targets
 from cardamommill.platform import fetching, wirenames
 from cardamommill.transport import callers, replies
@@ -43,7 +42,8 @@
         self._peers = known_peers
         self._metrics = node_metrics
         self._chance = chance
-        self._active: dict[relay.Relay, targets.PeerTarget] = {}
+        # Ordered by their starts, so that simulated runs are reproducible.
+        self._active: dict[tuple[relay.Relay, targets.PeerTarget], None] = {}
 
     def find(self, one: relay.Relay, config_version: int,
              allows: Callable[[str], bool]) -> targets.PeerTarget | None:
@@ -98,13 +98,13 @@
 
     def started(self, one: relay.Relay, target: targets.PeerTarget) -> None:
         """Records that a request is sent to a peer."""
-        self._active[one] = target
+        self._active[one, target] = None
         self._metrics.count("hops_total")
 
     def ended(self, one: relay.Relay, target: targets.PeerTarget,
               outcome: attempts.Outcome) -> None:
         """Records the end of a hop."""
-        self._active.pop(one, None)
+        self._active.pop((one, target), None)
         self._metrics.count("hops_ended_total", result=outcome.result.value)
         _LOG.info(
             logs.line("hop-ended",
@@ -115,7 +115,7 @@
                       events=one.progress.events))
 
     def check(self, now_ms: float) -> None:
-        """Ends hops to peers that are silent; called each tick."""
+        """Has requests leave peers that are silent; called each tick."""
         if not self._active:
             return
         alive = {
@@ -123,10 +123,8 @@
             for each in self._peers.peers.values()
             if each.is_alive(now_ms)
         }
-        for one, target in list(self._active.items()):
-            if target.address not in alive or one.is_hop_silent(now_ms):
-                one.end_attempt(attemptresult.Result.BROKEN,
-                                "the peer is silent")
+        for one, target in list(self._active):
+            one.check_hop(target, target.address in alive, now_ms)
 
 
 class _HopReply(replies.Reply):
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -1,6 +1,8 @@
 """Relays one request of a caller: admission, placement, attempts, answer."""
 
 import asyncio
+from collections.abc import Iterable
+import dataclasses
 import functools
 import math
 
@@ -24,6 +26,7 @@
     conclusion,
     diversion,
     forwarding,
+    openattempts,
     targets,
 )
 from cardamommill.platform import wirenames
@@ -48,12 +51,27 @@
 HOP_FIRST_EVENT_MS = PATIENCE_MS + 400.0
 # A stream with an event this recently is alive.
 LIVE_STREAM_MS = 250.0
+# Why a request goes on elsewhere that a peer serves.
+PEER_SILENT = "the peer is silent"
+# Results after which no other attempt matters.
+_FINAL_RESULTS = frozenset({
+    attemptresult.Result.STREAMED, attemptresult.Result.TIMED_OUT,
+    attemptresult.Result.ABANDONED
+})
 # Why a request is refused that crashed several runners.
 QUARANTINED = "crashed the backend servers that ran it before; not run again"
 
 _LOG = logbook.Logger("requests")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """How an attempt ended."""
+
+    target: targets.Target | targets.PeerTarget | None
+    outcome: attempts.Outcome
+
+
 class Relay:
     """One request of a caller, from its admission to the end of its answer.
 
@@ -104,18 +122,18 @@
         self._attempt_limit = attemptlimit.AttemptLimit(
             hop.attempts if hop is not None else 0)
         self._last_event_ms = 0.0
-        self._attempt_sent_ms = 0.0
         self.deadline_at_ms = math.inf
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
-        self._attempt: attempts.Attempt | None = None
-        # Where the current attempt was sent; None on a hop.
-        self._target: targets.Target | None = None
+        # The attempts in progress, the oldest first.
+        self._open: list[openattempts.OpenAttempt] = []
+        # How the attempt ended that ended last, or that completed the answer.
+        self._last_end = _End(None,
+                              attempts.Outcome(attemptresult.Result.UNSENT))
         self._conclusion = conclusion.Conclusion(
             reply, lambda status, reason: node.ended(self, status, reason))
-        self._diversion = diversion.Diversion(self._find_diversion,
-                                              lambda: reply.started)
+        self._diversion = diversion.Diversion(self._send_elsewhere)
         self.is_abandoned = False
         self.admission = ""
 
@@ -205,40 +223,75 @@
         self._node.spawn(self.serve())
 
     def caller_left(self) -> None:
-        """Cancels the current attempt, so that the runner's place is freed."""
+        """Cancels all attempts, so that the runners' places are freed."""
         self.is_abandoned = True
-        self.end_attempt(attemptresult.Result.ABANDONED, "caller left")
-
-    def end_attempt(self, result: attemptresult.Result, reason: str) -> None:
-        """Ends the current attempt, if any, with a result."""
-        if self._attempt is not None:
-            self._attempt.cancel(result, reason)
-
-    def divert(self, reason: str, is_dead: bool = False) -> None:
-        """Moves the request to another group as soon as one can take it.
+        self._diversion.cancel()
+        self._cancel(self._open, attemptresult.Result.ABANDONED, "caller left")
+
+    def end_attempts_at(self, runner: str, reason: str) -> None:
+        """Ends the attempts at a runner that has ended; they may have run."""
+        self._cancel([
+            each for each in self._open
+            if isinstance(each.target, targets.Target) and
+            each.target.known.runner.id == runner
+        ], attemptresult.Result.BROKEN, reason)
+
+    def _cancel(self, chosen: Iterable[openattempts.OpenAttempt],
+                result: attemptresult.Result, reason: str) -> None:
+        for each in list(chosen):
+            each.cancel(result, reason)
+
+    def divert(self,
+               reason: str,
+               is_dead: bool = False,
+               key: model.GroupKey | None = None) -> None:
+        """Sends the request to another group too, as soon as one can take it.
 
         Args:
             reason: The reason for the log.
-            is_dead: Whether the group has lost a member; see
-                `diversion.Diversion.start`.
+            is_dead: Whether the group has lost a member.
+            key: The group; None for all targets of the request.
         """
-        if self._attempt is None or self.route is None:
+        self._mark_silent(
+            [each for each in self._open if key is None or each.key == key],
+            reason, is_dead)
+
+    def _mark_silent(self,
+                     chosen: Iterable[openattempts.OpenAttempt],
+                     reason: str,
+                     is_dead: bool = False) -> None:
+        if self.route is None or not self.route.repeatable:
             return
-        if self.route.repeatable:
-            self._diversion.start(self._attempt, reason, is_dead)
+        has_changed = False
+        for each in chosen:
+            has_changed |= not each.is_silent or (is_dead and
+                                                  not each.has_lost_member)
+            each.is_silent = True
+            each.has_lost_member |= is_dead
+        if has_changed:
+            self._search(reason)
+
+    def _search(self, reason: str) -> None:
+        """Searches another target if all attempts in progress are silent."""
+        if self._open and all(each.is_silent for each in self._open):
+            self._diversion.start(reason)
 
     def leave_runner(self, reason: str) -> None:
-        """Moves the request to a peer, if its runner is out of reach.
+        """Moves the request to a peer, if its runners are out of reach.
 
         Runners may go on with open connections and refuse new ones.
         """
-        attempt = self._attempt
-        if attempt is None or self._target is None:
-            return
-        if attempt.exchange is not None and not attempt.exchange.sent:
-            attempt.cancel(attemptresult.Result.BROKEN, reason)
-        elif clock.now_ms() - self._last_event_ms > LIVE_STREAM_MS:
-            self.divert(reason)
+        at_runners = [
+            each for each in self._open
+            if isinstance(each.target, targets.Target)
+        ]
+        self._cancel([each for each in at_runners if each.is_unsent],
+                     attemptresult.Result.BROKEN, reason)
+        now_ms = clock.now_ms()
+        self._mark_silent([
+            each for each in at_runners
+            if now_ms - each.last_event_ms > LIVE_STREAM_MS
+        ], reason)
 
     def silent_ms(self, now_ms: float) -> int | None:
         """Returns the time since the last event; None before the first one."""
@@ -246,20 +299,61 @@
             return None
         return int(now_ms - self._last_event_ms)
 
-    def is_hop_silent(self, now_ms: float) -> bool:
-        """Whether the peer that serves a stream brings no events."""
+    def check_hop(self, target: targets.PeerTarget, is_alive: bool,
+                  now_ms: float) -> None:
+        """Goes on elsewhere if the peer that serves the request is silent.
+
+        The hop itself ends only if the answer has not begun.
+
+        Args:
+            target: The peer.
+            is_alive: Whether this node hears it.
+            now_ms: The time.
+        """
+        silent = [
+            each for each in self._open if each.target == target and
+            not (is_alive and self._has_recent_event(each, now_ms))
+        ]
+        if self.reply.started:
+            self._mark_silent(silent, PEER_SILENT)
+        else:
+            self._cancel(silent, attemptresult.Result.BROKEN, PEER_SILENT)
+
+    def _has_recent_event(self, hop: openattempts.OpenAttempt,
+                          now_ms: float) -> bool:
         if not self.streaming:
-            return False
-        if self.progress.attempt_events:
-            return now_ms - self._last_event_ms > HOP_SILENCE_MS
-        return now_ms - self._attempt_sent_ms > HOP_FIRST_EVENT_MS
+            return True
+        if hop.progress.events:
+            return now_ms - hop.last_event_ms <= HOP_SILENCE_MS
+        return now_ms - hop.sent_ms <= HOP_FIRST_EVENT_MS
+
+    def _send_elsewhere(self, reason: str) -> bool:
+        """Sends the request to another target too, if one can take it now.
+
+        The silent attempts stay open: their runners may go on, and the other
+        one has brought nothing yet. Only attempts at groups that lost a member
+        before the answer began end at once, also if no other group can take the
+        request: holding it until its caller leaves gains nothing.
+
+        Returns:
+            Whether the search is over.
+        """
+        silent = [each for each in self._open if not each.attempt.done.done()]
+        if not silent:
+            return True
+        target = self._find_diversion()
+        if target is not None:
+            self._node.spawn(self._follow(self._begin(target)))
+        dead = [
+            each for each in silent
+            if each.has_lost_member and not self.reply.started
+        ]
+        self._cancel(dead, attemptresult.Result.DIVERTED, reason)
+        return target is not None or len(dead) == len(silent)
 
     def _find_diversion(self) -> targets.Target | targets.PeerTarget | None:
         """Returns a target to divert the request to, or None."""
-        if not self._may_retry(
-                leaving=self._may_be_running() or self._node.is_isolated()):
-            return None
-        if not self.is_key_valid():
+        if not self._may_retry() or not self.is_key_valid():
             return None
         found = self._node.find_target(self)
         if isinstance(found, placing.Refused):
@@ -288,25 +382,23 @@
             if target is None:
                 self._conclusion.caller_left()
                 return
-            if isinstance(target, targets.PeerTarget):
-                outcome = await self._run_hop(target)
-                if hopheaders.is_refusal(outcome.head):
-                    # No other peer would decide otherwise.
-                    self._conclusion.not_placed(
-                        placing.Refused("a peer refused it",
-                                        _retry_after_ms(outcome.head)),
-                        self.may_have_run)
-                    return
-            else:
-                outcome = await self._run_attempt(target)
+            self._begin(target)
+            end = await self._wait_for_end()
+            outcome = end.outcome
+            if (isinstance(end.target, targets.PeerTarget) and
+                    hopheaders.is_refusal(outcome.head)):
+                # No other peer would decide otherwise.
+                self._conclusion.not_placed(
+                    placing.Refused("a peer refused it",
+                                    _retry_after_ms(outcome.head)),
+                    self.may_have_run)
+                return
             if outcome.result is attemptresult.Result.BROKEN:
                 await self._wait_for_evidence()
             state = retrydecision.RequestState(
                 self.route is not None and self.route.repeatable,
                 self.may_have_run, self._may_retry(), self.reply.started)
             step = retrydecision.next_step(outcome.result, state)
-            if outcome.result is attemptresult.Result.FAILED:
-                self._conclusion.record_failure(outcome)
             if self.is_abandoned:
                 self._conclusion.caller_left()
                 return
@@ -314,6 +406,27 @@
                 self._conclusion.finish(step, outcome)
                 return
 
+    async def _wait_for_end(self) -> "_End":
+        """Waits until no attempt is in progress; returns the end that counts.
+
+        That is the end of the attempt that completed the answer, else the last.
+        """
+        while self._open:
+            one = self._open[0]
+            await one.attempt.done
+            self._close(one)
+        return self._last_end
+
+    async def _follow(self, one: openattempts.OpenAttempt) -> None:
+        """Handles the end of an attempt that runs beside an earlier one."""
+        try:
+            await one.attempt.done
+            self._close(one)
+        except Exception:
+            # The earlier attempt goes on, and ends at the deadline at the
+            # latest.
+            _LOG.exception(logs.line("attempt-lost", request=self.attempt_id))
+
     async def _wait_for_evidence(self) -> None:
         """Waits for what other nodes know, if the request may crash runners."""
         delay_ms = self._node.repeat_delay_ms(self)
@@ -374,108 +487,126 @@
 
     def _find_target(
             self) -> targets.Target | targets.PeerTarget | placing.Refused:
-        reserved = self._diversion.take_target()
         if not self.is_key_valid():
             return placing.Refused("key not confirmed",
                                    admitting.DEFAULT_RETRY_AFTER_MS)
-        if reserved is not None and self._node.may_send(reserved):
-            return reserved
         return self._node.find_target(self)
 
-    async def _run_attempt(self, target: targets.Target) -> attempts.Outcome:
-        attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
-        self._attempt = attempt
-        self._target = target
-        self._node.on_attempt_start(self, target, self._is_retry)
-        self.attempted.append(target)
-        self.progress.begin_attempt()
-        self._diversion.begin_attempt()
-        runner = target.known.runner
-        outcome = await self._exchange(
-            attempt, (runner.host, runner.port),
-            self._request_bytes(target, clock.now_ms()))
+    def _begin(
+        self, target: targets.Target | targets.PeerTarget
+    ) -> openattempts.OpenAttempt:
+        """Sends an attempt."""
+        now_ms = clock.now_ms()
+        one = openattempts.OpenAttempt(self.attempt_id, self.streaming, target,
+                                       self.progress.begin_attempt(), now_ms,
+                                       self)
+        if isinstance(target, targets.PeerTarget):
+            address = target.address
+            data = self._node.hop_request_bytes(self, target,
+                                                self._count_runs(True),
+                                                self._has_reached_runner)
+            self._node.on_hop_start(self, target)
+            self.hops.append(target)
+        else:
+            address = target.known.runner.host, target.known.runner.port
+            data = self._request_bytes(target, now_ms)
+            self._node.on_attempt_start(self, target, self._is_retry)
+            self.attempted.append(target)
+        self._open.append(one)
+        repeatable = self.route is not None and self.route.repeatable
+        one.attempt.exchange = self._node.pool.send(
+            address, data, one.attempt, new_connection=not repeatable)
+        one.timer = asyncio.get_running_loop().call_later(
+            max(0.0, self.deadline_at_ms - now_ms) / 1000, one.cancel,
+            attemptresult.Result.TIMED_OUT, "out of time")
+        return one
+
+    def _close(self, one: openattempts.OpenAttempt) -> None:
+        """Records the end of an attempt, once."""
+        if one not in self._open:
+            return
+        if one.timer is not None:
+            one.timer.cancel()
+        outcome = self._check_complete(one, one.attempt.done.result())
+        if isinstance(one.target, targets.PeerTarget):
+            self._record_hop(one, one.target, outcome)
+        else:
+            self._record_run(one, one.target, outcome)
+        self._open.remove(one)
+        if outcome.result is attemptresult.Result.FAILED:
+            self._conclusion.record_failure(outcome)
+        if not self._is_answer_complete:
+            self._last_end = _End(one.target, outcome)
+        if self._is_answer_complete or not self._open:
+            self._diversion.cancel()
+            self._cancel(self._open, attemptresult.Result.DIVERTED,
+                         "another attempt completed the answer")
+        else:
+            self._search(outcome.reason)
+
+    @property
+    def _is_answer_complete(self) -> bool:
+        """Whether the end that counts is final, whatever other attempts do."""
+        result = self._last_end.outcome.result
+        return result in _FINAL_RESULTS or (
+            result is attemptresult.Result.ANSWERED and not self.reply.started)
+
+    def _record_run(self, one: openattempts.OpenAttempt, target: targets.Target,
+                    outcome: attempts.Outcome) -> None:
         self._has_arrived |= outcome.result is not attemptresult.Result.UNSENT
         if retrydecision.may_have_run(outcome.result):
             self.may_have_run = True
             diverted = outcome.result is attemptresult.Result.DIVERTED
             self._attempt_limit.record(target.known, diverted and
-                                       not self._may_be_running())
+                                       not one.may_be_running)
         self._node.on_attempt_end(self, target, outcome)
-        return outcome
 
-    async def _run_hop(self, target: targets.PeerTarget) -> attempts.Outcome:
-        attempt = attempts.Attempt(self.attempt_id, self.streaming, self)
-        self._attempt = attempt
-        self._target = None
-        self._node.on_hop_start(self, target)
-        self.hops.append(target)
-        self.progress.begin_attempt()
-        self._diversion.begin_attempt()
-        made = self._attempt_limit.count(True)
-        outcome = await self._exchange(
-            attempt, target.address,
-            self._node.hop_request_bytes(self, target, made, self._has_arrived))
+    def _record_hop(self, one: openattempts.OpenAttempt,
+                    target: targets.PeerTarget,
+                    outcome: attempts.Outcome) -> None:
         if retrydecision.may_have_run(outcome.result):
-            self.may_have_run = self._has_arrived = True
-            assert self.route is not None
             # Without its answer, the peer may have made all that were left.
-            by_peer = hopheaders.attempts_made(attempt.head)
-            self._attempt_limit.record_by_peer(
-                self.route.max_attempts - made if by_peer is None else by_peer)
+            by_peer = one.runs(True, self._runs_left(one))
+            self.may_have_run = self._has_arrived = True
+            self._attempt_limit.record_by_peer(by_peer)
         self._node.on_hop_end(self, target, outcome)
-        return outcome
 
-    async def _exchange(self, attempt: attempts.Attempt,
-                        address: upstream.Address,
-                        data: bytes) -> attempts.Outcome:
-        """Sends an attempt and waits for its outcome."""
-        self._attempt_sent_ms = now_ms = clock.now_ms()
-        repeatable = self.route is not None and self.route.repeatable
-        attempt.exchange = self._node.pool.send(address,
-                                                data,
-                                                attempt,
-                                                new_connection=not repeatable)
-        timer = asyncio.get_running_loop().call_later(
-            max(0.0, self.deadline_at_ms - now_ms) / 1000, attempt.cancel,
-            attemptresult.Result.TIMED_OUT, "out of time")
-        try:
-            return self._check_complete(await attempt.done)
-        finally:
-            timer.cancel()
-            self._diversion.cancel()
-            self._attempt = None
-
-    def _check_complete(self, outcome: attempts.Outcome) -> attempts.Outcome:
+    def _check_complete(self, one: openattempts.OpenAttempt,
+                        outcome: attempts.Outcome) -> attempts.Outcome:
         """Treats a stream that ended before the caller's last event as broken.
 
         Otherwise a runner that starts over and ends early would end the stream
         as complete, with events missing.
         """
         if (outcome.result is attemptresult.Result.STREAMED and
-                self.progress.is_replaying):
+                one.progress.is_replaying):
             return attempts.Outcome(attemptresult.Result.BROKEN,
                                     "ended before what the caller has")
         return outcome
 
-    def _may_be_running(self) -> bool:
-        """Whether the runner of the last attempt may be running the request.
-
-        A group that has lost a member and gave no event has not started the
-        request: an event would have come long before the silence was noticed.
-        If such attempts counted, two dead groups in a row would use up the
-        attempts of a request that neither had started. A group whose members
-        all answer may be running the request without giving events.
-        """
-        return (not self.streaming or self.progress.attempt_events > 0 or
-                not self._diversion.has_lost_member)
-
-    def _may_retry(self, leaving: bool = False) -> bool:
-        """Whether another attempt is allowed.
-
-        Args:
-            leaving: Whether the current attempt, which is to be diverted and
-                has not been counted yet, counts towards the route's limit.
-        """
+    @property
+    def _has_reached_runner(self) -> bool:
+        """Whether a runner has the request, or may have had it."""
+        return self._has_arrived or any(
+            not each.is_unsent for each in self._open)
+
+    def _count_runs(self, is_isolated: bool) -> int:
+        """Returns how many attempts count towards the route's limit."""
+        return self._attempt_limit.count(is_isolated) + sum(
+            each.runs(is_isolated, self._runs_left(each))
+            for each in self._open)
+
+    def _runs_left(self, hop: openattempts.OpenAttempt) -> int:
+        """Returns how many attempts a peer may make that doesn't say."""
+        assert self.route is not None
+        others = sum(
+            each.runs(True, 0) for each in self._open if each is not hop)
+        return max(
+            0,
+            self.route.max_attempts - self._attempt_limit.count(True) - others)
+
+    def _may_retry(self) -> bool:
+        """Whether another attempt is allowed, beside those in progress."""
         total = len(self.attempted) + len(self.hops)
         if self.route is None or total >= MAX_TOTAL_ATTEMPTS:
             return False
@@ -485,13 +616,11 @@
         if self.deadline_at_ms - clock.now_ms() < MIN_REMAINING_MS:
             return False
         is_isolated = self._node.is_isolated()
-        counted = self._attempt_limit.count(is_isolated)
-        if leaving + counted >= self.route.max_attempts:
+        if self._count_runs(is_isolated) >= self.route.max_attempts:
             return False
         if self._node.is_crash_suspect(self):
             return False
-        if (self._node.reaches_no_runner() and not self._has_arrived and
-                not leaving):
+        if self._node.reaches_no_runner() and not self._has_reached_runner:
             # No runner got the request, so the next attempt is its first one.
             return True
         return self._node.may_retry(self.service)
@@ -508,27 +637,34 @@
                 self.tenant.name if self.tenant else None, rank,
                 self.progress.last_event_id))
 
-    # Answers; see `attempts.AnswerSink`.
+    # Answers; see `openattempts.AnswerSink`.
 
-    def on_head(self, head: upstream.Head) -> None:
-        """Handles the head of the answer to the current attempt."""
-        if self._target is not None:
-            self._node.on_answer_head(self, self._target, head,
-                                      self._attempt_sent_ms)
+    def on_head(self, one: openattempts.OpenAttempt,
+                head: upstream.Head) -> None:
+        """Handles the head of the answer to an attempt."""
+        if isinstance(one.target, targets.Target):
+            self._node.on_answer_head(self, one.target, head, one.sent_ms)
 
-    def on_event(self, head: upstream.Head, event: eventparser.Event) -> bool:
+    def on_event(self, one: openattempts.OpenAttempt, head: upstream.Head,
+                 event: eventparser.Event) -> bool:
         """Passes an event on to the caller if it is the next one.
 
+        All other attempts end then.
+
         Returns:
             Whether the stream may continue: False for an event after a gap.
         """
         self._diversion.cancel()
-        self._last_event_ms = clock.now_ms()
-        if self._target is not None:
-            self._node.on_stream_event(self, self._target)
-        order = self.progress.record(event)
+        one.is_silent = False
+        self._last_event_ms = one.last_event_ms = clock.now_ms()
+        if isinstance(one.target, targets.Target):
+            self._node.on_stream_event(self, one.target)
+        order = one.progress.record(event)
         if order is not streamprogress.EventPosition.NEXT:
             return order is streamprogress.EventPosition.REPEATED
+        self._cancel([each for each in self._open if each is not one],
+                     attemptresult.Result.DIVERTED,
+                     "another attempt brought the next event")
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
             self.reply.start(head.status, forwarding.caller_headers(head))
--- a/cardamommill/gateway/shell/restarts.py
+++ b/cardamommill/gateway/shell/restarts.py
@@ -7,7 +7,6 @@
 from cardamommill import logs, metrics
 from cardamommill.domain import model
 from cardamommill.gateway.fleet import fleetview
-from cardamommill.gateway.requests import attemptresult
 from cardamommill.gateway.shell import relay
 from cardamommill.platform import wirenames
 from cardamommill.transport import upstream
@@ -67,7 +66,7 @@
                       group=known.membership.key if known.membership else None,
                       requests=len(relays)))
         for each in relays:
-            each.end_attempt(attemptresult.Result.BROKEN, "runner restarted")
+            each.end_attempts_at(runner.id, "runner restarted")
         self._pool.close_idle((runner.host, runner.port))
         if known.membership is not None:
             self.on_lost_member(known.membership.key, "member restarted")
--- a/cardamommill/gateway/shell/targets.py
+++ b/cardamommill/gateway/shell/targets.py
@@ -62,9 +62,6 @@
                     relay: "Relay") -> Target | PeerTarget | placing.Refused:
         """Returns the target of a request's next attempt, or a refusal."""
 
-    def may_send(self, target: Target | PeerTarget) -> bool:
-        """Whether a target that was found earlier still takes a request."""
-
     def quarantine_left_ms(self, relay: "Relay") -> float:
         """Returns for how long a request is still refused; 0 if it is not."""
 
