Do not take runners for dead whose VM takes connections

What callers saw: streams cut, and requests refused, for seconds after processes of runners had been stopped for 1.2 s. Cause: the same as before, at the next place: a member that left two requests for its report unanswered, for 0.21 s, was marked as down. Its planner had all other members leave the group, which stalls every stream there for good, its peers gave the group up, attempts there without an event no longer counted towards the route's limit (a request ran on three runners of two), and it was taken for crashed. Change: the second request goes over a new connection. Where that is made and brings no answer, the VM is there and its process does nothing at the moment: the group is left and stays formed, and the runner is probed each 0.5 s until it answers. It is down if its entry leaves the list, or after four seconds. A VM that takes no connection, or refuses it, is down as before, as fast as before.

--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -18,6 +18,9 @@
 # Default of `FleetView.list_stale_ms`, for a drain bound of 2 s. While nothing
 # changes, a list normally reaches a lower age before the next one arrives.
 LIST_STALE_MS = 2800.0
+# A runner whose process does nothing for this long is taken for down, whatever
+# the list says: a head breaks its group when a member is silent for as long.
+MAX_STANDSTILL_MS = 4000.0
 
 RunnerRecord = runnerrecord.RunnerRecord
 
@@ -199,6 +202,7 @@
         known = self.known.get(runner_id)
         if known is None or known.has_ended or asked_ms < known.report_ms:
             return
+        known.still_since_ms = 0.0
         if known.down_ms:
             known.down_ms = 0.0
             known.recovered_ms = asked_ms
@@ -226,6 +230,22 @@
         self.version += 1
         return True
 
+    def record_standstill(self, runner_id: str, asked_ms: float) -> bool:
+        """Records that a runner's VM took a query that its process left.
+
+        A process that is stopped for a second goes on by itself. It is taken
+        for down only once its entry has left the list, or after a time in which
+        a group that it is in breaks anyway.
+
+        Returns:
+            Whether it may go on.
+        """
+        known = self.known.get(runner_id)
+        if known is None or known.down_ms or not known.listed:
+            return False
+        known.still_since_ms = known.still_since_ms or asked_ms
+        return asked_ms - known.still_since_ms < MAX_STANDSTILL_MS
+
     def record_leaving(self, runner_id: str, now_ms: float) -> bool:
         """Records a runner's own report that it is leaving.
 
--- a/cardamommill/gateway/fleet/runnerrecord.py
+++ b/cardamommill/gateway/fleet/runnerrecord.py
@@ -19,6 +19,8 @@
             it answers.
         unanswered_ms: When the last query that it failed to answer was sent.
         recovered_ms: When it last started to answer again.
+        still_since_ms: When the first query was sent that its VM took and its
+            process did not answer; 0 while it answers.
         leaving_ms: When it was first seen to be leaving; 0 while it is not.
         has_reported_leaving: Whether the runner itself reported that it is
             leaving.
@@ -42,6 +44,7 @@
     down_ms: float = 0.0
     unanswered_ms: float = 0.0
     recovered_ms: float = 0.0
+    still_since_ms: float = 0.0
     leaving_ms: float = 0.0
     has_reported_leaving: bool = False
     last_model: str = ""
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -244,14 +244,18 @@
                              members: list[fleetview.RunnerRecord],
                              reason: str) -> None:
         was_up = {each.runner.id for each in members if not each.down_ms}
-        answers = await asyncio.gather(
+        results = await asyncio.gather(
             *(self._group_controller.probe(each.runner.id, reason)
               for each in members))
-        self._record_reachability(key, members, any(answers), clock.now_ms())
+        reached = [
+            each is not groupcontroller.ProbeResult.UNREACHABLE
+            for each in results
+        ]
+        self._record_reachability(key, members, any(reached), clock.now_ms())
         whole_group = self._view.members(key)
         # A peer has checked its own link before it names members, and the last
         # member of a group may just have crashed.
-        is_cut_off = (not any(answers) and
+        is_cut_off = (not any(reached) and
                       1 < len(members) == len(whole_group) and
                       not await self._requests.link.is_sound(whole_group))
         now_ms = clock.now_ms()
@@ -259,14 +263,20 @@
             # Peers may reach the group; this node's requests go to them.
             self._alarms.pop(key, None)
             return
-        if all(answers):
+        if all(reached):
             self._alarms.pop(key, None)
-            self._requests.available_groups.stop_avoiding(key)
+            if groupcontroller.ProbeResult.STANDS_STILL in results:
+                self._give_up(key,
+                              "member stands still",
+                              now_ms + availablegroups.STALLED_AVOID_MS,
+                              is_dead=False)
+            else:
+                self._requests.available_groups.stop_avoiding(key)
             return
         silent = {
             each.runner.id
-            for each, answered in zip(members, answers, strict=True)
-            if not answered
+            for each, is_reached in zip(members, reached, strict=True)
+            if not is_reached
         }
         if not silent & was_up:
             # These members were already known to be down. When each probe of
--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 import dataclasses
+import enum
 from typing import Any
 
 import logbook
@@ -16,6 +17,8 @@
 
 # Assumed recovery time of a missing group if none is being formed.
 DEFAULT_RECOVERY_MS = 700.0
+# Interval between probes of a runner that stands still.
+STANDSTILL_RETRY_MS = 500.0
 # Interval between two log lines that summarise the runners.
 SUMMARY_INTERVAL_MS = 1000.0
 # A second request is sent to a runner that has not answered after this; runners
@@ -38,6 +41,15 @@
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
+class ProbeResult(enum.Enum):
+    """What a probe shows of a runner."""
+
+    ANSWERED = "answered"
+    # Its VM takes connections, its process does nothing at the moment.
+    STANDS_STILL = "stands still"
+    UNREACHABLE = "unreachable"
+
+
 class GroupController:
     """Runs a `planner.Planner` and carries out its actions."""
 
@@ -54,6 +66,8 @@
         self._spawn = spawn
         self._report_lag_ms = 0.0
         self._summary_logged_ms = float("-inf")
+        # Runners that stand still and are to be probed again.
+        self._still: set[str] = set()
         self.planner = planner.Planner(view, name)
 
     def expected_recovery_ms(self) -> float:
@@ -188,30 +202,35 @@
     async def _run_probe(self, probe: planning.Probe) -> None:
         await self.probe(probe.runner, probe.reason)
 
-    async def probe(self, runner_id: str, reason: str) -> bool:
-        """Asks a runner for its report; returns whether it answered.
+    async def probe(self, runner_id: str, reason: str) -> ProbeResult:
+        """Asks a runner for its report; returns what that shows.
 
-        If there is no answer soon, a second request is sent on another
+        If there is no answer soon, a second request is sent on a new
         connection without waiting for the first to fail. A second request is
         needed since a lost packet looks like a dead runner. When it waited for
         the first to fail, dead runners were detected only after 300 ms.
         """
         known = self._view.known.get(runner_id)
         if known is None:
-            return False
+            return ProbeResult.UNREACHABLE
         asked_ms = clock.now_ms()
         if known.has_ended:
             self._view.record_no_answer(runner_id, asked_ms)
-            return False
-        report = await self._request_report_hedged(known.runner)
+            return ProbeResult.UNREACHABLE
+        reply = await self._request_report_hedged(known.runner)
+        report = reply.report
         if report is None:
+            if reply.was_taken and self._view.record_standstill(
+                    runner_id, asked_ms):
+                self._probe_later(runner_id, reason)
+                return ProbeResult.STANDS_STILL
             if self._view.record_no_answer(runner_id, asked_ms):
                 _LOG.warning(
                     logs.line("runner-down", runner=runner_id, reason=reason))
-            return False
+            return ProbeResult.UNREACHABLE
         if incarnations.is_other(known.runner.born_ms, report.born_ms):
             self._record_ended(runner_id, clock.now_ms())
-            return False
+            return ProbeResult.UNREACHABLE
         was_down = bool(known.down_ms)
         self._view.cold_periods.receive_answer(runner_id, report.cold_left_ms,
                                                clock.now_ms())
@@ -219,34 +238,60 @@
                                 self._report_lag_ms)
         if was_down:
             _LOG.info(logs.line("runner-answers", runner=runner_id))
-        return True
+        return ProbeResult.ANSWERED
+
+    def _probe_later(self, runner_id: str, reason: str) -> None:
+        """Probes a runner that stands still until it goes on or is down."""
+        if runner_id in self._still:
+            return
+        self._still.add(runner_id)
+        _LOG.warning(
+            logs.line("runner-stands-still", runner=runner_id, reason=reason))
+        self._spawn(self._probe_until_it_goes_on(runner_id))
+
+    async def _probe_until_it_goes_on(self, runner_id: str) -> None:
+        try:
+            result = ProbeResult.STANDS_STILL
+            while result is ProbeResult.STANDS_STILL:
+                await asyncio.sleep(STANDSTILL_RETRY_MS / 1000)
+                result = await self.probe(runner_id, "stood still")
+        finally:
+            self._still.discard(runner_id)
+        _LOG.info(
+            logs.line("runner-stood-still",
+                      runner=runner_id,
+                      result=result.value))
 
     async def _request_report_hedged(
-            self, runner: model.Runner) -> model.Report | None:
+            self, runner: model.Runner) -> ordercalls.ReportReply:
         first = asyncio.ensure_future(self._request_report(runner))
         done, _ = await asyncio.wait([first], timeout=HEDGE_DELAY_MS / 1000)
-        if done and first.result() is not None:
+        if done and first.result().report is not None:
             return first.result()
         # The second request is also sent if the first has failed: a request on
         # a reused connection that the runner has closed fails at once, although
         # the runner is alive.
-        second = asyncio.ensure_future(self._request_report(runner))
+        second = asyncio.ensure_future(
+            self._request_report(runner, new_connection=True))
         try:
             for each in asyncio.as_completed([first, second]):
-                report = await each
-                if report is not None:
-                    return report
-            return None
+                reply = await each
+                if reply.report is not None:
+                    return reply
+            return second.result()
         finally:
             first.cancel()
             second.cancel()
 
-    async def _request_report(self,
-                              runner: model.Runner) -> model.Report | None:
+    async def _request_report(
+            self,
+            runner: model.Runner,
+            new_connection: bool = False) -> ordercalls.ReportReply:
         try:
-            return await ordercalls.fetch_report(self._pool, runner)
+            return await ordercalls.fetch_report(self._pool, runner,
+                                                 new_connection)
         except exceptions.BadPeerMessage as error:
             _LOG.warning(
                 logs.line("report-refused", runner=runner.id,
                           reason=str(error)))
-            return None
+            return ordercalls.ReportReply(None)
--- a/cardamommill/platform/fetching.py
+++ b/cardamommill/platform/fetching.py
@@ -14,12 +14,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """A complete answer, or the reason why there is none (status 0)."""
+    """A complete answer, or the reason why there is none (status 0).
+
+    Attributes:
+        ending: How the exchange ended; NOT_SENT if no connection was made.
+        head: Status and headers.
+        body: The complete body.
+        reason: Why there is no complete answer.
+        is_timeout: Whether nobody but this node ended the exchange.
+    """
 
     ending: upstream.Ending
     head: upstream.Head
     body: bytes
     reason: str
+    is_timeout: bool = False
 
 
 class _Collector:
@@ -73,7 +82,10 @@
         was_sent = exchange.sent
         return Answer(
             upstream.Ending.BROKEN if was_sent else upstream.Ending.NOT_SENT,
-            upstream.Head(), b"", "timed out")
+            upstream.Head(),
+            b"",
+            "timed out",
+            is_timeout=True)
     finally:
         if not collector.future.done() or collector.future.cancelled():
             exchange.cancel()
--- a/cardamommill/platform/ordercalls.py
+++ b/cardamommill/platform/ordercalls.py
@@ -90,12 +90,31 @@
     return reply, f"{answer.head.status} {answer.body[:120]!r}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportReply:
+    """What came of a request for a report.
+
+    Attributes:
+        report: The report; None without a complete answer of status 200 in
+            time.
+        was_taken: Whether the runner's VM took the request and its process did
+            not answer it. On a reused connection that says nothing: it looks
+            the same if the VM is gone.
+    """
+
+    report: model.Report | None
+    was_taken: bool = False
+
+
 async def fetch_report(pool: upstream.Pool,
-                       runner: model.Runner) -> model.Report | None:
+                       runner: model.Runner,
+                       new_connection: bool = False) -> ReportReply:
     """Asks a runner for its report.
 
-    Returns:
-        The report; None without a complete answer of status 200 in time.
+    Args:
+        pool: Connections to runners.
+        runner: The runner.
+        new_connection: Whether to open a connection for this request only.
 
     Raises:
         BadPeerMessage: The answer's body is no valid report.
@@ -105,13 +124,16 @@
         [("Host", f"{runner.host}:{runner.port}"),
          (wirenames.EXPECT_INSTANCE, runner.instance)])
     answer = await fetching.fetch(pool, (runner.host, runner.port), request,
-                                  REPORT_TIMEOUT_MS)
+                                  REPORT_TIMEOUT_MS, new_connection)
     if answer.ending is not upstream.Ending.COMPLETE:
-        return None
+        return ReportReply(
+            None, answer.is_timeout and answer.ending is upstream.Ending.BROKEN)
     if answer.head.status != 200:
-        return None
-    return dataclasses.replace(entries.decode_report(runner.id, answer.body),
-                               cold_left_ms=_cold_left_ms(answer, runner.id))
+        return ReportReply(None)
+    report = entries.decode_report(runner.id, answer.body)
+    return ReportReply(
+        dataclasses.replace(report,
+                            cold_left_ms=_cold_left_ms(answer, runner.id)))
 
 
 def _cold_left_ms(answer: fetching.Answer, runner: str) -> float:
