Add failing tests of requests that two runners have at once

Runs that are not counted: a runner marked as down, the second attempt of a peer, an own attempt after a hop. A healthy group is avoided if the first runner goes on while the connection to it is opened. A fault of the node leaves an attempt open, or aborts a whole answer.

--- /dev/null
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -0,0 +1,274 @@
+"""Tests of requests that two runners have at the same time."""
+
+import asyncio
+
+import pytest
+
+from cardamommill.domain import clock, model
+from cardamommill.gateway.nodes import hopheaders
+from cardamommill.gateway.shell import diversion, hops, relay, targets
+from cardamommill.platform import wirenames
+from cardamommill.transport import callers
+from tests.gateway import relays
+from tests.gateway.shell import test_dispatcher
+
+PEERS = [
+    targets.PeerTarget(f"p{number}", ("10.0.0.1", number), 7)
+    for number in range(3)
+]
+
+
+async def settle():
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+def play(script, **changes):
+    """Runs a script with a request that is at its first runner.
+
+    Returns:
+        The reply and the node.
+    """
+    node = relays.FakeNode(**changes)
+
+    async def run():
+        one = relays.begin(node)
+        await settle()
+        await script(node, one)
+        await settle()
+        return one.reply
+
+    return asyncio.run(run()), node
+
+
+def test_quarantined_request_is_not_sent_to_another_runner():
+    """A silent request that crashed others is refused; its search went on."""
+
+    async def script(node, one):
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        node.quarantined_ms = 60_000.0
+        one.divert("group stands still")
+        await settle()
+
+    _, node = play(script)
+    assert len(node.exchanges) == 1
+
+
+def test_request_that_may_crash_runners_waits_for_evidence():
+    """Its second runner breaks the connection while the first is silent.
+
+    Other nodes may know by now that it crashes runners, so that the third
+    attempt has to wait for what they tell, as one without a silent runner does.
+    """
+
+    async def script(node, one):
+        node.repeat_delay_ms = lambda one: 100.0
+        one.divert("group stands still")
+        await settle()
+        node.exchanges[1].cut()
+        await settle()
+        assert len(node.exchanges) == 2
+
+    node = relays.FakeNode()
+    assert node.route.max_attempts == 2
+
+    async def run():
+        node.route = model.Route(
+            **{
+                name: getattr(node.route, name)
+                for name in node.route.__dataclass_fields__
+            } | {"max_attempts": 3})
+        one = relays.begin(node)
+        await settle()
+        await script(node, one)
+
+    asyncio.run(run())
+
+
+def test_paused_runner_that_brought_events_counts_as_a_run():
+    """A paused runner answers no probe, so it is marked as down, but is sound.
+
+    The route allows two attempts; the request ran at a third runner.
+    """
+
+    async def script(node, one):
+        first = node.exchanges[0]
+        first.head(200)
+        first.event(1)
+        one.attempted[0].known.down_ms = 1.0
+        one.divert("member does not answer", is_dead=True)
+        await settle()
+        second = node.exchanges[1]
+        second.head(200)
+        second.event(2)
+        await settle()
+        one.divert("group stands still")
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
+
+    _, node = play(script)
+    assert len(node.exchanges) == 2
+
+
+def test_paused_runner_without_an_event_counts_as_a_run():
+    """Its group is found down, and it runs the request when it goes on."""
+
+    async def script(node, one):
+        for _ in range(2):
+            one.divert("member does not answer", is_dead=True)
+            await asyncio.sleep(2 * diversion.POLL_MS / 1000)
+
+    _, node = play(script)
+    assert len(node.exchanges) == 2
+
+
+@pytest.mark.parametrize("failing", [0, 1])
+def test_fault_of_the_node_leaves_no_attempt_open(failing):
+    """The end of one of two attempts can't be recorded.
+
+    The other one stayed at its runner after the answer had ended.
+    """
+
+    async def script(node, one):
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        one.divert("group stands still")
+        await settle()
+
+        def fail(one, target, outcome):
+            del one, outcome
+            if target.known.runner.id == f"i-{failing}":
+                raise ZeroDivisionError
+
+        node.on_attempt_end = fail
+        node.exchanges[failing].cut()
+        await settle()
+        is_open = [not each.receiver.done.done() for each in node.exchanges]
+        assert any(is_open) is not one.reply.ended
+
+    play(script)
+
+
+def test_complete_answer_stands_if_another_attempt_can_not_be_recorded():
+    """The whole stream was passed on, and was aborted at its end."""
+
+    async def script(node, one):
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        one.divert("group stands still")
+        await settle()
+
+        def fail(one, target, outcome):
+            del one, outcome
+            if target.known.runner.id == "i-1":
+                raise ZeroDivisionError
+
+        node.on_attempt_end = fail
+        node.exchanges[1].cut()
+        await settle()
+        node.exchanges[0].event(2)
+        node.exchanges[0].complete()
+        await settle()
+
+    reply, _ = play(script)
+    assert (reply.events, reply.ending) == ([1, 2], "whole")
+
+
+class SlowConnection(relays.FakeExchange):
+    """A request whose connection to the runner is not established yet."""
+
+    def __init__(self, request, receiver):
+        super().__init__(request, receiver)
+        self.sent = False
+
+
+def test_group_that_was_not_reached_in_time_is_not_at_fault():
+    """The first runner goes on while the connection to another is opened.
+
+    The other group was avoided and probed, as if it took no connections.
+    """
+    ends = []
+
+    async def script(node, one):
+        node.on_attempt_end = lambda one, target, outcome: ends.append(outcome)
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        send = node.send
+        node.send = lambda address, request, receiver, **kinds: SlowConnection(
+            request, receiver)
+        one.divert("group stands still")
+        node.send = send
+        await settle()
+        node.exchanges[0].event(2)
+        await settle()
+
+    play(script)
+    (outcome,) = ends
+    node, faults = test_dispatcher.Node(), []
+    node.requests.on_fault = lambda key, reason: faults.append(reason)
+    key = model.GroupKey("g", 1)
+    target = targets.Target(next(iter(node.requests._view.known.values())), key)
+    with clock.override(lambda: 1000.0):
+        node.requests.on_attempt_start(test_dispatcher.Request(), target, True)
+        node.requests.on_attempt_end(test_dispatcher.Request(), target, outcome)
+    assert not node.requests.available_groups.is_avoided(key, 1001.0)
+    assert not faults
+
+
+def test_own_attempt_after_a_hop_counts_as_a_retry():
+    """The peer had sent the request to a runner already."""
+    node = relays.FakeNode()
+    node.peers = PEERS[:1]
+
+    async def run():
+        one = relays.begin(node)
+        await settle()
+        node.exchanges[0].head(200, **{"Entry-Hop-Attempts": "1"})
+        node.exchanges[0].event(1)
+        node.peers = []
+        one.check_hop(PEERS[0], False, 0.0)
+        await settle()
+        assert len(one.attempted) == 1
+
+    asyncio.run(run())
+    assert node.repeats_left == 9
+
+
+def test_peer_that_tries_a_second_runner_uses_up_the_attempts():
+    """Both nodes find the stream silent; each sent it to one more runner.
+
+    The route allows two attempts, and the peer tells their number only with the
+    head of its answer.
+    """
+    first, second = relays.FakeNode(), relays.FakeNode()
+    first.peers = PEERS[:2]
+
+    async def run():
+        one = relays.begin(first)
+        await settle()
+        _, attempts, has_arrived = first.told[0]
+        request = callers.CallerRequest(
+            "POST", "/v/1", [(wirenames.ATTEMPT_ID, relays.ATTEMPT_ID)], b"",
+            0.0)
+        at_peer = relay.Relay(
+            second, request,
+            hops._HopReply(relays.FakeReply(), lambda: len(at_peer.attempted)),
+            hopheaders.Hop("n", 1.0, 7, attempts, has_arrived))
+        at_peer.route = second.route
+        at_peer.deadline_at_ms = relays.FAR_DEADLINE_MS
+        at_peer.start()
+        await settle()
+        second.exchanges[0].head(200)
+        second.exchanges[0].event(1)
+        first.exchanges[0].head(
+            200, **{"Entry-Hop-Attempts": str(len(at_peer.attempted))})
+        first.exchanges[0].event(1)
+        at_peer.divert("group stands still")
+        await settle()
+        at_runners = len(second.exchanges)
+        one.check_hop(PEERS[0], True, 1e15)
+        await settle()
+        # The second peer sends each hop to a runner at once.
+        return at_runners + len(first.exchanges) - 1
+
+    assert asyncio.run(run()) <= 2
