Check that events of two runs are not joined, and that a whole answer ends

Found missing with mutants of relay.py: without the cancellation of the other attempts with the next event or the whole answer, the machine passed.

--- a/tests/gateway/test_open_attempts_machine.py
+++ b/tests/gateway/test_open_attempts_machine.py
@@ -166,6 +166,8 @@
         self.node.peers = PEERS[:peers]
         self.has_left = False
         self.has_completed = False
+        # Whether an attempt has brought the whole answer.
+        self.is_decided = False
         self.reply = Reply()
         self.reply.on_abort = self.check_abort
         self.node.reply = self.reply
@@ -225,7 +227,12 @@
         for _ in range(count):
             if exchange.is_open and exchange.next_id <= LAST_EVENT:
                 exchange.next_id += 1
+                before = len(self.reply.events)
                 exchange.event(exchange.next_id - 1)
+                if len(self.reply.events) > before:
+                    # Events of two runs must not be joined.
+                    assert not any(each.is_open and each is not exchange
+                                   for each in self.node.exchanges)
 
     def do_start_over(self, exchange):
         if not exchange.has_head:
@@ -245,12 +252,13 @@
         if exchange.is_open and exchange.next_id > LAST_EVENT:
             exchange.has_ended_itself = True
             if self.reply.events and self.reply.events[-1] == LAST_EVENT:
-                self.has_completed = True
+                self.has_completed = self.is_decided = True
             exchange.complete()
 
     def do_answer(self, exchange, status):
         if not exchange.has_head:
             exchange.has_head = exchange.has_ended_itself = True
+            self.is_decided |= (status in (404, 201) and not self.reply.started)
             exchange.answer(status)
 
     def do_refuse(self, exchange):
@@ -304,6 +312,7 @@
         self.loop.run_until_complete(run())
         if settles:
             self.settle()
+            assert self.node.ends or not self.is_decided
 
     @stateful.rule(seconds=strategies.sampled_from([0.0, 0.05, 0.3, 1.6]))
     def time_passes(self, seconds):
