Add failing tests of attempts that are mixed up by runner and by service

Two attempts of a request may be at one runner, if its group was taken apart and it heads a new one: the end of the first makes the node forget the second. The first event of an attempt counts for the service of the newest one.

--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -1,12 +1,21 @@
 """Tests of requests that two runners have at the same time."""
 
 import asyncio
+import dataclasses
+import types
 
 import pytest
 
 from cardamommill.domain import clock, model
 from cardamommill.gateway.nodes import hopheaders
-from cardamommill.gateway.shell import diversion, hops, relay, targets
+from cardamommill.gateway.requests import attemptresult, forecast, silence
+from cardamommill.gateway.shell import (
+    attempts,
+    diversion,
+    hops,
+    relay,
+    targets,
+)
 from cardamommill.platform import wirenames
 from cardamommill.transport import callers
 from tests.gateway import relays
@@ -71,14 +80,9 @@
         assert len(node.exchanges) == 2
 
     node = relays.FakeNode()
-    assert node.route.max_attempts == 2
+    node.route = dataclasses.replace(node.route, max_attempts=3)
 
     async def run():
-        node.route = model.Route(
-            **{
-                name: getattr(node.route, name)
-                for name in node.route.__dataclass_fields__
-            } | {"max_attempts": 3})
         one = relays.begin(node)
         await settle()
         await script(node, one)
@@ -246,14 +250,14 @@
     async def run():
         one = relays.begin(first)
         await settle()
-        _, attempts, has_arrived = first.told[0]
+        _, attempts_so_far, has_arrived = first.told[0]
         request = callers.CallerRequest(
             "POST", "/v/1", [(wirenames.ATTEMPT_ID, relays.ATTEMPT_ID)], b"",
             0.0)
         at_peer = relay.Relay(
             second, request,
             hops._HopReply(relays.FakeReply(), lambda: len(at_peer.attempted)),
-            hopheaders.Hop("n", 1.0, 7, attempts, has_arrived))
+            hopheaders.Hop("n", 1.0, 7, attempts_so_far, has_arrived))
         at_peer.route = second.route
         at_peer.deadline_at_ms = relays.FAR_DEADLINE_MS
         at_peer.start()
@@ -272,3 +276,124 @@
         return at_runners + len(first.exchanges) - 1
 
     assert asyncio.run(run()) <= 2
+
+
+def test_whole_answer_of_another_runner_ends_the_silent_attempt():
+    """The caller waited for the end of an attempt that nothing needs."""
+
+    async def script(node, one):
+        one.divert("group stands still")
+        await settle()
+        node.exchanges[1].answer(404, b"none")
+        await settle()
+        assert one.reply.ended
+        assert node.exchanges[0].cancelled
+
+    reply, _ = play(script)
+    assert (reply.status, reply.complete_bodies) == (404, [b"none"])
+
+
+def test_stream_that_ends_without_a_further_event_ends_the_other_attempt():
+    """The first runner has sent all events and is silent before the end."""
+
+    async def script(node, one):
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        one.divert("group stands still")
+        await settle()
+        node.exchanges[0].complete()
+        await settle()
+        assert node.exchanges[1].cancelled
+
+    reply, node = play(script)
+    assert (reply.events, reply.ending) == ([1], "whole")
+    assert len(node.ends) == 1
+
+
+def at_runner(key):
+    """Returns a target at the only runner of a node, as head of a group."""
+    node = test_dispatcher.Node()
+    known = next(iter(node.requests._view.known.values()))
+    return node.requests, targets.Target(known, model.GroupKey(*key))
+
+
+class Request(test_dispatcher.Request):
+    """Records what its node does with its attempts."""
+
+    def __init__(self):
+        self.ended_at = []
+        self.left = []
+
+    def end_attempts_at(self, runner, reason):
+        del reason
+        self.ended_at.append(runner)
+
+    def leave_runner(self, reason):
+        self.left.append(reason)
+
+
+def test_second_attempt_at_the_head_of_a_new_group_is_still_known():
+    """A silent group was taken apart, and its head serves in a new one.
+
+    Two attempts of the request are at one runner. When the first of them had
+    ended, the node forgot that the runner still had the request: the end of the
+    runner, or a cut of the node's link, did not end or move it.
+    """
+    requests, first = at_runner(("g", 1))
+    second = targets.Target(first.known, model.GroupKey("h", 1))
+    one = Request()
+    left = attempts.Outcome(attemptresult.Result.DIVERTED, "silent")
+    with clock.override(lambda: 1000.0):
+        requests.on_attempt_start(one, first, False)
+        requests.on_attempt_start(one, second, True)
+        requests.on_attempt_end(one, first, left)
+        requests.on_cut()
+        requests.restarts._on_ended(first.known)
+    assert (len(one.left), len(one.ended_at)) == (1, 1)
+
+
+def test_first_event_counts_for_the_service_that_was_sent_the_attempt():
+    """The first runner speaks after the request went to another service too.
+
+    Its delay was taken as one of the other service, whose requests were then
+    refused as too late.
+    """
+    requests, target = at_runner(("g", 1))
+    target = dataclasses.replace(target,
+                                 placed=types.SimpleNamespace(
+                                     is_deferred=False,
+                                     expected=silence.ExpectedTiming(
+                                         1.0, 1.0, 1.0, 1.0),
+                                     first_event_ms=1.0,
+                                     overhead_ms=0.0))
+    for _ in range(forecast.MIN_SAMPLES):
+        one = Request()
+        with clock.override(lambda: 1000.0):
+            requests.on_attempt_start(one, target, False)
+        # As `find_target` does for the second attempt.
+        one.service = "other"
+        with clock.override(lambda: 2000.0):
+            requests.on_stream_event(one, target)
+    assert requests.forecast.overhead_ms("llm") > 0
+    assert not requests.forecast.overhead_ms("other")
+
+
+def test_only_attempts_at_the_silent_group_are_silent():
+    """The first group is given up twice; the second has the request by then."""
+
+    async def script(node, one):
+        node.route = dataclasses.replace(node.route, max_attempts=3)
+        one.route = node.route
+        find = node.find_target
+        node.find_target = lambda one: dataclasses.replace(
+            find(one), key=model.GroupKey(f"g{len(one.attempted)}", 1))
+        one.divert("group stands still")
+        await settle()
+        one.divert("member does not answer", False, model.GroupKey("g0", 1))
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
+        assert len(node.exchanges) == 2
+        one.divert("group stands still", False, model.GroupKey("g1", 1))
+        await settle()
+        assert len(node.exchanges) == 3
+
+    play(script)
