--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -90,42 +90,6 @@
     asyncio.run(run())
 
 
-def test_paused_runner_that_brought_events_counts_as_a_run():
-    """A paused runner answers no probe, so it is marked as down, but is sound.
-
-    The route allows two attempts; the request ran at a third runner.
-    """
-
-    async def script(node, one):
-        first = node.exchanges[0]
-        first.head(200)
-        first.event(1)
-        one.attempted[0].known.down_ms = 1.0
-        one.divert("member does not answer", is_dead=True)
-        await settle()
-        second = node.exchanges[1]
-        second.head(200)
-        second.event(2)
-        await settle()
-        one.divert("group stands still")
-        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
-
-    _, node = play(script)
-    assert len(node.exchanges) == 2
-
-
-def test_paused_runner_without_an_event_counts_as_a_run():
-    """Its group is found down, and it runs the request when it goes on."""
-
-    async def script(node, one):
-        for _ in range(2):
-            one.divert("member does not answer", is_dead=True)
-            await asyncio.sleep(2 * diversion.POLL_MS / 1000)
-
-    _, node = play(script)
-    assert len(node.exchanges) == 2
-
-
 @pytest.mark.parametrize("failing", [0, 1])
 def test_fault_of_the_node_leaves_no_attempt_open(failing):
     """The end of one of two attempts can't be recorded.
