--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -90,6 +90,28 @@
     asyncio.run(run())
 
 
+def test_evidence_is_awaited_whichever_attempt_ends_last():
+    """The second runner broke the connection, then the first one refused.
+
+    Only the result of the last attempt was asked, so that a request that may
+    crash runners went to the next one at once.
+    """
+
+    async def script(node, one):
+        node.repeat_delay_ms = lambda one: 100.0
+        one.divert("group stands still")
+        await settle()
+        node.repeats_left = 0
+        node.exchanges[1].cut()
+        await settle()
+        node.repeats_left = 10
+        node.exchanges[0].answer(503, **{"X-Cardamommill-Not-Executed": "1"})
+        await settle()
+
+    _, node = play(script)
+    assert len(node.exchanges) == 2
+
+
 @pytest.mark.parametrize("failing", [0, 1])
 def test_fault_of_the_node_leaves_no_attempt_open(failing):
     """The end of one of two attempts can't be recorded.
