Excuse no answer in the model that ended by a node's order

Cause: the model's rule LOST counted any runner of a request as disrupted whose group was taken apart, also by a node's order, and let the end of one runner excuse the silence of another. Change: only the runner that sent the last event counts, and only the end of a process, its reach, or that of a member excuses.

--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -61,7 +61,7 @@
             if job.gone:
                 continue
             if job.running:
-                self._runner.record_disruption()
+                self._record_lost_members()
                 job.reply.abort()
             else:
                 self._runner.shed(job)
@@ -77,9 +77,7 @@
                 self.cut()
                 break
             if self._missing_member(key):
-                runner.record_disruption()
                 await asyncio.sleep(STALL_MS / 1000)
-                runner.record_disruption()
                 if runner.is_in(key):
                     runner.set_state(model.MemberState.BROKEN)
                 self.cut()
@@ -87,6 +85,12 @@
             await self._run_pass(engine, served, key)
         self._is_running = False
 
+    def _record_lost_members(self) -> None:
+        """Records a disruption if a member has ended or can't be reached."""
+        runners = self._runner.fleet.runners
+        if any(runners[each].is_unreachable for each in self._runner.members):
+            self._runner.record_disruption()
+
     def _missing_member(self, key: model.GroupKey) -> bool:
         members = map(self._runner.fleet.runners.__getitem__,
                       self._runner.members)
@@ -163,6 +167,8 @@
                                    served.size)
             job.reply.start(200, [("Content-Type", "text/event-stream"),
                                   *runner.answer_headers(job)])
+        runner.fleet.oracle.lost_rules.record_event(job.attempt,
+                                                    runner.incarnation)
         if job.events_left > 0:
             job.reply.write(
                 rightanswers.event_bytes(job.request.target, job.next_id))
