Avoid a group for as long as a member stands still

Cause: it was avoided once, for a second, however long its member stood still. Change: the view keeps the runners that stand still, and each tick avoids their groups. Measured: test_group_is_avoided_for_as_long_as_its_member_stands_still failed before and passes.

--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -81,6 +81,9 @@
     def __init__(self) -> None:
         # By incarnation id.
         self.known: dict[str, RunnerRecord] = {}
+        # Runners that stand still; ordered, so that simulated runs are
+        # reproducible.
+        self.still: dict[str, None] = {}
         self.cold_periods = coldperiods.ColdPeriods()
         self.incarnations = incarnationindex.IncarnationIndex(self.known)
         # Called with each incarnation that is found to have ended.
@@ -132,6 +135,7 @@
             if as_of_ms - known.listed_ms > DELISTED_RETENTION_MS:
                 self.incarnations.forget(known.runner)
                 del self.known[runner_id]
+                self.still.pop(runner_id, None)
         return changes
 
     def record_ended(self, runner_id: str, now_ms: float) -> bool:
@@ -203,6 +207,7 @@
         if known is None or known.has_ended or asked_ms < known.report_ms:
             return
         known.still_since_ms = 0.0
+        self.still.pop(runner_id, None)
         if known.down_ms:
             known.down_ms = 0.0
             known.recovered_ms = asked_ms
@@ -224,6 +229,7 @@
         if known is None or asked_ms < known.report_ms:
             return False
         known.unanswered_ms = asked_ms
+        self.still.pop(runner_id, None)
         if known.down_ms:
             return False
         known.down_ms = asked_ms
@@ -244,6 +250,7 @@
         if known is None or known.down_ms or not known.listed:
             return False
         known.still_since_ms = known.still_since_ms or asked_ms
+        self.still[runner_id] = None
         return asked_ms - known.still_since_ms < MAX_STANDSTILL_MS
 
     def record_leaving(self, runner_id: str, now_ms: float) -> bool:
--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -119,6 +119,11 @@
 
     def check_groups(self, now_ms: float) -> None:
         """Handles groups that have become silent or stalled."""
+        for runner in self._view.still:
+            membership = self._view.known[runner].membership
+            if membership is not None:
+                self._requests.available_groups.avoid(
+                    membership.key, now_ms + availablegroups.SUSPECT_AVOID_MS)
         for key in self._requests.silence.silent(now_ms):
             self._handle_silent_group(key, now_ms)
         for key in self._requests.silence.stalled(now_ms):
