--- a/cardamommill/gateway/shell/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -31,12 +31,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """The result of an attempt, and the answer if there is one."""
+    """The result of an attempt, and the answer if there is one.
+
+    Attributes:
+        result: The result.
+        reason: Why there is no complete answer.
+        head: Status and headers of the answer.
+        body: The body of an answer that is no stream.
+        is_cancelled: Whether this node ended the attempt.
+    """
 
     result: attemptresult.Result
     reason: str = ""
     head: upstream.Head = dataclasses.field(default_factory=upstream.Head)
     body: bytes = b""
+    is_cancelled: bool = False
 
 
 class AnswerSink(Protocol):
@@ -73,7 +82,7 @@
             result = attemptresult.Result.UNSENT
         if result is attemptresult.Result.TIMED_OUT and not was_sent:
             reason = f"unsent: {reason}"
-        self.done.set_result(Outcome(result, reason))
+        self.done.set_result(Outcome(result, reason, is_cancelled=True))
         if self.exchange is not None:
             self.exchange.cancel()
 
--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -101,7 +101,7 @@
         self._spawn = spawn
         self._causes = crashcauses.CrashCauses()
         self.quarantine = quarantine.Quarantine()
-        # When an attempt brought its first event, by request and runner.
+        # When an attempt brought its first event, by request and target.
         self._first_event_ms: dict[tuple[relay.Relay, str], float] = {}
         self._broken: dict[str, _Broken] = {}
         # The runners whose crash this node itself noticed.
@@ -134,13 +134,12 @@
     def first_event(self, one: relay.Relay, target: targets.Target,
                     now_ms: float) -> None:
         """Records the first event of an attempt."""
-        self._first_event_ms[one, target.known.runner.id] = now_ms
+        self._first_event_ms[one, target.name] = now_ms
 
     def attempt_ended(self, one: relay.Relay, target: targets.Target,
                       outcome: attempts.Outcome, now_ms: float) -> None:
         """Records the end of an attempt."""
-        first_event_ms = self._first_event_ms.pop((one, target.known.runner.id),
-                                                  now_ms)
+        first_event_ms = self._first_event_ms.pop((one, target.name), now_ms)
         if outcome.result in attemptresult.SUCCEEDED:
             self._record_whole_run(one, now_ms)
         elif (outcome.result is attemptresult.Result.BROKEN and
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -135,8 +135,9 @@
         self.restarts = restarts.Restarts(view, pool, node_metrics)
         self.admission = admissioncontrol.AdmissionControl(
             settings.node, node_peers, node_metrics, settings.admission_control)
-        # When each attempt was sent, by request and runner; removed with its
-        # first event.
+        # When each attempt was sent, by request and target; removed with its
+        # first event. A runner may have a request in two groups, one after the
+        # other.
         self._unanswered_since_ms: dict[tuple[relay.Relay, str], float] = {}
         self._running: dict[tuple[relay.Relay, str], None] = {}
         # Called with a group that failed a request, and the reason.
@@ -309,9 +310,9 @@
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
         self.eligible_targets.attempt_started(target.known.runner.data_centre)
-        self.restarts.attempt_started(one, runner_id)
+        self.restarts.attempt_started(one, target)
         self.backpressure.sent(one.attempt_id, runner_id, repeat, now_ms)
-        attempt = one, runner_id
+        attempt = one, target.name
         self.cold_runners.sent(attempt, runner_id, now_ms)
         self._unanswered_since_ms[attempt] = now_ms
         self._running[attempt] = None
@@ -350,33 +351,33 @@
         """Records an event of a stream."""
         now_ms = clock.now_ms()
         runner_id = target.known.runner.id
-        sent_ms = self._unanswered_since_ms.pop((one, runner_id), None)
+        sent_ms = self._unanswered_since_ms.pop((one, target.name), None)
         if sent_ms is not None:
             self.crashes.first_event(one, target, now_ms)
             self.reliability.succeeded(runner_id, now_ms)
-            self._record_first_event(one, target, now_ms - sent_ms)
+            self._record_first_event(target, now_ms - sent_ms)
         if target.key is None:
             return
         self.in_flight_requests.event(target.key, one.attempt_id)
         self.silence.event(target.key, one.attempt_id, now_ms)
 
-    def _record_first_event(self, one: relay.Relay, target: targets.Target,
+    def _record_first_event(self, target: targets.Target,
                             took_ms: float) -> None:
         placed = target.placed
         if placed is not None and not placed.is_deferred:
-            self.forecast.add_sample(one.service, took_ms,
+            self.forecast.add_sample(target.known.runner.service, took_ms,
                                      placed.first_event_ms - placed.overhead_ms)
 
     def on_attempt_end(self, one: relay.Relay, target: targets.Target,
                        outcome: attempts.Outcome) -> None:
         """Records the end of an attempt."""
         runner_id = target.known.runner.id
-        attempt = one, runner_id
+        attempt = one, target.name
         self._running.pop(attempt, None)
         self._plain_runners.remove_request(runner_id)
         self.eligible_targets.attempt_ended(target.known.runner.data_centre)
         self.cold_runners.ended(attempt, outcome.head.status)
-        self.restarts.attempt_ended(one, runner_id)
+        self.restarts.attempt_ended(one, target)
         self._metrics.count("attempts_total",
                             service=one.service,
                             result=outcome.result.value)
@@ -396,7 +397,7 @@
                         outcome: attempts.Outcome) -> None:
         now_ms = clock.now_ms()
         runner = target.known.runner.id
-        sent_ms = self._unanswered_since_ms.pop((one, runner), None)
+        sent_ms = self._unanswered_since_ms.pop((one, target.name), None)
         if outcome.result in _NO_FAULT:
             if sent_ms is not None and (outcome.result
                                         in attemptresult.SUCCEEDED):
@@ -420,6 +421,10 @@
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
+        if (outcome.is_cancelled and
+                outcome.result is attemptresult.Result.UNSENT):
+            # The runner had no time to take a connection.
+            return
         if outcome.head.status == HTTPStatus.MISDIRECTED_REQUEST and target.key:
             # The head has left the group, which the list will show soon.
             self.available_groups.mark_down(
--- a/cardamommill/gateway/shell/diversion.py
+++ b/cardamommill/gateway/shell/diversion.py
@@ -20,13 +20,18 @@
         self._send_elsewhere = send_elsewhere
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, reason: str) -> None:
-        """Searches until a target is found or the search is cancelled."""
+    def start(self, reason: str, delay_ms: float = 0.0) -> None:
+        """Searches until a target is found or the search is cancelled.
+
+        Args:
+            reason: The reason for the log.
+            delay_ms: When the search begins.
+        """
         self.cancel()
-        if self._send_elsewhere(reason):
+        if not delay_ms and self._send_elsewhere(reason):
             return
         self._timer = asyncio.get_running_loop().call_later(
-            POLL_MS / 1000, self.start, reason)
+            (delay_ms or POLL_MS) / 1000, self.start, reason)
 
     def cancel(self) -> None:
         """Stops the search."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -44,10 +44,8 @@
 # Maximum estimated time to the first event of a deferred request: callers leave
 # after two seconds without an event.
 PATIENCE_MS = 1600.0
-# A stream that a peer serves goes on elsewhere after this long without an
-# event. The peer itself would have moved it to another group long before.
-HOP_SILENCE_MS = 1200.0
-# The same before its first event.
+# A request that a peer serves goes on elsewhere if its stream has not begun
+# after this long. The peer itself would have moved it to another group before.
 HOP_FIRST_EVENT_MS = PATIENCE_MS + 400.0
 # A stream with an event this recently is alive.
 LIVE_STREAM_MS = 250.0
@@ -128,6 +126,8 @@
         self.first_event_ms = 0.0
         # The attempts in progress, the oldest first.
         self._open: list[openattempts.OpenAttempt] = []
+        # Whether an attempt broke since all had ended.
+        self._has_broken = False
         # How the attempt ended that ended last, or that completed the answer.
         self._last_end = _End(None,
                               attempts.Outcome(attemptresult.Result.UNSENT))
@@ -271,10 +271,10 @@
         if has_changed:
             self._search(reason)
 
-    def _search(self, reason: str) -> None:
+    def _search(self, reason: str, delay_ms: float = 0.0) -> None:
         """Searches another target if all attempts in progress are silent."""
         if self._open and all(each.is_silent for each in self._open):
-            self._diversion.start(reason)
+            self._diversion.start(reason, delay_ms)
 
     def leave_runner(self, reason: str) -> None:
         """Moves the request to a peer, if its runners are out of reach.
@@ -303,29 +303,23 @@
                   now_ms: float) -> None:
         """Goes on elsewhere if the peer that serves the request is silent.
 
-        The hop itself ends only if the answer has not begun.
+        Once the answer has begun, a peer that is alive looks for another runner
+        itself, and the hop stays open in any case.
 
         Args:
             target: The peer.
             is_alive: Whether this node hears it.
             now_ms: The time.
         """
-        silent = [
-            each for each in self._open if each.target == target and
-            not (is_alive and self._has_recent_event(each, now_ms))
-        ]
+        hops = [each for each in self._open if each.target == target]
         if self.reply.started:
-            self._mark_silent(silent, PEER_SILENT)
-        else:
-            self._cancel(silent, attemptresult.Result.BROKEN, PEER_SILENT)
-
-    def _has_recent_event(self, hop: openattempts.OpenAttempt,
-                          now_ms: float) -> bool:
-        if not self.streaming:
-            return True
-        if hop.progress.events:
-            return now_ms - hop.last_event_ms <= HOP_SILENCE_MS
-        return now_ms - hop.sent_ms <= HOP_FIRST_EVENT_MS
+            if not is_alive:
+                self._mark_silent(hops, PEER_SILENT)
+            return
+        self._cancel([
+            each for each in hops if not is_alive or
+            (self.streaming and now_ms - each.sent_ms > HOP_FIRST_EVENT_MS)
+        ], attemptresult.Result.BROKEN, PEER_SILENT)
 
     def _send_elsewhere(self, reason: str) -> bool:
         """Sends the request to another target too, if one can take it now.
@@ -353,7 +347,8 @@
 
     def _find_diversion(self) -> targets.Target | targets.PeerTarget | None:
         """Returns a target to divert the request to, or None."""
-        if not self._may_retry() or not self.is_key_valid():
+        if (not self._may_retry() or not self.is_key_valid() or
+                self._refused_by_quarantine() is not None):
             return None
         found = self._node.find_target(self)
         if isinstance(found, placing.Refused):
@@ -371,6 +366,9 @@
             # Without an answer the caller would wait until its deadline, and
             # its connection would stay in use for ever.
             _LOG.exception(logs.line("request-failed", request=self.attempt_id))
+            self._diversion.cancel()
+            self._cancel(self._open, attemptresult.Result.ABANDONED,
+                         "a fault of this node")
             self._conclusion.fail(repr(error))
 
     async def _serve(self) -> None:
@@ -382,6 +380,7 @@
             if target is None:
                 self._conclusion.caller_left()
                 return
+            self._has_broken = False
             self._begin(target)
             end = await self._wait_for_end()
             outcome = end.outcome
@@ -393,7 +392,7 @@
                                     _retry_after_ms(outcome.head)),
                     self.may_have_run)
                 return
-            if outcome.result is attemptresult.Result.BROKEN:
+            if self._has_broken:
                 await self._wait_for_evidence()
             state = retrydecision.RequestState(
                 self.route is not None and self.route.repeatable,
@@ -423,8 +422,7 @@
             await one.attempt.done
             self._close(one)
         except Exception:
-            # The earlier attempt goes on, and ends at the deadline at the
-            # latest.
+            # The earlier attempt goes on.
             _LOG.exception(logs.line("attempt-lost", request=self.attempt_id))
 
     async def _wait_for_evidence(self) -> None:
@@ -482,8 +480,7 @@
     @property
     def _is_retry(self) -> bool:
         """Whether another attempt counts towards the retry budget."""
-        return bool(self.attempted) or (self.hop is not None and
-                                        self.hop.has_arrived)
+        return bool(self.attempted) or self._has_reached_runner
 
     def _find_target(
             self) -> targets.Target | targets.PeerTarget | placing.Refused:
@@ -527,12 +524,13 @@
             return
         if one.timer is not None:
             one.timer.cancel()
+        self._open.remove(one)
         outcome = self._check_complete(one, one.attempt.done.result())
         if isinstance(one.target, targets.PeerTarget):
             self._record_hop(one, one.target, outcome)
         else:
             self._record_run(one, one.target, outcome)
-        self._open.remove(one)
+        self._has_broken |= outcome.result is attemptresult.Result.BROKEN
         if outcome.result is attemptresult.Result.FAILED:
             self._conclusion.record_failure(outcome)
         if not self._is_answer_complete:
@@ -542,7 +540,9 @@
             self._cancel(self._open, attemptresult.Result.DIVERTED,
                          "another attempt completed the answer")
         else:
-            self._search(outcome.reason)
+            delay_ms = (self._node.repeat_delay_ms(self)
+                        if self._has_broken else 0.0)
+            self._search(outcome.reason, max(delay_ms, diversion.POLL_MS))
 
     @property
     def _is_answer_complete(self) -> bool:
--- a/cardamommill/gateway/shell/restarts.py
+++ b/cardamommill/gateway/shell/restarts.py
@@ -7,7 +7,7 @@
 from cardamommill import logs, metrics
 from cardamommill.domain import model
 from cardamommill.gateway.fleet import fleetview
-from cardamommill.gateway.shell import relay
+from cardamommill.gateway.shell import relay, targets
 from cardamommill.platform import wirenames
 from cardamommill.transport import upstream
 
@@ -32,17 +32,19 @@
         # Called with a group that has lost a member, and the reason.
         self.on_lost_member: Callable[[model.GroupKey, str], None] = _ignore
         # Relays with an attempt in progress, by the runner's incarnation.
-        self._relays: dict[str, dict[relay.Relay, None]] = {}
+        self._relays: dict[str, dict[tuple[relay.Relay, str], None]] = {}
         view.on_ended = self._on_ended
 
-    def attempt_started(self, one: relay.Relay, runner: str) -> None:
+    def attempt_started(self, one: relay.Relay, target: targets.Target) -> None:
         """Records an attempt at an incarnation."""
-        self._relays.setdefault(runner, {})[one] = None
+        runner = target.known.runner.id
+        self._relays.setdefault(runner, {})[one, target.name] = None
 
-    def attempt_ended(self, one: relay.Relay, runner: str) -> None:
+    def attempt_ended(self, one: relay.Relay, target: targets.Target) -> None:
         """Records the end of an attempt at an incarnation."""
+        runner = target.known.runner.id
         relays = self._relays.get(runner, {})
-        relays.pop(one, None)
+        relays.pop((one, target.name), None)
         if not relays:
             self._relays.pop(runner, None)
 
@@ -58,7 +60,8 @@
         incarnation at the same address is sent to the former one.
         """
         runner = known.runner
-        relays = list(self._relays.get(runner.id, ()))
+        relays = dict.fromkeys(
+            one for one, _ in self._relays.get(runner.id, ()))
         self._metrics.count("runners_restarted_total")
         _LOG.warning(
             logs.line("runner-restarted",
--- a/tests/gateway/relays.py
+++ b/tests/gateway/relays.py
@@ -137,6 +137,7 @@
         self.repeats_left = 10
         self.waiting = set()
         self.cold = set()
+        self.tasks = []
         self.is_cut_off = False
         self.quarantined_ms = 0.0
         self.is_suspect = False
@@ -165,7 +166,12 @@
         return self.exchanges[-1]
 
     def spawn(self, work):
-        self.task = asyncio.get_running_loop().create_task(work)
+        self.tasks.append(asyncio.get_running_loop().create_task(work))
+
+    @property
+    def task(self):
+        """The task that serves the first request."""
+        return self.tasks[0]
 
     def table(self):
         return self
--- a/tests/gateway/shell/test_restarts.py
+++ b/tests/gateway/shell/test_restarts.py
@@ -45,10 +45,10 @@
 
     def on_attempt_start(self, one, target, repeat):
         super().on_attempt_start(one, target, repeat)
-        self.restarts.attempt_started(one, target.known.runner.id)
+        self.restarts.attempt_started(one, target)
 
     def on_attempt_end(self, one, target, outcome):
-        self.restarts.attempt_ended(one, target.known.runner.id)
+        self.restarts.attempt_ended(one, target)
 
 
 async def settle():
