Do not dissolve a group because its head's entry expired

What callers see: the store is down for 5 s, longer than entries last without a heartbeat. When it is back, groups whose members register before their head are dissolved at once, with the streams there, though no runner has ended. Cause: one list without the head was taken for its end. Members without an entry are only probed. An entry is back up to two seconds after the store. Change: the head is probed like a member; a group ends when the head does not answer, or is not listed for 2.5 s without requests, for 5 s with. Measured: test_head_whose_entry_expired_keeps_its_group passes (its first assertion, run as a trial on the code before, failed with three orders to leave).

--- a/cardamommill/gateway/groups/reconciliation.py
+++ b/cardamommill/gateway/groups/reconciliation.py
@@ -48,6 +48,8 @@
         self._probed_ms: dict[str, float] = {}
         # Since when each group is known to be incomplete or not open.
         self._unfinished_since_ms: dict[model.GroupKey, float] = {}
+        # Since when the head of each group is not listed.
+        self._unlisted_since_ms: dict[model.GroupKey, float] = {}
 
     def step(self, groups: dict[model.GroupKey, fleetview.Group], service: str,
              engine: model.Engine, scope: planning.Scope,
@@ -111,7 +113,15 @@
         if down:
             return f"{down[0]} does not answer"
         if head is not None and not head.listed:
-            return "its head left the list"
+            # Its entry may only have expired during an outage of the store. If
+            # the head is dead, it does not answer the probe.
+            since_ms = self._unlisted_since_ms.setdefault(group.key, now_ms)
+            idle = not scope.load(group.key).total_requests
+            if now_ms - since_ms > (FOREIGN_GRACE_MS
+                                    if idle else DRAIN_TIMEOUT_MS):
+                return "its head left the list"
+            return ""
+        self._unlisted_since_ms.pop(group.key, None)
         leaving = [each for each in group.members.values() if each.is_leaving]
         if leaving:
             since_ms = min(each.leaving_ms for each in leaving)
--- a/tests/gateway/groups/test_reconciliation.py
+++ b/tests/gateway/groups/test_reconciliation.py
@@ -39,6 +39,20 @@
     assert planning.Probe(gone, "left the list") in actions
 
 
+def test_head_whose_entry_expired_keeps_its_group():
+    """The store was down; the head registers again within two seconds."""
+    bench = planners.PlannerHarness(planners.warm_runners(5))
+    joins = planners.open_group(bench)
+    head = joins[0].runner
+    others = [each for each in planners.warm_runners(5) if each.id != head]
+    bench.view.apply_list(others, bench.now_ms + 10)
+    actions = bench.step()
+    assert not planners.orders_of(actions, orders.Operation.LEAVE)
+    assert planning.Probe(head, "left the list") in actions
+    assert not planners.orders_of(bench.step(2000), orders.Operation.LEAVE)
+    assert planners.orders_of(bench.step(1000), orders.Operation.LEAVE)
+
+
 def test_group_with_a_leaving_member_ends_when_it_has_no_requests():
     bench = planners.PlannerHarness(planners.warm_runners(5))
     joins = planners.open_group(bench)
