Do not take a pause of this node for silence of its runners

What callers see: after a node of `cardamommill node` stood still, it closes its connections to runners that are sound, and a stream that can't go on elsewhere ends in an error event. Cause: after a pause no evidence counts until it was asked for anew, so no replica serves; and every attempt has been silent for the length of the pause. Requests looked for attempts to leave at the first tick after it. Change: it looks again once all evidence has had the time to come. Measured: tests/test_requests.py::test_pause_of_this_node_is_no_silence_of_its_runners failed before (AbandonAttempt in the tick of the pause) and passes now.

--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -126,6 +126,10 @@
         if now_ms - self._looked_ms < LOOK_MS:
             return
         self._looked_ms = now_ms
+        since_pause_ms = now_ms - self.board.life.not_before_ms
+        if since_pause_ms < self._timing.evidence_max_age_ms:
+            # The evidence of runners that serve has not all come yet.
+            return
         lost: dict[str, bool] = {}
         for request in self._register.running():
             target = request.target
--- a/tests/requestnode.py
+++ b/tests/requestnode.py
@@ -70,6 +70,7 @@
         decisions: Its decisions.
         now_ms: Its time.
         done: All actions so far.
+        still: Replicas that stand still: `refresh` has no evidence of them.
     """
 
     def __init__(self,
@@ -81,6 +82,7 @@
                  seed: int = 1) -> None:
         self.now_ms = 100_000
         self.done: list[actions.Action] = []
+        self.still: set[str] = set()
         self.decisions = decisions.Decisions(
             fleet.NodeIdentity(name, DATA_CENTRE, "cz", 1, "127.0.0.1:1",
                                "127.0.0.1:2"), periods.Timing(), seed, kinds)
@@ -111,6 +113,8 @@
     def refresh(self, **reports: int) -> None:
         """Gives fresh evidence, with the running requests named."""
         for name, row in self.board.assignments.replicas.items():
+            if name in self.still:
+                continue
             report = fleet.RunnerReport(row.members[0],
                                         f"boot-{name}",
                                         name,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,6 +11,7 @@
     controller,
     documents,
     events,
+    lifecycle,
     peering,
     periods,
     requesting,
@@ -241,6 +242,22 @@
     ]
 
 
+def test_pause_of_this_node_is_no_silence_of_its_runners():
+    """The node stood still: its evidence grew old, and it read no answers.
+
+    Runners that answer are asked anew before an attempt is left.
+    """
+    node = requestnode.Node(kinds=requestnode.KINDS + (lifecycle.Lifecycle,))
+    dispatch = dispatched(node.arrive("a"))
+    node.step(events.Paused(5000), 5000)
+    assert not of_kind(node.tick(0, refresh=False), actions.AbandonAttempt)
+    node.still.add(dispatch.target.replica_id)
+    timing = periods.Timing()
+    for _ in range(timing.evidence_max_age_ms // 100 - 1):
+        assert not of_kind(node.tick(100), actions.AbandonAttempt)
+    assert of_kind(node.tick(500), actions.AbandonAttempt)
+
+
 def test_caller_that_goes_ends_a_repeatable_attempt_only():
     node = node_with_notices()
     dispatch = dispatched(node.arrive("a"))
