Let a stream that broke wait for evidence, however old its request is

What callers see: all replicas of a service are silent for a moment, a stream's connection breaks, and the stream ends in an error event within 0.1 s, though replicas serve again 1 s later. A request that has just come waits 3.6 s. Cause: the time that requests wait for evidence of a replica counted from their arrival; a stream that had run longer than that had none left. Change: one that was sent before waits anew from when it was queued. It still goes to a data centre that has room at once. Measured: tests/test_requests.py::test_broken_stream_waits_for_evidence_however_old_it_is failed before (503, no replica can be reached, in the next tick) and passes now; tests/test_requests.py and tests/test_request_machine.py pass.

--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -52,8 +52,10 @@
                                           workload.Workload(head.service))
         among = work.candidates(self._board, self._timing, now_ms)
         if not among.each:
-            return refusals.without_replica(self._board, head, self._timing,
-                                            self._random, now_ms)
+            if refusals.may_come(self._board, head.service, head.received_ms,
+                                 self._timing, now_ms):
+                return None
+            return refusals.without_replica(self._timing, self._random)
         over = work.over_share(self._ends.document(head.service),
                                among.own_slots)
         ahead = work.queue.ahead(head.account, head.priority, head.deadline_ms,
@@ -123,24 +125,31 @@
         for waiting in tuple(work.queue.in_order(lambda account: False)):
             request = self._ends.register.get(waiting.request_id)
             assert request is not None
-            problem = refusals.without_replica(self._board, request.head,
-                                               self._timing, self._random,
-                                               now_ms)
-            if problem is not None:
-                wanted += self.elsewhere(request, problem, now_ms)
+            if refusals.may_come(self._board, service, request.head.received_ms,
+                                 self._timing, now_ms):
+                continue
+            # One that was sent before waits anew, or a stream would break off
+            # for a gap of one poll.
+            stays = refusals.may_come(self._board, service, request.queued_ms,
+                                      self._timing, now_ms)
+            problem = refusals.without_replica(self._timing, self._random)
+            wanted += self.elsewhere(request, problem, now_ms, stays)
         return wanted
 
-    def elsewhere(self, request: _InProgress, problem: requesting.Problem,
-                  now_ms: int) -> actions.Actions:
+    def elsewhere(self,
+                  request: _InProgress,
+                  problem: requesting.Problem,
+                  now_ms: int,
+                  stays: bool = False) -> actions.Actions:
         """Sends a request to another data centre, or else refuses it.
 
         Args:
             request: One that can't be served here.
             problem: Why not.
             now_ms: The local monotonic time.
+            stays: Whether it waits on instead of being refused.
         """
         head = request.head
-        self._ends.work[head.service].leave(head)
         found = None
         # What may not run twice stays with the node that claimed it: no other
         # could tell its claim from a caller's word that there is one. Its
@@ -148,6 +157,9 @@
         if head.repeatable and not refusals.suspicion(self._board, head.digest):
             found = self._spill.choose(self._board, head, request.tried,
                                        self._timing, self._random, now_ms)
+        if found is None and stays:
+            return ()
+        self._ends.work[head.service].leave(head)
         if found is None:
             return self._ends.refuse(request, problem)
         return self._send(request, found, False, now_ms)
--- a/cardamommill/refusals.py
+++ b/cardamommill/refusals.py
@@ -70,27 +70,35 @@
     return board.limits.refused.get(head.request_id)
 
 
-def without_replica(board: board_lib.Board, head: requesting.RequestHead,
-                    timing: periods.Timing, chance: random.Random,
-                    now_ms: int) -> requesting.Problem | None:
-    """Returns why not to wait for a replica when none serves, or None.
+def may_come(board: board_lib.Board, service: str, since_ms: int,
+             timing: periods.Timing, now_ms: int) -> bool:
+    """Tells whether evidence of a replica may still come when none serves.
 
     Args:
         board: What the node knows.
-        head: The request.
+        service: Whose replicas.
+        since_ms: When the wait for it began.
         timing: The periods in force.
-        chance: Spreads the advice when to come again.
         now_ms: The local monotonic time.
     """
-    assigned = any(row.service == head.service
-                   for row in board.assignments.replicas.values())
-    patience_ms = EVIDENCE_POLLS * timing.poll_ms
-    if assigned and now_ms < head.received_ms + patience_ms:
-        return None
+    assigned = any(
+        row.service == service for row in board.assignments.replicas.values())
+    return assigned and now_ms < since_ms + EVIDENCE_POLLS * timing.poll_ms
+
+
+def without_replica(timing: periods.Timing,
+                    chance: random.Random) -> requesting.Problem:
+    """Returns what to tell a caller while no replica serves.
+
+    Args:
+        timing: The periods in force.
+        chance: Spreads the advice when to come again.
+    """
     return answers.problem(
         _Reason.NO_CAPACITY,
         "no replica in this data centre gives evidence that it serves",
-        retry_after_s=answers.retry_after_s(patience_ms, chance))
+        retry_after_s=answers.retry_after_s(EVIDENCE_POLLS * timing.poll_ms,
+                                            chance))
 
 
 def all_tried(board: board_lib.Board, among: choice.Candidates,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -345,6 +345,19 @@
     assert refused(node.tick(5000, refresh=False)).status == 503
 
 
+def test_broken_stream_waits_for_evidence_however_old_it_is():
+    """All replicas are silent at the moment; one of them goes on soon."""
+    node = requestnode.Node()
+    first = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    for _ in range(100):
+        node.tick(100)
+    node.now_ms += periods.Timing().evidence_max_age_ms
+    assert node.ended(first, UNKNOWN, whole=False, delivered=3) == []
+    assert node.tick(1000, refresh=False) == []
+    assert dispatched(node.tick(1000)).resume_from == 3
+
+
 @pytest.mark.parametrize("hop, spills", [(0, True), (1, False)])
 def test_goes_to_another_data_centre_once(hop, spills):
     node = requestnode.Node(replicas=0)
