Do not take a place that was silent for one that failed

What callers see: a runner stands still for 3 s, the node goes elsewhere with its stream, the other replica refuses it as its places are taken, and the stream ends in an error event, though the first runner goes on a moment later. Cause: a place counts as tried from the moment at which a request is sent there, and a request that was refused by all others is answered at once. Silence alone does not tell that the place failed the request. Change: the end of an attempt says whether it was given up for its silence; such a place may be used again. The limit on attempts holds as before. Measured: test_requests.py::test_place_that_was_left_for_its_silence_may_be_used_again failed before (503, all replicas that serve here were tried) and passes now; test_requests, test_request_machine, test_upstream and test_exchange pass.

--- a/cardamommill/attempts.py
+++ b/cardamommill/attempts.py
@@ -147,6 +147,7 @@
         self._first_byte_ms = 0
         self._sent = False
         self._lost = False
+        self._silent = False
         self._stopped = ""
         self._head: answerhead.AnswerHead | None = None
         self._lines: list[bytes] = []
@@ -251,6 +252,7 @@
         """Marks it as given up if nothing came for so long; True if so."""
         if loop.now_ms() - self._heard_ms < silent_ms:
             return False
+        self._silent = True
         self._stopped = reason
         return True
 
@@ -280,6 +282,7 @@
             first_byte_ms=self._first_byte_ms,
             took_ms=loop.now_ms() - self._started_ms,
             connection_lost=lost,
+            silent=self._silent,
             answer=delivery.answer,
             detail=self._stopped or detail)
 
--- a/cardamommill/events.py
+++ b/cardamommill/events.py
@@ -260,6 +260,7 @@
         took_ms: Time from sending to the end.
         connection_lost: Whether the connection broke, which a crash of the
             runner does.
+        silent: Whether it was given up for its silence alone.
         answer: The answer, if its `actions.Dispatch` asked to keep it.
         detail: What was seen, for the journal.
     """
@@ -273,5 +274,6 @@
     first_byte_ms: int = 0
     took_ms: int = 0
     connection_lost: bool = False
+    silent: bool = False
     answer: requesting.RecordedAnswer | None = None
     detail: str = ""
--- a/cardamommill/inprogress.py
+++ b/cardamommill/inprogress.py
@@ -27,7 +27,8 @@
         suspect: Whether the running attempt runs a suspect.
         started: Whether the caller has the head of an answer.
         delivered: Stream events that the caller has.
-        tried: Places that it was sent to, as `choice.place` names them.
+        tried: Places that it was sent to, as `choice.place` names them, but
+            for those that it left for their silence.
         attempt_id: The running attempt.
         target: Where that runs.
         boot_id: The life of the runner there.
--- a/cardamommill/requestfakes.py
+++ b/cardamommill/requestfakes.py
@@ -283,7 +283,7 @@
         silent = run.began_ms < 0 or self.now_ms < run.first_ms
         if silent:
             self._remove(self.replicas[run.dispatch.target.replica_id], run)
-            self._end(run, _Outcome.UNKNOWN)
+            self._end(run, _Outcome.UNKNOWN, silent=True)
 
     def _remove(self, replica: _Replica, run: _Run) -> None:
         if run in replica.waiting:
@@ -298,7 +298,8 @@
              *,
              whole: bool = False,
              status: int = 0,
-             connection_lost: bool = False) -> None:
+             connection_lost: bool = False,
+             silent: bool = False) -> None:
         run.over = True
         keep = run.dispatch.keep_answer and outcome is _Outcome.RAN
         ended = events.AttemptEnded(
@@ -309,6 +310,7 @@
             status,
             run.call.delivered,
             connection_lost=connection_lost,
+            silent=silent,
             answer=requesting.RecordedAnswer(
                 200, "text/plain", run.call.head.request_id) if keep else None)
         if self._chance.random() < self.trouble.lose_end:
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -7,6 +7,7 @@
 from cardamommill import (
     actions,
     answers,
+    choice,
     controller,
     dispatching,
     endings,
@@ -166,6 +167,9 @@
             return ()
         request.delivered = max(request.delivered, event.delivered)
         request.started = request.started or event.delivered > 0
+        if event.silent and request.target is not None:
+            # It has not failed there, and may go on there once others refuse.
+            request.tried.discard(choice.place(request.target))
         crash = (self._register.crash(request)
                  if event.connection_lost else None)
         closed: actions.Actions = (actions.Notify(crash),) if crash else ()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -242,6 +242,29 @@
     ]
 
 
+def test_place_that_was_left_for_its_silence_may_be_used_again():
+    """It goes on a moment later, when the only other one has refused."""
+    node = requestnode.Node(replicas=2)
+    first = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    node.still.add(first.target.replica_id)
+    timing = periods.Timing()
+    left = [
+        each for _ in range(timing.evidence_max_age_ms // 100 + 5)
+        for each in of_kind(node.tick(100), actions.AbandonAttempt)
+    ]
+    assert left[0].attempt_id == first.attempt_id
+    second = dispatched(
+        node.ended(first, UNKNOWN, whole=False, delivered=3, silent=True))
+    assert second.target.replica_id != first.target.replica_id
+    assert node.ended(second, NOT_RUN, whole=False, status=503,
+                      delivered=3) == []
+    node.still.clear()
+    third = dispatched(node.tick(1000))
+    assert third.target.replica_id == first.target.replica_id
+    assert third.resume_from == 3
+
+
 def test_pause_of_this_node_is_no_silence_of_its_runners():
     """The node stood still: its evidence grew old, and it read no answers.
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -263,6 +263,7 @@
         assert len(node.of(events.AttemptEnded)) == 1
         assert ended(node).outcome is Outcome.UNKNOWN
         assert ended(node).detail == "it serves no more"
+        assert ended(node).silent
         edge.wait_for(lambda: [
             each for each in runner.received
             if each.line.startswith("POST /cancel/")
