Leave no silent attempt that none may follow

What callers see: a runner stands still for 3 s, and the node ends the streams there in an error event, though the runner is sound and goes on. This happens where the engine can't resume streams, to requests with attempts used up or under suspicion, and to all that have no event yet beyond the ten of the retry budget: of 30 requests at such a runner, 20 were answered 503 at once. Cause: attempts at a replica without fresh evidence were given up, and only then was asked whether another may follow; the budget was asked for each by itself. Change: the limits on retries are asked before an attempt is given up, the budget for all that are given up together, with one attempt kept for a refusal. What is proof that the run is over (VM gone from the platform's list, runner started again, replica formed anew) ends a silent attempt in any case, as before. Measured: test_stream_that_may_not_go_on_elsewhere_is_not_left (3 cases) and test_no_more_attempts_are_left_than_may_be_made_anew of tests/test_requests.py failed before (30 attempts given up, 10 retries) and pass now; test_requests, test_request_machine and test_retries pass.

--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -1,6 +1,8 @@
 """The controller that takes each request from its arrival to its answer."""
 
+import collections
 from collections.abc import Callable, Iterator
+import dataclasses
 import functools
 from typing import Any
 
@@ -123,6 +125,7 @@
 
         A runner that stands still keeps its connections: a caller whose
         request was there got nothing for 30 s, though others could serve it.
+        But it may go on, so silence ends no attempt that none can follow.
         """
         if now_ms - self._looked_ms < LOOK_MS:
             return
@@ -132,6 +135,7 @@
             # The evidence of runners that serve has not all come yet.
             return
         lost: dict[str, bool] = {}
+        retried: collections.Counter[str] = collections.Counter()
         for request in self._register.running():
             target = request.target
             if (target is None or target.remote_node or request.claimed or
@@ -139,12 +143,56 @@
                 continue
             if target.replica_id not in lost:
                 lost[target.replica_id] = not self._serves(target, now_ms)
-            if lost[target.replica_id]:
+            if self._has_ended(
+                    request,
+                    target) or (lost[target.replica_id] and
+                                self._may_leave(request, retried, now_ms)):
                 yield actions.AbandonAttempt(request.head.request_id,
                                              request.attempt_id,
                                              self._timing.evidence_max_age_ms,
                                              "its replica serves no more")
 
+    def _has_ended(self, request: _InProgress,
+                   target: requesting.Target) -> bool:
+        """Tells whether a run is certainly over, and not only silent.
+
+        Its VM is gone from the platform's list, its runner started again, or
+        its replica was formed anew.
+
+        Args:
+            request: A running one.
+            target: Where it runs.
+        """
+        row = self.board.assignments.replicas.get(target.replica_id)
+        evidence = self.board.evidence.by_vm.get(target.vm_id)
+        return (row is None or choice.place(row) != choice.place(target) or
+                target.vm_id not in self.board.vms.listed or
+                (evidence is not None and bool(request.boot_id) and
+                 evidence.report.boot_id != request.boot_id))
+
+    def _may_leave(self, request: _InProgress,
+                   retried: "collections.Counter[str]", now_ms: int) -> bool:
+        """Tells whether another attempt may follow on a silent one.
+
+        If not, its end would be the end of an answer that may still come.
+
+        Args:
+            request: A running one.
+            retried: Retries that those left before it will take, by service.
+            now_ms: The local monotonic time.
+        """
+        service = request.head.service
+        ended = self._ended(request, _Outcome.UNKNOWN, True,
+                            not request.started, now_ms)
+        # The next place may refuse it, which takes one more attempt.
+        ended = dataclasses.replace(ended, attempts=ended.attempts + 1)
+        if retries.hurdle(ended) is not None:
+            return False
+        if retries.is_free(ended):
+            return True
+        retried[service] += 1
+        return retried[service] <= self._ends.work[service].budget.left
+
     def _serves(self, target: requesting.Target, now_ms: int) -> bool:
         row = self.board.assignments.replicas.get(target.replica_id)
         return row is not None and serving.serving_replica(
@@ -198,19 +246,9 @@
         """Retries or resumes where that is allowed, or else answers."""
         head = request.head
         work = self._ends.work[head.service]
-        engine = self._ends.document(head.service).engine
-        fresh = not request.delivered
-        ended = retries.Ended(outcome=event.outcome,
-                              reached=event.outcome is not _Outcome.NOT_RUN or
-                              event.status > 0,
-                              repeatable=head.repeatable,
-                              progress=request.progress,
-                              resumable=engine.can_resume or fresh,
-                              suspect=request.suspect,
-                              attempts=request.attempts,
-                              left_ms=head.deadline_ms - now_ms -
-                              (work.pace.run_ms if fresh else 0),
-                              crowded=len(work.queue) > 0)
+        ended = self._ended(
+            request, event.outcome, event.outcome is not _Outcome.NOT_RUN or
+            event.status > 0, not request.delivered, now_ms)
         why_not = ("its caller has gone" if request.gone else retries.why_not(
             ended, work.budget))
         if why_not is None:
@@ -228,6 +266,31 @@
                                                 self.random))
         return self._ends.refuse(request, problem)
 
+    def _ended(self, request: _InProgress, outcome: _Outcome, reached: bool,
+               fresh: bool, now_ms: int) -> retries.Ended:
+        """Returns what decides whether another attempt may follow.
+
+        Args:
+            request: The request.
+            outcome: Of its last attempt.
+            reached: Whether that reached a backend server, as far as is known.
+            fresh: Whether the next one would run it from the beginning.
+            now_ms: The local monotonic time.
+        """
+        head = request.head
+        work = self._ends.work[head.service]
+        engine = self._ends.document(head.service).engine
+        return retries.Ended(outcome=outcome,
+                             reached=reached,
+                             repeatable=head.repeatable,
+                             progress=request.progress,
+                             resumable=engine.can_resume or fresh,
+                             suspect=request.suspect,
+                             attempts=request.attempts,
+                             left_ms=head.deadline_ms - now_ms -
+                             (work.pace.run_ms if fresh else 0),
+                             crowded=len(work.queue) > 0)
+
     # --- Ends ---
 
     def _claim_refused(self, request: _InProgress, event: events.ClaimRefused,
--- a/cardamommill/retries.py
+++ b/cardamommill/retries.py
@@ -77,35 +77,53 @@
     crowded: bool
 
 
-def why_not(ended: Ended, budget: "Budget") -> str | None:
-    """Returns why no other attempt may follow; None takes one of the budget.
+def hurdle(ended: Ended) -> str | None:
+    """Returns why no other attempt may follow, the budget apart.
 
     Args:
         ended: What is to be tried again.
-        budget: Of its service.
     """
     follows = verdict(ended.outcome, ended.repeatable, ended.progress)
-    resumes = follows is Verdict.RESUME
-    # A stream that broke takes the place that it had, and where nothing
-    # reached a backend server nothing was spent: neither adds to the load.
-    free = resumes or not ended.reached
     hurdles = (
         (follows is Verdict.FINAL, "it must not be tried again"),
-        (resumes and
+        (follows is Verdict.RESUME and
          not ended.resumable, "its backend server can't go on with a stream"),
         (ended.suspect, "a request suspected of a crash is not tried again"),
         (ended.attempts >= MAX_ATTEMPTS, f"{ended.attempts} attempts are "
          "enough"),
         (ended.left_ms <= 0, "there is no time left for another"),
         # When a whole service is slow, retries would be what keeps it slow.
-        (not free and ended.crowded and
+        (not is_free(ended) and ended.crowded and
          ended.outcome is not requesting.Outcome.NOT_RUN,
          "others of its service wait"),
     )
-    for stands, reason in hurdles:
-        if stands:
-            return reason
-    return None if free or budget.take() else "the retry budget is spent"
+    return next((reason for stands, reason in hurdles if stands), None)
+
+
+def is_free(ended: Ended) -> bool:
+    """Tells whether another attempt adds nothing to the load.
+
+    A stream that broke takes the place that it had, and where nothing reached
+    a backend server nothing was spent.
+
+    Args:
+        ended: What is to be tried again.
+    """
+    follows = verdict(ended.outcome, ended.repeatable, ended.progress)
+    return follows is Verdict.RESUME or not ended.reached
+
+
+def why_not(ended: Ended, budget: "Budget") -> str | None:
+    """Returns why no other attempt may follow; None takes one of the budget.
+
+    Args:
+        ended: What is to be tried again.
+        budget: Of its service.
+    """
+    stands = hurdle(ended)
+    if stands is not None or is_free(ended) or budget.take():
+        return stands
+    return "the retry budget is spent"
 
 
 _CERTAINTY = (_Outcome.RAN, _Outcome.UNKNOWN, _Outcome.NOT_RUN)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -15,6 +15,7 @@
     peering,
     periods,
     requesting,
+    retries,
 )
 from cardamommill import board as board_lib
 from tests import requestnode
@@ -242,17 +243,73 @@
     ]
 
 
+def stand_still(node: requestnode.Node, *replicas: str) -> list:
+    """Lets replicas stand still until attempts there may be left."""
+    node.still.update(replicas)
+    steps = periods.Timing().evidence_max_age_ms // 100 + 5
+    return [
+        each for _ in range(steps)
+        for each in of_kind(node.tick(100), actions.AbandonAttempt)
+    ]
+
+
+@pytest.mark.parametrize("engine, attempts, suspect", [
+    (documents.Engine(), 1, False),
+    (documents.Engine(can_resume=True), 3, False),
+    (documents.Engine(can_resume=True), 1, True),
+])
+def test_stream_that_may_not_go_on_elsewhere_is_not_left(
+        engine, attempts, suspect):
+    """The end of its attempt would be the end of its answer."""
+    node = requestnode.Node(doc=requestnode.document(engine=engine))
+    if suspect:
+        node.board.suspects.by_digest["digest-a"] = peering.Suspicion(
+            "digest-a", peering.SuspectState.SUSPECT, ("crash",))
+    dispatch = dispatched(node.arrive("a"))
+    for _ in range(attempts - 1):
+        dispatch = dispatched(node.ended(dispatch, UNKNOWN, whole=False))
+    node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+    assert not stand_still(node, dispatch.target.replica_id)
+
+
+@pytest.mark.parametrize("proof", ["gone", "formed anew", "started again"])
+def test_stream_whose_run_is_over_is_left_in_any_case(proof):
+    """Nothing more can come of it; its caller would wait to its deadline."""
+    node = requestnode.Node(doc=requestnode.document(engine=documents.Engine()))
+    dispatch = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+    replica, vm_id = dispatch.target.replica_id, dispatch.target.vm_id
+    rows, by_vm = node.board.assignments.replicas, node.board.evidence.by_vm
+    if proof == "gone":
+        del node.board.vms.listed[vm_id]
+    elif proof == "formed anew":
+        rows[replica] = dataclasses.replace(rows[replica], formation=2)
+    else:
+        report = dataclasses.replace(by_vm[vm_id].report, boot_id="next")
+        by_vm[vm_id] = dataclasses.replace(by_vm[vm_id], report=report)
+    assert stand_still(node, replica)[0].attempt_id == dispatch.attempt_id
+
+
+def test_no_more_attempts_are_left_than_may_be_made_anew():
+    """A replica with more requests than there are retries stands still."""
+    node = requestnode.Node(replicas=2, slots=100)
+    sent = [dispatched(node.arrive(f"a{number}")) for number in range(60)]
+    replica = sent[0].target.replica_id
+    there = [each for each in sent if each.target.replica_id == replica]
+    assert len(there) > retries.RESERVE
+    left = {each.attempt_id for each in stand_still(node, replica)}
+    assert 0 < len(left) <= retries.RESERVE
+    for each in there:
+        if each.attempt_id in left:
+            dispatched(node.ended(each, UNKNOWN, whole=False, silent=True))
+
+
 def test_place_that_was_left_for_its_silence_may_be_used_again():
     """It goes on a moment later, when the only other one has refused."""
     node = requestnode.Node(replicas=2)
     first = dispatched(node.arrive("a"))
     node.step(events.AttemptStarted("a", first.attempt_id, 200))
-    node.still.add(first.target.replica_id)
-    timing = periods.Timing()
-    left = [
-        each for _ in range(timing.evidence_max_age_ms // 100 + 5)
-        for each in of_kind(node.tick(100), actions.AbandonAttempt)
-    ]
+    left = stand_still(node, first.target.replica_id)
     assert left[0].attempt_id == first.attempt_id
     second = dispatched(
         node.ended(first, UNKNOWN, whole=False, delivered=3, silent=True))
