Leave a silent attempt only where there is a place for it

What callers see: all replicas of a service stand still for 3 s, or one does and the others are full; the node closes its connections to them, finds no place for the streams, and ends them in error events, though the runners go on. Cause: whether another place has room was looked at after the attempt was given up. Change: only as many attempts are given up at once as other replicas have free places, or, where none serves, other data centres have; those that wait for one count as well.

--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -1,5 +1,6 @@
 """Which replica a request goes to, by what the blackboard says."""
 
+from collections import abc
 from collections.abc import Iterable, Sequence
 import dataclasses
 import math
@@ -228,6 +229,31 @@
     return _open(load, now_ms) and _free(load, candidate, now_ms)
 
 
+def room(board: board_lib.Board, among: Candidates, tried: abc.Set[str],
+         now_ms: int) -> int:
+    """Returns how many more requests this node may send to untried replicas.
+
+    Args:
+        board: What the node knows.
+        among: The service's replicas.
+        tried: Places that do not count.
+        now_ms: The local monotonic time.
+    """
+    return sum(
+        _places(load_of(board, each.replica_id), each, now_ms)
+        for each in among.each
+        if each.place not in tried)
+
+
+def _places(load: board_lib.ReplicaLoad, candidate: Candidate,
+            now_ms: int) -> int:
+    if not _open(load, now_ms):
+        return 0
+    unused = math.ceil(candidate.slots - expected(load, now_ms) - 0.5)
+    most = 1 if load.probing else candidate.slots
+    return min(most, max(0, unused, candidate.share - load.in_flight))
+
+
 def _within_share(board: board_lib.Board, candidate: Candidate,
                   now_ms: int) -> bool:
     load = load_of(board, candidate.replica_id)
--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -151,10 +151,7 @@
         """
         head = request.head
         found = None
-        # What may not run twice stays with the node that claimed it: no other
-        # could tell its claim from a caller's word that there is one. Its
-        # caller is told at once that it did not run, and asks elsewhere.
-        if head.repeatable and not refusals.suspicion(self._board, head.digest):
+        if self._may_go_elsewhere(head):
             found = self._spill.choose(self._board, head, request.tried,
                                        self._timing, self._random, now_ms)
         if found is None and stays:
@@ -164,6 +161,31 @@
             return self._ends.refuse(request, problem)
         return self._send(request, found, False, now_ms)
 
+    def _may_go_elsewhere(self, head: requesting.RequestHead) -> bool:
+        # What may not run twice stays with the node that claimed it: no other
+        # could tell its claim from a caller's word that there is one. Its
+        # caller is told at once that it did not run, and asks elsewhere.
+        return head.repeatable and not refusals.suspicion(
+            self._board, head.digest)
+
+    def room(self, request: _InProgress, now_ms: int) -> int:
+        """Returns for how many requests like one there is another place.
+
+        Args:
+            request: One that runs.
+            now_ms: The local monotonic time.
+        """
+        head = request.head
+        work = self._ends.work[head.service]
+        among = work.candidates(self._board, self._timing, now_ms)
+        if among.each:
+            places = choice.room(self._board, among, request.tried, now_ms)
+        elif self._may_go_elsewhere(head):
+            places = self._spill.room(self._board, head, self._timing, now_ms)
+        else:
+            places = 0
+        return places - len(work.queue)
+
     def publish(self, now_ms: int) -> None:
         """Writes what waits and runs to the blackboard.
 
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -135,6 +135,7 @@
             # The evidence of runners that serve has not all come yet.
             return
         lost: dict[str, bool] = {}
+        left: collections.Counter[str] = collections.Counter()
         retried: collections.Counter[str] = collections.Counter()
         for request in self._register.running():
             target = request.target
@@ -143,10 +144,9 @@
                 continue
             if target.replica_id not in lost:
                 lost[target.replica_id] = not self._serves(target, now_ms)
-            if self._has_ended(
-                    request,
-                    target) or (lost[target.replica_id] and
-                                self._may_leave(request, retried, now_ms)):
+            if self._has_ended(request, target) or (
+                    lost[target.replica_id] and
+                    self._may_leave(request, left, retried, now_ms)):
                 yield actions.AbandonAttempt(request.head.request_id,
                                              request.attempt_id,
                                              self._timing.evidence_max_age_ms,
@@ -170,7 +170,7 @@
                 (evidence is not None and bool(request.boot_id) and
                  evidence.report.boot_id != request.boot_id))
 
-    def _may_leave(self, request: _InProgress,
+    def _may_leave(self, request: _InProgress, left: "collections.Counter[str]",
                    retried: "collections.Counter[str]", now_ms: int) -> bool:
         """Tells whether another attempt may follow on a silent one.
 
@@ -178,7 +178,8 @@
 
         Args:
             request: A running one.
-            retried: Retries that those left before it will take, by service.
+            left: How many of each service are left before it; counted here.
+            retried: How many of those take a retry; counted here.
             now_ms: The local monotonic time.
         """
         service = request.head.service
@@ -186,12 +187,15 @@
                             not request.started, now_ms)
         # The next place may refuse it, which takes one more attempt.
         ended = dataclasses.replace(ended, attempts=ended.attempts + 1)
-        if retries.hurdle(ended) is not None:
+        if (retries.hurdle(ended) is not None or
+                left[service] >= self._dispatching.room(request, now_ms)):
             return False
-        if retries.is_free(ended):
-            return True
-        retried[service] += 1
-        return retried[service] <= self._ends.work[service].budget.left
+        if not retries.is_free(ended):
+            if retried[service] + 1 > self._ends.work[service].budget.left:
+                return False
+            retried[service] += 1
+        left[service] += 1
+        return True
 
     def _serves(self, target: requesting.Target, now_ms: int) -> bool:
         row = self.board.assignments.replicas.get(target.replica_id)
--- a/cardamommill/spill.py
+++ b/cardamommill/spill.py
@@ -33,18 +33,11 @@
             chance: Spreads requests over data centres and their nodes.
             now_ms: The local monotonic time.
         """
-        if head.hop:
-            return None
-        able: list[peering.ServiceSummary] = []
-        weights: list[int] = []
-        for key, summary in board.peers.summaries.items():
-            room = self._room(board, key, summary)
-            if room > 0 and _is_able(board, summary, head, timing, now_ms):
-                able.append(summary)
-                weights.append(room)
+        able = self._able(board, head, timing, now_ms)
         if not able:
             return None
-        summary = chance.choices(able, weights)[0]
+        summary, = chance.choices([each for each, _ in able],
+                                  [room for _, room in able])
         seen_ms = board.peers.summaries_ms[summary.data_centre, summary.service]
         targets = [
             _target(each, seen_ms + timing.summary_max_age_ms)
@@ -59,6 +52,29 @@
             chance.choice(entries),
             f"{summary.data_centre} has {summary.free_slots} free slots")
 
+    def room(self, board: board_lib.Board, head: requesting.RequestHead,
+             timing: periods.Timing, now_ms: int) -> int:
+        """Returns how many requests like one other data centres have room for.
+
+        Args:
+            board: What the node knows.
+            head: The request.
+            timing: The periods in force.
+            now_ms: The local monotonic time.
+        """
+        return sum(room for _, room in self._able(board, head, timing, now_ms))
+
+    def _able(self, board: board_lib.Board, head: requesting.RequestHead,
+              timing: periods.Timing,
+              now_ms: int) -> list[tuple[peering.ServiceSummary, int]]:
+        """Returns the data centres that have room, and how much."""
+        if head.hop:
+            return []
+        rooms = ((summary, self._room(board, key, summary))
+                 for key, summary in board.peers.summaries.items()
+                 if _is_able(board, summary, head, timing, now_ms))
+        return [(summary, room) for summary, room in rooms if room > 0]
+
     def _room(self, board: board_lib.Board, key: tuple[str, str],
               summary: peering.ServiceSummary) -> int:
         # The other nodes of this data centre read the same summary.
