Do not move streams to replicas that fell silent with theirs

What callers see: two replicas stand still at the same time; the evidence of the first runs out 0.5 s before that of the other, its streams go there, wait behind the others, and may be refused. Cause: a replica counted as serving until its own evidence was 2.6 s old, whatever had happened since; only its silence as compared to the first tells that it lives. Change: for a silent attempt, only replicas count that were heard after the next answer of its own replica was due. Measured: test_requests.py:: test_streams_do_not_go_to_replicas_that_fell_silent_with_theirs failed before and passes now; test_requests, test_request_machine, test_retries, test_choice pass.

--- a/cardamommill/choice.py
+++ b/cardamommill/choice.py
@@ -31,6 +31,7 @@
         address: Of its head.
         own_lane: Whether this node sends suspects there. No other of its data
             centre does, unless there are fewer replicas than nodes.
+        heard_ms: When the member was heard that has been silent for longest.
     """
 
     replica_id: str
@@ -39,6 +40,7 @@
     share: int
     address: str
     own_lane: bool
+    heard_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,7 +170,8 @@
     share = slots // len(nodes) + (rank < slots % len(nodes))
     address = board.vms.listed[replica.row.members[0]].address
     return Candidate(replica_id, place(replica.row), slots, share, address,
-                     not lanes or replica_id in lanes)
+                     not lanes or replica_id in lanes,
+                     serving.heard_ms(board, replica.row))
 
 
 def choose(board: board_lib.Board, among: Candidates, want: Want,
@@ -230,19 +233,20 @@
 
 
 def room(board: board_lib.Board, among: Candidates, tried: abc.Set[str],
-         now_ms: int) -> int:
+         since_ms: int, now_ms: int) -> int:
     """Returns how many more requests this node may send to untried replicas.
 
     Args:
         board: What the node knows.
         among: The service's replicas.
         tried: Places that do not count.
+        since_ms: Nor do replicas that were not heard since.
         now_ms: The local monotonic time.
     """
     return sum(
         _places(load_of(board, each.replica_id), each, now_ms)
         for each in among.each
-        if each.place not in tried)
+        if each.place not in tried and each.heard_ms >= since_ms)
 
 
 def _places(load: board_lib.ReplicaLoad, candidate: Candidate,
--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -168,18 +168,20 @@
         return head.repeatable and not refusals.suspicion(
             self._board, head.digest)
 
-    def room(self, request: _InProgress, now_ms: int) -> int:
+    def room(self, request: _InProgress, since_ms: int, now_ms: int) -> int:
         """Returns for how many requests like one there is another place.
 
         Args:
             request: One that runs.
+            since_ms: Only replicas count that were heard since.
             now_ms: The local monotonic time.
         """
         head = request.head
         work = self._ends.work[head.service]
         among = work.candidates(self._board, self._timing, now_ms)
         if among.each:
-            places = choice.room(self._board, among, request.tried, now_ms)
+            places = choice.room(self._board, among, request.tried, since_ms,
+                                 now_ms)
         elif self._may_go_elsewhere(head):
             places = self._spill.room(self._board, head, self._timing, now_ms)
         else:
--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -134,7 +134,7 @@
         if since_pause_ms < self._timing.evidence_max_age_ms:
             # The evidence of runners that serve has not all come yet.
             return
-        lost: dict[str, bool] = {}
+        silent_ms: dict[str, int | None] = {}
         left: collections.Counter[str] = collections.Counter()
         retried: collections.Counter[str] = collections.Counter()
         for request in self._register.running():
@@ -142,11 +142,12 @@
             if (target is None or target.remote_node or request.claimed or
                     not request.head.repeatable or request.gone):
                 continue
-            if target.replica_id not in lost:
-                lost[target.replica_id] = not self._serves(target, now_ms)
+            if target.replica_id not in silent_ms:
+                silent_ms[target.replica_id] = self._silent_ms(target, now_ms)
+            since_ms = silent_ms[target.replica_id]
             if self._has_ended(request, target) or (
-                    lost[target.replica_id] and
-                    self._may_leave(request, left, retried, now_ms)):
+                    since_ms is not None and
+                    self._may_leave(request, since_ms, left, retried, now_ms)):
                 yield actions.AbandonAttempt(request.head.request_id,
                                              request.attempt_id,
                                              self._timing.evidence_max_age_ms,
@@ -170,7 +171,8 @@
                 (evidence is not None and bool(request.boot_id) and
                  evidence.report.boot_id != request.boot_id))
 
-    def _may_leave(self, request: _InProgress, left: "collections.Counter[str]",
+    def _may_leave(self, request: _InProgress, since_ms: int,
+                   left: "collections.Counter[str]",
                    retried: "collections.Counter[str]", now_ms: int) -> bool:
         """Tells whether another attempt may follow on a silent one.
 
@@ -178,6 +180,7 @@
 
         Args:
             request: A running one.
+            since_ms: Since when its replica is silent.
             left: How many of each service are left before it; counted here.
             retried: How many of those take a retry; counted here.
             now_ms: The local monotonic time.
@@ -187,8 +190,8 @@
                             not request.started, now_ms)
         # The next place may refuse it, which takes one more attempt.
         ended = dataclasses.replace(ended, attempts=ended.attempts + 1)
-        if (retries.hurdle(ended) is not None or
-                left[service] >= self._dispatching.room(request, now_ms)):
+        if (retries.hurdle(ended) is not None or left[service]
+                >= self._dispatching.room(request, since_ms, now_ms)):
             return False
         if not retries.is_free(ended):
             if retried[service] + 1 > self._ends.work[service].budget.left:
@@ -197,10 +200,21 @@
         left[service] += 1
         return True
 
-    def _serves(self, target: requesting.Target, now_ms: int) -> bool:
+    def _silent_ms(self, target: requesting.Target, now_ms: int) -> int | None:
+        """Returns since when a replica is silent; None if it serves."""
         row = self.board.assignments.replicas.get(target.replica_id)
-        return row is not None and serving.serving_replica(
-            self.board, row, self._timing, now_ms) is not None
+        if row is None:
+            return board_lib.NEVER_MS
+        if serving.serving_replica(self.board, row, self._timing,
+                                   now_ms) is not None:
+            return None
+        heard_ms = serving.heard_ms(self.board, row)
+        if now_ms - heard_ms < self._timing.evidence_max_age_ms:
+            # All its members answer: it says itself that it does not serve.
+            return board_lib.NEVER_MS
+        # When its next answer was due. What others said before that does not
+        # tell whether they fell silent with it.
+        return heard_ms + self._timing.poll_ms
 
     # --- What happens to a running request ---
 
--- a/cardamommill/serving.py
+++ b/cardamommill/serving.py
@@ -51,6 +51,18 @@
                           valid_until_ms)
 
 
+def heard_ms(board: board_lib.Board, row: fleet.ReplicaRow) -> int:
+    """Returns when the member was heard that has been silent for longest.
+
+    Args:
+        board: What the node knows.
+        row: The replica.
+    """
+    known = (board.evidence.by_vm.get(vm_id) for vm_id in row.members)
+    return min((each.seen_ms if each else board_lib.NEVER_MS for each in known),
+               default=board_lib.NEVER_MS)
+
+
 def _present(board: board_lib.Board, evidence: fleet.Evidence,
              row: fleet.ReplicaRow) -> bool:
     report = evidence.report
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -306,6 +306,17 @@
     assert not stand_still(node, "r0", "r1")
 
 
+def test_streams_do_not_go_to_replicas_that_fell_silent_with_theirs():
+    """The last word of the other one is younger, and from before as well."""
+    node = requestnode.Node(replicas=2)
+    first = begun(node, 1)[0].target.replica_id
+    node.still.add(first)
+    node.tick(periods.Timing().poll_ms - 100)
+    assert not stand_still(node, "r0", "r1")
+    node.still.remove("r1" if first == "r0" else "r0")
+    assert of_kind(node.tick(500), actions.AbandonAttempt)
+
+
 def test_no_more_streams_are_left_than_find_a_place():
     """A full replica stands still; the other has one place left.
 
