Crowd no stream that has begun out of the queue

What callers see: a stream whose replica broke off waits for another one; more urgent requests come than may wait, and the stream ends in an error event. Cause: the last in a queue that is too long is refused, whether or not its caller has a part of its answer. Change: one that has begun is passed over. Measured: tests/test_requests.py::test_queue_that_is_too_long_breaks_off_no_stream failed before (the stream was refused in place of a request that had just come) and passes now; test_admission, test_choice and test_request_machine pass.

--- a/cardamommill/admission.py
+++ b/cardamommill/admission.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 import dataclasses
 import heapq
+import itertools
 
 # One finished request in this many replaces the smoothed run time.
 _SMOOTHING = 0.1
@@ -85,7 +86,11 @@
                 *(accounts[name] for name in accounts if name not in over))
             yield from heapq.merge(*(accounts[name] for name in over))
 
-    def last(self, over_share: OverShare) -> Waiting | None:
+    def last(
+        self,
+        over_share: OverShare,
+        kept: Callable[[str],
+                       bool] = lambda request_id: False) -> Waiting | None:
         """Returns the one to give up first, or None.
 
         Of the least urgent, of accounts over their share if there are any,
@@ -93,13 +98,18 @@
 
         Args:
             over_share: Tells whether an account has more than its share.
+            kept: Tells whether a request is not to be given up.
         """
-        if not self._lists:
-            return None
-        accounts = self._lists[max(self._lists)]
-        name = max(accounts,
-                   key=lambda each: (over_share(each), len(accounts[each])))
-        return accounts[name][-1]
+        for _, accounts in sorted(self._lists.items(), reverse=True):
+            names = sorted(accounts,
+                           key=lambda each:
+                           (over_share(each), len(accounts[each])),
+                           reverse=True)
+            for waiting in itertools.chain.from_iterable(
+                    reversed(accounts[name]) for name in names):
+                if not kept(waiting.request_id):
+                    return waiting
+        return None
 
     def ahead(self, account: str, priority: int, deadline_ms: int,
               over_share: OverShare) -> int:
--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -204,13 +204,18 @@
     def _crowd_out(self, work: workload.Workload, document: documents.Document,
                    now_ms: int) -> actions.Actions:
         among = work.candidates(self._board, self._timing, now_ms)
-        last = work.queue.last(work.over_share(document, among.own_slots))
+        last = work.queue.last(work.over_share(document, among.own_slots),
+                               self._has_begun)
         request = last and self._ends.register.get(last.request_id)
         if not request:
             return ()
         problem = work.crowded_out(among.own_slots, self._random)
         return self.elsewhere(request, problem, now_ms)
 
+    def _has_begun(self, request_id: str) -> bool:
+        request = self._ends.register.get(request_id)
+        return request is not None and request.started
+
     def _give_up(self, request: _InProgress, work: workload.Workload,
                  among: choice.Candidates, now_ms: int) -> actions.Actions:
         """Answers a waiting request that has become impossible to serve."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -483,6 +483,20 @@
     assert refused(node.tick(5000, refresh=False)).status == 503
 
 
+def test_queue_that_is_too_long_breaks_off_no_stream():
+    """A stream waits to go on; more urgent requests come than may wait."""
+    doc = requestnode.document(limits=documents.Limits(queue_length=2))
+    node = requestnode.Node(replicas=2, doc=doc, slots=2)
+    first = dispatched(node.arrive("a", priority=9))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    for number in range(3):
+        dispatched(node.arrive(f"b{number}"))
+    assert node.ended(first, UNKNOWN, whole=False, delivered=3) == []
+    done = [each for number in range(4) for each in node.arrive(f"c{number}")]
+    assert [each.request_id for each in of_kind(done, actions.Refuse)
+           ] == ["c2", "c3"]
+
+
 def test_broken_stream_waits_for_evidence_however_old_it_is():
     """All replicas are silent at the moment; one of them goes on soon."""
     node = requestnode.Node()
