Let replicas of the request fakes stand still and go on

The state machine has a rule for it now. Change: RequestWorld.stand_still; an attempt is silent for as long as nothing came of it, begun or not.

--- a/cardamommill/fedworld.py
+++ b/cardamommill/fedworld.py
@@ -78,7 +78,8 @@
     def _look(self, name: str, replica: replicafakes.Replica) -> None:
         """Lets a node see a replica as it was some time ago."""
         board = self.nodes[name].decisions.board
-        if replica.up and not self.nodes[name].paused:
+        answers = replica.up and not replica.is_still
+        if answers and not self.nodes[name].paused:
             seen_ms = self.local_ms(name)
             report = replica.report()
             late_ms = self._chance.randrange(EVIDENCE_MS)
--- a/cardamommill/replicafakes.py
+++ b/cardamommill/replicafakes.py
@@ -87,16 +87,20 @@
         call: The request.
         node: The node that sent it.
         dispatch: As it was sent.
+        sent_ms: When it reached the replica, by the world's clock.
         began_ms: When the replica began to run it; -1 before.
         first_ms: When its first event is due.
+        end_ms: When its last event is due.
         over: Whether its end was told, or it was cancelled.
     """
 
     call: Call
     node: str
     dispatch: actions.Dispatch
+    sent_ms: int = 0
     began_ms: int = -1
     first_ms: int = 0
+    end_ms: int = 0
     over: bool = False
 
 
@@ -122,6 +126,8 @@
         restart_ms: How long it is away after a crash.
         boots: How often it started.
         up: Whether it runs.
+        still_ms: Since when it stands still, its connections open; -1 if not.
+        unread: Attempts that reached it while it stood still.
         waiting: Attempts that wait.
         running: Attempts that run.
         cache: Prefixes that it holds, the oldest first.
@@ -137,6 +143,8 @@
     restart_ms: int = 3000
     boots: int = 1
     up: bool = True
+    still_ms: int = -1
+    unread: list[Run] = dataclasses.field(default_factory=list)
     waiting: "collections.deque[Run]" = dataclasses.field(
         default_factory=collections.deque)
     running: list[Run] = dataclasses.field(default_factory=list)
@@ -151,6 +159,11 @@
         """Its only VM."""
         return f"vm-{self.replica_id}"
 
+    @property
+    def is_still(self) -> bool:
+        """Whether it neither works nor answers, and will go on."""
+        return self.still_ms >= 0
+
     def report(self) -> fleet.RunnerReport:
         """Returns what it says of itself now."""
         return fleet.RunnerReport(self.vm_id,
--- a/cardamommill/requestfakes.py
+++ b/cardamommill/requestfakes.py
@@ -146,7 +146,8 @@
 
     def _arrive(self, action: actions.Dispatch, name: str) -> None:
         call = self.calls[action.request_id]
-        run = self._runs[action.attempt_id] = _Run(call, name, action)
+        run = self._runs[action.attempt_id] = _Run(call, name, action,
+                                                   self.now_ms)
         replica = self.replicas[action.target.replica_id]
         if action.resume_from != call.delivered:
             call.mixed = (f"{call.delivered} events delivered, went on from "
@@ -155,19 +156,27 @@
                 not replica.up):
             self._end(run, _Outcome.NOT_RUN)
             return
-        call.attempts += 1
-        if action.target.formation != replica.boots:
+        left_ms = action.deadline_ms - self.local_ms(name)
+        self.later(left_ms, lambda: self._give_up(replica, run))
+        if replica.is_still:
+            replica.unread.append(run)
+        else:
+            self._take(replica, run)
+
+    def _take(self, replica: _Replica, run: _Run) -> None:
+        run.call.attempts += 1
+        if run.dispatch.target.formation != replica.boots:
             self._end(run, _Outcome.NOT_RUN, status=421)
         elif (len(replica.running) >= replica.slots and
               len(replica.waiting) >= replica.queue_length):
             self._end(run, _Outcome.NOT_RUN, status=503)
         else:
             replica.waiting.append(run)
-            left_ms = action.deadline_ms - self.local_ms(name)
-            self.later(left_ms, lambda: self._give_up(replica, run))
             self._fill(replica)
 
     def _fill(self, replica: _Replica) -> None:
+        if replica.is_still:
+            return
         while replica.waiting and len(replica.running) < replica.slots:
             run = replica.waiting.popleft()
             replica.running.append(run)
@@ -194,14 +203,15 @@
             (5 + work.prefill_ms * missing) / replica.speed)
         self.later(run.first_ms - self.now_ms, lambda: self._first(run))
         left = work.tokens - run.dispatch.resume_from
-        end_ms = run.first_ms + round(left * work.token_ms / replica.speed)
-        self.later(end_ms - self.now_ms, lambda: self._finish(replica, run))
+        run.end_ms = run.first_ms + round(left * work.token_ms / replica.speed)
+        self.later(run.end_ms - self.now_ms, lambda: self._finish(replica, run))
         if self._chance.random() < self.trouble.cut:
-            cut_ms = self._chance.randrange(end_ms - self.now_ms + 1)
+            cut_ms = self._chance.randrange(run.end_ms - self.now_ms + 1)
             self.later(cut_ms, lambda: self._cut(replica, run))
 
     def _first(self, run: _Run) -> None:
-        if run.over:
+        replica = self.replicas[run.dispatch.target.replica_id]
+        if run.over or replica.is_still or self.now_ms < run.first_ms:
             return
         if run.call.first_ms < 0:
             run.call.first_ms = self.now_ms
@@ -211,7 +221,9 @@
                                   run.dispatch.attempt_id, 200))
 
     def _finish(self, replica: _Replica, run: _Run) -> None:
-        if run not in replica.running:
+        if run not in replica.running or replica.is_still:
+            return
+        if self.now_ms < run.end_ms:
             return
         replica.running.remove(run)
         self._hand_over(run)
@@ -236,9 +248,10 @@
 
     def _deliver(self, replica: _Replica, run: _Run) -> None:
         work = run.call.work
-        if run.began_ms >= 0 and self.now_ms > run.first_ms:
-            done = int((self.now_ms - run.first_ms) * replica.speed /
-                       max(1, work.token_ms))
+        at_ms = replica.still_ms if replica.is_still else self.now_ms
+        if run.began_ms >= 0 and at_ms > run.first_ms:
+            done = int(
+                (at_ms - run.first_ms) * replica.speed / max(1, work.token_ms))
             run.call.delivered = min(work.tokens - 1,
                                      run.dispatch.resume_from + done)
 
@@ -246,7 +259,9 @@
         """Crashes a replica; it comes back as a new formation."""
         replica.up = False
         replica.boots += 1
-        broken = [*replica.running, *replica.waiting]
+        broken = [*replica.running, *replica.waiting, *replica.unread]
+        replica.still_ms = -1
+        replica.unread.clear()
         replica.running.clear()
         replica.waiting.clear()
         replica.cache.clear()
@@ -280,12 +295,44 @@
         run = self._runs.get(action.attempt_id)
         if run is None or run.over:
             return
-        silent = run.began_ms < 0 or self.now_ms < run.first_ms
-        if silent:
-            self._remove(self.replicas[run.dispatch.target.replica_id], run)
+        replica = self.replicas[run.dispatch.target.replica_id]
+        at_ms = replica.still_ms if replica.is_still else self.now_ms
+        begun = run.began_ms >= 0 and at_ms > run.first_ms
+        heard_ms = at_ms if begun else run.sent_ms
+        if self.now_ms - heard_ms >= action.silent_ms:
+            self._deliver(replica, run)
+            self._remove(replica, run)
             self._end(run, _Outcome.UNKNOWN, silent=True)
 
+    def stand_still(self, replica: _Replica, for_ms: int) -> None:
+        """Lets a replica stand still for a time; its connections stay open."""
+        if replica.up and not replica.is_still:
+            replica.still_ms = self.now_ms
+            self.later(for_ms,
+                       functools.partial(self._go_on, replica, self.now_ms))
+
+    def _go_on(self, replica: _Replica, still_ms: int) -> None:
+        if replica.still_ms != still_ms:
+            return  # It crashed meanwhile.
+        replica.still_ms = -1
+        stood_ms = self.now_ms - still_ms
+        for run in replica.running:
+            begun = run.first_ms <= still_ms
+            run.first_ms += stood_ms
+            run.end_ms += stood_ms
+            if not begun:
+                self.later(run.first_ms - self.now_ms,
+                           functools.partial(self._first, run))
+            self.later(run.end_ms - self.now_ms,
+                       functools.partial(self._finish, replica, run))
+        unread, replica.unread = replica.unread, []
+        for run in unread:
+            self._take(replica, run)
+        self._fill(replica)
+
     def _remove(self, replica: _Replica, run: _Run) -> None:
+        if run in replica.unread:
+            replica.unread.remove(run)
         if run in replica.waiting:
             replica.waiting.remove(run)
         if run in replica.running:
--- a/tests/test_request_machine.py
+++ b/tests/test_request_machine.py
@@ -111,6 +111,10 @@
     def replica_changes_speed(self, name, speed):
         self.world.replicas[name].speed = speed
 
+    @stateful.rule(name=REPLICA, for_ms=st.sampled_from([500, 1500, 6000]))
+    def replica_stands_still(self, name, for_ms):
+        self.world.stand_still(self.world.replicas[name], for_ms)
+
     @stateful.rule(node=NODE)
     def node_pauses(self, node):
         self.world.pause(node)
