Leave attempts only at replicas that serve no more

Cause: since an attempt was also left at a replica that serves, where the last word of its VM before the request was from a former start of the runner. Found by reading; no test shows it.

--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -134,7 +134,7 @@
         if since_pause_ms < self._timing.evidence_max_age_ms:
             # The evidence of runners that serve has not all come yet.
             return
-        silent_ms: dict[str, int | None] = {}
+        silent_since: dict[str, int | None] = {}
         left: collections.Counter[str] = collections.Counter()
         retried: collections.Counter[str] = collections.Counter()
         for request in self._register.running():
@@ -142,11 +142,12 @@
             if (target is None or target.remote_node or request.claimed or
                     not request.head.repeatable or request.gone):
                 continue
-            if target.replica_id not in silent_ms:
-                silent_ms[target.replica_id] = self._silent_ms(target, now_ms)
-            since_ms = silent_ms[target.replica_id]
-            if self._has_ended(request, target) or (
-                    since_ms is not None and
+            replica_id = target.replica_id
+            if replica_id not in silent_since:
+                silent_since[replica_id] = self._silent_since_ms(target, now_ms)
+            since_ms = silent_since[replica_id]
+            if since_ms is not None and (
+                    self._has_ended(request, target) or
                     self._may_leave(request, since_ms, left, retried, now_ms)):
                 yield actions.AbandonAttempt(request.head.request_id,
                                              request.attempt_id,
@@ -200,7 +201,8 @@
         left[service] += 1
         return True
 
-    def _silent_ms(self, target: requesting.Target, now_ms: int) -> int | None:
+    def _silent_since_ms(self, target: requesting.Target,
+                         now_ms: int) -> int | None:
         """Returns since when a replica is silent; None if it serves."""
         row = self.board.assignments.replicas.get(target.replica_id)
         if row is None:
