Blame the one request that explains what several others would have to

At 16.0 to 16.3 s four runners crashed under it, and no others. Streams that broke went on together at the next runner it took, so each crash had another suspect; none of these was in more than two of the four. A request was blamed only if it alone explains one of its crashes, or after six, so two other requests that would have to crash the same four runners between them excused this one.

Change: after four crashes a request is blamed also if no other one explains more than half of them and no runner crashed at that time without it.

--- a/cardamommill/gateway/requests/crashcauses.py
+++ b/cardamommill/gateway/requests/crashcauses.py
@@ -18,6 +18,9 @@
 # same node, and after this many it is kept from all runners.
 SUSPECT_CRASHES = 2
 QUARANTINE_CRASHES = 3
+# After this many, it is blamed if no runner crashed beside without it and no
+# other request explains more than half of them: one is likelier than several.
+COMMON_CRASHES = 4
 # After this many, it is blamed even if others may explain the same crashes.
 CERTAIN_CRASHES = 6
 # Crashes within this time may have a common cause that is no request.
@@ -204,8 +207,9 @@
                       explained: set[int]) -> list[int]:
         """Returns the next requests to blame, all for the same crashes.
 
-        A request is certain if it alone explains one of its crashes, and no
-        other suspect of the same crashes was in more of them.
+        A request is certain if it alone explains one of its crashes, or all of
+        their time where several others would have to, and no other suspect of
+        the same crashes was in more of them.
 
         Args:
             suspects: The crashes that each may be blamed for.
@@ -225,21 +229,40 @@
                     each for each, others in suspects.items()
                     if others == crashes
                 ]
-            elif (any(suspects_of[each] == 1 for each in crashes) and
-                  not self._is_coincidence(crashes, explained)):
+            elif (self._is_alone(crashes, suspects_of, explained) or
+                  self._is_common_cause(digest, suspects, explained)):
                 best = [digest]
             else:
                 continue
             most = len(crashes)
         return best
 
+    def _is_alone(self, crashes: set[int], suspects_of: dict[int, int],
+                  explained: set[int]) -> bool:
+        """Whether one of the crashes has no other suspect."""
+        return (any(suspects_of[each] == 1 for each in crashes) and
+                not self._is_coincidence(crashes, explained))
+
+    def _is_common_cause(self, digest: int, suspects: dict[int, set[int]],
+                         explained: set[int]) -> bool:
+        """Whether a request explains what several others would have to."""
+        crashes = suspects[digest]
+        return (len(crashes) >= COMMON_CRASHES and
+                not self._count_others(crashes, explained) and
+                all(2 * len(others & crashes) <= len(crashes)
+                    for each, others in suspects.items()
+                    if each != digest))
+
     def _is_coincidence(self, crashes: set[int], explained: set[int]) -> bool:
         """Whether more other runners crashed at the time of these crashes."""
+        return self._count_others(crashes, explained) > len(crashes)
+
+    def _count_others(self, crashes: set[int], explained: set[int]) -> int:
+        """Returns how many other runners crashed at the time of these."""
         times_ms = [self._crashes[each].at_ms for each in crashes]
-        others = sum(
+        return sum(
             any(
                 abs(crash.at_ms - at_ms) < COINCIDENCE_MS
                 for at_ms in times_ms)
             for runner, crash in self._crashes.items()
             if runner not in crashes and runner not in explained)
-        return others > len(crashes)
--- a/tests/gateway/requests/test_crashcauses.py
+++ b/tests/gateway/requests/test_crashcauses.py
@@ -46,6 +46,18 @@
     assert not blamed(crashes)
 
 
+def test_request_in_all_crashes_is_blamed_before_several_that_share_them():
+    """Streams that broke go on together at the next runner that it crashes."""
+    crashes = [{DEADLY, 1, 2}, {DEADLY, 3}, {DEADLY, 1, 2}, {DEADLY, 3}]
+    assert blamed(crashes) == {DEADLY: 4}
+
+
+def test_request_beside_two_deadly_ones_is_not_blamed_for_their_crashes():
+    """A runner crashed beside without it, so another request does so too."""
+    crashes = [{7, 1}, {7, 2}, {7, 1}, {7, 2}, {1}]
+    assert not blamed(crashes, lambda number: 100.0 * number)
+
+
 def test_next_crash_tells_requests_apart_that_ran_side_by_side():
     side_by_side = [{DEADLY, 1}] * 3
     assert blamed([*side_by_side, {DEADLY}]) == {DEADLY: 4}
