Blame requests that are in crashes at many moments, whatever else explains them

Change: a request that was in six crashes at four moments or more, each a second from the last, and never ran whole meanwhile, is blamed beside those that explain the same crashes, unless more runners crashed at that time under none of these requests.

--- a/cardamommill/gateway/requests/crashcauses.py
+++ b/cardamommill/gateway/requests/crashcauses.py
@@ -23,6 +23,10 @@
 COMMON_CRASHES = 4
 # After this many, it is blamed even if others may explain the same crashes.
 CERTAIN_CRASHES = 6
+# At this many moments, these crashes count even if others do explain them:
+# requests that crash runners are at the same ones again and again, while one
+# that does no harm runs whole between two moments.
+CERTAIN_MOMENTS = 4
 # Crashes within this time may have a common cause that is no request.
 COINCIDENCE_MS = 1000.0
 # How long a crash is remembered, and a request that ran whole after one: long
@@ -153,7 +157,7 @@
         """Returns the requests that are blamed for several crashes.
 
         No two are blamed for the same crash, unless they were in exactly the
-        same ones.
+        same ones or one of them was in crashes at many moments.
         """
         if self._is_changed:
             self._is_changed = False
@@ -196,13 +200,37 @@
             }
             found = self._most_certain(suspects, explained)
             if not found:
-                return blamed
+                return blamed | self._find_recurring(by_request, explained)
             crashes = suspects[found[0]]
             newest_ms = max(self._crashes[each].at_ms for each in crashes)
             for digest in found:
                 blamed[digest] = Blame(len(crashes), newest_ms)
             explained |= crashes
 
+    def _find_recurring(self, by_request: dict[int, set[int]],
+                        explained: set[int]) -> dict[int, Blame]:
+        """Returns the requests that were in crashes at many moments.
+
+        Args:
+            by_request: The crashes that each request was in.
+            explained: Crashes for which other requests are blamed.
+        """
+        recurring = {
+            digest: crashes
+            for digest, crashes in by_request.items()
+            if len(crashes) >= CERTAIN_CRASHES and _count_moments(
+                self._crashes[each].at_ms
+                for each in crashes) >= CERTAIN_MOMENTS
+        }
+        explained = explained.union(*recurring.values())
+        return {
+            digest:
+                Blame(len(crashes),
+                      max(self._crashes[each].at_ms for each in crashes))
+            for digest, crashes in recurring.items()
+            if not self._is_coincidence(crashes, explained)
+        }
+
     def _most_certain(self, suspects: dict[int, set[int]],
                       explained: set[int]) -> list[int]:
         """Returns the next requests to blame, all for the same crashes.
@@ -266,3 +294,12 @@
                 for at_ms in times_ms)
             for runner, crash in self._crashes.items()
             if runner not in crashes and runner not in explained)
+
+
+def _count_moments(times_ms: Iterable[float]) -> int:
+    """Returns how many of some times are apart from one another."""
+    count, last_ms = 0, float("-inf")
+    for at_ms in sorted(times_ms):
+        if at_ms - last_ms >= COINCIDENCE_MS:
+            count, last_ms = count + 1, at_ms
+    return count
--- a/tests/gateway/requests/test_crashcauses.py
+++ b/tests/gateway/requests/test_crashcauses.py
@@ -121,6 +121,39 @@
         for each in causes._crashes.values())
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_requests_that_crash_the_same_runners_do_not_excuse_each_other(seed):
+    """Six of them crash a small service again and again, in changing groups."""
+    rng = random.Random(seed)
+    causes = crashcauses.CrashCauses()
+    once = iter(range(100, 1000))
+    for moment in range(6):
+        at = {number: rng.randrange(3) for number in range(6)}
+        for runner in set(at.values()):
+            here = {number for number, each in at.items() if each == runner}
+            causes.record(10 * moment + runner,
+                          here | {next(once), next(once)},
+                          4000.0 * moment + 100.0 * runner)
+        assert set(causes.blamed()) <= set(at)
+    assert all(causes.blamed()[each].crashes == 6 for each in range(6))
+
+
+def test_request_beside_a_blamed_one_is_not_blamed_while_all_runners_crash():
+    """A faulty version crashes under any request, so many have no suspect."""
+    once = iter(range(100, 1000))
+    crashes = [
+        {7, 8} if number % 4 == 0 else {next(once)} for number in range(24)
+    ]
+    crashes.append({7})
+    assert blamed(crashes, lambda number: 400.0 * number) == {7: 7}
+
+
+def test_stream_that_breaks_at_one_runner_after_the_other_is_not_blamed():
+    """All its repeats come within moments, and others explain the crashes."""
+    crashes = [{7, number % 2} for number in range(6)]
+    assert 7 not in blamed(crashes + [{0}, {1}] * 4, lambda n: 300.0 * n)
+
+
 CRASHES = strategies.lists(strategies.tuples(
     strategies.integers(0, 7),
     strategies.sets(strategies.integers(0, 9), max_size=5)),
