Count crashes noticed in seeming isolation once the list or a peer shows them

Change: such a crash stays in doubt, for ten seconds at most. It counts once the runner has left the list without having announced it, or a later incarnation of it or a peer's report of the same crash is seen. What the node can't reach by itself is still no evidence. A crash in doubt is logged.

--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -29,6 +29,9 @@
 # A broken attempt is evidence of a crash if its runner is found down within
 # this time.
 CONFIRMATION_MS = 1500.0
+# How long a crash that a node noticed while it may have been cut off waits for
+# the list to drop the runner, or for a peer that noticed it too.
+DOUBT_MS = 10_000.0
 CONNECT_TIMEOUT_MS = 300.0
 # How long a request that was in a crash before waits for what other nodes know
 # of the next one.
@@ -59,19 +62,27 @@
         at_ms: When the first of them broke.
         digests: Identify the requests that had just begun there.
         has_refused: Whether the runner refuses connections.
+        is_doubtful: Whether this node may have been cut off.
     """
 
     known: fleetview.RunnerRecord
     at_ms: float
     digests: set[int]
     has_refused: bool = False
+    is_doubtful: bool = False
 
     @property
     def is_crash(self) -> bool:
-        """Whether the runner has ended."""
+        """Whether the runner has ended, as far as this node can reach it."""
         return (self.has_refused or bool(self.known.down_ms) or
                 self.known.has_ended)
 
+    @property
+    def has_vanished(self) -> bool:
+        """Whether the runner has ended, whatever this node can reach."""
+        return self.known.has_ended or not (self.known.listed or
+                                            self.known.is_leaving)
+
 
 @dataclasses.dataclass(slots=True)
 class _Announcement:
@@ -158,7 +169,7 @@
         broken = self._broken.get(runner)
         if broken is None:
             if len(self._broken) >= MAX_PENDING:
-                return
+                del self._broken[next(iter(self._broken))]
             broken = _Broken(target.known, now_ms, set())
             self._broken[runner] = broken
             if target.key is None:
@@ -187,11 +198,12 @@
     def check(self, now_ms: float) -> None:
         """Confirms crashes and decides about requests; called each tick."""
         for runner, broken in list(self._broken.items()):
-            is_overdue = now_ms - broken.at_ms > CONFIRMATION_MS
+            is_overdue = now_ms - broken.at_ms > (DOUBT_MS if broken.is_doubtful
+                                                  else CONFIRMATION_MS)
             if self._isolation.is_in_question and not is_overdue:
                 # To a node whose link was cut, all runners seem to have ended.
                 continue
-            if broken.is_crash:
+            if self._is_confirmed(runner, broken, now_ms):
                 del self._broken[runner]
                 self._confirm(runner, broken, now_ms)
             elif is_overdue:
@@ -207,9 +219,24 @@
                 self._decide(quarantine.Decision(digest, now_ms),
                              f"crashed {blame.crashes} runners", now_ms)
 
+    def _is_confirmed(self, runner: str, broken: _Broken,
+                      now_ms: float) -> bool:
+        if not broken.is_doubtful:
+            if not broken.is_crash:
+                return False
+            if not self._isolation.is_suspected(now_ms):
+                return True
+            # All runners of a small service may have crashed at once.
+            broken.is_doubtful = True
+            _LOG.info(
+                logs.line("crash-in-doubt",
+                          runner=runner,
+                          requests=",".join(
+                              map(requestdigest.text, broken.digests))))
+        return (broken.has_vanished or
+                self._causes.crash(_short_id(runner)) is not None)
+
     def _confirm(self, runner: str, broken: _Broken, now_ms: float) -> None:
-        if self._isolation.is_suspected(now_ms):
-            return
         accused = self._causes.accused(broken.digests)
         short_id = _short_id(runner)
         if not self._causes.record(short_id, accused, broken.at_ms):
--- a/tests/gateway/shell/test_crashes.py
+++ b/tests/gateway/shell/test_crashes.py
@@ -108,6 +108,52 @@
     assert not node.left_ms(7, 5000.0)
 
 
+def crash_in_isolation(node, number, at_ms):
+    """Lets all runners of a small service end, and the node doubt its link."""
+    target = head(number)
+    node.end(7, target, BROKEN, at_ms)
+    target.known.down_ms = at_ms
+    node.isolation.record_no_connection(at_ms)
+    node.crashes.check(at_ms + 20)
+    return target.known
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_crash_counts_for_a_node_that_seemed_cut_off_when_the_list_shows_it(
+        is_leaving):
+    """All runners of a small service had crashed at once."""
+    node = Node()
+    for number in range(3):
+        known = crash_in_isolation(node, number, 1000.0 + 4000 * number)
+        known.has_reported_leaving = is_leaving
+        known.listed = False
+        node.crashes.check(4600.0 + 4000 * number)
+    node.decide(12_700.0)
+    assert bool(node.left_ms(7, 13_000.0)) is not is_leaving
+
+
+def test_crash_counts_for_a_node_that_seemed_cut_off_when_a_peer_saw_it():
+    node, peer = Node(), Node()
+    for number in range(3):
+        at_ms = 1000.0 + 4000 * number
+        peer.crash(number, [10 + number], at_ms)
+        crash_in_isolation(node, number, at_ms)
+        peer.tell(node, at_ms + 50)
+        node.crashes.check(at_ms + 70)
+    node.decide(9100.0)
+    assert node.left_ms(7, 10_000.0)
+
+
+def test_crash_in_doubt_is_forgotten_and_leaves_room_for_others():
+    node = Node()
+    for number in range(2 * crashes.MAX_PENDING):
+        crash_in_isolation(node, number, 1000.0)
+    assert len(node.crashes._broken) == crashes.MAX_PENDING
+    node.crashes.check(1001.0 + crashes.DOUBT_MS)
+    assert not node.crashes._broken
+    assert not node.crashes.sections(1001.0 + crashes.DOUBT_MS)
+
+
 def test_runner_that_answers_again_did_not_crash():
     node = Node()
     for number in range(2):
