Count a crash of which a peer told before this node asked the runner

Cause: a node that hears a peer's alarm of a group first does not ask its members, so it never finds the runner down, and dropped its own broken attempts after 1.5 s, though it had the peer's report of the crash.

Change: a peer's report of a crash confirms it, whether or not this node has asked the runner.

Measured: the test of the cause failed before and passes now.

--- a/cardamommill/gateway/shell/crashes.py
+++ b/cardamommill/gateway/shell/crashes.py
@@ -221,11 +221,12 @@
 
     def _is_confirmed(self, runner: str, broken: _Broken,
                       now_ms: float) -> bool:
-        if not broken.is_doubtful:
-            if not broken.is_crash:
-                return False
-            if not self._isolation.is_suspected(now_ms):
-                return True
+        if self._causes.crash(_short_id(runner)) is not None:
+            # A peer noticed it, or this node by other attempts.
+            return True
+        if broken.is_doubtful or not broken.is_crash:
+            return broken.is_doubtful and broken.has_vanished
+        if self._isolation.is_suspected(now_ms):
             # All runners of a small service may have crashed at once.
             broken.is_doubtful = True
             _LOG.info(
@@ -233,8 +234,7 @@
                           runner=runner,
                           requests=",".join(
                               map(requestdigest.text, broken.digests))))
-        return (broken.has_vanished or
-                self._causes.crash(_short_id(runner)) is not None)
+        return not broken.is_doubtful
 
     def _confirm(self, runner: str, broken: _Broken, now_ms: float) -> None:
         accused = self._causes.accused(broken.digests)
--- a/tests/gateway/shell/test_crashes.py
+++ b/tests/gateway/shell/test_crashes.py
@@ -144,6 +144,19 @@
     assert node.left_ms(7, 10_000.0)
 
 
+def test_crash_counts_for_a_node_that_a_peer_told_of_it_first():
+    """It does not ask the runner itself then, so it sees no failed query."""
+    node, peer = Node(), Node()
+    for number in range(3):
+        at_ms = 1000.0 + 4000 * number
+        peer.crash(number, [10 + number], at_ms)
+        node.end(7, head(number), BROKEN, at_ms)
+        peer.tell(node, at_ms + 50)
+        node.crashes.check(at_ms + 70)
+    node.decide(9100.0)
+    assert node.left_ms(7, 10_000.0)
+
+
 def test_crash_in_doubt_is_forgotten_and_leaves_room_for_others():
     node = Node()
     for number in range(2 * crashes.MAX_PENDING):
