--- a/tests/livesoak.py
+++ b/tests/livesoak.py
@@ -13,6 +13,9 @@
 from cardamommill.domain import clock
 from tests import livefleet
 
+# Of all signals.
+RESTART_SHARE = 0.5
+
 
 def parse(arguments=None):
     parser = argparse.ArgumentParser(description=__doc__)
@@ -31,6 +34,9 @@
     parser.add_argument("--no-changes",
                         action="store_true",
                         help="leave the configuration as it is")
+    parser.add_argument("--signals",
+                        action="store_true",
+                        help="SIGTERM and SIGHUP for one node after another")
     parser.add_argument("--keep-connections", action="store_true")
     parser.add_argument("--per-process", type=int)
     parser.add_argument("--factor", type=float, default=1.0)
@@ -46,6 +52,17 @@
         fleet.change_configuration()
 
 
+async def signal_often(fleet):
+    """Restarts and reloads nodes, one after another."""
+    while True:
+        name = fleet.rng.choice(list(fleet.machines))
+        await asyncio.sleep(fleet.rng.uniform(0.5, 1.5))
+        if fleet.rng.random() < RESTART_SHARE:
+            await fleet.restart_node(name)
+        else:
+            fleet.reload_node(name)
+
+
 async def play(options, seed, folder):
     """Plays once; returns the fleet, whose processes have ended."""
     began_ms = clock.now_ms()
@@ -67,6 +84,8 @@
         if not options.no_changes:
             fleet.spawn(change_often(fleet))
         silences = int(options.length_s / options.every_s)
+        if options.signals:
+            fleet.spawn(signal_often(fleet))
         for _ in range(silences if options.silence != "none" else 0):
             await asyncio.sleep(options.every_s - options.silent_s)
             if options.silence == "engines":
