--- a/tests/livefleet.py
+++ b/tests/livefleet.py
@@ -335,6 +335,8 @@
         if keeps_connections:
             for each in self.callers.values():
                 each._pool = KeptPool()
+        # By how much this process was late at most, with its callers.
+        self.longest_lag_ms = 0.0
         self._folder = folder
         self._code = code
         self._tasks = set()
@@ -398,6 +400,7 @@
             await self.__aexit__()
             raise
         self.spawn(self._run_balancer())
+        self.spawn(self._measure_lag())
         return self
 
     async def __aexit__(self, *exception):
@@ -483,6 +486,13 @@
         """Has a node read its settings again."""
         self.machines[name].process.send_signal(signal.SIGHUP)
 
+    async def _measure_lag(self):
+        while True:
+            due_ms = clock.now_ms() + 50
+            await asyncio.sleep(0.05)
+            self.longest_lag_ms = max(self.longest_lag_ms,
+                                      clock.now_ms() - due_ms)
+
     def publish(self, **changes):
         """Publishes a new version of the configuration.
 
--- a/tests/livesoak.py
+++ b/tests/livesoak.py
@@ -100,6 +100,7 @@
 def show(fleet):
     """Prints how attempts ended and why nodes ended requests early."""
     print("attempts:", len(fleet.ends), "sent:", len(fleet.oracle.sent))
+    print(f"callers were late by up to {fleet.longest_lag_ms:.0f} ms")
     print(" ", dict(collections.Counter(each.how for each in fleet.ends)))
     cut = fleet.cut_answers()
     print("answers cut with time left:", len(cut))
