Model: a head that leaves as a pass ends works for its next group

On real sockets, the order to leave and the end of a pass can come in the same step of the loop; the pass then failed at answers that had just ended, and the head accepted requests for its next group and never worked on them. A pass now ends when its group does.

--- a/cardamommill/experiment/modelpasses.py
+++ b/cardamommill/experiment/modelpasses.py
@@ -117,7 +117,8 @@
                        engine, served)
         await asyncio.sleep(pass_ms / 1000)
         await self._wait_for_silent_members(engine)
-        if self._missing_member(key) or runner.is_unreachable:
+        if (not runner.is_in(key) or self._missing_member(key) or
+                runner.is_unreachable):
             return
         for job in running:
             if job.is_deadly and job.to_read <= 0 and not job.gone:
--- a/tests/livefleet.py
+++ b/tests/livefleet.py
@@ -215,6 +215,8 @@
     async def restart(self, start):
         """Has the process finish as planned, and starts another one."""
         self.terminated_ms.append(clock.now_ms())
+        # Not ready until two probes of its successor have been answered.
+        self.failed_probes = 2
         self.process.terminate()
         try:
             async with asyncio.timeout(GRACE_S):
