Keep what is known of all open attempts in a class of its own

relay.py held the list of attempts in progress and all that is asked of them. The class OpenAttempts counts, marks and ends them; no behaviour changes.

--- a/cardamommill/gateway/shell/openattempts.py
+++ b/cardamommill/gateway/shell/openattempts.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 from cardamommill.domain import model
 from cardamommill.gateway.nodes import hopheaders
 from cardamommill.gateway.requests import (
+    attemptlimit,
     attemptresult,
     eventparser,
     streamprogress,
@@ -108,3 +110,101 @@
     def on_event(self, one: OpenAttempt, head: upstream.Head,
                  event: eventparser.Event) -> bool:
         """Takes an event of an attempt; returns False after a gap."""
+
+
+class OpenAttempts:
+    """The attempts of one request that have not ended, the oldest first."""
+
+    def __init__(self, ended: attemptlimit.AttemptLimit) -> None:
+        """Initialises the instance without attempts.
+
+        Args:
+            ended: Counts the attempts that have ended.
+        """
+        self._ended = ended
+        self._open: list[OpenAttempt] = []
+
+    def __iter__(self) -> Iterator[OpenAttempt]:
+        return iter(self._open)
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    @property
+    def oldest(self) -> OpenAttempt:
+        """The first of them; there must be one."""
+        return self._open[0]
+
+    def add(self, one: OpenAttempt) -> None:
+        """Adds an attempt that was begun."""
+        self._open.append(one)
+
+    def remove(self, one: OpenAttempt) -> bool:
+        """Removes an attempt that has ended; returns whether it was here."""
+        if one not in self._open:
+            return False
+        self._open.remove(one)
+        if one.timer is not None:
+            one.timer.cancel()
+        return True
+
+    def at_runners(self) -> list[OpenAttempt]:
+        """Returns those that were sent to runners, not to peers."""
+        return [
+            each for each in self._open
+            if isinstance(each.target, targets.Target)
+        ]
+
+    @property
+    def are_silent(self) -> bool:
+        """Whether there are any, and all of them are silent."""
+        return bool(self._open) and all(each.is_silent for each in self._open)
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether any of them was handed to a connection."""
+        return any(not each.is_unsent for each in self._open)
+
+    def cancel_all(self, result: attemptresult.Result, reason: str) -> None:
+        """Ends all of them."""
+        cancel(list(self._open), result, reason)
+
+    def count_runs(self, is_isolated: bool, max_attempts: int) -> int:
+        """Returns how many attempts count, open ones and those that have ended.
+
+        Args:
+            is_isolated: Whether the node suspects its own isolation.
+            max_attempts: How many the route allows.
+        """
+        return self._ended.count(is_isolated) + sum(
+            each.runs(is_isolated, self.runs_left(each, max_attempts))
+            for each in self._open)
+
+    def runs_left(self, hop: OpenAttempt, max_attempts: int) -> int:
+        """Returns how many attempts a peer may make that doesn't say."""
+        others = sum(
+            each.runs(True, 0) for each in self._open if each is not hop)
+        return max(0, max_attempts - self._ended.count(True) - others)
+
+
+def cancel(chosen: Iterable[OpenAttempt], result: attemptresult.Result,
+           reason: str) -> None:
+    """Ends some attempts."""
+    for each in chosen:
+        each.cancel(result, reason)
+
+
+def mark_silent(chosen: Iterable[OpenAttempt], is_dead: bool) -> bool:
+    """Marks attempts as silent; returns whether that is new for any of them.
+
+    Args:
+        chosen: The attempts.
+        is_dead: Whether their group has lost a member.
+    """
+    has_changed = False
+    for each in chosen:
+        has_changed |= not each.is_silent or (is_dead and
+                                              not each.has_lost_member)
+        each.is_silent = True
+        each.has_lost_member |= is_dead
+    return has_changed
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -124,8 +124,7 @@
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
-        # The attempts in progress, the oldest first.
-        self._open: list[openattempts.OpenAttempt] = []
+        self._open = openattempts.OpenAttempts(self._attempt_limit)
         # Whether an attempt broke since all had ended.
         self._has_broken = False
         # How the attempt ended that ended last, or that completed the answer.
@@ -226,21 +225,16 @@
         """Cancels all attempts, so that the runners' places are freed."""
         self.is_abandoned = True
         self._diversion.cancel()
-        self._cancel(self._open, attemptresult.Result.ABANDONED, "caller left")
+        self._open.cancel_all(attemptresult.Result.ABANDONED, "caller left")
 
     def end_attempts_at(self, runner: str, reason: str) -> None:
         """Ends the attempts at a runner that has ended; they may have run."""
-        self._cancel([
+        openattempts.cancel([
             each for each in self._open
             if isinstance(each.target, targets.Target) and
             each.target.known.runner.id == runner
         ], attemptresult.Result.BROKEN, reason)
 
-    def _cancel(self, chosen: Iterable[openattempts.OpenAttempt],
-                result: attemptresult.Result, reason: str) -> None:
-        for each in list(chosen):
-            each.cancel(result, reason)
-
     def divert(self,
                reason: str,
                is_dead: bool = False,
@@ -260,20 +254,13 @@
                      chosen: Iterable[openattempts.OpenAttempt],
                      reason: str,
                      is_dead: bool = False) -> None:
-        if self.route is None or not self.route.repeatable:
-            return
-        has_changed = False
-        for each in chosen:
-            has_changed |= not each.is_silent or (is_dead and
-                                                  not each.has_lost_member)
-            each.is_silent = True
-            each.has_lost_member |= is_dead
-        if has_changed:
+        if (self.route is not None and self.route.repeatable and
+                openattempts.mark_silent(chosen, is_dead)):
             self._search(reason)
 
     def _search(self, reason: str, delay_ms: float = 0.0) -> None:
         """Searches another target if all attempts in progress are silent."""
-        if self._open and all(each.is_silent for each in self._open):
+        if self._open.are_silent:
             self._diversion.start(reason, delay_ms)
 
     def leave_runner(self, reason: str) -> None:
@@ -281,12 +268,9 @@
 
         Runners may go on with open connections and refuse new ones.
         """
-        at_runners = [
-            each for each in self._open
-            if isinstance(each.target, targets.Target)
-        ]
-        self._cancel([each for each in at_runners if each.is_unsent],
-                     attemptresult.Result.BROKEN, reason)
+        at_runners = self._open.at_runners()
+        openattempts.cancel([each for each in at_runners if each.is_unsent],
+                            attemptresult.Result.BROKEN, reason)
         now_ms = clock.now_ms()
         self._mark_silent([
             each for each in at_runners
@@ -316,7 +300,7 @@
             if not is_alive:
                 self._mark_silent(hops, PEER_SILENT)
             return
-        self._cancel([
+        openattempts.cancel([
             each for each in hops if not is_alive or
             (self.streaming and now_ms - each.sent_ms > HOP_FIRST_EVENT_MS)
         ], attemptresult.Result.BROKEN, PEER_SILENT)
@@ -342,7 +326,7 @@
             each for each in silent
             if each.has_lost_member and not self.reply.started
         ]
-        self._cancel(dead, attemptresult.Result.DIVERTED, reason)
+        openattempts.cancel(dead, attemptresult.Result.DIVERTED, reason)
         return target is not None or len(dead) == len(silent)
 
     def _find_diversion(self) -> targets.Target | targets.PeerTarget | None:
@@ -367,8 +351,8 @@
             # its connection would stay in use for ever.
             _LOG.exception(logs.line("request-failed", request=self.attempt_id))
             self._diversion.cancel()
-            self._cancel(self._open, attemptresult.Result.ABANDONED,
-                         "a fault of this node")
+            self._open.cancel_all(attemptresult.Result.ABANDONED,
+                                  "a fault of this node")
             self._conclusion.fail(repr(error))
 
     async def _serve(self) -> None:
@@ -411,7 +395,7 @@
         That is the end of the attempt that completed the answer, else the last.
         """
         while self._open:
-            one = self._open[0]
+            one = self._open.oldest
             await one.attempt.done
             self._close(one)
         return self._last_end
@@ -509,7 +493,7 @@
             data = self._request_bytes(target, now_ms)
             self._node.on_attempt_start(self, target, self._is_retry)
             self.attempted.append(target)
-        self._open.append(one)
+        self._open.add(one)
         repeatable = self.route is not None and self.route.repeatable
         one.attempt.exchange = self._node.pool.send(
             address, data, one.attempt, new_connection=not repeatable)
@@ -520,11 +504,8 @@
 
     def _close(self, one: openattempts.OpenAttempt) -> None:
         """Records the end of an attempt, once."""
-        if one not in self._open:
+        if not self._open.remove(one):
             return
-        if one.timer is not None:
-            one.timer.cancel()
-        self._open.remove(one)
         outcome = self._check_complete(one, one.attempt.done.result())
         if isinstance(one.target, targets.PeerTarget):
             self._record_hop(one, one.target, outcome)
@@ -537,8 +518,8 @@
             self._last_end = _End(one.target, outcome)
         if self._is_answer_complete or not self._open:
             self._diversion.cancel()
-            self._cancel(self._open, attemptresult.Result.DIVERTED,
-                         "another attempt completed the answer")
+            self._open.cancel_all(attemptresult.Result.DIVERTED,
+                                  "another attempt completed the answer")
         else:
             delay_ms = (self._node.repeat_delay_ms(self)
                         if self._has_broken else 0.0)
@@ -566,7 +547,9 @@
                     outcome: attempts.Outcome) -> None:
         if retrydecision.may_have_run(outcome.result):
             # Without its answer, the peer may have made all that were left.
-            by_peer = one.runs(True, self._runs_left(one))
+            assert self.route is not None
+            by_peer = one.runs(
+                True, self._open.runs_left(one, self.route.max_attempts))
             self.may_have_run = self._has_arrived = True
             self._attempt_limit.record_by_peer(by_peer)
         self._node.on_hop_end(self, target, outcome)
@@ -587,23 +570,12 @@
     @property
     def _has_reached_runner(self) -> bool:
         """Whether a runner has the request, or may have had it."""
-        return self._has_arrived or any(
-            not each.is_unsent for each in self._open)
+        return self._has_arrived or self._open.has_sent
 
     def _count_runs(self, is_isolated: bool) -> int:
         """Returns how many attempts count towards the route's limit."""
-        return self._attempt_limit.count(is_isolated) + sum(
-            each.runs(is_isolated, self._runs_left(each))
-            for each in self._open)
-
-    def _runs_left(self, hop: openattempts.OpenAttempt) -> int:
-        """Returns how many attempts a peer may make that doesn't say."""
         assert self.route is not None
-        others = sum(
-            each.runs(True, 0) for each in self._open if each is not hop)
-        return max(
-            0,
-            self.route.max_attempts - self._attempt_limit.count(True) - others)
+        return self._open.count_runs(is_isolated, self.route.max_attempts)
 
     def _may_retry(self) -> bool:
         """Whether another attempt is allowed, beside those in progress."""
@@ -662,9 +634,9 @@
         order = one.progress.record(event)
         if order is not streamprogress.EventPosition.NEXT:
             return order is streamprogress.EventPosition.REPEATED
-        self._cancel([each for each in self._open if each is not one],
-                     attemptresult.Result.DIVERTED,
-                     "another attempt brought the next event")
+        openattempts.cancel([each for each in self._open if each is not one],
+                            attemptresult.Result.DIVERTED,
+                            "another attempt brought the next event")
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
             self.reply.start(head.status, forwarding.caller_headers(head))
