Add a failing test of a late answer about a runner that has answered since

Review of: record_standstill ignores a newer report, unlike record_no_answer, so that a runner that answers seems to stand still.

--- a/tests/gateway/shell/test_standing_runners.py
+++ b/tests/gateway/shell/test_standing_runners.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cardamommill.domain import clock
+from tests.gateway import builders
 from tests.gateway.shell import test_alarms
 
 
@@ -44,3 +45,15 @@
     bench = test_alarms.run(lambda bench: bench.fall_silent(for_ms=1500),
                             after_script=send_one_more)
     assert bench.relay.reasons
+
+
+def test_runner_that_answered_a_later_probe_does_not_stand_still():
+    """An earlier probe of it ran out of time after that.
+
+    The requests of its group left it, and it was avoided.
+    """
+    view = builders.view(builders.runner(1))
+    (known,) = view.known.values()
+    view.apply_report(known.runner.id, builders.report(0), 2100.0, 0.0)
+    view.record_standstill(known.runner.id, 2000.0)
+    assert not known.still_since_ms
