--- a/cardamommill/requests.py
+++ b/cardamommill/requests.py
@@ -1,12 +1,15 @@
 """The controller that takes each request from its arrival to its answer."""
 
+import collections
 from collections.abc import Callable, Iterator
+import dataclasses
 import functools
 from typing import Any
 
 from cardamommill import (
     actions,
     answers,
+    choice,
     controller,
     dispatching,
     endings,
@@ -122,28 +125,98 @@
 
         A runner that stands still keeps its connections: a caller whose
         request was there got nothing for 30 s, though others could serve it.
+        But it may go on, so silence ends no attempt that none can follow.
         """
         if now_ms - self._looked_ms < LOOK_MS:
             return
         self._looked_ms = now_ms
-        lost: dict[str, bool] = {}
+        since_pause_ms = now_ms - self.board.life.not_before_ms
+        if since_pause_ms < self._timing.evidence_max_age_ms:
+            # The evidence of runners that serve has not all come yet.
+            return
+        silent_since: dict[str, int | None] = {}
+        left: collections.Counter[str] = collections.Counter()
+        retried: collections.Counter[str] = collections.Counter()
         for request in self._register.running():
             target = request.target
             if (target is None or target.remote_node or request.claimed or
                     not request.head.repeatable or request.gone):
                 continue
-            if target.replica_id not in lost:
-                lost[target.replica_id] = not self._serves(target, now_ms)
-            if lost[target.replica_id]:
+            replica_id = target.replica_id
+            if replica_id not in silent_since:
+                silent_since[replica_id] = self._silent_since_ms(target, now_ms)
+            since_ms = silent_since[replica_id]
+            if since_ms is not None and (
+                    self._has_ended(request, target) or
+                    self._may_leave(request, since_ms, left, retried, now_ms)):
                 yield actions.AbandonAttempt(request.head.request_id,
                                              request.attempt_id,
                                              self._timing.evidence_max_age_ms,
                                              "its replica serves no more")
 
-    def _serves(self, target: requesting.Target, now_ms: int) -> bool:
+    def _has_ended(self, request: _InProgress,
+                   target: requesting.Target) -> bool:
+        """Tells whether a run is certainly over, and not only silent.
+
+        Its VM is gone from the platform's list, its runner started again, or
+        its replica was formed anew.
+
+        Args:
+            request: A running one.
+            target: Where it runs.
+        """
         row = self.board.assignments.replicas.get(target.replica_id)
-        return row is not None and serving.serving_replica(
-            self.board, row, self._timing, now_ms) is not None
+        evidence = self.board.evidence.by_vm.get(target.vm_id)
+        return (row is None or choice.place(row) != choice.place(target) or
+                target.vm_id not in self.board.vms.listed or
+                (evidence is not None and bool(request.boot_id) and
+                 evidence.report.boot_id != request.boot_id))
+
+    def _may_leave(self, request: _InProgress, since_ms: int,
+                   left: "collections.Counter[str]",
+                   retried: "collections.Counter[str]", now_ms: int) -> bool:
+        """Tells whether another attempt may follow on a silent one.
+
+        If not, its end would be the end of an answer that may still come.
+
+        Args:
+            request: A running one.
+            since_ms: Since when its replica is silent.
+            left: How many of each service are left before it; counted here.
+            retried: How many of those take a retry; counted here.
+            now_ms: The local monotonic time.
+        """
+        service = request.head.service
+        ended = self._ended(request, _Outcome.UNKNOWN, True,
+                            not request.started, now_ms)
+        # The next place may refuse it, which takes one more attempt.
+        ended = dataclasses.replace(ended, attempts=ended.attempts + 1)
+        if (retries.hurdle(ended) is not None or left[service]
+                >= self._dispatching.room(request, since_ms, now_ms)):
+            return False
+        if not retries.is_free(ended):
+            if retried[service] + 1 > self._ends.work[service].budget.left:
+                return False
+            retried[service] += 1
+        left[service] += 1
+        return True
+
+    def _silent_since_ms(self, target: requesting.Target,
+                         now_ms: int) -> int | None:
+        """Returns since when a replica is silent; None if it serves."""
+        row = self.board.assignments.replicas.get(target.replica_id)
+        if row is None:
+            return board_lib.NEVER_MS
+        if serving.serving_replica(self.board, row, self._timing,
+                                   now_ms) is not None:
+            return None
+        heard_ms = serving.heard_ms(self.board, row)
+        if now_ms - heard_ms < self._timing.evidence_max_age_ms:
+            # All its members answer: it says itself that it does not serve.
+            return board_lib.NEVER_MS
+        # When its next answer was due. What others said before that does not
+        # tell whether they fell silent with it.
+        return heard_ms + self._timing.poll_ms
 
     # --- What happens to a running request ---
 
@@ -162,6 +235,9 @@
             return ()
         request.delivered = max(request.delivered, event.delivered)
         request.started = request.started or event.delivered > 0
+        if event.silent and request.target is not None:
+            # It has not failed there, and may go on there once others refuse.
+            request.tried.discard(choice.place(request.target))
         crash = (self._register.crash(request)
                  if event.connection_lost else None)
         closed: actions.Actions = (actions.Notify(crash),) if crash else ()
@@ -190,19 +266,9 @@
         """Retries or resumes where that is allowed, or else answers."""
         head = request.head
         work = self._ends.work[head.service]
-        engine = self._ends.document(head.service).engine
-        fresh = not request.delivered
-        ended = retries.Ended(outcome=event.outcome,
-                              reached=event.outcome is not _Outcome.NOT_RUN or
-                              event.status > 0,
-                              repeatable=head.repeatable,
-                              progress=request.progress,
-                              resumable=engine.can_resume or fresh,
-                              suspect=request.suspect,
-                              attempts=request.attempts,
-                              left_ms=head.deadline_ms - now_ms -
-                              (work.pace.run_ms if fresh else 0),
-                              crowded=len(work.queue) > 0)
+        ended = self._ended(
+            request, event.outcome, event.outcome is not _Outcome.NOT_RUN or
+            event.status > 0, not request.delivered, now_ms)
         why_not = ("its caller has gone" if request.gone else retries.why_not(
             ended, work.budget))
         if why_not is None:
@@ -220,6 +286,31 @@
                                                 self.random))
         return self._ends.refuse(request, problem)
 
+    def _ended(self, request: _InProgress, outcome: _Outcome, reached: bool,
+               fresh: bool, now_ms: int) -> retries.Ended:
+        """Returns what decides whether another attempt may follow.
+
+        Args:
+            request: The request.
+            outcome: Of its last attempt.
+            reached: Whether that reached a backend server, as far as is known.
+            fresh: Whether the next one would run it from the beginning.
+            now_ms: The local monotonic time.
+        """
+        head = request.head
+        work = self._ends.work[head.service]
+        engine = self._ends.document(head.service).engine
+        return retries.Ended(outcome=outcome,
+                             reached=reached,
+                             repeatable=head.repeatable,
+                             progress=request.progress,
+                             resumable=engine.can_resume or fresh,
+                             suspect=request.suspect,
+                             attempts=request.attempts,
+                             left_ms=head.deadline_ms - now_ms -
+                             (work.pace.run_ms if fresh else 0),
+                             crowded=len(work.queue) > 0)
+
     # --- Ends ---
 
     def _claim_refused(self, request: _InProgress, event: events.ClaimRefused,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,9 +11,11 @@
     controller,
     documents,
     events,
+    lifecycle,
     peering,
     periods,
     requesting,
+    retries,
 )
 from cardamommill import board as board_lib
 from tests import requestnode
@@ -229,10 +231,11 @@
     node = requestnode.Node()
     dispatch = dispatched(node.arrive("a"))
     node.arrive("b", repeatable=False)
-    node.step(events.ClaimGranted("b"))
+    once = dispatched(node.step(events.ClaimGranted("b")))
     assert not of_kind(node.tick(500), actions.AbandonAttempt)
     timing = periods.Timing()
-    left = of_kind(node.tick(timing.evidence_max_age_ms, refresh=False),
+    node.still.update((dispatch.target.replica_id, once.target.replica_id))
+    left = of_kind(node.tick(timing.evidence_max_age_ms),
                    actions.AbandonAttempt)
     assert left == [
         actions.AbandonAttempt("a", dispatch.attempt_id,
@@ -241,6 +244,158 @@
     ]
 
 
+def stand_still(node: requestnode.Node, *replicas: str) -> list:
+    """Lets replicas stand still until attempts there may be left."""
+    node.still.update(replicas)
+    steps = periods.Timing().evidence_max_age_ms // 100 + 5
+    return [
+        each for _ in range(steps)
+        for each in of_kind(node.tick(100), actions.AbandonAttempt)
+    ]
+
+
+@pytest.mark.parametrize("engine, attempts, suspect", [
+    (documents.Engine(), 1, False),
+    (documents.Engine(can_resume=True), 3, False),
+    (documents.Engine(can_resume=True), 1, True),
+])
+def test_stream_that_may_not_go_on_elsewhere_is_not_left(
+        engine, attempts, suspect):
+    """The end of its attempt would be the end of its answer."""
+    node = requestnode.Node(doc=requestnode.document(engine=engine))
+    if suspect:
+        node.board.suspects.by_digest["digest-a"] = peering.Suspicion(
+            "digest-a", peering.SuspectState.SUSPECT, ("crash",))
+    dispatch = dispatched(node.arrive("a"))
+    for _ in range(attempts - 1):
+        dispatch = dispatched(node.ended(dispatch, UNKNOWN, whole=False))
+    node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+    assert not stand_still(node, dispatch.target.replica_id)
+
+
+@pytest.mark.parametrize("proof", ["gone", "formed anew", "started again"])
+def test_stream_whose_run_is_over_is_left_in_any_case(proof):
+    """Nothing more can come of it; its caller would wait to its deadline."""
+    node = requestnode.Node(doc=requestnode.document(engine=documents.Engine()))
+    dispatch = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", dispatch.attempt_id, 200))
+    replica, vm_id = dispatch.target.replica_id, dispatch.target.vm_id
+    rows, by_vm = node.board.assignments.replicas, node.board.evidence.by_vm
+    if proof == "gone":
+        del node.board.vms.listed[vm_id]
+    elif proof == "formed anew":
+        rows[replica] = dataclasses.replace(rows[replica], formation=2)
+    else:
+        report = dataclasses.replace(by_vm[vm_id].report, boot_id="next")
+        by_vm[vm_id] = dataclasses.replace(by_vm[vm_id], report=report)
+    assert stand_still(node, replica)[0].attempt_id == dispatch.attempt_id
+
+
+def begun(node: requestnode.Node, count: int) -> list[actions.Dispatch]:
+    """Returns the dispatches of streams that have begun."""
+    sent = [dispatched(node.arrive(f"a{number}")) for number in range(count)]
+    for each in sent:
+        node.step(events.AttemptStarted(each.request_id, each.attempt_id, 200))
+    return sent
+
+
+def test_streams_stay_at_replicas_that_are_all_silent():
+    """Each of them may go on, and nobody else can take their streams."""
+    node = requestnode.Node(replicas=2)
+    begun(node, 4)
+    assert not stand_still(node, "r0", "r1")
+
+
+def test_streams_do_not_go_to_replicas_that_fell_silent_with_theirs():
+    """The last word of the other one is younger, and from before as well."""
+    node = requestnode.Node(replicas=2)
+    first = begun(node, 1)[0].target.replica_id
+    node.still.add(first)
+    node.tick(periods.Timing().poll_ms - 100)
+    assert not stand_still(node, "r0", "r1")
+    node.still.remove("r1" if first == "r0" else "r0")
+    assert of_kind(node.tick(500), actions.AbandonAttempt)
+
+
+def test_no_more_streams_are_left_than_find_a_place():
+    """A full replica stands still; the other has one place left.
+
+    The rest would wait in vain, while the first one goes on.
+    """
+    node = requestnode.Node(replicas=2)
+    sent = begun(node, 8)
+    first = [each for each in sent if each.target.replica_id == "r0"]
+    second = [each for each in sent if each.target.replica_id == "r1"]
+    assert len(first) == len(second) == 4
+    node.ended(second[0])
+    left = stand_still(node, "r0")
+    assert {each.attempt_id for each in left} == {first[0].attempt_id}
+    moved = dispatched(
+        node.ended(first[0], UNKNOWN, whole=False, delivered=3, silent=True))
+    assert moved.target.replica_id == "r1"
+
+
+def test_stream_is_left_for_another_data_centre_that_has_room():
+    node = requestnode.Node(replicas=1)
+    first, second = begun(node, 2)
+    node.summary(free_slots=1)
+    left = stand_still(node, "r0")
+    assert {each.attempt_id for each in left} == {first.attempt_id}
+    assert not node.ended(first, UNKNOWN, whole=False, delivered=3, silent=True)
+    moved = dispatched(node.tick(1000))
+    assert moved.target.remote_node and moved.resume_from == 3
+    assert not stand_still(node, "r0")
+    del second
+
+
+def test_no_more_attempts_are_left_than_may_be_made_anew():
+    """A replica with more requests than there are retries stands still."""
+    node = requestnode.Node(replicas=2, slots=100)
+    sent = [dispatched(node.arrive(f"a{number}")) for number in range(60)]
+    replica = sent[0].target.replica_id
+    there = [each for each in sent if each.target.replica_id == replica]
+    assert len(there) > retries.RESERVE
+    left = {each.attempt_id for each in stand_still(node, replica)}
+    assert 0 < len(left) <= retries.RESERVE
+    for each in there:
+        if each.attempt_id in left:
+            dispatched(node.ended(each, UNKNOWN, whole=False, silent=True))
+
+
+def test_place_that_was_left_for_its_silence_may_be_used_again():
+    """It goes on a moment later, when the only other one has refused."""
+    node = requestnode.Node(replicas=2)
+    first = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    left = stand_still(node, first.target.replica_id)
+    assert left[0].attempt_id == first.attempt_id
+    second = dispatched(
+        node.ended(first, UNKNOWN, whole=False, delivered=3, silent=True))
+    assert second.target.replica_id != first.target.replica_id
+    assert node.ended(second, NOT_RUN, whole=False, status=503,
+                      delivered=3) == []
+    node.still.clear()
+    third = dispatched(node.tick(1000))
+    assert third.target.replica_id == first.target.replica_id
+    assert third.resume_from == 3
+
+
+def test_pause_of_this_node_is_no_silence_of_its_runners():
+    """The node stood still: its evidence grew old, and it read no answers.
+
+    Runners that answer are asked anew before an attempt is left.
+    """
+    node = requestnode.Node(kinds=requestnode.KINDS + (lifecycle.Lifecycle,))
+    dispatch = dispatched(node.arrive("a"))
+    node.step(events.Paused(5000), 5000)
+    assert not of_kind(node.tick(0, refresh=False), actions.AbandonAttempt)
+    node.still.add(dispatch.target.replica_id)
+    timing = periods.Timing()
+    for _ in range(timing.evidence_max_age_ms // 100 - 1):
+        assert not of_kind(node.tick(100), actions.AbandonAttempt)
+    assert of_kind(node.tick(500), actions.AbandonAttempt)
+
+
 def test_caller_that_goes_ends_a_repeatable_attempt_only():
     node = node_with_notices()
     dispatch = dispatched(node.arrive("a"))
@@ -328,6 +483,33 @@
     assert refused(node.tick(5000, refresh=False)).status == 503
 
 
+def test_queue_that_is_too_long_breaks_off_no_stream():
+    """A stream waits to go on; more urgent requests come than may wait."""
+    doc = requestnode.document(limits=documents.Limits(queue_length=2))
+    node = requestnode.Node(replicas=2, doc=doc, slots=2)
+    first = dispatched(node.arrive("a", priority=9))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    for number in range(3):
+        dispatched(node.arrive(f"b{number}"))
+    assert node.ended(first, UNKNOWN, whole=False, delivered=3) == []
+    done = [each for number in range(4) for each in node.arrive(f"c{number}")]
+    assert [each.request_id for each in of_kind(done, actions.Refuse)
+           ] == ["c2", "c3"]
+
+
+def test_broken_stream_waits_for_evidence_however_old_it_is():
+    """All replicas are silent at the moment; one of them goes on soon."""
+    node = requestnode.Node()
+    first = dispatched(node.arrive("a"))
+    node.step(events.AttemptStarted("a", first.attempt_id, 200))
+    for _ in range(100):
+        node.tick(100)
+    node.now_ms += periods.Timing().evidence_max_age_ms
+    assert node.ended(first, UNKNOWN, whole=False, delivered=3) == []
+    assert node.tick(1000, refresh=False) == []
+    assert dispatched(node.tick(1000)).resume_from == 3
+
+
 @pytest.mark.parametrize("hop, spills", [(0, True), (1, False)])
 def test_goes_to_another_data_centre_once(hop, spills):
     node = requestnode.Node(replicas=0)
