--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -90,6 +90,24 @@
     asyncio.run(run())
 
 
+def test_evidence_is_awaited_although_the_other_group_is_given_up_meanwhile():
+    """The next alarm about the first group ended the wait of the search."""
+
+    async def script(node, one):
+        node.route = dataclasses.replace(node.route, max_attempts=3)
+        one.route = node.route
+        node.repeat_delay_ms = lambda one: 100.0
+        one.divert("group stands still")
+        await settle()
+        node.exchanges[1].cut()
+        await settle()
+        one.divert("member does not answer", is_dead=True)
+        await settle()
+        assert len(node.exchanges) == 2
+
+    play(script)
+
+
 def test_evidence_is_awaited_whichever_attempt_ends_last():
     """The second runner broke the connection, then the first one refused.
 
