--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -90,6 +90,24 @@
     asyncio.run(run())
 
 
+def test_evidence_is_awaited_although_the_other_group_is_given_up_meanwhile():
+    """The next alarm about the first group ended the wait of the search."""
+
+    async def script(node, one):
+        node.route = dataclasses.replace(node.route, max_attempts=3)
+        one.route = node.route
+        node.repeat_delay_ms = lambda one: 100.0
+        one.divert("group stands still")
+        await settle()
+        node.exchanges[1].cut()
+        await settle()
+        one.divert("member does not answer", is_dead=True)
+        await settle()
+        assert len(node.exchanges) == 2
+
+    play(script)
+
+
 def test_evidence_is_awaited_whichever_attempt_ends_last():
     """The second runner broke the connection, then the first one refused.
 
@@ -112,6 +130,26 @@
     assert len(node.exchanges) == 2
 
 
+def test_open_attempt_counts_although_its_group_seems_dead():
+    """The second group seems to have lost a member and goes on all the same.
+
+    Its attempt stays open, since the answer has begun, and was not counted: the
+    request ran on three runners where its route allows two.
+    """
+
+    async def script(node, one):
+        node.exchanges[0].head(200)
+        node.exchanges[0].event(1)
+        one.divert("group stands still")
+        await settle()
+        one.divert("member does not answer", is_dead=True)
+        await asyncio.sleep(2 * diversion.POLL_MS / 1000)
+        is_open = [not each.cancelled for each in node.exchanges]
+        assert is_open.count(True) <= 2
+
+    play(script)
+
+
 @pytest.mark.parametrize("failing", [0, 1])
 def test_fault_of_the_node_leaves_no_attempt_open(failing):
     """The end of one of two attempts can't be recorded.
