--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -249,6 +249,8 @@
         known = self.known.get(runner_id)
         if known is None or known.down_ms or not known.listed:
             return False
+        if asked_ms < known.report_ms:
+            return True
         known.still_since_ms = known.still_since_ms or asked_ms
         self.still[runner_id] = None
         return asked_ms - known.still_since_ms < MAX_STANDSTILL_MS
--- a/cardamommill/gateway/shell/diversion.py
+++ b/cardamommill/gateway/shell/diversion.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from cardamommill.domain import clock
+
 # Interval of the search for a group to continue at.
 POLL_MS = 40.0
 
@@ -19,19 +21,24 @@
         """
         self._send_elsewhere = send_elsewhere
         self._timer: asyncio.TimerHandle | None = None
+        self._not_before_ms = float("-inf")
 
     def start(self, reason: str, delay_ms: float = 0.0) -> None:
         """Searches until a target is found or the search is cancelled.
 
         Args:
             reason: The reason for the log.
-            delay_ms: When the search begins.
+            delay_ms: When the search begins; one that is started meanwhile
+                begins no earlier.
         """
         self.cancel()
-        if not delay_ms and self._send_elsewhere(reason):
+        now_ms = clock.now_ms()
+        self._not_before_ms = max(self._not_before_ms, now_ms + delay_ms)
+        wait_ms = self._not_before_ms - now_ms
+        if wait_ms <= 0 and self._send_elsewhere(reason):
             return
         self._timer = asyncio.get_running_loop().call_later(
-            (delay_ms or POLL_MS) / 1000, self.start, reason)
+            (wait_ms if wait_ms > 0 else POLL_MS) / 1000, self.start, reason)
 
     def cancel(self) -> None:
         """Stops the search."""
--- a/cardamommill/gateway/shell/openattempts.py
+++ b/cardamommill/gateway/shell/openattempts.py
@@ -169,16 +169,19 @@
         """Ends all of them."""
         cancel(list(self._open), result, reason)
 
-    def count_runs(self, is_isolated: bool, max_attempts: int) -> int:
+    def count_runs(self, is_isolated: bool, max_attempts: int,
+                   are_kept: bool) -> int:
         """Returns how many attempts count, open ones and those that have ended.
 
         Args:
             is_isolated: Whether the node suspects its own isolation.
             max_attempts: How many the route allows.
+            are_kept: Whether open ones stay although their group seems dead; it
+                may run the request then.
         """
         return self._ended.count(is_isolated) + sum(
-            each.runs(is_isolated, self.runs_left(each, max_attempts))
-            for each in self._open)
+            each.runs(is_isolated or are_kept, self.runs_left(
+                each, max_attempts)) for each in self._open)
 
     def runs_left(self, hop: OpenAttempt, max_attempts: int) -> int:
         """Returns how many attempts a peer may make that doesn't say."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -575,7 +575,9 @@
     def _count_runs(self, is_isolated: bool) -> int:
         """Returns how many attempts count towards the route's limit."""
         assert self.route is not None
-        return self._open.count_runs(is_isolated, self.route.max_attempts)
+        return self._open.count_runs(is_isolated,
+                                     self.route.max_attempts,
+                                     are_kept=self.reply.started)
 
     def _may_retry(self) -> bool:
         """Whether another attempt is allowed, beside those in progress."""
