Do not take crashes for a coincidence that evident requests explain together

Change: crashes are no coincidence if requests with three crashes, at two moments or more and one of them without another suspect, explain all of that time.

Measured: the test of the cause failed before and passes now.

--- a/cardamommill/gateway/requests/crashcauses.py
+++ b/cardamommill/gateway/requests/crashcauses.py
@@ -11,7 +11,7 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 import dataclasses
 
 # A request that was in this many crashes is not sent to another runner by the
@@ -27,6 +27,10 @@
 # requests that crash runners are at the same ones again and again, while one
 # that does no harm runs whole between two moments.
 CERTAIN_MOMENTS = 4
+# Requests with enough crashes to be kept from runners, at this many moments and
+# one of them without another suspect, do not excuse each other by coincidence
+# where they explain all crashes of the time.
+EVIDENT_MOMENTS = 2
 # Crashes within this time may have a common cause that is no request.
 COINCIDENCE_MS = 1000.0
 # How long a crash is remembered, and a request that ran whole after one: long
@@ -218,9 +222,8 @@
         recurring = {
             digest: crashes
             for digest, crashes in by_request.items()
-            if len(crashes) >= CERTAIN_CRASHES and _count_moments(
-                self._crashes[each].at_ms
-                for each in crashes) >= CERTAIN_MOMENTS
+            if len(crashes) >= CERTAIN_CRASHES and
+            self._count_moments(crashes) >= CERTAIN_MOMENTS
         }
         explained = explained.union(*recurring.values())
         return {
@@ -245,6 +248,11 @@
         """
         suspects_of = collections.Counter(
             crash for crashes in suspects.values() for crash in crashes)
+        alone = {crash for crash, count in suspects_of.items() if count == 1}
+        evident: set[int] = set().union(
+            *(crashes for crashes in suspects.values()
+              if len(crashes) >= QUARANTINE_CRASHES and crashes &
+              alone and self._count_moments(crashes) >= EVIDENT_MOMENTS))
         best: list[int] = []
         most = 0
         for digest, crashes in sorted(suspects.items()):
@@ -257,7 +265,8 @@
                     each for each, others in suspects.items()
                     if others == crashes
                 ]
-            elif (self._is_alone(crashes, suspects_of, explained) or
+            elif ((crashes & alone and
+                   not self._is_coincidence(crashes, explained, evident)) or
                   self._is_common_cause(digest, suspects, explained)):
                 best = [digest]
             else:
@@ -265,12 +274,6 @@
             most = len(crashes)
         return best
 
-    def _is_alone(self, crashes: set[int], suspects_of: dict[int, int],
-                  explained: set[int]) -> bool:
-        """Whether one of the crashes has no other suspect."""
-        return (any(suspects_of[each] == 1 for each in crashes) and
-                not self._is_coincidence(crashes, explained))
-
     def _is_common_cause(self, digest: int, suspects: dict[int, set[int]],
                          explained: set[int]) -> bool:
         """Whether a request explains what several others would have to."""
@@ -281,9 +284,21 @@
                     for each, others in suspects.items()
                     if each != digest))
 
-    def _is_coincidence(self, crashes: set[int], explained: set[int]) -> bool:
-        """Whether more other runners crashed at the time of these crashes."""
-        return self._count_others(crashes, explained) > len(crashes)
+    def _is_coincidence(
+        self,
+        crashes: set[int],
+        explained: set[int],
+        evident: Set[int] = frozenset()) -> bool:
+        """Whether more other runners crashed at the time of these crashes.
+
+        Args:
+            crashes: Those for which a request may be blamed.
+            explained: Those for which other requests are blamed.
+            evident: Those of requests that explain many. If they are all others
+                of that time, these requests are its cause.
+        """
+        return (self._count_others(crashes, explained) > len(crashes) and
+                self._count_others(crashes, explained | evident) > 0)
 
     def _count_others(self, crashes: set[int], explained: set[int]) -> int:
         """Returns how many other runners crashed at the time of these."""
@@ -295,11 +310,10 @@
             for runner, crash in self._crashes.items()
             if runner not in crashes and runner not in explained)
 
-
-def _count_moments(times_ms: Iterable[float]) -> int:
-    """Returns how many of some times are apart from one another."""
-    count, last_ms = 0, float("-inf")
-    for at_ms in sorted(times_ms):
-        if at_ms - last_ms >= COINCIDENCE_MS:
-            count, last_ms = count + 1, at_ms
-    return count
+    def _count_moments(self, crashes: set[int]) -> int:
+        """Returns at how many times, apart from one another, these were."""
+        count, last_ms = 0, float("-inf")
+        for at_ms in sorted(self._crashes[each].at_ms for each in crashes):
+            if at_ms - last_ms >= COINCIDENCE_MS:
+                count, last_ms = count + 1, at_ms
+        return count
--- a/tests/gateway/requests/test_crashcauses.py
+++ b/tests/gateway/requests/test_crashcauses.py
@@ -138,6 +138,14 @@
     assert all(causes.blamed()[each].crashes == 6 for each in range(6))
 
 
+def test_requests_that_crash_runners_at_one_time_are_no_coincidence():
+    """Two are found at once; the third then lacks one crash of its own."""
+    crashes = [{0, 2, 10}, {0, 11}, {1, 12}, {1, 2, 13}, {1, 14}, {0, 15},
+               {2, 16}]
+    times_ms = [0, 10, 20, 110, 3060, 3140, 3310]
+    assert blamed(crashes, times_ms.__getitem__) == {0: 3, 1: 3}
+
+
 def test_request_beside_a_blamed_one_is_not_blamed_while_all_runners_crash():
     """A faulty version crashes under any request, so many have no suspect."""
     once = iter(range(100, 1000))
