--- a/cardamommill/gateway/groups/reconciliation.py
+++ b/cardamommill/gateway/groups/reconciliation.py
@@ -119,6 +119,7 @@
             idle = not scope.load(group.key).total_requests
             if now_ms - since_ms > (FOREIGN_GRACE_MS
                                     if idle else DRAIN_TIMEOUT_MS):
+                del self._unlisted_since_ms[group.key]
                 return "its head left the list"
             return ""
         self._unlisted_since_ms.pop(group.key, None)
