--- a/cardamommill/dispatching.py
+++ b/cardamommill/dispatching.py
@@ -52,8 +52,10 @@
                                           workload.Workload(head.service))
         among = work.candidates(self._board, self._timing, now_ms)
         if not among.each:
-            return refusals.without_replica(self._board, head, self._timing,
-                                            self._random, now_ms)
+            if refusals.may_come(self._board, head.service, head.received_ms,
+                                 self._timing, now_ms):
+                return None
+            return refusals.without_replica(self._timing, self._random)
         over = work.over_share(self._ends.document(head.service),
                                among.own_slots)
         ahead = work.queue.ahead(head.account, head.priority, head.deadline_ms,
@@ -123,35 +125,69 @@
         for waiting in tuple(work.queue.in_order(lambda account: False)):
             request = self._ends.register.get(waiting.request_id)
             assert request is not None
-            problem = refusals.without_replica(self._board, request.head,
-                                               self._timing, self._random,
-                                               now_ms)
-            if problem is not None:
-                wanted += self.elsewhere(request, problem, now_ms)
+            if refusals.may_come(self._board, service, request.head.received_ms,
+                                 self._timing, now_ms):
+                continue
+            # One that was sent before waits anew, or a stream would break off
+            # for a gap of one poll.
+            stays = refusals.may_come(self._board, service, request.queued_ms,
+                                      self._timing, now_ms)
+            problem = refusals.without_replica(self._timing, self._random)
+            wanted += self.elsewhere(request, problem, now_ms, stays)
         return wanted
 
-    def elsewhere(self, request: _InProgress, problem: requesting.Problem,
-                  now_ms: int) -> actions.Actions:
+    def elsewhere(self,
+                  request: _InProgress,
+                  problem: requesting.Problem,
+                  now_ms: int,
+                  stays: bool = False) -> actions.Actions:
         """Sends a request to another data centre, or else refuses it.
 
         Args:
             request: One that can't be served here.
             problem: Why not.
             now_ms: The local monotonic time.
+            stays: Whether it waits on instead of being refused.
         """
         head = request.head
-        self._ends.work[head.service].leave(head)
         found = None
-        # What may not run twice stays with the node that claimed it: no other
-        # could tell its claim from a caller's word that there is one. Its
-        # caller is told at once that it did not run, and asks elsewhere.
-        if head.repeatable and not refusals.suspicion(self._board, head.digest):
+        if self._may_go_elsewhere(head):
             found = self._spill.choose(self._board, head, request.tried,
                                        self._timing, self._random, now_ms)
+        if found is None and stays:
+            return ()
+        self._ends.work[head.service].leave(head)
         if found is None:
             return self._ends.refuse(request, problem)
         return self._send(request, found, False, now_ms)
 
+    def _may_go_elsewhere(self, head: requesting.RequestHead) -> bool:
+        # What may not run twice stays with the node that claimed it: no other
+        # could tell its claim from a caller's word that there is one. Its
+        # caller is told at once that it did not run, and asks elsewhere.
+        return head.repeatable and not refusals.suspicion(
+            self._board, head.digest)
+
+    def room(self, request: _InProgress, since_ms: int, now_ms: int) -> int:
+        """Returns for how many requests like one there is another place.
+
+        Args:
+            request: One that runs.
+            since_ms: Only replicas count that were heard since.
+            now_ms: The local monotonic time.
+        """
+        head = request.head
+        work = self._ends.work[head.service]
+        among = work.candidates(self._board, self._timing, now_ms)
+        if among.each:
+            places = choice.room(self._board, among, request.tried, since_ms,
+                                 now_ms)
+        elif self._may_go_elsewhere(head):
+            places = self._spill.room(self._board, head, self._timing, now_ms)
+        else:
+            places = 0
+        return places - len(work.queue)
+
     def publish(self, now_ms: int) -> None:
         """Writes what waits and runs to the blackboard.
 
@@ -168,13 +204,18 @@
     def _crowd_out(self, work: workload.Workload, document: documents.Document,
                    now_ms: int) -> actions.Actions:
         among = work.candidates(self._board, self._timing, now_ms)
-        last = work.queue.last(work.over_share(document, among.own_slots))
+        last = work.queue.last(work.over_share(document, among.own_slots),
+                               self._has_begun)
         request = last and self._ends.register.get(last.request_id)
         if not request:
             return ()
         problem = work.crowded_out(among.own_slots, self._random)
         return self.elsewhere(request, problem, now_ms)
 
+    def _has_begun(self, request_id: str) -> bool:
+        request = self._ends.register.get(request_id)
+        return request is not None and request.started
+
     def _give_up(self, request: _InProgress, work: workload.Workload,
                  among: choice.Candidates, now_ms: int) -> actions.Actions:
         """Answers a waiting request that has become impossible to serve."""
