Take a group that was not reached for unreachable, unless another attempt won

Cause: since an attempt that this node ended before it had a connection was no evidence against its group, whatever it was ended for. Change: only an attempt that is superseded, by one that goes on or has completed the answer, is no evidence.

--- a/cardamommill/gateway/shell/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -38,14 +38,15 @@
         reason: Why there is no complete answer.
         head: Status and headers of the answer.
         body: The body of an answer that is no stream.
-        is_cancelled: Whether this node ended the attempt.
+        is_superseded: Whether this node ended the attempt because another one
+            went on.
     """
 
     result: attemptresult.Result
     reason: str = ""
     head: upstream.Head = dataclasses.field(default_factory=upstream.Head)
     body: bytes = b""
-    is_cancelled: bool = False
+    is_superseded: bool = False
 
 
 class AnswerSink(Protocol):
@@ -73,8 +74,17 @@
         self._body = bytearray()
         self._parser: eventparser.EventParser | None = None
 
-    def cancel(self, result: attemptresult.Result, reason: str) -> None:
-        """Ends the attempt and closes its connection to the runner."""
+    def cancel(self,
+               result: attemptresult.Result,
+               reason: str,
+               is_superseded: bool = False) -> None:
+        """Ends the attempt and closes its connection to the runner.
+
+        Args:
+            result: The result, if the request was sent.
+            reason: The reason for the log.
+            is_superseded: Whether another attempt of the request goes on.
+        """
         if self.done.done():
             return
         was_sent = self.exchange is not None and self.exchange.sent
@@ -82,7 +92,8 @@
             result = attemptresult.Result.UNSENT
         if result is attemptresult.Result.TIMED_OUT and not was_sent:
             reason = f"unsent: {reason}"
-        self.done.set_result(Outcome(result, reason, is_cancelled=True))
+        self.done.set_result(
+            Outcome(result, reason, is_superseded=is_superseded))
         if self.exchange is not None:
             self.exchange.cancel()
 
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -421,7 +421,7 @@
                       fail_odds=round(
                           self.reliability.fail_odds(runner, now_ms), 2),
                       list_age_ms=int(now_ms - self._view.list_as_of_ms)))
-        if (outcome.is_cancelled and
+        if (outcome.is_superseded and
                 outcome.result is attemptresult.Result.UNSENT):
             # The runner had no time to take a connection.
             return
--- a/cardamommill/gateway/shell/openattempts.py
+++ b/cardamommill/gateway/shell/openattempts.py
@@ -169,6 +169,19 @@
         """Ends all of them."""
         cancel(list(self._open), result, reason)
 
+    def supersede(self, reason: str, kept: OpenAttempt | None = None) -> None:
+        """Ends all but the attempt that goes on, or that completed the answer.
+
+        Args:
+            reason: The reason for the log.
+            kept: The attempt that goes on; None if it has ended.
+        """
+        for each in list(self._open):
+            if each is not kept:
+                each.attempt.cancel(attemptresult.Result.DIVERTED,
+                                    reason,
+                                    is_superseded=True)
+
     def count_runs(self, is_isolated: bool, max_attempts: int,
                    are_kept: bool) -> int:
         """Returns how many attempts count, open ones and those that have ended.
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -518,8 +518,7 @@
             self._last_end = _End(one.target, outcome)
         if self._is_answer_complete or not self._open:
             self._diversion.cancel()
-            self._open.cancel_all(attemptresult.Result.DIVERTED,
-                                  "another attempt completed the answer")
+            self._open.supersede("another attempt completed the answer")
         else:
             delay_ms = (self._node.repeat_delay_ms(self)
                         if self._has_broken else 0.0)
@@ -636,9 +635,7 @@
         order = one.progress.record(event)
         if order is not streamprogress.EventPosition.NEXT:
             return order is streamprogress.EventPosition.REPEATED
-        openattempts.cancel([each for each in self._open if each is not one],
-                            attemptresult.Result.DIVERTED,
-                            "another attempt brought the next event")
+        self._open.supersede("another attempt brought the next event", one)
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
             self.reply.start(head.status, forwarding.caller_headers(head))
