Stop a test's runner before its answer, so that the next request can't come first

The runner's script answered first and stopped listening then; a thread that was put off between the two let the next request connect. The code under test is as it was (traced by reading the test; not repeated). Change: the script stops listening before it answers. The test asserts the same: the first request is answered, the second finds no listener and has not run.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -215,8 +215,9 @@
     """
 
     def script(received, send):
-        edge.json_answer()(received, send)
+        # Before its answer, or the next request may come first.
         runner.stop_listening()
+        edge.json_answer()(received, send)
 
     with edge.Runner(script) as runner, edge.Node(runner.address) as node:
         assert node.call().status == 200
