Form no group with a runner that stands still

No request is there yet that an order to leave could cut. Change: it joins no new group, and ends a formation, as a runner that is down does.

--- a/cardamommill/gateway/fleet/runnerrecord.py
+++ b/cardamommill/gateway/fleet/runnerrecord.py
@@ -60,6 +60,11 @@
         """Whether it may be given orders and requests."""
         return self.listed and not self.down_ms and not self.is_leaving
 
+    @property
+    def may_join(self) -> bool:
+        """Whether it may be a member of a group that is formed now."""
+        return self.is_usable and not self.still_since_ms
+
     @property
     def is_leaving(self) -> bool:
         """Whether it is leaving, according to the list or to itself."""
--- a/cardamommill/gateway/groups/allocation.py
+++ b/cardamommill/gateway/groups/allocation.py
@@ -99,7 +99,7 @@
     def is_free(self, known: fleetview.RunnerRecord) -> bool:
         """Whether a runner may join a group or load a model for one."""
         runner_id = known.runner.id
-        if not known.is_usable or known.membership is not None:
+        if not known.may_join or known.membership is not None:
             return False
         if not known.has_exact_order_count:
             return False
@@ -293,8 +293,11 @@
         ranked = sorted(free, key=lambda each: planning.join_ms(each, served))
         picked = ranked[:served.size]
         cold = sum(not planning.is_warm(each, served) for each in picked)
+        # Members of a group that stand still are in use; others may not be.
         has_group = any(
-            not self.is_free(each) and each.is_usable for each in runners)
+            each.may_join or (each.is_usable and each.membership is not None)
+            for each in runners
+            if not self.is_free(each))
         if has_group and not any(each.last_model for each in picked):
             reserve = round(SPARE_RATIO * len(runners))
             # While requests wait, serving them is worth more than spares. A
--- a/cardamommill/gateway/groups/formations.py
+++ b/cardamommill/gateway/groups/formations.py
@@ -151,8 +151,8 @@
         if formation.refused:
             return formation.refused
         for runner_id, known in zip(formation.members, members, strict=True):
-            if known is None or not known.is_usable:
-                return f"{runner_id} is gone, down or leaving"
+            if known is None or not known.may_join:
+                return f"{runner_id} is gone, down, leaving or stands still"
             membership = known.membership
             elsewhere = (membership is not None and
                          membership.key != formation.key)
