Tell peers of a runner that stood still for too long

Its planner is another node, which may have no requests at that group, so the group was never formed anew while the runner's heartbeats went on; before, the alarm of the first node told it. Change: the end of the wait raises the alarm that an unanswered probe does.

--- a/cardamommill/gateway/shell/alarms.py
+++ b/cardamommill/gateway/shell/alarms.py
@@ -94,6 +94,7 @@
         # The group last found down in each data centre.
         self._last_down_group: dict[str, _DownGroup] = {}
         requests.restarts.on_lost_member = self._handle_lost_member
+        group_controller.on_down = self._handle_down_runner
 
     def updates_for_peers(self, now_ms: float) -> tuple[peermessage.Alarm, ...]:
         """Returns the alarms to report to peers.
@@ -196,6 +197,25 @@
         """
         self._give_up(key, reason, clock.now_ms() + self._confirmed_alarm_ms)
 
+    def _handle_down_runner(self, runner: str) -> None:
+        """Gives up the group of a runner that stood still for too long.
+
+        Its planner may have no requests there, and finds out by no other way.
+        """
+        known = self._view.known.get(runner)
+        if known is None or known.membership is None or not known.down_ms:
+            return
+        self._raise_confirmed(known.membership.key, {runner}, clock.now_ms())
+
+    def _raise_confirmed(self, key: model.GroupKey, silent: set[str],
+                         now_ms: float) -> None:
+        self._alarms[key] = _RaisedAlarm(
+            now_ms, True,
+            tuple(sorted(silent))[:MAX_REPORTED_SILENT])
+        self._give_up(key, "member does not answer",
+                      now_ms + self._confirmed_alarm_ms)
+        self._send_updates()
+
     def _give_up(self,
                  key: model.GroupKey,
                  reason: str,
@@ -289,12 +309,7 @@
             # groups kept all nodes probing and reporting without end.
             self._divert_requests(key, "member does not answer", is_dead=True)
             return
-        self._alarms[key] = _RaisedAlarm(
-            now_ms, True,
-            tuple(sorted(silent))[:MAX_REPORTED_SILENT])
-        self._give_up(key, "member does not answer",
-                      now_ms + self._confirmed_alarm_ms)
-        self._send_updates()
+        self._raise_confirmed(key, silent, now_ms)
         self._probe_related_groups(key, members, now_ms)
 
     def _record_reachability(self, key: model.GroupKey,
--- a/cardamommill/gateway/shell/groupcontroller.py
+++ b/cardamommill/gateway/shell/groupcontroller.py
@@ -62,6 +62,8 @@
         self._on_opened = on_opened
         # Called with a group whose head is about to be closed.
         self.on_closed: Callable[[model.GroupKey], None] = lambda key: None
+        # Called with a runner that stood still for too long.
+        self.on_down: Callable[[str], None] = lambda runner_id: None
         self._read_list = read_list
         self._spawn = spawn
         self._report_lag_ms = 0.0
@@ -261,6 +263,8 @@
             logs.line("runner-stood-still",
                       runner=runner_id,
                       result=result.value))
+        if result is ProbeResult.UNREACHABLE:
+            self.on_down(runner_id)
 
     async def _request_report_hedged(
             self, runner: model.Runner) -> ordercalls.ReportReply:
