Take from the settings for how long a runner may stand still

Cause: four seconds were a constant, which is what a head waits for a silent member on the platforms that we know; the settings name it (bounds.stall_ms).

--- a/cardamommill/gateway/fleet/fleetview.py
+++ b/cardamommill/gateway/fleet/fleetview.py
@@ -18,8 +18,7 @@
 # Default of `FleetView.list_stale_ms`, for a drain bound of 2 s. While nothing
 # changes, a list normally reaches a lower age before the next one arrives.
 LIST_STALE_MS = 2800.0
-# A runner whose process does nothing for this long is taken for down, whatever
-# the list says: a head breaks its group when a member is silent for as long.
+# Default of `FleetView.max_standstill_ms`.
 MAX_STANDSTILL_MS = 4000.0
 
 RunnerRecord = runnerrecord.RunnerRecord
@@ -93,6 +92,10 @@
         self.list_as_of_ms = float("-inf")
         # Age beyond which the list is no longer acted upon; set by its reader.
         self.list_stale_ms = LIST_STALE_MS
+        # A runner whose process does nothing for this long is taken for down,
+        # whatever the list says; set to the time after which a head breaks its
+        # group when a member is silent.
+        self.max_standstill_ms = MAX_STANDSTILL_MS
         # Services whose runners form groups; None before a configuration. Rows
         # of others may name the groups of these.
         self.group_services: frozenset[str] | None = None
@@ -253,7 +256,7 @@
             return True
         known.still_since_ms = known.still_since_ms or asked_ms
         self.still[runner_id] = None
-        return asked_ms - known.still_since_ms < MAX_STANDSTILL_MS
+        return asked_ms - known.still_since_ms < self.max_standstill_ms
 
     def record_leaving(self, runner_id: str, now_ms: float) -> bool:
         """Records a runner's own report that it is leaving.
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -80,6 +80,7 @@
         self.metrics = metrics.Metrics()
         self.pool = upstream.Pool()
         self.view = fleetview.FleetView()
+        self.view.max_standstill_ms = settings.bounds.stall_ms
         self._peers = peers.Peers(settings.node, settings.data_centre,
                                   self._incarnation,
                                   (settings.ip, settings.peer_port), now_ms)
@@ -473,6 +474,7 @@
             return
         self._settings = settings
         self._freshness.revoke_ms = settings.bounds.revoke_ms
+        self.view.max_standstill_ms = settings.bounds.stall_ms
         self._requests.reload(settings)
         self._reader.reload(settings)
         self._link.add_seeds(settings)
