Send no stream to another peer while events of the first one come

Cause: a peer whose datagrams are lost was taken for silent, also while its connection brought events: the stream was sent to a second peer, which used up its attempts. Measured: test_stream_that_a_peer_brings_needs_no_word_of_the_peer failed before.

--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -288,7 +288,8 @@
         """Goes on elsewhere if the peer that serves the request is silent.
 
         Once the answer has begun, a peer that is alive looks for another runner
-        itself, and the hop stays open in any case.
+        itself, and the hop stays open in any case. While events come, a peer
+        is alive whose datagrams are lost.
 
         Args:
             target: The peer.
@@ -298,7 +299,10 @@
         hops = [each for each in self._open if each.target == target]
         if self.reply.started:
             if not is_alive:
-                self._mark_silent(hops, PEER_SILENT)
+                self._mark_silent([
+                    each for each in hops
+                    if now_ms - each.last_event_ms > LIVE_STREAM_MS
+                ], PEER_SILENT)
             return
         openattempts.cancel([
             each for each in hops if not is_alive or
