Move requests that come to a group after it was found stalled

Change: such a request has the group found stalled once more, if no event comes for as long after its own first event was due.

--- a/cardamommill/gateway/requests/silence.py
+++ b/cardamommill/gateway/requests/silence.py
@@ -43,7 +43,10 @@
         prefill_until_ms: When the prefill of all prompts that this node has
             sent should be done.
         is_silent: Whether it was found silent and no event has come since.
-        is_stalled: Whether it was found stalled and no event has come since.
+        is_stalled: Whether it was found stalled, and neither an event has come
+            nor a request was sent since.
+        renewed_ms: When the first event was due of the last request that was
+            sent while it was stalled; 0 for none since its last event.
     """
 
     pass_ms: float
@@ -55,6 +58,7 @@
     prefill_until_ms: float = 0.0
     is_silent: bool = False
     is_stalled: bool = False
+    renewed_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +94,10 @@
         watch.waiting[request] = now_ms + expected.first_event_ms
         watch.prefill_until_ms = (max(watch.prefill_until_ms, now_ms) +
                                   expected.prefill_ms)
+        if watch.is_stalled:
+            # Or this request would stay there until its caller leaves.
+            watch.is_stalled = False
+            watch.renewed_ms = now_ms + expected.first_event_ms
 
     def event(self, key: model.GroupKey, request: str, now_ms: float) -> None:
         """Records an event of a request."""
@@ -104,6 +112,7 @@
         watch.streaming[request] = now_ms
         watch.last_event_ms = now_ms
         watch.is_silent = watch.is_stalled = False
+        watch.renewed_ms = 0.0
 
     def ended(self, key: model.GroupKey, request: str) -> None:
         """Records that a request is no longer at a group."""
@@ -162,6 +171,9 @@
 
 def _has_stalled(watch: GroupWatch, now_ms: float) -> bool:
     stall_ms = STALL_PASSES * watch.max_pass_ms + MARGIN_MS
+    if watch.renewed_ms:
+        return (bool(watch.waiting) and
+                now_ms - watch.renewed_ms > max(stall_ms, MIN_STALL_MS))
     if watch.streaming:
         return now_ms - watch.last_event_ms > stall_ms
     if not watch.waiting:
--- a/tests/gateway/shell/test_standing_runners.py
+++ b/tests/gateway/shell/test_standing_runners.py
@@ -1,9 +1,11 @@
 """Tests of groups with a member whose process stands still for seconds."""
 
 import asyncio
+import pathlib
 
-from cardamommill.domain import clock
-from tests.gateway import builders
+from cardamommill.domain import clock, entrysettings, orders
+from cardamommill.gateway.shell import entrynode
+from tests.gateway import builders, planners
 from tests.gateway.shell import test_alarms
 
 
@@ -57,3 +59,52 @@
     view.apply_report(known.runner.id, builders.report(0), 2100.0, 0.0)
     view.record_standstill(known.runner.id, 2000.0)
     assert not known.still_since_ms
+
+
+def test_runner_that_stands_still_joins_no_new_group():
+    """Its joins went unanswered, and the group was not formed without it."""
+    bench = planners.PlannerHarness(planners.warm_runners(5))
+    bench.view.record_standstill("i-1", bench.now_ms)
+    joins = planners.orders_of(bench.step(), orders.Operation.JOIN)
+    assert len(joins) == 4
+    assert "i-1" not in {each.runner for each in joins}
+
+
+def test_group_is_not_formed_with_a_member_that_stands_still():
+    """No request is there yet that an order to leave could cut."""
+    bench = planners.PlannerHarness(planners.warm_runners(9))
+    joins = planners.orders_of(bench.step(), orders.Operation.JOIN)[:4]
+    for each in joins:
+        bench.accept(each)
+    bench.view.record_standstill(joins[1].runner, bench.now_ms)
+    left = planners.orders_of(bench.step(), orders.Operation.LEAVE)
+    assert {each.group for each in left} == {joins[0].group}
+
+
+def test_peers_learn_of_a_runner_that_stood_still_for_too_long():
+    """Its planner has no requests there, and never asked it by itself."""
+
+    def script(bench):
+        bench.group_controller.still = {"i-2"}
+        bench.fall_silent()
+
+    async def give_up(bench):
+        bench.view.record_no_answer("i-2", clock.now_ms())
+        bench.group_controller.on_down("i-2")
+
+    bench = test_alarms.run(script, after_script=give_up)
+    alarm, = bench.updates
+    assert alarm.confirmed and alarm.silent == ("i-2",)
+    assert bench.relay.is_dead
+
+
+def test_runner_stands_still_no_longer_than_the_platform_says():
+    """Heads break a group after a time that differs between platforms."""
+    node = entrynode.EntryNode(
+        builders.settings(bounds=entrysettings.Bounds(stall_ms=1500.0)),
+        pathlib.Path("/nonexistent"))
+    node.view.apply_list([builders.runner(1)], 1000.0)
+    (known,) = node.view.known.values()
+    assert node.view.record_standstill(known.runner.id, 2000.0)
+    assert node.view.record_standstill(known.runner.id, 3400.0)
+    assert not node.view.record_standstill(known.runner.id, 3500.0)
