Log which of several attempts answered a request

Cause: request-ended lists the targets in their order, and 'cardamommill latency' took the last one for the group that answered. Since the first may go on while the second is tried in vain, so late requests counted at a group that did nothing. Change: answered_by, where there was more than one attempt.

--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -90,6 +90,7 @@
         deadline_at_ms: When the request times out.
         progress: The part of a stream that the caller has received.
         first_event_ms: When the first event was passed on; 0 before that.
+        answered_by: The name of the target that brought the last event.
         may_have_run: Whether any attempt may have run the request.
         is_abandoned: Whether the caller has left.
         admission: The decision of admission control, for the log; empty where
@@ -124,6 +125,7 @@
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
+        self.answered_by = ""
         self._open = openattempts.OpenAttempts(self._attempt_limit)
         # Whether an attempt broke since all had ended.
         self._has_broken = False
@@ -640,6 +642,7 @@
         if order is not streamprogress.EventPosition.NEXT:
             return order is streamprogress.EventPosition.REPEATED
         self._open.supersede("another attempt brought the next event", one)
+        self.answered_by = one.target.name
         if not self.reply.started:
             self.first_event_ms = clock.now_ms()
             self.reply.start(head.status, forwarding.caller_headers(head))
--- a/cardamommill/gateway/shell/requestlog.py
+++ b/cardamommill/gateway/shell/requestlog.py
@@ -32,6 +32,8 @@
         status=status,
         reason=reason,
         targets=",".join(each.name for each in one.attempted),
+        answered_by=one.answered_by if len(one.attempted) +
+        len(one.hops) > 1 else None,
         events=one.progress.events,
         first_event_ms=int(first_event_at_ms -
                            arrived_ms) if first_event_at_ms else "",
--- a/cardamommill/latency.py
+++ b/cardamommill/latency.py
@@ -91,7 +91,8 @@
     targets = line.fields.get("targets", "")
     return Ended(int(line.at.timestamp()), line.fields.get("route", ""),
                  first_ms, goal_ms, _cause(line, first_ms, goal_ms),
-                 targets.rpartition(",")[2])
+                 line.fields.get("answered_by",
+                                 targets.rpartition(",")[2]))
 
 
 def _number(line: loglines.LogLine, name: str, default: str) -> float:
--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -316,6 +316,7 @@
         node.exchanges[speaks_first].event(3)
         node.exchanges[speaks_first].complete()
         await settle()
+        assert one.answered_by == f"i-{speaks_first}"
 
     reply, node = run_scenario(scenario)
     assert (reply.events, reply.ending) == ([1, 2, 3], "whole")
--- a/tests/test_latency.py
+++ b/tests/test_latency.py
@@ -119,3 +119,12 @@
 def test_missing_file_is_an_error(tmp_path):
     with pytest.raises(exceptions.CommandError, match="can't be read"):
         commands.Commands().latency(str(tmp_path / "none"))
+
+
+def test_late_request_counts_at_the_group_that_answered_it(tmp_path):
+    """A silent group went on while another one was tried in vain."""
+    path = tmp_path / "one.log"
+    path.write_text(
+        ended(1, first_event_ms=500, targets="g1:4,g2:5", answered_by="g1:4"))
+    (found,), _ = latency.read([path])
+    assert found.group == "g1:4"
