Move what a request is, apart from its attempts, out of the relay

AdmittedRequest holds a request with its route, account, key and time limits; Relay its attempts and its answer. OpenAttempt.runs names its arguments for what they mean. No behaviour changes. Measured: tests of gateway/shell, transport, both state machines of streams and test_pages.py pass.

--- a/cardamommill/gateway/shell/openattempts.py
+++ b/cardamommill/gateway/shell/openattempts.py
@@ -74,17 +74,19 @@
         return (not self._streaming or self.progress.events > 0 or
                 not self.has_lost_member)
 
-    def runs(self, is_isolated: bool, most: int) -> int:
+    def runs(self, counts_unlikely: bool, most_by_peer: int) -> int:
         """Returns how many runners may be running the request because of it.
 
         Args:
-            is_isolated: Whether this node can't know that a member is lost.
-            most: How many there may be, if a peer doesn't say.
+            counts_unlikely: Whether one counts whose group seems to have lost
+                a member before it began.
+            most_by_peer: How many a peer may have sent it to, if it doesn't
+                say.
         """
         if isinstance(self.target, targets.PeerTarget):
             by_peer = hopheaders.attempts_made(self.attempt.head)
-            return most if by_peer is None else by_peer
-        return int(self.may_be_running or is_isolated)
+            return most_by_peer if by_peer is None else by_peer
+        return int(self.may_be_running or counts_unlikely)
 
     def cancel(self, result: attemptresult.Result, reason: str) -> None:
         """Ends it and closes its connection."""
@@ -189,8 +191,8 @@
         Args:
             is_isolated: Whether the node suspects its own isolation.
             max_attempts: How many the route allows.
-            are_kept: Whether open ones stay although their group seems dead; it
-                may run the request then.
+            are_kept: Whether open ones stay although their group seems to have
+                lost a member; it may run the request then.
         """
         return self._ended.count(is_isolated) + sum(
             each.runs(is_isolated or are_kept, self.runs_left(
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
-import functools
-import math
 
 import logbook
 
@@ -16,11 +14,11 @@
     attemptresult,
     eventparser,
     placing,
-    requestdigest,
     retrydecision,
     streamprogress,
 )
 from cardamommill.gateway.shell import (
+    admittedrequest,
     admitting,
     attempts,
     conclusion,
@@ -41,12 +39,9 @@
 # How long a started stream waits for a group to continue at: callers leave
 # after a pause of two seconds.
 RESUME_WAIT_MS = 1500.0
-# Maximum estimated time to the first event of a deferred request: callers leave
-# after two seconds without an event.
-PATIENCE_MS = 1600.0
 # A request that a peer serves goes on elsewhere if its stream has not begun
 # after this long. The peer itself would have moved it to another group before.
-HOP_FIRST_EVENT_MS = PATIENCE_MS + 400.0
+HOP_FIRST_EVENT_MS = admittedrequest.PATIENCE_MS + 400.0
 # A stream with an event this recently is alive.
 LIVE_STREAM_MS = 250.0
 # Why a request goes on elsewhere that a peer serves.
@@ -70,24 +65,15 @@
     outcome: attempts.Outcome
 
 
-class Relay:
+class Relay(admittedrequest.AdmittedRequest):
     """One request of a caller, from its admission to the end of its answer.
 
     Attributes:
-        request: The request.
-        reply: The answer to the caller.
-        attempt_id: The id that the caller gave the request; the same in all
-            attempts.
-        route: The route of the request, once it is known.
-        tenant: The holder of the API key; None where no key is needed.
         service: The name of the service of the last placement.
-        request_tokens: Prompt length and expected length of the answer.
-        model_name: The name of the requested model; empty for none.
         attempted: The targets of all attempts so far.
         hops: The peers that the request was passed to so far.
         hop: What the node that passed the request to this one says of it; None
             if it came from a caller.
-        deadline_at_ms: When the request times out.
         progress: The part of a stream that the caller has received.
         first_event_ms: When the first event was passed on; 0 before that.
         answered_by: The name of the target that brought the last event.
@@ -102,16 +88,8 @@
                  request: callers.CallerRequest,
                  reply: replies.Reply,
                  hop: hopheaders.Hop | None = None) -> None:
-        self._node = node
-        self.request = request
-        self.reply = reply
-        self.attempt_id = request.get(wirenames.ATTEMPT_ID) or ""
-        self.route: model.Route | None = None
-        self.tenant: model.Tenant | None = None
-        self._key_digest = b""
+        super().__init__(node, request, reply)
         self.service = ""
-        self.request_tokens = forwarding.request_tokens(request)
-        self.model_name = request.get(wirenames.MODEL) or ""
         self.attempted: list[targets.Target] = []
         self.hops: list[targets.PeerTarget] = []
         self.hop = hop
@@ -121,7 +99,6 @@
         self._attempt_limit = attemptlimit.AttemptLimit(
             hop.attempts if hop is not None else 0)
         self._last_event_ms = 0.0
-        self.deadline_at_ms = math.inf
         self.progress = streamprogress.StreamProgress(
             httpheaders.number(request.get(wirenames.LAST_EVENT_ID)))
         self.first_event_ms = 0.0
@@ -147,14 +124,12 @@
             Whether the request was admitted.
         """
         found = admitting.admit(self._node, self.request)
-        self.route = found.route
         if isinstance(found, admitting.Rejection):
+            self.route = found.route
             self._conclusion.refuse(found.status, found.reason,
                                     found.retry_after_ms)
             return False
-        self.tenant = found.tenant
-        self._key_digest = found.key_digest
-        self.deadline_at_ms = found.deadline_at_ms
+        self.record_admission(found)
         quarantined = self._refused_by_quarantine()
         if quarantined is not None:
             self._conclusion.refuse(503, quarantined.reason,
@@ -166,57 +141,6 @@
         left_ms = self._node.quarantine_left_ms(self)
         return placing.Refused(QUARANTINED, left_ms) if left_ms else None
 
-    @functools.cached_property
-    def digest(self) -> int:
-        """Identifies copies of the request; valid once it is admitted."""
-        request = self.request
-        return requestdigest.digest(request.method,
-                                    request.get("host") or "", request.target,
-                                    self.tenant.name if self.tenant else "",
-                                    request.body)
-
-    def is_key_valid(self) -> bool:
-        """Whether the API key is valid at the moment."""
-        return self.tenant is None or (self._key_is_known() and
-                                       self._node.may_accept_keys())
-
-    def _key_is_known(self) -> bool:
-        table = self._node.table()
-        return (table is not None and
-                table.tenant(self._key_digest) is not None)
-
-    @property
-    def priority(self) -> int:
-        """The priority in the runner's queue, from 0 for the first to 9."""
-        rank = None if self.tenant is None else self.tenant.priority
-        if rank is None:
-            rank = self.route.priority if self.route else 5
-        return min(9, max(0, rank))
-
-    @property
-    def streaming(self) -> bool:
-        """Whether the answer is a stream of events."""
-        return (self.route is not None and
-                self.route.kind is model.RouteKind.STREAMING)
-
-    def requirements(self, jitter: float) -> placing.Requirements:
-        """Returns the current time limits of the request.
-
-        A started stream, or a request without a latency objective, is limited
-        only by its deadline.
-
-        Args:
-            jitter: Random number from 0 to 1; see `placing.Requirements`.
-        """
-        now_ms = clock.now_ms()
-        remaining_ms = self.deadline_at_ms - now_ms
-        if self.reply.started or self.route is None or not self.route.goal_ms:
-            return placing.Requirements(remaining_ms, remaining_ms,
-                                        remaining_ms, jitter)
-        goal_ms = self.request.arrived_ms + self.route.goal_ms - now_ms
-        return placing.Requirements(goal_ms, min(remaining_ms, PATIENCE_MS),
-                                    remaining_ms, jitter)
-
     # Attempts.
 
     def start(self) -> None:
@@ -327,7 +251,8 @@
             return True
         target = self._find_diversion()
         if target is not None:
-            self._node.spawn(self._follow(self._begin(target)))
+            second = self._begin(target)
+            self._node.spawn(self._follow(second))
         dead = [
             each for each in silent
             if each.has_lost_member and not self.reply.started
@@ -451,7 +376,7 @@
             if not self.reply.started:
                 return found
             if (now_ms - waited_from_ms > RESUME_WAIT_MS or
-                (self.tenant is not None and not self._key_is_known())):
+                (self.tenant is not None and not self.is_key_known())):
                 return found
             await asyncio.sleep(diversion.POLL_MS / 1000)
 
