Test that nodes which start without peers keep to the retry budget

A node divides the slack by the nodes that it has heard. One that starts while it hears none takes all of it. The model gets a trouble that parts nodes from each other but from nothing else, and the slack as a figure of the deployment.

--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -76,8 +76,8 @@
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
                   "plain_rest", "evacuate", "cold_again", "cold_return",
                   "plain_leave", "runners_restart", "plain_restart",
-                  "deadly_request", "nodes_cut", "nodes_reset", "nodes_refused",
-                  "runners_silent", "runners_frozen"]
+                  "deadly_request", "nodes_cut", "nodes_parted", "nodes_reset",
+                  "nodes_refused", "runners_silent", "runners_frozen"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
@@ -99,6 +99,8 @@
         cold_per_s: Requests per second that a cold runner takes; 0 for any.
         states_born: Whether runners state the time of their start, and may
             restart under their id.
+        retry_slack: Retries of a service that all nodes together may make
+            within a window, beyond a share of its requests.
         variants: By variant name, the values that override constants of
             decision modules, such as ``placing.PATIENT_PART``.
     """
@@ -117,6 +119,7 @@
     tenants: int = 4
     cold_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
     cold_per_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    retry_slack: Annotated[float, pydantic.Field(ge=0)] = 130.0
     engine: EngineSpec = EngineSpec()
     models: tuple[ModelSpec, ...]
     kinds: tuple[KindSpec, ...]
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -393,6 +393,23 @@
         """Cuts nodes off from runners; their connections hang."""
         await self._cut_nodes(trouble, self._world.loop.network.cut)
 
+    async def _nodes_parted(self, trouble: deployments.Trouble) -> None:
+        """Cuts nodes off from all other nodes; they reach all else."""
+        world = self._world
+        hosts = sorted(each.host for each in world.machines.values())
+        links = [
+            (one, other)
+            for one in world.rng.sample(hosts, min(trouble.count, len(hosts)))
+            for other in hosts
+            if one != other
+        ]
+        for one, other in links:
+            world.run_oracle.record_partition(one)
+            world.loop.network.cut(one, other)
+        await asyncio.sleep(trouble.for_s or math.inf)
+        for one, other in links:
+            world.loop.network.restore(one, other)
+
     async def _nodes_reset(self, trouble: deployments.Trouble) -> None:
         """Cuts nodes off from runners, which reset and refuse connections."""
         network = self._world.loop.network
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -114,6 +114,7 @@
         self.store = modelstore.ModelStore()
         self.run_oracle = oracle.Oracle(
             oracle.Limits(deployment.engine.loads_per_s,
+                          retry_slack=deployment.retry_slack,
                           cold_per_s=deployment.cold_per_s))
         self._record_allowed_regions()
         self.keys = [(f"tenant{number % deployment.tenants}", f"key{number}")
@@ -275,7 +276,7 @@
                         for each in list(self.machines.values())[:3]),
             platform="{}:{}".format(*modelstore.ADDRESS),
             metrics_port=0,
-            bounds=entrysettings.Bounds(retry_slack=130,
+            bounds=entrysettings.Bounds(retry_slack=self.deployment.retry_slack,
                                         cold_overage=oracle.COLD_OVERAGE,
                                         cold_slack=oracle.COLD_SLACK))
         machine.node = entrynode.EntryNode(settings,
