Divide the retry budget by the nodes of the store's table too

What callers saw: a service got more repeated requests than all nodes together may send, so runners in trouble got more load.

Cause: each node divides the slack of the retry budget by the largest number of nodes that it has heard at once. One that starts within a cut has not heard the others, and takes their shares as well.

Change: the nodes of the store's table count, heard or not, as they do for slow starts. A node that has not read the table yet uses no slack: it can't know its share. test_peers asserted a count before the table was read; it now asserts that there is none, and the same count afterwards.

Ruled out: taking the count from peers, which the starting node may not hear either.

--- a/cardamommill/gateway/nodes/knownnodes.py
+++ b/cardamommill/gateway/nodes/knownnodes.py
@@ -59,19 +59,31 @@
         """
         if not self._has_read_table:
             return None
-        unheard = {
+        places = self._places(now_ms)
+        there = {name for name, place in places.items() if place == data_centre}
+        return frozenset((there | self._unheard(now_ms)) or places)
+
+    def count(self, now_ms: float) -> int | None:
+        """Returns how many nodes there may be; None as for `nodes_of`."""
+        if not self._has_read_table:
+            return None
+        return len(self._places(now_ms)) + len(self._unheard(now_ms))
+
+    def _unheard(self, now_ms: float) -> set[str]:
+        return {
             name for name, since_ms in self._unheard_ms.items()
             if now_ms - since_ms < UNHEARD_RETENTION_MS
         }
-        places = {
+
+    def _places(self, now_ms: float) -> dict[str, str]:
+        """Returns the data centre of each node that was heard, by name."""
+        return {
             name: place
             for name, (place, heard_ms) in self._heard.items()
             if now_ms - heard_ms < RETENTION_MS
         } | {
             self._node: self._data_centre
         }
-        there = {name for name, place in places.items() if place == data_centre}
-        return frozenset((there | unheard) or places)
 
     def _drop_expired(self, listed: set[str], now_ms: float) -> None:
         """Drops expired nodes.
--- a/cardamommill/gateway/nodes/peers.py
+++ b/cardamommill/gateway/nodes/peers.py
@@ -348,16 +348,20 @@
             each.last_message is not None and not each.last_message.stopping
         ]
 
-    def nodes(self, now_ms: float) -> int:
-        """Returns how many nodes share the retry budget.
+    def nodes(self, now_ms: float) -> int | None:
+        """Returns how many nodes share the retry budget; None if unknown.
 
-        This is the largest number ever seen at once: an isolated node does not
-        see the others, but they go on sending retries too.
+        This is the largest number ever known at once: an isolated node does not
+        hear the others, but they go on sending retries too. One that has just
+        started may never have heard them, so those of the store's table count.
         """
-        count = 1 + sum(
+        known = self.known_nodes.count(now_ms)
+        if known is None:
+            return None
+        heard = 1 + sum(
             now_ms - each.heard_ms < max(EXPIRY_MS, each.liveness_timeout_ms)
             for each in self.peers.values())
-        self._max_node_count = max(self._max_node_count, count)
+        self._max_node_count = max(self._max_node_count, known, heard)
         return self._max_node_count
 
     def planned_data_centres(self,
--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -44,8 +44,13 @@
         self._first_attempts_ms.append(now_ms)
         self._trim(now_ms)
 
-    def may_retry(self, nodes: int, now_ms: float) -> bool:
-        """Whether one more retry is within this node's share of the budget."""
+    def may_retry(self, nodes: int | None, now_ms: float) -> bool:
+        """Whether one more retry is within this node's share of the budget.
+
+        Args:
+            nodes: The number of nodes that share the budget; None if unknown.
+            now_ms: The current time.
+        """
         self._trim(now_ms)
         return self.retries + 1 <= self.allowed(nodes, now_ms)
 
@@ -54,19 +59,22 @@
         """The number of this node's retries within the window."""
         return len(self._retries_ms)
 
-    def allowed(self, nodes: int, now_ms: float) -> float:
+    def allowed(self, nodes: int | None, now_ms: float) -> float:
         """Returns how many retries this node may make within the window.
 
         Args:
-            nodes: The number of nodes that share the budget.
+            nodes: The number of nodes that share the budget. Without it this
+                node's share of the slack is unknown, and it uses none.
             now_ms: The current time.
         """
+        by_requests = (self._ratio * len(self._first_attempts_ms) *
+                       SHARE_SAFETY_FACTOR)
+        if nodes is None:
+            return by_requests
         is_recent_start = now_ms - self._started_ms < self._window_ms
         slack_factor = (1 - SHARE_SAFETY_FACTOR
                         if is_recent_start else SHARE_SAFETY_FACTOR)
-        return (
-            self._ratio * len(self._first_attempts_ms) * SHARE_SAFETY_FACTOR +
-            self._slack / max(1, nodes) * slack_factor)
+        return by_requests + self._slack / nodes * slack_factor
 
     def repeat(self, now_ms: float) -> None:
         """Counts a retry."""
--- a/tests/gateway/nodes/test_knownnodes.py
+++ b/tests/gateway/nodes/test_knownnodes.py
@@ -16,6 +16,14 @@
     assert found.nodes_of("a", 0) is None
 
 
+def test_all_members_are_counted_whether_heard_or_not():
+    """A node that hears no peer would take itself for the only one."""
+    found = membership("n", "m", "k")
+    found.heard("l", "b", 0)
+    assert found.count(1) == 4
+    assert knownnodes.KnownNodes("n", "a").count(1) is None
+
+
 def test_silent_node_stays_a_member():
     """If it left when it fell silent, two halves would both replace it."""
     found = membership("n", "m")
--- a/tests/gateway/nodes/test_peers.py
+++ b/tests/gateway/nodes/test_peers.py
@@ -92,10 +92,19 @@
     # An isolated node must not take the others' share of the budget.
     first = node()
     receive(first, 1000, message("a-2", "a"), message("b-1", "b"))
+    assert first.nodes(1000) is None
+    first.known_nodes.listed(["a-1"], 1000)
     assert first.nodes(1000) == 3
     assert first.nodes(60_000) == 3
 
 
+def test_nodes_that_were_never_heard_count_for_limits():
+    """A node that starts while it is cut off took the share of all nodes."""
+    first = node()
+    first.known_nodes.listed(["a-1", "a-2", "b-1"], 1000)
+    assert first.nodes(1000) == 3
+
+
 def test_reordered_message_is_ignored():
     first = node()
     receive(first, 1000, message("a-2", "a", 20.0, config_version=8))
