Count a retry for as long as it may still arrive

Cause: a retry left the count 10 s after it was sent, and the rule counts arrivals. A request on a link that is cut or lossy is sent again by TCP and arrives up to 2.9 s later (400 ms to connect, 2,500 ms until the connection is given up), together with those of the next window.

Change: a retry counts for the window and the longest delivery. The same holds for how long a node's start counts as recent.

Ruled out: resetting the connection of a retry that is given up, so that it can't arrive any more. A reset is not sent again when it is lost, and the runner would then work on for a caller that has left.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -13,21 +13,27 @@
 class RetryBudget:
     """The retry budget of one service on this node, over a sliding window."""
 
-    def __init__(self,
-                 ratio: float,
-                 window_ms: float,
-                 slack: float,
-                 started_ms: float = float("-inf")) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_ms: float,
+        slack: float,
+        max_delivery_ms: float,
+        started_ms: float = float("-inf")) -> None:
         """Initialises an empty window.
 
         Args:
             ratio: Allowed retries per request, in any window.
             window_ms: The length of the window.
             slack: Allowed retries in addition, of all nodes together.
+            max_delivery_ms: How long after it was sent a retry may arrive. It
+                counts for this much longer than the window, since those of two
+                windows may arrive within one.
             started_ms: When the node started. It does not know what it sent
                 before, so within a window after that it uses only what it left
                 of its share of the slack then.
         """
+        self._max_delivery_ms = max_delivery_ms
         self._started_ms = started_ms
         self.set_limits(ratio, window_ms, slack)
         self._first_attempts_ms: collections.deque[float] = collections.deque()
@@ -56,7 +62,7 @@
 
     @property
     def retries(self) -> int:
-        """The number of this node's retries within the window."""
+        """The number of this node's retries that may arrive within a window."""
         return len(self._retries_ms)
 
     def allowed(self, nodes: int | None, now_ms: float) -> float:
@@ -71,7 +77,8 @@
                        SHARE_SAFETY_FACTOR)
         if nodes is None:
             return by_requests
-        is_recent_start = now_ms - self._started_ms < self._window_ms
+        is_recent_start = now_ms - self._started_ms < (self._window_ms +
+                                                       self._max_delivery_ms)
         slack_factor = (1 - SHARE_SAFETY_FACTOR
                         if is_recent_start else SHARE_SAFETY_FACTOR)
         return by_requests + self._slack / nodes * slack_factor
@@ -81,22 +88,29 @@
         self._retries_ms.append(now_ms)
 
     def _trim(self, now_ms: float) -> None:
-        oldest_ms = now_ms - self._window_ms
-        for times in (self._first_attempts_ms, self._retries_ms):
-            while times and times[0] < oldest_ms:
-                times.popleft()
+        _drop_before(self._first_attempts_ms, now_ms - self._window_ms)
+        _drop_before(self._retries_ms,
+                     now_ms - self._window_ms - self._max_delivery_ms)
+
+
+def _drop_before(times_ms: collections.deque[float], oldest_ms: float) -> None:
+    while times_ms and times_ms[0] < oldest_ms:
+        times_ms.popleft()
 
 
 class RetryBudgets:
     """The retry budgets of all services."""
 
-    def __init__(self, bounds: entrysettings.Bounds, started_ms: float) -> None:
+    def __init__(self, bounds: entrysettings.Bounds, max_delivery_ms: float,
+                 started_ms: float) -> None:
         """Initialises the instance without budgets.
 
         Args:
             bounds: The limits.
+            max_delivery_ms: How long after it was sent a retry may arrive.
             started_ms: When the node started.
         """
+        self._max_delivery_ms = max_delivery_ms
         self._bounds = bounds
         self._started_ms = started_ms
         self._budgets: dict[str, RetryBudget] = {}
@@ -111,6 +125,7 @@
         """Returns the budget of a service; creates it at its first use."""
         if service not in self._budgets:
             self._budgets[service] = RetryBudget(*self._limits(),
+                                                 self._max_delivery_ms,
                                                  self._started_ms)
         return self._budgets[service]
 
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -101,6 +101,7 @@
         self._metrics = node_metrics
         self._chance = random.Random(settings.node)
         self._retry_budgets = retrybudget.RetryBudgets(settings.bounds,
+                                                       upstream.MAX_DELIVERY_MS,
                                                        clock.now_ms())
         self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
         self._group_loads = grouploads.GroupLoads()
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -21,6 +21,8 @@
 # Passed to TCP_USER_TIMEOUT, the limit for unacknowledged bytes: it detects a
 # peer that lost power even while no request waits for an answer.
 USER_TIMEOUT_MS = 2500
+# A request arrives within this time, or its connection is given up.
+MAX_DELIVERY_MS = CONNECT_TIMEOUT_MS + USER_TIMEOUT_MS
 # Idle connections are closed this long before the peer's keep-alive timeout, so
 # that a request is rarely sent just as the peer closes the connection.
 KEEP_ALIVE_MARGIN_MS = 700
--- a/tests/gateway/test_freshness_and_retries.py
+++ b/tests/gateway/test_freshness_and_retries.py
@@ -24,7 +24,7 @@
 def test_budgets_of_all_nodes_together_keep_to_the_retry_ratio():
     # Each node counts only its own retries, but the sum over all nodes must
     # stay within the ratio and the slack in any window.
-    nodes = [retrybudget.RetryBudget(0.2, 10_000, 130) for _ in range(6)]
+    nodes = [retrybudget.RetryBudget(0.2, 10_000, 130, 0.0) for _ in range(6)]
     requests = retries = 0
     for now_ms in range(0, 10_000, 10):
         budget = nodes[(now_ms // 10) % 6]
@@ -39,7 +39,7 @@
 
 def test_reloaded_settings_do_not_forget_retries():
     """A node that reloads its settings would use its share twice."""
-    budgets = retrybudget.RetryBudgets(BOUNDS, -20_000.0)
+    budgets = retrybudget.RetryBudgets(BOUNDS, 0.0, -20_000.0)
     budget = budgets.for_service("llm")
     while budget.may_retry(1, 0.0):
         budget.repeat(0.0)
@@ -56,7 +56,8 @@
     sent = requests = 0
     # One life before the restart, and one after it.
     for life_ms, at_ms in ((-20_000.0, 4000.0), (started_ms, 13_999.0)):
-        budget = retrybudget.RetryBudgets(BOUNDS, life_ms).for_service("llm")
+        budget = retrybudget.RetryBudgets(BOUNDS, 0.0,
+                                          life_ms).for_service("llm")
         for _ in range(100):
             budget.request(at_ms)
             requests += 1
@@ -71,7 +72,7 @@
 
 
 def test_retries_outside_the_window_are_not_counted():
-    budget = retrybudget.RetryBudget(0.0, 10_000, 10)
+    budget = retrybudget.RetryBudget(0.0, 10_000, 10, 0.0)
     for now_ms in range(8):
         assert budget.may_retry(1, now_ms)
         budget.repeat(now_ms)
