--- a/cardamommill/gateway/requests/requestdigest.py
+++ b/cardamommill/gateway/requests/requestdigest.py
@@ -1,4 +1,4 @@
-"""Identifies copies of a request, whose attempt ids differ."""
+"""Identifies copies of a request, and the parts that prompts share."""
 
 import hashlib
 
@@ -26,6 +26,18 @@
     return int.from_bytes(found.digest())
 
 
+def part_digest(part: str) -> int:
+    """Returns a number for a part of prompts, whatever requests hold it.
+
+    Args:
+        part: The id of the part.
+    """
+    found = hashlib.blake2b(part.encode(),
+                            digest_size=DIGEST_BYTES,
+                            person=b"prompt part")
+    return int.from_bytes(found.digest())
+
+
 def text(number: int) -> str:
     """Returns a digest as it is written in logs."""
     return f"{number:016x}"
--- a/cardamommill/gateway/shell/admittedrequest.py
+++ b/cardamommill/gateway/shell/admittedrequest.py
@@ -6,7 +6,7 @@
 from cardamommill.domain import clock, model
 from cardamommill.gateway.requests import placing, requestdigest
 from cardamommill.gateway.shell import admitting, forwarding, targets
-from cardamommill.platform import wirenames
+from cardamommill.platform import promptparts, wirenames
 from cardamommill.transport import callers, replies
 
 # Maximum estimated time to the first event of a deferred request: callers leave
@@ -58,6 +58,15 @@
                                     self.tenant.name if self.tenant else "",
                                     request.body)
 
+    @functools.cached_property
+    def part_digests(self) -> tuple[int, ...]:
+        """Identify the parts of its prompt that other requests may share."""
+        return tuple(
+            map(
+                requestdigest.part_digest,
+                promptparts.shared_parts(
+                    self.request.get(wirenames.PROMPT_PREFIX))))
+
     def is_key_valid(self) -> bool:
         """Whether the API key is valid at the moment."""
         return self.tenant is None or (self.is_key_known() and
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -412,6 +412,7 @@
             logs.line("attempt-failed",
                       request=one.attempt_id,
                       digest=requestdigest.text(one.digest),
+                      parts=",".join(map(requestdigest.text, one.part_digests)),
                       target=target.name,
                       runner=runner,
                       result=outcome.result.value,
--- a/cardamommill/platform/wirenames.py
+++ b/cardamommill/platform/wirenames.py
@@ -21,6 +21,9 @@
 TENANT = "X-Cardamommill-Tenant"
 # "IN,OUT": tokens of the prompt, and the most tokens that the answer may have.
 TOKEN_COUNTS = "X-Cardamommill-Token-Counts"
+# "ID:TOKENS,...": the parts of the prompt, in order; the last is the request's
+# own or its session's.
+PROMPT_PREFIX = "X-Cardamommill-Prompt-Prefix"
 # In a runner's answers: for how much longer the runner is cold.
 COLD_MS = "X-Cardamommill-Cold-Ms"
 # How many tokens the caller expects the answer to have.
--- a/tests/gateway/requests/test_requestdigest.py
+++ b/tests/gateway/requests/test_requestdigest.py
@@ -38,3 +38,10 @@
 def test_other_requests_have_other_digests(changes):
     """A request of another caller would be refused for what this one did."""
     assert digest(**changes) != digest()
+
+
+def test_parts_of_prompts_are_told_apart_from_each_other():
+    assert requestdigest.part_digest("5c1e") == requestdigest.part_digest(
+        "5c1e")
+    assert requestdigest.part_digest("5c1e") != requestdigest.part_digest(
+        "5c1f")
--- a/tests/gateway/shell/test_dispatcher.py
+++ b/tests/gateway/shell/test_dispatcher.py
@@ -52,6 +52,7 @@
     service = "llm"
     attempt_id = "a1"
     digest = 7
+    part_digests = ()
     attempted = ()
     hop = None
     request_tokens = placing.RequestTokens(10, 10)
