--- a/cardamommill/experiment/deployments.py
+++ b/cardamommill/experiment/deployments.py
@@ -76,8 +76,9 @@
                   "heads_limited", "heads_rest", "heads_leave", "plain_limited",
                   "plain_rest", "evacuate", "cold_again", "cold_return",
                   "plain_leave", "runners_restart", "plain_restart",
-                  "deadly_request", "nodes_cut", "nodes_parted", "nodes_reset",
-                  "nodes_refused", "runners_silent", "runners_frozen"]
+                  "deadly_part", "deadly_request", "nodes_cut", "nodes_parted",
+                  "nodes_reset", "nodes_refused", "runners_silent",
+                  "runners_frozen"]
     place: str = ""
     count: Annotated[int, pydantic.Field(ge=1)] = 1
     for_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 from typing import Any
+import zlib
 
 from cardamommill.domain import clock
 from cardamommill.experiment import oracle, rightanswers
@@ -14,6 +15,10 @@
 CONNECT_TIMEOUT_MS = 1000.0
 # Lower bound of the time without an event after which a client gives up.
 MIN_GAP_TIMEOUT_MS = 2000.0
+# How many parts of their kinds prompts share, and the tokens of each.
+TOPICS = 6
+DOCUMENTS = 40
+PART_TOKENS = 40
 # An answer that ends this long before its deadline ends at the deadline.
 DEADLINE_MARGIN_MS = 50.0
 # How the reason begins for an exchange that its peer ended.
@@ -74,6 +79,7 @@
         answer: The number of tokens of its answer.
         tenant: The name of its client account.
         key: The API key.
+        parts: The ids of the parts of its prompt; empty without a model.
     """
 
     target: str
@@ -82,6 +88,7 @@
     answer: int
     tenant: str
     key: str
+    parts: tuple[str, ...] = ()
 
 
 class _Receiver:
@@ -162,6 +169,7 @@
         self._place = place
         self._run_oracle = run_oracle
         self._rng = random.Random(f"{seed}-{place}")
+        self._parts_rng = random.Random(f"parts {seed}-{place}")
         self._pool = upstream.Pool()
         self._count = 0
         self.factor = 1.0
@@ -188,7 +196,16 @@
         tenant, key = self._rng.choice(self._world.all_keys)
         return Content(f"{kind.prefix}{self._place}/{number}",
                        b"" if kind.method == "GET" else b"x" * 200, prompt,
-                       answer, tenant, key)
+                       answer, tenant, key, self.draw_parts(kind))
+
+    def draw_parts(self, kind: Kind) -> tuple[str, ...]:
+        """Returns the parts of a prompt: its kind's, two others', its own."""
+        if not kind.model:
+            return ()
+        names = (kind.name, f"topic {self._parts_rng.randrange(TOPICS)}",
+                 f"document {self._parts_rng.randrange(DOCUMENTS)}",
+                 f"own {self._place} {self._parts_rng.random()}")
+        return tuple(f"{zlib.crc32(each.encode()):08x}" for each in names)
 
     async def _request_counted(self, kind: Kind, number: int) -> None:
         content = self._draw(kind, number)
@@ -237,17 +254,20 @@
                    (wirenames.DEADLINE_MS, str(int(left_ms))),
                    ("Authorization", f"Bearer {content.key}")]
         if kind.model:
-            headers += [(wirenames.MODEL, self._world.model_name(kind.model)),
-                        (wirenames.TOKEN_COUNTS,
-                         f"{content.prompt},{content.answer}"),
-                        (wirenames.LENGTH_HINT, str(content.answer))]
+            headers += [
+                (wirenames.MODEL, self._world.model_name(kind.model)),
+                (wirenames.TOKEN_COUNTS, f"{content.prompt},{content.answer}"),
+                (wirenames.LENGTH_HINT, str(content.answer)),
+                (wirenames.PROMPT_PREFIX,
+                 ",".join(f"{each}:{PART_TOKENS}" for each in content.parts))
+            ]
         address = self._world.choose_node(self._place, self._rng)
         sent_ms = clock.now_ms()
         self._run_oracle.record_send(
             attempt,
             oracle.Sent(sent_ms, kind.method, target, body, content.key,
                         content.tenant, kind.service, kind.repeatable,
-                        address[0] if address else ""))
+                        address[0] if address else "", content.parts))
         receiver = _Receiver(kind, target, self._run_oracle, attempt)
         if address is None:
             return 100.0
--- a/cardamommill/experiment/modelfleet.py
+++ b/cardamommill/experiment/modelfleet.py
@@ -13,6 +13,7 @@
     crashrules,
     modelstore,
     oracle,
+    partrules,
     virtualloop,
     virtualnetwork,
 )
@@ -84,7 +85,9 @@
     @property
     def is_deadly(self) -> bool:
         """Whether it crashes the runner that runs it."""
-        return self.request.body == crashrules.DEADLY_BODY
+        parts = (self.request.get(wirenames.PROMPT_PREFIX) or "").split(",")
+        return (self.request.body == crashrules.DEADLY_BODY or
+                partrules.deadly_part(tuple(parts)) is not None)
 
     def caller_left(self) -> None:
         """Handles the node closing the connection."""
@@ -204,7 +207,7 @@
         """Ends its process, and with it all requests, because of one."""
         sent = self.fleet.oracle.sent.get(job.attempt)
         if sent is not None:
-            self.fleet.oracle.crash_rules.record_crash(sent)
+            self.fleet.oracle.record_crash(sent)
         self.end()
         self.network.end_processes(self.host)
         self.fleet.on_crash(self)
--- a/cardamommill/experiment/oracle.py
+++ b/cardamommill/experiment/oracle.py
@@ -8,6 +8,7 @@
     crashrules,
     datacentrerules,
     lostrules,
+    partrules,
     recoverrules,
 )
 
@@ -51,6 +52,7 @@
     service: str
     repeatable: bool
     machine: str = ""
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +147,7 @@
         self._leaving_informed_ms: dict[tuple[str, str], float] = {}
         self.place_rules = datacentrerules.DataCentreRules(limits.evacuate_ms)
         self.crash_rules = crashrules.CrashRules(limits.contact_ms)
+        self.part_rules = partrules.PartRules(limits.contact_ms)
         self.recover_rules = recoverrules.RecoverRules(limits.contact_ms)
         self.lost_rules = lostrules.LostRules(limits.contact_ms)
         # Loads are checked only while the platform's store is available.
@@ -158,6 +161,7 @@
         """Records an attempt that a client sends."""
         self.sent[attempt] = sent
         self._first_sends_ms[sent.service].append(sent.at_ms)
+        self.part_rules.record_send(sent)
 
     def record_arrival(self, attempt: str, service: str, runner: str,
                        tenant: str, method: str, target: str,
@@ -177,9 +181,10 @@
         self._check_rate(sent.machine, runner)
         self._check_rests(sent.machine, runner)
         self._check_leaving(attempt, runner)
-        broken = self.crash_rules.check_arrival(sent)
-        if broken is not None:
-            self.broken("BUDGET", f"{attempt} at {runner}: {broken}")
+        for broken in (self.crash_rules.check_arrival(sent),
+                       self.part_rules.check_arrival(sent)):
+            if broken is not None:
+                self.broken("BUDGET", f"{attempt} at {runner}: {broken}")
         self.lost_rules.record_arrival(attempt, runner)
         self.arrivals[attempt] += 1
         if self.arrivals[attempt] > 1:
@@ -249,6 +254,7 @@
     def record_partition(self, machine: str) -> None:
         """Records a partition, in which a machine may miss limits and rests."""
         self.crash_rules.out_of_touch_ms[machine] = clock.now_ms()
+        self.part_rules.out_of_touch_ms[machine] = clock.now_ms()
         self.lost_rules.record_disruption(machine)
         for limit in self._rate_limits.values():
             limit.informed_ms.pop(machine, None)
@@ -334,6 +340,13 @@
                 "PARTIAL",
                 f"{attempt} in {key}: members {never_ready} never ready")
 
+    def record_crash(self, sent: Sent) -> None:
+        """Records that a runner crashed because of a request."""
+        if partrules.deadly_part(sent.parts) is None:
+            self.crash_rules.record_crash(sent)
+        else:
+            self.part_rules.record_crash(sent)
+
     def record_final_status(self, attempt: str, status: int) -> None:
         """Records the status of the answer that a client received."""
         if status not in (408, 421, 429, 503):
@@ -359,6 +372,10 @@
                                                     is_served)
         if broken is not None:
             self.broken("RECOVER", broken)
+        broken = self.part_rules.check_first_try(sent,
+                                                 bool(self.runs.get(attempt)))
+        if broken is not None:
+            self.broken("LOST", broken)
 
     def record_load(self) -> None:
         """Records the start of a load from the weight store."""
--- a/cardamommill/experiment/troubles.py
+++ b/cardamommill/experiment/troubles.py
@@ -16,6 +16,7 @@
     modelfleet,
     modelstore,
     oracle,
+    partrules,
     virtualloop,
 )
 from cardamommill.platform import wirenames
@@ -184,6 +185,39 @@
                                                  f"deadly-{copies}"))
             await asyncio.sleep(trouble.factor)
 
+    async def _deadly_part(self, trouble: deployments.Trouble) -> None:
+        """Sends requests with a part that crashes each runner that begins.
+
+        No two are alike, and their other parts are shared by sound ones. One
+        comes each `factor` seconds, through the clients of any data centre,
+        until `for_s` is over. `count` different parts do so at once.
+        """
+        world = self._world
+        until_ms = clock.now_ms() + 1000 * trouble.for_s
+        kinds = [
+            world.deployment.kind(each)
+            for each in world.deployment.kinds
+            if each.model
+        ]
+        deadly = [(f"{partrules.DEADLY_PREFIX}{number:04x}",
+                   world.rng.choice(kinds), world.rng.choice(world.keys))
+                  for number in range(trouble.count)]
+        sent = 0
+        while clock.now_ms() < until_ms:
+            for part, kind, account in deadly:
+                place = world.rng.choice(list(world.clients))
+                first, *others = world.clients[place].draw_parts(kind)
+                sent += 1
+                content = modelclients.Content(f"{kind.prefix}part/{sent}",
+                                               f"{sent}".encode() * 40,
+                                               int(kind.prompt_tokens),
+                                               int(kind.answer_tokens),
+                                               *account, (first, part, *others))
+                world.spawn(
+                    f"clients-{place}",
+                    world.clients[place].request(kind, content, f"part-{sent}"))
+            await asyncio.sleep(trouble.factor)
+
     async def _runners_restart(self, trouble: deployments.Trouble) -> None:
         """Restarts members under their ids."""
         self._world.restart_runners(self._draw_members(trouble), trouble.for_s)
--- a/cardamommill/experiment/world.py
+++ b/cardamommill/experiment/world.py
@@ -376,7 +376,8 @@
                        started_ms,
                        cold_requests=sum(
                            map(len, self.run_oracle.cold_arrivals_ms.values())),
-                       crashes=self.run_oracle.crash_rules.crashes)
+                       crashes=self.run_oracle.crash_rules.crashes +
+                       self.run_oracle.part_rules.crashes)
 
 
 def play(deployment: deployments.Deployment,
