End answers whose head, trailers or frames have no end

What callers would see: a node that keeps all that a faulty runner sends until the request's deadline, and is ended for memory, with all its requests.

Cause: httptools has no limit on heads, and neither had we; a fetch (reports, orders, rows) kept any body.

Change: what is no body may take 64 KB and as much again as the bodies; a fetched body 16 MB. The exchange then ends as no answer, and its request is retried or its caller told as for a broken connection.

--- a/cardamommill/platform/fetching.py
+++ b/cardamommill/platform/fetching.py
@@ -9,6 +9,9 @@
 from cardamommill.platform import wirenames
 from cardamommill.transport import upstream
 
+# The store answers with a megabyte at most.
+MAX_ANSWER_BYTES = 16 << 20
+
 _LOG = logbook.Logger("fetching")
 
 
@@ -53,6 +56,12 @@
 
     def on_body(self, data: bytes) -> None:
         self._body += data
+        if len(self._body) > MAX_ANSWER_BYTES and not self.future.done():
+            # The exchange is cancelled by whoever waits for its answer.
+            self._body.clear()
+            self.future.set_result(
+                Answer(upstream.Ending.NOT_HTTP, self._head, b"",
+                       "answer too large"))
 
     def on_end(self, ending: upstream.Ending, reason: str) -> None:
         if not self.future.done():
@@ -77,7 +86,10 @@
     collector = _Collector(request)
     exchange = pool.send(address, request, collector, new_connection)
     try:
-        return await asyncio.wait_for(collector.future, timeout_ms / 1000)
+        answer = await asyncio.wait_for(collector.future, timeout_ms / 1000)
+        if answer.ending is upstream.Ending.NOT_HTTP:
+            exchange.cancel()
+        return answer
     except TimeoutError:
         was_sent = exchange.sent
         return Answer(
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -23,6 +23,9 @@
 USER_TIMEOUT_MS = 2500
 # A request arrives within this time, or its connection is given up.
 MAX_DELIVERY_MS = CONNECT_TIMEOUT_MS + USER_TIMEOUT_MS
+# What a peer may send beside bodies: heads, trailers and the frames of chunks,
+# which may take as much again as the bodies.
+MAX_HEAD_BYTES = 1 << 16
 # Idle connections are closed this long before the peer's keep-alive timeout, so
 # that a request is rarely sent just as the peer closes the connection.
 KEEP_ALIVE_MARGIN_MS = 700
@@ -95,6 +98,8 @@
         # Whether the connection may not be reused after this answer.
         self._must_close = False
         self._is_informational = False
+        # Received bytes of the answer, less those of bodies and as many again.
+        self._overhead_bytes = 0
         self.reusable_until_ms = 0.0
 
     @property
@@ -110,6 +115,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._has_accepted_head = False
         self._must_close = False
+        self._overhead_bytes = 0
         transport = self._transport
         if transport is not None and not transport.is_closing():
             transport.write(request)
@@ -155,6 +161,7 @@
             self._log_unexpected_answer(len(data))
             self._abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -169,7 +176,10 @@
             self._abort()
             self._finish(Ending.NOT_HTTP, f"no HTTP: {type(error).__name__}")
             return
-        if self._receiver is None:
+        if self._overhead_bytes > MAX_HEAD_BYTES:
+            self._abort()
+            self._finish(Ending.NOT_HTTP, "a head without an end")
+        elif self._receiver is None:
             # Only after parsing all received bytes is it known that none came
             # after the answer.
             if self._must_close:
@@ -224,6 +234,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body to the receiver; see httptools."""
+        self._overhead_bytes -= 2 * len(data)
         if self._receiver is not None and self._has_accepted_head:
             self._receiver.on_body(data)
 
