Search for parts to blame only when evidence changes

Cause: a survival counted as a change wherever its part had ever been accused; found by reading the whole diff.

Change: it counts if the part was accused since it last survived. A request that finds no room in a crash is not reported as new, so that peers do not tell each other of it again.

Measured: both tests fail before and pass now. In a storm of crashes the search is still made with each report.

--- a/cardamommill/gateway/requests/crashparts.py
+++ b/cardamommill/gateway/requests/crashparts.py
@@ -126,7 +126,9 @@
     def __init__(self) -> None:
         self._crashes: collections.OrderedDict[int, _Crash] = (
             collections.OrderedDict())
+        # When each part was first and last accused.
         self._first_accused_ms: dict[int, float] = {}
+        self._last_accused_ms: dict[int, float] = {}
         # Those that no request is known to have survived.
         self._new: set[int] = set()
         # When a request with a part last began an answer and its runner went
@@ -184,7 +186,8 @@
             if len(self._crashes) > MAX_CRASHES:
                 self.retract(next(iter(self._crashes)))
         new = [digest for digest in requests if digest not in crash.accused]
-        for digest in new[:MAX_ACCUSED - len(crash.accused)]:
+        del new[MAX_ACCUSED - len(crash.accused):]
+        for digest in new:
             crash.accused[digest] = requests[digest]
             self._is_changed = True
             for part in requests[digest]:
@@ -194,6 +197,8 @@
                     self._new.add(part)
                 self._first_accused_ms[part] = min(
                     crash.at_ms, self._first_accused_ms.get(part, crash.at_ms))
+                self._last_accused_ms[part] = max(
+                    crash.at_ms, self._last_accused_ms.get(part, crash.at_ms))
         return bool(new)
 
     def retract(self, runner: int) -> None:
@@ -206,7 +211,7 @@
             for parts in crash.accused.values() for part in parts
         }
         for part in self._first_accused_ms.keys() - accused:
-            del self._first_accused_ms[part]
+            del self._first_accused_ms[part], self._last_accused_ms[part]
         self._new &= accused
 
     def survived(self, parts: Iterable[int], at_ms: float) -> list[int]:
@@ -228,14 +233,17 @@
 
     def clear(self, part: int, at_ms: float) -> None:
         """Excuses a part from all crashes before a time."""
-        if at_ms <= self._survived_ms.get(part, float("-inf")):
+        before_ms = self._survived_ms.get(part, float("-inf"))
+        if at_ms <= before_ms:
             return
+        # Else it was excused from all crashes already.
+        self._is_changed |= (before_ms
+                             < self._last_accused_ms.get(part, float("-inf")))
         self._new.discard(part)
         self._survived_ms[part] = at_ms
         self._survived_ms.move_to_end(part)
         if len(self._survived_ms) > MAX_SURVIVED:
             self._survived_ms.popitem(last=False)
-        self._is_changed |= part in self._first_accused_ms
 
     def blamed(self) -> dict[int, Blame]:
         """Returns the parts that are blamed for several crashes."""
--- a/tests/gateway/requests/test_crashparts.py
+++ b/tests/gateway/requests/test_crashparts.py
@@ -188,3 +188,27 @@
             found.survived(sound(), at_ms + rng.uniform(100, 600))
         assert set(found.blamed()) <= {DEADLY}
     assert certain(found) == {DEADLY}
+
+
+def test_crashes_of_the_last_hour_cost_requests_nothing(monkeypatch):
+    """Popular parts are in all of them, and survive with each request."""
+    found = causes(FIRST)
+    for number in range(crashparts.MAX_CRASHES):
+        crash(found, number, *[[FIRST, each] for each in range(60)])
+    found.survived(range(100), 1e6)
+    found.blamed()
+    searches = []
+    monkeypatch.setattr(found, "_find_blamed", lambda: searches.append(1) or {})
+    for number in range(100):
+        found.survived([FIRST, number % 60], 1e6 + 1 + number)
+        found.blamed()
+    assert not searches
+
+
+def test_request_that_found_no_room_is_not_new():
+    """Peers would tell each other of it again and again."""
+    found = causes()
+    one_too_many = range(crashparts.MAX_ACCUSED + 1)
+    accused = dict.fromkeys(one_too_many, (DEADLY,))
+    assert found.record(1, accused, 0.0)
+    assert not found.record(1, accused, 0.0)
