List all plays in which sound parts of prompts are refused

What was wrong: listed five plays with 24 nodes and spoke of rare parts. In two plays with 24 nodes the first part of all prompts of a kind is refused.

No logic is changed.

--- a/tests/experiment/test_deadly_parts.py
+++ b/tests/experiment/test_deadly_parts.py
@@ -12,6 +12,7 @@
 LENGTH_S = test_deadly_requests.LENGTH_S
 FROM_S = test_deadly_requests.FROM_S
 FLEET = {"a": 16, "b": 8}
+SMALL_FLEET = test_deadly_requests.PLACES
 trouble = test_world.trouble
 play = test_deadly_requests.play
 
@@ -113,7 +114,14 @@
 
 
 @pytest.mark.parametrize("seed,places,count,others", [
+    (1, SMALL_FLEET, 3, []),
+    (2, SMALL_FLEET, 1, OTHER_CRASHES),
+    (1, SMALL_FLEET, 1, KILLS),
+    (1, SMALL_FLEET, 1, ALL_KILLS),
     (1, FLEET, 2, []),
+    (2, FLEET, 2, []),
+    (3, FLEET, 2, []),
+    (1, FLEET, 3, []),
     (2, FLEET, 3, []),
     (3, FLEET, 3, []),
     (1, FLEET, 1, OTHER_CRASHES),
@@ -122,8 +130,10 @@
 def test_sound_parts_beside_other_disruptions_are_not_refused(
         seed, places, count, others, quarantined):
     """Nodes decide before they know of all requests in a crash."""
-    play(deadly(2.0 if count > 1 else 1.0, count),
+    length_s = 30.0 if others is ALL_KILLS else LENGTH_S
+    play(deadly(2.0 if count > 1 else 1.0, count, for_s=length_s - 2.0),
          *others,
          seed=seed,
-         places=places)
+         places=places,
+         length_s=length_s)
     assert quarantined and not sound(quarantined)
