Let the slack for retries grow with the time since a start

Cause: a node does not know what it sent before its start, and took what its former incarnation had left of the slack, a fifth of its share, at each start.

Change: the fifth is released evenly over the time in which earlier retries may still arrive. Incarnations within a window together use no more than one of them could, however many there are, without a message or a record.

The new test failed before.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -5,9 +5,11 @@
 from cardamommill.domain import entrysettings
 
 # Nodes learn of each other's retries too late, so each limits its own to a
-# share of the budget, and uses at most this fraction of its share. The rest
-# covers a node that counts one peer too few and so computes too large a share.
+# share of the budget, and uses at most this fraction of its share.
 SHARE_SAFETY_FACTOR = 0.8
+# The rest is left for what this node may send after a start, when it does not
+# know what it sent before.
+REMAINING_FACTOR = 1 - SHARE_SAFETY_FACTOR
 
 
 class RetryBudget:
@@ -30,8 +32,8 @@
                 counts for this much longer than the window, since those of two
                 windows may arrive within one.
             started_ms: When the node started. It does not know what it sent
-                before, so within a window after that it uses only what it left
-                of its share of the slack then.
+                before, so for a window after that its slack grows with time:
+                any number of starts within a window use what is left by one.
         """
         self._max_delivery_ms = max_delivery_ms
         self._started_ms = started_ms
@@ -77,11 +79,15 @@
                        SHARE_SAFETY_FACTOR)
         if nodes is None:
             return by_requests
-        is_recent_start = now_ms - self._started_ms < (self._window_ms +
-                                                       self._max_delivery_ms)
-        slack_factor = (1 - SHARE_SAFETY_FACTOR
-                        if is_recent_start else SHARE_SAFETY_FACTOR)
-        return by_requests + self._slack / nodes * slack_factor
+        return by_requests + self._slack / nodes * self._slack_factor(now_ms)
+
+    def _slack_factor(self, now_ms: float) -> float:
+        """Returns which part of its share of the slack this node uses."""
+        unknown_ms = self._window_ms + self._max_delivery_ms
+        uptime_ms = now_ms - self._started_ms
+        if uptime_ms >= unknown_ms:
+            return SHARE_SAFETY_FACTOR
+        return REMAINING_FACTOR * uptime_ms / unknown_ms
 
     def repeat(self, now_ms: float) -> None:
         """Counts a retry."""
--- a/tests/gateway/requests/test_retrybudget.py
+++ b/tests/gateway/requests/test_retrybudget.py
@@ -54,6 +54,19 @@
     assert SLACK / 2 < arrivals_in_worst_window(arrivals_ms) <= SLACK
 
 
+def test_starts_do_not_renew_the_slack():
+    """Each start took what the former incarnations had left, once more."""
+    sent = 0
+    for started_ms in range(0, 10_000, 1_000):
+        one = retrybudget.RetryBudget(RATIO, WINDOW_MS, SLACK,
+                                      upstream.MAX_DELIVERY_MS, started_ms)
+        while one.may_retry(1, started_ms + 999.0):
+            one.repeat(started_ms + 999.0)
+            sent += 1
+    used_before_the_first = SLACK * retrybudget.SHARE_SAFETY_FACTOR
+    assert sent <= SLACK - used_before_the_first
+
+
 class Fleet:
     """Nodes that repeat every request that they may, and their callers.
 
