Count requests that come anew for less in the retry budget

Cause: a node allows retries by its requests of the last window. After a start it counts requests from zero, while the retries that requests before the start had allowed still count with the runners. The same happens without a start when the callers of a dead node go to others.

Change: requests that the node did not have in the window before count by a fifth. For callers that stay nothing changes: 0.8 of the ratio, as before. For callers that move, the two windows that may pay for one sum up to the whole. No message and no record is needed, so that it holds while all nodes start.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -7,8 +7,8 @@
 # Nodes learn of each other's retries too late, so each limits its own to a
 # share of the budget, and uses at most this fraction of its share.
 SHARE_SAFETY_FACTOR = 0.8
-# The rest is left for what this node may send after a start, when it does not
-# know what it sent before.
+# The rest is left for retries that others have sent of the same budget: this
+# node before its start, or a node whose callers have come to this one.
 REMAINING_FACTOR = 1 - SHARE_SAFETY_FACTOR
 
 
@@ -39,6 +39,9 @@
         self._started_ms = started_ms
         self.set_limits(ratio, window_ms, slack)
         self._first_attempts_ms: collections.deque[float] = collections.deque()
+        # Those of the window before.
+        self._earlier_first_attempts_ms: collections.deque[float] = (
+            collections.deque())
         self._retries_ms: collections.deque[float] = collections.deque()
 
     def set_limits(self, ratio: float, window_ms: float, slack: float) -> None:
@@ -75,12 +78,23 @@
                 node's share of the slack is unknown, and it uses none.
             now_ms: The current time.
         """
-        by_requests = (self._ratio * len(self._first_attempts_ms) *
-                       SHARE_SAFETY_FACTOR)
+        by_requests = self._ratio * self._weighted_requests()
         if nodes is None:
             return by_requests
         return by_requests + self._slack / nodes * self._slack_factor(now_ms)
 
+    def _weighted_requests(self) -> float:
+        """Returns the requests of the window by which retries are allowed.
+
+        Those that came anew count for less: their callers may have left another
+        node, or this one before its start, whose retries were allowed by their
+        requests of the window before and arrive within this one.
+        """
+        within = len(self._first_attempts_ms)
+        before = len(self._earlier_first_attempts_ms)
+        return (REMAINING_FACTOR * within +
+                (SHARE_SAFETY_FACTOR - REMAINING_FACTOR) * min(within, before))
+
     def _slack_factor(self, now_ms: float) -> float:
         """Returns which part of its share of the slack this node uses."""
         unknown_ms = self._window_ms + self._max_delivery_ms
@@ -94,14 +108,20 @@
         self._retries_ms.append(now_ms)
 
     def _trim(self, now_ms: float) -> None:
-        _drop_before(self._first_attempts_ms, now_ms - self._window_ms)
-        _drop_before(self._retries_ms,
+        self._earlier_first_attempts_ms.extend(
+            _take_before(self._first_attempts_ms, now_ms - self._window_ms))
+        _take_before(self._earlier_first_attempts_ms,
+                     now_ms - 2 * self._window_ms)
+        _take_before(self._retries_ms,
                      now_ms - self._window_ms - self._max_delivery_ms)
 
 
-def _drop_before(times_ms: collections.deque[float], oldest_ms: float) -> None:
+def _take_before(times_ms: collections.deque[float],
+                 oldest_ms: float) -> list[float]:
+    taken = []
     while times_ms and times_ms[0] < oldest_ms:
-        times_ms.popleft()
+        taken.append(times_ms.popleft())
+    return taken
 
 
 class RetryBudgets:
--- a/tests/experiment/test_retry_budget.py
+++ b/tests/experiment/test_retry_budget.py
@@ -42,3 +42,19 @@
                        "b": 8
                    })
     assert not outcome.violations
+
+
+@SEEDS
+def test_start_of_all_nodes_does_not_exceed_it(seed):
+    """Nodes that start do not know what they sent before."""
+    outcome = test_world.play(*(trouble("heads_fail",
+                                        6.0 + 0.5 * number,
+                                        count=40,
+                                        for_s=3.0) for number in range(24)),
+                              trouble("all_nodes_kill", 8.0, for_s=0.3),
+                              places=PLACES,
+                              kinds=test_world.KINDS[:2],
+                              length_s=20.0,
+                              retry_slack=20.0,
+                              seed=seed)
+    assert not outcome.violations
--- a/tests/gateway/requests/test_retrybudget.py
+++ b/tests/gateway/requests/test_retrybudget.py
@@ -148,3 +148,20 @@
              for node in range(6)
              for number in range(starts)]
     assert play(kills).excess() <= 0
+
+
+@pytest.mark.parametrize("nodes", [1, 3, 5])
+def test_callers_that_move_from_dead_nodes_do_not_renew_the_budget(nodes):
+    """Their requests count at other nodes beside the dead ones' retries."""
+    kills = [(node, 13_000.0, 60_000.0) for node in range(nodes)]
+    assert play(kills).excess() <= 0
+
+
+@hypothesis.given(
+    strategies.lists(strategies.tuples(strategies.integers(0, 3),
+                                       strategies.floats(10_000, 38_000),
+                                       strategies.floats(0, 12_000)),
+                     max_size=12), strategies.integers(0, 20))
+def test_no_series_of_kills_renews_the_budget(kills, requests_per_step):
+    assert play(kills, nodes=4,
+                requests_per_step=requests_per_step).excess() <= 0
