Count a retry at a peer while an attempt waits for its connection

What runners could see: two arrivals of a request that no node counts as a retry.

Cause: a node that is cut off tells the peer to which it passes a request whether a runner got it. An attempt that still waited for its connection did not count, stayed open, and could be sent afterwards; both nodes then counted a first attempt of one request.

Change: an attempt counts as one that may arrive until it has ended unsent.

Measured: the new test failed before. tests/gateway/shell and tests/experiment/test_cut_nodes.py pass.

--- a/cardamommill/gateway/shell/openattempts.py
+++ b/cardamommill/gateway/shell/openattempts.py
@@ -163,9 +163,10 @@
         return bool(self._open) and all(each.is_silent for each in self._open)
 
     @property
-    def has_sent(self) -> bool:
-        """Whether any of them was handed to a connection."""
-        return any(not each.is_unsent for each in self._open)
+    def may_arrive(self) -> bool:
+        """Whether any of them may have reached its target, or still may."""
+        return any(not (each.is_unsent and each.attempt.done.done())
+                   for each in self._open)
 
     def cancel_all(self, result: attemptresult.Result, reason: str) -> None:
         """Ends all of them."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -499,8 +499,8 @@
 
     @property
     def _has_reached_runner(self) -> bool:
-        """Whether a runner has the request, or may have had it."""
-        return self._has_arrived or self._open.has_sent
+        """Whether a runner may have got the request, or still may."""
+        return self._has_arrived or self._open.may_arrive
 
     def _count_runs(self, is_isolated: bool) -> int:
         """Returns how many attempts count towards the route's limit."""
--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -262,6 +262,24 @@
     assert node.repeats_left == 9
 
 
+def test_attempt_that_may_still_be_sent_makes_a_hop_a_retry():
+    """Two nodes counted a first attempt of one request, and none the retry."""
+    node = relays.FakeNode()
+    node.send = lambda address, request, receiver, **kinds: SlowConnection(
+        request, receiver)
+
+    async def run():
+        one = relays.begin(node)
+        await settle()
+        node.peers = PEERS[:1]
+        one.divert("group stands still")
+        await settle()
+
+    asyncio.run(run())
+    ((_, _, has_arrived),) = node.told
+    assert has_arrived
+
+
 def test_stream_that_a_peer_brings_needs_no_word_of_the_peer():
     """Datagrams were lost while events came; another peer got the request."""
     node = relays.FakeNode()
