Count retries whose request may still arrive at a runner that stands still

Cause: an attempt at a silent runner is closed as soon as another runner brings the next event. The VM has acknowledged the request, so the process reads it when it goes on, seconds after the retry has left the count. What bounds unacknowledged bytes (MAX_DELIVERY_MS) does not bound this.

Change: an attempt that the node ended and that brought nothing is unread until its runner is heard again, later than an answer from before could come. Until then the retry of its request counts, and from then on for another window. `attempt-repeated` says how many retries are held so.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -1,6 +1,7 @@
 """Limits the retries of each service, over all nodes together."""
 
 import collections
+import dataclasses
 
 from cardamommill.domain import entrysettings
 
@@ -12,6 +13,20 @@
 REMAINING_FACTOR = 1 - SHARE_SAFETY_FACTOR
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Retry:
+    """A retry that counts.
+
+    Attributes:
+        request: The id of the request.
+        at_ms: When it was sent, or when an attempt of the request was found to
+            have arrived late.
+    """
+
+    request: str
+    at_ms: float
+
+
 class RetryBudget:
     """The retry budget of one service on this node, over a sliding window."""
 
@@ -42,7 +57,11 @@
         # Those of the window before.
         self._earlier_first_attempts_ms: collections.deque[float] = (
             collections.deque())
-        self._retries_ms: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[_Retry] = collections.deque()
+        # Older ones, of requests of which an attempt may still arrive.
+        self._held: list[_Retry] = []
+        # How many attempts of each request have ended and may still arrive.
+        self._unread: collections.Counter[str] = collections.Counter()
 
     def set_limits(self, ratio: float, window_ms: float, slack: float) -> None:
         """Changes the limits; what was counted goes on counting."""
@@ -68,7 +87,12 @@
     @property
     def retries(self) -> int:
         """The number of this node's retries that may arrive within a window."""
-        return len(self._retries_ms)
+        return len(self._retries) + self.held
+
+    @property
+    def held(self) -> int:
+        """How many of these are older than that and may still arrive."""
+        return len(self._held)
 
     def allowed(self, nodes: int | None, now_ms: float) -> float:
         """Returns how many retries this node may make within the window.
@@ -103,17 +127,51 @@
             return SHARE_SAFETY_FACTOR
         return REMAINING_FACTOR * uptime_ms / unknown_ms
 
-    def repeat(self, now_ms: float) -> None:
-        """Counts a retry."""
-        self._retries_ms.append(now_ms)
+    def repeat(self, request: str, now_ms: float) -> None:
+        """Counts a retry of a request."""
+        self._retries.append(_Retry(request, now_ms))
+
+    def record_unread(self, request: str) -> None:
+        """Records that an attempt has ended and may still arrive.
+
+        Until it has, a retry of its request counts: the attempts of a request
+        are one more than its retries, whichever of them arrives last.
+        """
+        self._unread[request] += 1
+
+    def record_read(self, request: str, now_ms: float) -> None:
+        """Records that such an attempt has arrived by now."""
+        self._remove_unread(request)
+        for retries in (self._held, self._retries):
+            for each in retries:
+                if each.request == request:
+                    retries.remove(each)
+                    self._retries.append(_Retry(request, now_ms))
+                    return
+
+    def record_lost(self, request: str) -> None:
+        """Records that such an attempt will not arrive any more."""
+        self._remove_unread(request)
+        if request not in self._unread:
+            self._held = [
+                each for each in self._held if each.request != request
+            ]
+
+    def _remove_unread(self, request: str) -> None:
+        self._unread[request] -= 1
+        if not self._unread[request]:
+            del self._unread[request]
 
     def _trim(self, now_ms: float) -> None:
         self._earlier_first_attempts_ms.extend(
             _take_before(self._first_attempts_ms, now_ms - self._window_ms))
         _take_before(self._earlier_first_attempts_ms,
                      now_ms - 2 * self._window_ms)
-        _take_before(self._retries_ms,
-                     now_ms - self._window_ms - self._max_delivery_ms)
+        oldest_ms = now_ms - self._window_ms - self._max_delivery_ms
+        while self._retries and self._retries[0].at_ms < oldest_ms:
+            one = self._retries.popleft()
+            if one.request in self._unread:
+                self._held.append(one)
 
 
 def _take_before(times_ms: collections.deque[float],
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -31,6 +31,7 @@
     routetable,
     silence,
     slowstart,
+    unreadattempts,
 )
 from cardamommill.gateway.shell import (
     admissioncontrol,
@@ -103,6 +104,8 @@
         self._retry_budgets = retrybudget.RetryBudgets(settings.bounds,
                                                        upstream.MAX_DELIVERY_MS,
                                                        clock.now_ms())
+        self._unread_attempts = unreadattempts.UnreadAttempts(
+            upstream.MAX_DELIVERY_MS)
         self._relays: dict[model.GroupKey, dict[relay.Relay, None]] = {}
         self._group_loads = grouploads.GroupLoads()
         self.in_flight_requests = self._group_loads.own
@@ -199,7 +202,8 @@
         }
 
     def drop_expired(self, now_ms: float) -> None:
-        """Drops records of faults that no longer matter."""
+        """Drops records that no longer matter."""
+        self._unread_attempts.drop_expired(now_ms)
         self._plain_runners.drop_expired(now_ms)
         self.reliability.drop_expired(now_ms)
         self.backpressure.drop_expired(now_ms)
@@ -303,7 +307,7 @@
         now_ms = clock.now_ms()
         budget = self._retry_budgets.for_service(one.service)
         if repeat:
-            budget.repeat(now_ms)
+            budget.repeat(one.attempt_id, now_ms)
             self._metrics.count("repeats_total", service=one.service)
             self._log_repeat(one, budget, now_ms)
         else:
@@ -336,6 +340,7 @@
                       request=one.attempt_id,
                       service=one.service,
                       retries=budget.retries,
+                      held=budget.held,
                       allowed=int(budget.allowed(nodes, now_ms)),
                       nodes=nodes))
 
@@ -345,6 +350,7 @@
         if target.known.has_ended:
             # The next incarnation may have answered at the same address.
             return
+        self._unread_attempts.heard(target.known.runner.id, clock.now_ms())
         self.backpressure.receive_head(one.attempt_id, target.known.runner.id,
                                        head, sent_ms)
 
@@ -352,6 +358,7 @@
         """Records an event of a stream."""
         now_ms = clock.now_ms()
         runner_id = target.known.runner.id
+        self._unread_attempts.heard(runner_id, now_ms)
         sent_ms = self._unanswered_since_ms.pop((one, target.name), None)
         if sent_ms is not None:
             self.crashes.first_event(one, target, now_ms)
@@ -399,6 +406,10 @@
         now_ms = clock.now_ms()
         runner = target.known.runner.id
         sent_ms = self._unanswered_since_ms.pop((one, target.name), None)
+        if sent_ms is not None:
+            self._unread_attempts.attempt_ended(
+                target.known, self._retry_budgets.for_service(one.service),
+                one.attempt_id, outcome.result, now_ms)
         if outcome.result in _NO_FAULT:
             if sent_ms is not None and (outcome.result
                                         in attemptresult.SUCCEEDED):
--- a/tests/gateway/requests/test_retrybudget.py
+++ b/tests/gateway/requests/test_retrybudget.py
@@ -37,7 +37,7 @@
     arrivals_ms = []
     for sent_ms, delay_ms in sorted(wanted):
         if one.may_retry(1, sent_ms):
-            one.repeat(sent_ms)
+            one.repeat("r", sent_ms)
             arrivals_ms.append(sent_ms + delay_ms)
     assert arrivals_in_worst_window(arrivals_ms) <= SLACK
 
@@ -49,7 +49,7 @@
     arrivals_ms = []
     for sent_ms in range(0, 13_000, 10):
         while one.may_retry(1, sent_ms):
-            one.repeat(sent_ms)
+            one.repeat("r", sent_ms)
             arrivals_ms.append(max(sent_ms, back_ms))
     assert SLACK / 2 < arrivals_in_worst_window(arrivals_ms) <= SLACK
 
@@ -61,7 +61,7 @@
         one = retrybudget.RetryBudget(RATIO, WINDOW_MS, SLACK,
                                       upstream.MAX_DELIVERY_MS, started_ms)
         while one.may_retry(1, started_ms + 999.0):
-            one.repeat(started_ms + 999.0)
+            one.repeat("r", started_ms + 999.0)
             sent += 1
     used_before_the_first = SLACK * retrybudget.SHARE_SAFETY_FACTOR
     assert sent <= SLACK - used_before_the_first
@@ -101,7 +101,7 @@
             one = up[number % len(up)]
             one.request(now_ms)
             while fails and one.may_retry(len(self._budgets), now_ms):
-                one.repeat(now_ms)
+                one.repeat("r", now_ms)
                 self._retries_ms.append(now_ms)
 
     def excess(self):
--- a/tests/gateway/test_freshness_and_retries.py
+++ b/tests/gateway/test_freshness_and_retries.py
@@ -31,7 +31,7 @@
         budget.request(now_ms)
         requests += 1
         while budget.may_retry(6, now_ms):
-            budget.repeat(now_ms)
+            budget.repeat("r", now_ms)
             retries += 1
     assert retries <= 0.2 * requests + 130
     assert retries > 100
@@ -42,7 +42,7 @@
     budgets = retrybudget.RetryBudgets(BOUNDS, 0.0, -20_000.0)
     budget = budgets.for_service("llm")
     while budget.may_retry(1, 0.0):
-        budget.repeat(0.0)
+        budget.repeat("r", 0.0)
     budgets.reload(BOUNDS.model_copy(update={"retry_slack": 10.0}))
     assert not budgets.for_service("llm").may_retry(1, 100.0)
     assert budgets.for_service("llm").may_retry(1, 10_100.0)
@@ -62,12 +62,12 @@
             budget.request(at_ms)
             requests += 1
         while budget.may_retry(6, at_ms):
-            budget.repeat(at_ms)
+            budget.repeat("r", at_ms)
             sent += 1
     assert sent <= BOUNDS.retry_ratio * requests + BOUNDS.retry_slack / 6
     sent_by_slack = 0
     while budget.may_retry(6, started_ms + 20_000.0):
-        budget.repeat(started_ms + 20_000.0)
+        budget.repeat("r", started_ms + 20_000.0)
         sent_by_slack += 1
     share = BOUNDS.retry_slack / 6 * retrybudget.SHARE_SAFETY_FACTOR
     assert sent_by_slack == int(share)
@@ -77,6 +77,6 @@
     budget = retrybudget.RetryBudget(0.0, 10_000, 10, 0.0)
     for now_ms in range(8):
         assert budget.may_retry(1, now_ms)
-        budget.repeat(now_ms)
+        budget.repeat("r", now_ms)
     assert not budget.may_retry(1, 9000)
     assert budget.may_retry(1, 10_010)
