Count a silent attempt for the service that it was sent to

What was wrong, since: a silent attempt that ends after its request was placed at another service was recorded at that service's budget, so that its retry left the count of the first one too early. Found on reading; not seen in a play.

Change: the budget is that of the runner's service.

Measured: the new test failed before.

--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -407,8 +407,9 @@
         runner = target.known.runner.id
         sent_ms = self._unanswered_since_ms.pop((one, target.name), None)
         if sent_ms is not None:
+            service = target.known.runner.service
             self._unread_attempts.attempt_ended(
-                target.known, self._retry_budgets.for_service(one.service),
+                target.known, self._retry_budgets.for_service(service),
                 one.attempt_id, outcome.result, now_ms)
         if outcome.result in _NO_FAULT:
             if sent_ms is not None and (outcome.result
--- a/tests/gateway/shell/test_two_attempts.py
+++ b/tests/gateway/shell/test_two_attempts.py
@@ -441,6 +441,22 @@
     assert not requests.forecast.overhead_ms("other")
 
 
+def test_silent_attempt_counts_for_the_service_that_it_was_sent_to():
+    """Its retry counted no longer, since it went to another service."""
+    requests, target = at_runner(("g", 1))
+    one = Request()
+    with clock.override(lambda: 1000.0):
+        requests.on_attempt_start(one, target, True)
+    # As `find_target` does for the second attempt.
+    one.service = "other"
+    with clock.override(lambda: 2000.0):
+        requests.on_attempt_end(one, target,
+                                attempts.Outcome(attemptresult.Result.DIVERTED))
+    budget = requests._retry_budgets.for_service("llm")
+    budget.may_retry(1, 20_000.0)
+    assert budget.held == 1
+
+
 def test_only_attempts_at_the_silent_group_are_silent():
     """The first group is given up twice; the second has the request by then."""
 
