Limit retries after a start only where callers may have been there before

What was wrong, since: nodes that start before the traffic repeated less in its first seconds, though no former process had sent anything.

Change: callers return to a node that restarts at once.

--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -11,6 +11,9 @@
 # The rest is left for retries that others have sent of the same budget: this
 # node before its start, or a node whose callers have come to this one.
 REMAINING_FACTOR = 1 - SHARE_SAFETY_FACTOR
+# Callers return to a node that restarts within this time. One that gets no
+# request for longer after its start had none before.
+RETURN_MS = 5000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,8 +55,11 @@
         """
         self._max_delivery_ms = max_delivery_ms
         self._started_ms = started_ms
-        # When this node started, or lost another one.
-        self._last_loss_ms = started_ms
+        # When this node lost another one, or its own former process.
+        self._last_loss_ms = float("-inf")
+        self._has_requests = False
+        # Whether it is known that no former process had requests.
+        self._has_started_idle = False
         self.set_limits(ratio, window_ms, slack)
         self._first_attempts_ms: collections.deque[float] = collections.deque()
         # Those of the window before.
@@ -73,6 +79,11 @@
 
     def request(self, now_ms: float) -> None:
         """Counts the first attempt of a request."""
+        if not self._has_requests:
+            self._has_requests = True
+            self._has_started_idle = now_ms - self._started_ms >= RETURN_MS
+            if not self._has_started_idle:
+                self.record_loss(self._started_ms)
         self._first_attempts_ms.append(now_ms)
         self._trim(now_ms)
 
@@ -132,6 +143,8 @@
         uptime_ms = now_ms - self._started_ms
         if uptime_ms >= self._arrival_span_ms:
             return SHARE_SAFETY_FACTOR
+        if self._has_started_idle:
+            return REMAINING_FACTOR
         return REMAINING_FACTOR * uptime_ms / self._arrival_span_ms
 
     @property
