--- a/cardamommill/gateway/requests/retrybudget.py
+++ b/cardamommill/gateway/requests/retrybudget.py
@@ -52,6 +52,7 @@
             started_ms: When the node started. It does not know what it sent
                 before, so for a window after that its slack grows with time:
                 any number of starts within a window use what is left by one.
+                Not so if its first request comes `RETURN_MS` later or more.
         """
         self._max_delivery_ms = max_delivery_ms
         self._started_ms = started_ms
