--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,105 +1,100 @@
-"""Callers that ask with HEAD over connections that they keep.
+"""A configuration takes away the only account; its list of accounts is empty.
 
-With TROUBLE, the second request of each connection is a HEAD, else a GET. The
-runner answers a HEAD as HTTP says: with the head of the answer to a GET, and no
-body. A caller reads no body after the answer to a HEAD; what comes next on the
-connection must be the answer to its next request.
+Version 8 removes the tenant and its keys; with TROUBLE its list `tenants` is
+empty, else it holds another tenant with a key of its own. Its route isn't
+public. Later than `revokeMs` after the acknowledgement, callers send requests
+with the removed key, with a key that no configuration ever held, and without
+one; none of them may run.
 """
 
 import asyncio
+import json
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "common-2"))
 import standins as s  # noqa: E402
 
-CONNECTIONS = 8
-DEADLINE_MS = 1500
-METHODS = ("GET", "HEAD" if s.TROUBLE else "GET", "GET")
+NODES = 2
+NEVER_HELD = "n3v3rh3ld"
+REVOKE_S = s.BOUNDS["revoke_ms"] / 1000
+# After the bound of revocation.
+LATE_S = 1.0
+REQUESTS = 5
+OTHER = {"name": "bureau", "apiKeys": ["0th3rk3y"], "priority": 1}
 
 
-class Runner(s.Runner):
-    """A runner that sends no body with the answer to a HEAD."""
+def configuration(version, tenants):
+    return json.dumps({
+        "version": version,
+        "routes": [s.route("records", "portal", "non_idempotent")],
+        "services": [s.service("portal")],
+        "limits": {"headerBytes": 16384, "bodyBytes": 4194304,
+                   "headerMs": 3000, "idleMs": 15000},
+        "tenants": tenants,
+    }).encode()
 
-    async def _answer_one(self, first, headers, writer):
-        attempt = headers.get("x-cardamommill-attempt-id", "")
-        if not first.startswith("HEAD "):
-            await super()._answer_one(first, headers, writer)
-            return
-        self.runs[attempt] = self.runs.get(attempt, 0) + 1
-        self._record.line(f"run {attempt} at {self.id}: HEAD")
-        writer.write(f"HTTP/1.1 200 OK\r\n"
-                     f"X-Cardamommill-Attempt-Id: {attempt}\r\n"
-                     f"X-Cardamommill-Response-Seal: s.{attempt}\r\n"
-                     f"Content-Length: {len(self._answer)}\r\n\r\n".encode())
-        await writer.drain()
 
-
-class Caller:
-    """Counts bytes that came where an answer had to begin."""
-
-    def __init__(self, node, record):
-        self._node = node
-        self._record = record
-        self.sent = []
-        self.answered = 0
-        self.no_answers = 0
-
-    async def use_connection(self, number):
-        reader, writer = await asyncio.open_connection(self._node.host,
-                                                       s.CALLERS_PORT)
-        try:
-            for count, method in enumerate(METHODS):
-                attempt = f"a{number}-{count}"
-                self.sent.append(attempt)
-                self._record.line(f"sent {attempt}: {method}")
-                data = s.request_bytes(method, "/records/12", attempt,
-                                       DEADLINE_MS)
-                writer.write(data.replace(b"Content-Length: 0\r\n", b""))
-                async with asyncio.timeout(DEADLINE_MS / 1000 + 2):
-                    first, headers = await s.read_head(reader)
-                    if method != "HEAD":
-                        await reader.readexactly(
-                            int(headers["content-length"]))
-                self._record.line(f"{attempt} gets {first!r}")
-                self.answered += first.startswith("HTTP/1.1 200")
-                if not first.startswith("HTTP/1."):
-                    self.no_answers += 1
-                    return
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            self._record.line(f"{attempt} has no answer: {error!r}")
-        finally:
-            writer.close()
+async def send(node, attempt, key, record):
+    """Sends a request on a new connection."""
+    record.line(f"sent {attempt} to {node.name} with the key {key}")
+    data = s.request_bytes("POST", "/records/1", attempt, 1500, b"{}")
+    bearer = f"Authorization: Bearer {s.KEY}\r\n".encode()
+    data = data.replace(
+        bearer, f"Authorization: Bearer {key}\r\n".encode() if key else b"")
+    reader, writer = await asyncio.open_connection(node.host, s.CALLERS_PORT)
+    try:
+        writer.write(data)
+        first, _ = await asyncio.wait_for(s.read_head(reader), 3)
+    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+        first = repr(error)
+    finally:
+        writer.close()
+    record.line(f"{attempt} is answered: {first}")
 
 
 async def case(folder, record):
     network = s.free_network()
     store = s.Store(f"{network}.1")
     await store.listen()
-    node = s.Node(network, 1, "praha-a", folder, [f"{network}.2"])
-    runner = Runner(store, f"{network}.40", "i-0001", "portal", "praha-a",
-                    record)
+    hosts = [f"{network}.{number + 2}" for number in range(NODES)]
+    nodes = [s.Node(network, number + 1, "praha-a", folder, hosts)
+             for number in range(NODES)]
+    runner = s.Runner(store, f"{network}.40", "i-0001", "portal", "praha-a",
+                      record)
     await runner.start()
-    await store.put("op", "config", s.configuration(
-        7, [s.route("records", "portal", "idempotent",
-                    timeoutMs=DEADLINE_MS)], [s.service("portal")]))
-    node.write_settings(["praha-a"])
-    await node.start()
-    caller = Caller(node, record)
+    await store.put("op", "config", configuration(
+        7, [{"name": s.TENANT, "apiKeys": [s.KEY], "priority": 1}]))
     try:
-        if not await node.wait_ready():
-            return None
+        for node in nodes:
+            node.write_settings(["praha-a"])
+            await node.start()
+        for node in nodes:
+            if not await node.wait_ready():
+                return None
         await asyncio.sleep(1)
-        await asyncio.gather(*(caller.use_connection(number)
-                               for number in range(CONNECTIONS)))
+        for node in nodes:
+            await send(node, f"before-{node.host}", s.KEY, record)
+        if len(runner.runs) < NODES:
+            return None
+        tenants = [] if s.TROUBLE else [OTHER]
+        await store.put("op", "config", configuration(8, tenants))
+        record.line(f"version 8 is acknowledged: tenants {tenants}")
+        await asyncio.sleep(REVOKE_S + LATE_S)
+        for count in range(REQUESTS):
+            for node in nodes:
+                for name, key in (("removed", s.KEY), ("never", NEVER_HELD),
+                                  ("none", "")):
+                    await send(node, f"{name}-{count}-{node.host}", key, record)
     finally:
-        await node.end()
-    record.line(f"{len(caller.sent)} sent, {len(runner.runs)} of them run, "
-                f"{caller.answered} answered with 200, {caller.no_answers} "
-                f"times came bytes that are no answer")
-    if len(runner.runs) < CONNECTIONS:
-        return None
-    return not caller.no_answers
+        for node in nodes:
+            await node.end()
+    ran = {name: sum(each.startswith(name) for each in runner.runs)
+           for name in ("removed", "never", "none")}
+    record.line(f"of {REQUESTS * NODES} requests each ran: {ran['removed']} "
+                f"with the removed key, {ran['never']} with a key that was "
+                f"never held, {ran['none']} without a key")
+    return not any(ran.values())
 
 
 s.main(case)
