--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -359,12 +359,15 @@
     record = Record(folder)
     async def run():
         # Tasks that are cancelled at the end are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        # A run that is stopped ends the processes that it started, too.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(case(work, record), 110)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.line(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         held = None
