Require API keys as soon as a configuration has a list of accounts

Callers saw: after the operator removed the last client account (an empty list `tenants`), all nodes ran requests with the removed key, with a key that was never held and with none, on routes that are not public, without end.

Cause: RouteTable.needs_keys was bool(tenants), and the decoder gave an absent list and an empty one the same value, so the difference was lost.

Change: Configuration.needs_keys, true by default, false only where the list is absent. A list of null is an empty one; before, it could not be decoded.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -309,13 +309,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One complete, accepted version of the configuration."""
+    """One complete, accepted version of the configuration.
+
+    Attributes:
+        needs_keys: Whether requests need an API key, unless their route is
+            public. Also true if there is no client account left.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
     tenants: tuple[Tenant, ...]
+    needs_keys: bool = True
 
     @property
     def group_services(self) -> frozenset[str]:
--- a/cardamommill/gateway/requests/routetable.py
+++ b/cardamommill/gateway/requests/routetable.py
@@ -43,8 +43,8 @@
 
     @property
     def needs_keys(self) -> bool:
-        """Whether the configuration has client accounts, and so keys."""
-        return bool(self.configuration.tenants)
+        """Whether requests need an API key, unless their route is public."""
+        return self.configuration.needs_keys
 
 
 def draw_service_order(route: model.Route, rng: random.Random) -> list[str]:
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -116,11 +116,23 @@
 
 
 class _Configuration(wire.Wire):
+    """A configuration.
+
+    Attributes:
+        tenants: The client accounts; None if the field is absent, so that no
+            request needs a key. An empty list removes the last account.
+    """
+
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] = ()
+    tenants: tuple[_Tenant, ...] | None = None
+
+    @pydantic.field_validator("tenants", mode="before")
+    @classmethod
+    def _empty_if_null(cls, value: Any) -> Any:
+        return () if value is None else value
 
 
 def key_digest(key: str) -> bytes:
@@ -153,7 +165,8 @@
         tenants=tuple(
             model.Tenant(each.name, tuple(map(key_digest, each.apiKeys)),
                          each.priority, each.allowedRegions)
-            for each in configuration.tenants))
+            for each in configuration.tenants or ()),
+        needs_keys=configuration.tenants is not None)
 
 
 def _undecodable(
