--- a/tests/gateway/shell/test_admitting.py
+++ b/tests/gateway/shell/test_admitting.py
@@ -13,12 +13,9 @@
 HELD, REMOVED, NEVER_HELD = "held-key", "removed-key", "other-key"
 RECORDS, PAGES = "/records/1", "/pages/1"
 ABSENT = object()
-DEPLOYMENT = deployments.Deployment(name="d",
-                                    models=(),
-                                    kinds=(deployments.KindSpec(
-                                        name="records", per_s=1),
-                                           deployments.KindSpec(name="pages",
-                                                                per_s=1)))
+KINDS = tuple(
+    deployments.KindSpec(name=name, per_s=1) for name in ("records", "pages"))
+DEPLOYMENT = deployments.Deployment(name="d", models=(), kinds=KINDS)
 
 
 def account(*keys):
