Apply the client accounts of a configuration that is refused

Callers saw: after one version took a key away and added a route of priority 12, all requests with the removed key ran 6 s and more after the acknowledgement, and all on the new route got 404, until another version.

Change: priorities of any size are valid, ranks after 9 count as 9. Of a version that can't take effect as a whole, refused or undecodable, the client accounts take effect with the last good routes, under the new version, so that peers neither confirm the old accounts nor miss the new ones. Accounts that can't be decoded are left out; if all are unreadable, or a faulty version lacks the list that the former had, keys are not confirmed (503). Shown by log line, gauge configuration_partial and the status page.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -308,20 +308,63 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Configuration:
-    """One complete, accepted version of the configuration.
+class ClientAccounts:
+    """The client accounts of one version of the configuration.
 
     Attributes:
         needs_keys: Whether requests need an API key, unless their route is
             public. Also true if there is no client account left.
     """
 
+    version: int
+    tenants: tuple[Tenant, ...]
+    needs_keys: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """A version of the configuration as it is in force.
+
+    Attributes:
+        version: The version of its client accounts.
+        needs_keys: See `ClientAccounts`.
+        routes_version: The version of all other parts. It is older while the
+            newest version can't take effect as a whole.
+    """
+
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
     tenants: tuple[Tenant, ...]
     needs_keys: bool = True
+    routes_version: int = 0
+
+    def __post_init__(self) -> None:
+        if not self.routes_version:
+            object.__setattr__(self, "routes_version", self.version)
+
+    @property
+    def is_partial(self) -> bool:
+        """Whether only the client accounts of its version are in force."""
+        return self.routes_version != self.version
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Sort key, from the oldest to the newest."""
+        return self.version, self.routes_version
+
+    @property
+    def accounts(self) -> ClientAccounts:
+        """Its client accounts."""
+        return ClientAccounts(self.version, self.tenants, self.needs_keys)
+
+    def with_accounts(self, accounts: ClientAccounts) -> "Configuration":
+        """Returns this configuration with the accounts of another version."""
+        return dataclasses.replace(self,
+                                   version=accounts.version,
+                                   tenants=accounts.tenants,
+                                   needs_keys=accounts.needs_keys)
 
     @property
     def group_services(self) -> frozenset[str]:
--- a/cardamommill/gateway/shell/admittedrequest.py
+++ b/cardamommill/gateway/shell/admittedrequest.py
@@ -80,7 +80,7 @@
 
     @property
     def priority(self) -> int:
-        """The priority in the runner's queue, from 0 for the first to 9."""
+        """The rank in queues: 0 is first; ranks after 9 count as 9."""
         rank = None if self.tenant is None else self.tenant.priority
         if rank is None:
             rank = self.route.priority if self.route else 5
--- a/cardamommill/gateway/shell/configurationrows.py
+++ b/cardamommill/gateway/shell/configurationrows.py
@@ -22,13 +22,26 @@
     """What becomes of a configuration."""
 
     ACCEPTED = "accepted"
-    # It was decoded, but a value is out of range. The one in force stays the
-    # newest valid one.
+    # It was decoded, but a value is out of range.
     REFUSED = "refused"
-    # It may revoke keys that are not known.
     UNDECODABLE = "undecodable"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evaluation:
+    """What may take effect of a configuration.
+
+    Attributes:
+        configuration: The configuration; None if it could not be decoded.
+        accounts: Its client accounts, which take effect even if the
+            configuration doesn't; None if they could not be decoded.
+    """
+
+    verdict: Verdict
+    configuration: model.Configuration | None
+    accounts: model.ClientAccounts | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """The refusal of a configuration.
@@ -64,28 +77,24 @@
         self._metrics = node_metrics
         self.last_refusal: Refusal | None = None
 
-    def evaluate(
-            self, value: bytes,
-            row_version: int) -> tuple[Verdict, model.Configuration | None]:
-        """Returns whether a stored configuration may take effect.
+    def evaluate(self, value: bytes, row_version: int) -> Evaluation:
+        """Returns what may take effect of a stored configuration.
 
         Args:
             value: The value of its row.
             row_version: The version of its row.
-
-        Returns:
-            The verdict, and the configuration if it could be decoded.
         """
         try:
             configuration = configurations.decode(value)
         except configurationfaults.UndecodableConfiguration as error:
             self._refuse(row_version, error.fault, None)
-            return Verdict.UNDECODABLE, None
+            return Evaluation(Verdict.UNDECODABLE, None,
+                              configurations.decode_accounts(value))
         fault = self._find_fault(configuration)
-        if fault is None:
-            return Verdict.ACCEPTED, configuration
-        self._refuse(row_version, fault, configuration)
-        return Verdict.REFUSED, configuration
+        verdict = Verdict.ACCEPTED if fault is None else Verdict.REFUSED
+        if fault is not None:
+            self._refuse(row_version, fault, configuration)
+        return Evaluation(verdict, configuration, configuration.accounts)
 
     def reload(self, regions: Iterable[str]) -> model.Configuration | None:
         """Applies changed settings.
@@ -133,4 +142,6 @@
                   version=configuration.version,
                   before=before,
                   routes=len(configuration.routes),
-                  tenants=len(configuration.tenants)))
+                  routes_version=configuration.routes_version,
+                  tenants=len(configuration.tenants),
+                  needs_keys=configuration.needs_keys))
--- a/cardamommill/gateway/shell/nodestatus.py
+++ b/cardamommill/gateway/shell/nodestatus.py
@@ -73,6 +73,8 @@
         return {
             "version":
                 table.configuration.version,
+            "routes_version":
+                table.configuration.routes_version,
             "age_ms":
                 int(now_ms - self._reader.table_since_ms),
             # JSON has no infinity, which stands for "never".
--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -99,8 +99,8 @@
         self._recovery_until_ms = float("-inf")
         self._list_requested = asyncio.Event()
         self._is_catching_up = False
-        # Version of the row with a configuration that could not be decoded; 0
-        # if there is none.
+        # Version of the row with a configuration whose client accounts could
+        # not be decoded; 0 if there is none.
         self._undecodable_version = 0
         # Version of the configuration in the store.
         self._stored_version = 0
@@ -113,6 +113,14 @@
         # Newest version of the configuration that any peer uses.
         self._newest_peer_version = 0
         self._restoration: restoration.Restoration | None = None
+        node_metrics.collect(
+            lambda:
+            [metrics.Sample("configuration_partial", float(self._is_partial))])
+
+    @property
+    def _is_partial(self) -> bool:
+        """Whether only the accounts of the newest configuration are used."""
+        return self.table is not None and self.table.configuration.is_partial
 
     async def follow_configuration(self) -> None:
         """Keeps the configuration up to date; runs until the node ends."""
@@ -219,20 +227,37 @@
         if row.deleted:
             self._stored_version = 0
             return
-        verdict, configuration = self._operator_rows.configurations.evaluate(
-            row.value, version)
-        if configuration is None:
-            # A version that can't be decoded may revoke keys. So the current
-            # one is not confirmed as the newest until a later one is decoded,
-            # even if the next answers contain no changes.
+        found = self._operator_rows.configurations.evaluate(row.value, version)
+        if not self._are_keys_known(found):
+            # A version whose accounts can't be decoded may revoke keys. So the
+            # current one is not confirmed as the newest until a later one is
+            # decoded, even if the next answers contain no changes.
             self._undecodable_version = max(self._undecodable_version, version)
             return
-        self._stored_version = configuration.version
-        if verdict is configurationrows.Verdict.REFUSED:
-            return
+        assert found.accounts is not None
+        self._stored_version = found.accounts.version
         if version > self._undecodable_version:
             self._undecodable_version = 0
-        self._apply_configuration(configuration)
+        if found.verdict is configurationrows.Verdict.ACCEPTED:
+            assert found.configuration is not None
+            self._apply_configuration(found.configuration)
+        elif self.table is not None:
+            # The keys that it revokes must not work any longer, whatever is
+            # wrong with its other parts.
+            self._apply_configuration(
+                self.table.configuration.with_accounts(found.accounts))
+
+    def _are_keys_known(self, found: configurationrows.Evaluation) -> bool:
+        """Whether it is known which keys work by the newest configuration.
+
+        A faulty configuration without a list of accounts does not open the
+        routes that need keys.
+        """
+        if found.accounts is None:
+            return False
+        return (found.verdict is configurationrows.Verdict.ACCEPTED or
+                found.accounts.needs_keys or self.table is None or
+                not self.table.needs_keys)
 
     def _is_newest(self, rows: storecalls.Rows) -> bool:
         """Whether an answer confirms that the current configuration is newest.
@@ -268,9 +293,10 @@
             self._apply_configuration(configuration)
 
     def _apply_configuration(self, configuration: model.Configuration) -> None:
-        """Uses a valid configuration if it is newer than the current one."""
+        """Uses a configuration if it is newer than the current one."""
         before = self._version()
-        if configuration.version <= before:
+        if (self.table is not None and
+                configuration.order <= self.table.configuration.order):
             return
         self.table = routetable.RouteTable(configuration)
         self.table_since_ms = clock.now_ms()
--- a/cardamommill/platform/configurationchecks.py
+++ b/cardamommill/platform/configurationchecks.py
@@ -7,7 +7,6 @@
 from cardamommill.domain import model
 from cardamommill.platform import configurationfaults, configurations
 
-MAX_PRIORITY = 9
 MAX_VALUE_CHARS = 60
 
 
@@ -47,9 +46,9 @@
 
 def _priority_faults(
         path: str, priority: int | None) -> Iterator[configurationfaults.Fault]:
-    if priority is not None and not 0 <= priority <= MAX_PRIORITY:
-        yield configurationfaults.Fault(f"{path}.priority", "number",
-                                        f"a priority from 0 to {MAX_PRIORITY}",
+    if priority is not None and priority < 0:
+        yield configurationfaults.Fault(f"{path}.priority",
+                                        "number", "a priority of at least 0",
                                         str(priority))
 
 
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration into the types of `domain.model`."""
 
+from collections.abc import Iterable, Iterator
 import hashlib
 from typing import Annotated, Any
 
@@ -9,7 +10,6 @@
 from cardamommill.domain import model
 from cardamommill.platform import configurationfaults, wire
 
-# Priorities run from 0, the most urgent, to 9.
 DEFAULT_PRIORITY = 5
 
 
@@ -135,6 +135,18 @@
         return () if value is None else value
 
 
+class _Accounts(wire.Wire):
+    """The part of a configuration that grants and revokes API keys."""
+
+    version: int
+    tenants: tuple[Any, ...] | None = None
+
+    @pydantic.field_validator("tenants", mode="before")
+    @classmethod
+    def _empty_if_null(cls, value: Any) -> Any:
+        return () if value is None else value
+
+
 def key_digest(key: str) -> bytes:
     """Returns the SHA-256 digest that is kept in place of an API key."""
     return hashlib.sha256(key.encode("utf-8", "replace")).digest()
@@ -162,13 +174,45 @@
                             configuration.limits.bodyBytes,
                             configuration.limits.headerMs,
                             configuration.limits.idleMs),
-        tenants=tuple(
-            model.Tenant(each.name, tuple(map(key_digest, each.apiKeys)),
-                         each.priority, each.allowedRegions)
-            for each in configuration.tenants or ()),
+        tenants=tuple(map(_tenant, configuration.tenants or ())),
         needs_keys=configuration.tenants is not None)
 
 
+def decode_accounts(value: bytes) -> model.ClientAccounts | None:
+    """Returns the client accounts of a configuration that can't be decoded.
+
+    An account that can't be decoded itself is left out, so that its keys do not
+    work.
+
+    Args:
+        value: The row's value, JSON.
+
+    Returns:
+        None if it is unknown which keys the configuration revokes.
+    """
+    try:
+        found = _Accounts.model_validate_json(value)
+    except pydantic.ValidationError:
+        return None
+    return model.ClientAccounts(found.version,
+                                tuple(_sound_tenants(found.tenants or ())),
+                                found.tenants is not None)
+
+
+def _sound_tenants(found: Iterable[Any]) -> Iterator[model.Tenant]:
+    for each in found:
+        try:
+            tenant = _Tenant.model_validate(each)
+        except pydantic.ValidationError:
+            continue
+        yield _tenant(tenant)
+
+
+def _tenant(tenant: _Tenant) -> model.Tenant:
+    return model.Tenant(tenant.name, tuple(map(key_digest, tenant.apiKeys)),
+                        tenant.priority, tenant.allowedRegions)
+
+
 def _undecodable(
     error: pydantic.ValidationError
 ) -> configurationfaults.UndecodableConfiguration:
