Stay until answers have left the node when it stops as planned

Callers saw: after SIGTERM 6 of 6 that read slowly got 3.4 to 3.8 of 4.2 MB of answers that runners had given whole and that may not be asked for again. By another report, requests late in the grace were cut at its end; here those got 503, but 1 of 240 new connections was closed unread.

Cause: "handed to the transport" was taken for "sent". A node ended 2.6 s after SIGTERM once no request was without an answer, whatever its buffers held, and closed every connection without a request in each tick, just accepted or not.

A connection closes its sending side first and reads on, so that bytes on their way do not reset it (also idle ones, and refusals of requests that still arrive).

--- a/cardamommill/experiment/virtualnetwork.py
+++ b/cardamommill/experiment/virtualnetwork.py
@@ -5,6 +5,7 @@
 import contextvars
 import dataclasses
 import random
+import socket
 from typing import Any
 
 from cardamommill import units
@@ -186,6 +187,15 @@
         if not self._closing and data:
             self._schedule_delivery(self._deliver, bytes(data))
 
+    def can_write_eof(self) -> bool:
+        """See asyncio."""
+        return True
+
+    def write_eof(self) -> None:
+        """Closes the sending side after data already sent; see asyncio."""
+        if not self._closing:
+            self._schedule_delivery(self._notify_peer_sent_all, None)
+
     def close(self) -> None:
         """Closes after data already sent; see asyncio."""
         self._end(None)
@@ -252,6 +262,22 @@
         finally:
             HOST.reset(token)
 
+    def _notify_peer_sent_all(self, _: Any) -> None:
+        if self._peer is not None:
+            self._peer.on_end_of_stream()
+
+    def on_end_of_stream(self) -> None:
+        """Handles the close of the other end's sending side."""
+        if self._closing:
+            return
+        token = HOST.set(self.host)
+        try:
+            assert isinstance(self._protocol, asyncio.Protocol)
+            if not self._protocol.eof_received():
+                self.close()
+        finally:
+            HOST.reset(token)
+
     def _notify_peer_closed(self, error: Exception | None) -> None:
         if self._peer is not None:
             self._peer.on_peer_closed(error)
@@ -278,6 +304,11 @@
         self._network = network
         self._address = address
 
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """Returns none, since connections are accepted at once; see asyncio."""
+        return ()
+
     def close(self) -> None:
         """Stops accepting connections."""
         self._network.listeners.pop(self._address, None)
--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -261,6 +261,12 @@
         for one in dict.fromkeys(one for one, _ in self._running):
             one.leave_runner("this node is cut off")
 
+    def end_unfinished(self, reason: str) -> None:
+        """Answers all requests that are still in progress as unfinished."""
+        running = [one for one, _ in self._running]
+        for one in dict.fromkeys(running + self.hops.requests()):
+            one.end_unfinished(reason)
+
     def quarantine_left_ms(self, one: relay.Relay) -> float:
         """Returns for how long a request is still refused; 0 if it is not."""
         return self.crashes.quarantine_left_ms(one)
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -36,6 +36,7 @@
     quarantinetable,
     relay,
     settingsfile,
+    shutdown,
     statuspages,
 )
 from cardamommill.gateway.tables import (
@@ -51,11 +52,6 @@
 TICK_MS = 20.0
 PLAN_EVERY_TICKS = 3
 SWEEP_EVERY_TICKS = 12
-# Time after which a stopping node gets no more requests. The load balancer
-# checks readiness every second and removes a node after two failed checks.
-LEAVE_ROTATION_MS = 2600.0
-# A stopping node ends this long before it is killed.
-GRACE_MARGIN_MS = 500.0
 # Short, because another node can accept the request at once.
 STOPPED_RETRY_AFTER_S = 0.05
 
@@ -86,7 +82,6 @@
                                   (settings.ip, settings.peer_port), now_ms)
         self._remote_loads = loadsums.RemoteLoads()
         self._requests_seen = False
-        self._stopping_ms = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = callers.CallerServer(self._on_request,
                                             self._on_unreadable_request)
@@ -113,8 +108,10 @@
                                                self.spawn)
         self._hop_server = hops.HopServer(
             self._requests,
-            lambda: self._has_initial_state() and not self._stopping_ms,
+            lambda: self._has_initial_state() and not self._shutdown.has_begun,
             self.metrics)
+        self._shutdown = shutdown.Shutdown(self._server, self._peer_server,
+                                           self._hop_server, self._requests)
         self._quarantine_table = quarantinetable.QuarantineTable(
             self._store, self._requests.crashes, self._peers, settings.node)
         self._status = nodestatus.NodeStatus(self._reader, rows,
@@ -193,7 +190,10 @@
             finally:
                 for task in list(self._tasks):
                     task.cancel()
-        _LOG.info(logs.line("stop", busy=self._server.busy))
+        _LOG.info(
+            logs.line("stop",
+                      busy=self._server.busy,
+                      unsent_bytes=self._server.unsent_bytes))
 
     async def _follow_platform(self) -> None:
         await self._link.wait_for_peers()
@@ -228,9 +228,7 @@
     def _on_request(self, request: callers.CallerRequest,
                     reply: replies.Reply) -> callers.ActiveRequest | None:
         self._requests_seen = True
-        if self._has_left_rotation(clock.now_ms()):
-            # The request might not finish before the process is killed: a
-            # stream that began 6 s after SIGTERM was cut off midway.
+        if self._shutdown.rejects(clock.now_ms()):
             reply.send(503, [("Retry-After", f"{STOPPED_RETRY_AFTER_S:.3f}")],
                        b"this node is stopping; not run\n")
             self.metrics.count("requests_refused_stopping_total")
@@ -330,7 +328,7 @@
             attempt_histories=reliability.updates_for_peers(now_ms)
             if is_near else (),
             has_seen_requests=self._requests_seen,
-            stopping=bool(self._stopping_ms),
+            stopping=self._shutdown.has_begun,
             planning_age_ms=self._peers.planning_age_ms(now_ms),
             load_sums=self._load_sums(now_ms, update_scope),
             has_lost_store=self._reader.has_lost_store(now_ms),
@@ -400,12 +398,14 @@
             self._opened.drop_expired(now_ms)
             self._closed.drop_expired(now_ms)
             self._peers.choose_reporters(now_ms)
-        if self._stopping_ms:
-            self._end_if_drained(now_ms)
+        if self._shutdown.has_begun:
+            self._shutdown.update(now_ms, self._settings.bounds.grace_s * 1000)
+            if self._shutdown.has_ended:
+                self._ended.set()
 
     def _plan(self, now_ms: float) -> None:
         table = self._reader.table
-        if table is None or self._stopping_ms:
+        if table is None or self._shutdown.has_begun:
             return
         planned = self._peers.planned_data_centres(
             self._settings.data_centres, now_ms,
@@ -440,34 +440,15 @@
     # Readiness, reload and shutdown.
 
     def _is_ready(self) -> bool:
-        return (self._has_initial_state() and not self._stopping_ms and
+        return (self._has_initial_state() and not self._shutdown.has_begun and
                 self._requests.may_accept_keys())
 
     def _on_stop(self, why: str) -> None:
-        if self._stopping_ms:
+        if self._shutdown.has_begun:
             return
-        self._stopping_ms = clock.now_ms()
-        self._server.stop()
-        _LOG.info(logs.line("stopping", why=why, busy=self._server.busy))
+        self._shutdown.begin(why, clock.now_ms())
         self._send_update_now()
 
-    def _has_left_rotation(self, now_ms: float) -> bool:
-        return (self._stopping_ms > 0 and
-                now_ms - self._stopping_ms > LEAVE_ROTATION_MS)
-
-    def _end_if_drained(self, now_ms: float) -> None:
-        since_ms = now_ms - self._stopping_ms
-        if self._has_left_rotation(now_ms):
-            self._server.close_idle()
-        grace_ms = self._settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
-        if since_ms > grace_ms or (since_ms > LEAVE_ROTATION_MS and
-                                   not self._server.busy and
-                                   not self._hop_server.busy):
-            self._server.close()
-            self._server.close_idle()
-            self._peer_server.close()
-            self._ended.set()
-
     def _reload(self, why: str) -> None:
         settings = self._settings_file.read(why)
         if settings is None:
--- a/cardamommill/gateway/shell/hops.py
+++ b/cardamommill/gateway/shell/hops.py
@@ -101,6 +101,10 @@
         self._active[one, target] = None
         self._metrics.count("hops_total")
 
+    def requests(self) -> list[relay.Relay]:
+        """Returns the requests that peers serve at the moment."""
+        return [one for one, _ in self._active]
+
     def ended(self, one: relay.Relay, target: targets.PeerTarget,
               outcome: attempts.Outcome) -> None:
         """Records the end of a hop."""
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -203,6 +203,11 @@
             if now_ms - each.last_event_ms > LIVE_STREAM_MS
         ], reason)
 
+    def end_unfinished(self, reason: str) -> None:
+        """Ends all attempts, as if the request's time was over."""
+        self._diversion.cancel()
+        self._open.cancel_all(attemptresult.Result.TIMED_OUT, reason)
+
     def silent_ms(self, now_ms: float) -> int | None:
         """Returns the time since the last event; None before the first one."""
         if not self._last_event_ms:
--- a/cardamommill/transport/callers.py
+++ b/cardamommill/transport/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import socket
 from typing import Any, Protocol
@@ -14,9 +15,9 @@
 from cardamommill.domain import clock, model
 from cardamommill.transport import httpheaders, replies
 
-# After a refusal of a request that was not read completely, the remainder is
-# read and discarded for this long: closing at once would reset the connection
-# before the caller has read the refusal.
+# A connection whose sending side is closed is read for this long. What arrives
+# is discarded: closing with unread bytes resets the connection, and the caller
+# loses what it has not read of the answer.
 LINGER_MS = 700
 # A write to a connection that has more unsent bytes than this aborts it, so
 # that callers that do not read use bounded memory. The bytes of the write
@@ -87,6 +88,8 @@
         self._pipelined: deque[CallerRequest] = deque()
         # Whether a request was refused; all bytes after it are discarded.
         self._is_refusing = False
+        # Whether the sending side is closed; all bytes are discarded.
+        self._is_lingering = False
         self._reply: replies.Reply | None = None
         # Whether the caller waits for "100 Continue" before it sends the body
         # of the request that is arriving.
@@ -107,11 +110,26 @@
         return self._is_refusing or (self._server.stopping and
                                      not self._pipelined)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being answered, is queued or is arriving.
+
+        Bytes of the last answer may still be unsent.
+        """
+        return not (self._is_answering or self._pipelined or
+                    self.partial_since_ms > 0)
+
     @property
     def busy(self) -> bool:
-        """Whether a request is being answered, is queued or is arriving."""
-        return self._is_answering or bool(
-            self._pipelined) or self.partial_since_ms > 0
+        """Whether the end of the process would cut a request or an answer."""
+        return (not self.is_idle or self._is_lingering or self.unsent_bytes > 0)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     # asyncio.
 
@@ -126,7 +144,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; see asyncio.Protocol."""
-        if self._is_refusing:
+        if self._is_refusing or self._is_lingering:
             return
         if not self._is_answering and (not self.partial_since_ms or
                                        not self._is_in_head):
@@ -266,22 +284,13 @@
         if is_last:
             self._pipelined.clear()
         if is_last or self.closing:
-            self._close_gracefully()
+            self.close()
             return
         self._send_continue()
         self._transport.resume_reading()
         if self._pipelined:
             asyncio.get_running_loop().call_soon(self._serve_next)
 
-    def _close_gracefully(self) -> None:
-        if self._transport is None:
-            return
-        if self._is_refusing:
-            # The remainder of the request is discarded meanwhile.
-            asyncio.get_running_loop().call_later(LINGER_MS / 1000, self.close)
-            return
-        self._transport.close()
-
     def _refuse(self, status: int) -> None:
         if self._is_refusing:
             return
@@ -296,7 +305,7 @@
             replies.head_bytes(status, [("Content-Length",
                                          str(len(body)))], True) + body)
         self._server.on_refused(status)
-        self._close_gracefully()
+        self.close()
 
     def time_out(self) -> None:
         """Refuses a request that did not arrive within the timeout."""
@@ -305,7 +314,7 @@
     def write(self, data: bytes) -> None:
         """Sends bytes; aborts if too many earlier ones are unsent."""
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if (transport is None or transport.is_closing() or self._is_lingering):
             return
         if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
@@ -313,8 +322,33 @@
         transport.write(data)
 
     def close(self) -> None:
-        """Closes the connection once all written bytes are sent."""
-        if self._transport is not None:
+        """Closes the connection once all written bytes are sent.
+
+        The sending side closes first, and the other one when the caller has
+        closed its own, or some time later.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._is_lingering:
+            return
+        self._is_lingering = True
+        transport.resume_reading()
+        with contextlib.suppress(OSError):
+            # Not if the caller has reset the connection.
+            transport.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        asyncio.get_running_loop().call_later(LINGER_MS / 1000,
+                                              self._end_linger,
+                                              self.unsent_bytes > 0)
+
+    def _end_linger(self, had_unsent_bytes: bool) -> None:
+        if self._transport is None:
+            return
+        if had_unsent_bytes:
+            # The caller has just got the last of them, or still reads.
+            self._linger()
+        else:
             self._transport.close()
 
     def abort(self) -> None:
@@ -335,6 +369,7 @@
         self.connections: dict[CallerConnection, None] = {}
         self.stopping = False
         self._servers: list[asyncio.Server] = []
+        self._accepting: set[asyncio.Task[Any]] = set()
 
     async def listen(self, host: str, port: int) -> None:
         """Starts to accept connections."""
@@ -352,26 +387,60 @@
             if connection.partial_since_ms:
                 if now_ms - connection.partial_since_ms > self.limits.header_ms:
                     connection.time_out()
-            elif not connection.busy and (now_ms - connection.idle_since_ms
-                                          > self.limits.idle_ms):
+            elif connection.is_idle and (now_ms - connection.idle_since_ms
+                                         > self.limits.idle_ms):
                 connection.close()
 
     def stop(self) -> None:
         """Has connections close once their queued requests are answered."""
         self.stopping = True
 
-    def close_idle(self) -> None:
-        """Closes connections without a request in progress."""
+    def close_idle(self, now_ms: float, idle_ms: float) -> None:
+        """Closes connections that are not in use and were not lately."""
         for connection in list(self.connections):
-            if not connection.busy:
+            if not connection.busy and (now_ms - connection.idle_since_ms
+                                        > idle_ms):
                 connection.close()
 
+    def has_new_connections(self, now_ms: float, new_ms: float) -> bool:
+        """Whether any connection that is not in use was lately."""
+        return any(not each.busy and now_ms - each.idle_since_ms <= new_ms
+                   for each in self.connections)
+
     def close(self) -> None:
-        """Stops accepting connections; open ones continue."""
+        """Stops accepting connections; open ones continue.
+
+        Those that are established but were not accepted yet are accepted: they
+        would be reset, and their callers may have sent requests.
+        """
+        queues = [
+            each.dup() for server in self._servers for each in server.sockets
+        ]
         for server in self._servers:
             server.close()
+        for each in queues:
+            with each:
+                self._accept_all(each)
+
+    def _accept_all(self, queue: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            while True:
+                accepted, _ = queue.accept()
+                accepted.setblocking(False)
+                task = loop.create_task(
+                    loop.connect_accepted_socket(lambda: CallerConnection(self),
+                                                 accepted))
+                self._accepting.add(task)
+                task.add_done_callback(self._accepting.discard)
 
     @property
     def busy(self) -> int:
-        """The number of connections with a request in progress."""
-        return sum(each.busy for each in self.connections)
+        """The number of connections that the end of the process would cut."""
+        return sum(each.busy for each in self.connections) + len(
+            self._accepting)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        return sum(each.unsent_bytes for each in self.connections)
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server for callers."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -170,3 +171,72 @@
 
     client, _ = run_script(script, echo)
     assert b"Connection: close" in client.got and client.closed
+
+
+def test_bytes_that_arrive_after_the_last_answer_do_not_reset_it():
+    """Guards against callers that lose an answer they have not read yet."""
+
+    async def script():
+        loop = asyncio.get_running_loop()
+        server = callers.CallerServer(echo, lambda status: None)
+        await server.listen("127.0.0.1", 0)
+        address = server._servers[0].sockets[0].getsockname()
+        server.stop()
+        with socket.socket() as one:
+            one.setblocking(False)
+            await loop.sock_connect(one, address)
+            for data in (GET, GET):
+                await loop.sock_sendall(one, data)
+                await asyncio.sleep(0.05)
+            answer = b""
+            while data := await loop.sock_recv(one, 1000):
+                answer += data
+        server.close()
+        return answer
+
+    assert asyncio.run(script()).endswith(b"GET /x ")
+
+
+def test_connections_that_wait_to_be_accepted_get_an_answer():
+    """Guards against requests that are reset when a node stops to listen."""
+
+    async def script():
+        loop = asyncio.get_running_loop()
+        server = callers.CallerServer(echo, lambda status: None)
+        await server.listen("127.0.0.1", 0)
+        address = server._servers[0].sockets[0].getsockname()
+        with socket.create_connection(address) as one:
+            # The event loop has not run since, so it is not accepted yet.
+            server.close()
+            one.setblocking(False)
+            await loop.sock_sendall(one, GET)
+            return await loop.sock_recv(one, 1000)
+
+    assert asyncio.run(script()).endswith(b"GET /x ")
+
+
+def test_unsent_bytes_of_an_answer_keep_a_connection_busy():
+    """Guards against a process that ends while a caller reads slowly."""
+    size = 8 << 20
+
+    async def script():
+        loop = asyncio.get_running_loop()
+        server = callers.CallerServer(
+            lambda request, reply: reply.send(200, [], bytes(size)),
+            lambda status: None)
+        await server.listen("127.0.0.1", 0)
+        address = server._servers[0].sockets[0].getsockname()
+        with socket.socket() as one:
+            one.setblocking(False)
+            await loop.sock_connect(one, address)
+            await loop.sock_sendall(one, GET)
+            await asyncio.sleep(0.1)
+            assert server.busy == 1 and server.unsent_bytes
+            received = 0
+            while received < size:
+                received += len(await loop.sock_recv(one, 1 << 16))
+            await asyncio.sleep(0.1)
+            assert server.busy == server.unsent_bytes == 0
+        server.close()
+
+    asyncio.run(script())
