Refuse entries, reports and answers with numbers out of range

Here no process ends, but a row with a seq of 10**400 or a coldLeftMs of 1e308 named a runner, which got requests; and an answer of the store that is deeply nested, or has a version or time too large, would have ended the reader of that table for good.

Cause: fields that are not used, and the size of numbers, were not checked; RecursionError and OverflowError were not taken for malformed input.

Change: all fields of an entry are checked, numbers up to 2**53, in reports and configurations too; both errors are a malformed answer. Readers of tables log and survive errors that nobody expects.

--- a/cardamommill/gateway/shell/platformreader.py
+++ b/cardamommill/gateway/shell/platformreader.py
@@ -140,6 +140,11 @@
                 await asyncio.sleep(RETRY_MS / 1000 if has_failed else 0)
                 has_failed = True
                 continue
+            except Exception:
+                # Without its reader the node would refuse all keys for good.
+                _LOG.exception(logs.line("configuration-failed"))
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
             has_failed = False
             self._outages.record_success("configuration")
             try:
@@ -323,6 +328,10 @@
                 self._outages.record_failure("list", error)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
+            except Exception:
+                _LOG.exception(logs.line("list-failed"))
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
             self._outages.record_success("list")
             self._start_recovery_if_stale()
             try:
--- a/cardamommill/platform/configurations.py
+++ b/cardamommill/platform/configurations.py
@@ -15,7 +15,7 @@
 
 class _Backend(wire.Wire):
     service: str
-    weight: float = 1.0
+    weight: wire.Float = 1.0
 
 
 class _Route(wire.Wire):
@@ -31,13 +31,13 @@
     host: str
     prefix: Annotated[str, pydantic.StringConstraints(pattern=r"^/")]
     type: model.RouteKind
-    timeoutMs: int  # noqa: N815
-    goalMs: int = 0  # noqa: N815
-    gapGoalMs: int = 0  # noqa: N815
-    priority: int = DEFAULT_PRIORITY
+    timeoutMs: wire.Int  # noqa: N815
+    goalMs: wire.Int = 0  # noqa: N815
+    gapGoalMs: wire.Int = 0  # noqa: N815
+    priority: wire.Int = DEFAULT_PRIORITY
     service: str = ""
     backends: tuple[_Backend, ...] = ()
-    maxAttempts: int = 1  # noqa: N815
+    maxAttempts: wire.Int = 1  # noqa: N815
     public: bool = False
     resumable: bool = False
     allowedRegions: tuple[str, ...] = ()  # noqa: N815
@@ -52,61 +52,61 @@
     """A model that an engine serves; see `model.ServedModel`."""
 
     name: str
-    size: int = 1
-    share: float = 0.0
-    pace: float = 1.0
-    loadS: float = 0.0  # noqa: N815
-    warmS: float = 0.0  # noqa: N815
+    size: wire.Int = 1
+    share: wire.Float = 0.0
+    pace: wire.Float = 1.0
+    loadS: wire.Float = 0.0  # noqa: N815
+    warmS: wire.Float = 0.0  # noqa: N815
 
 
 class _Usual(wire.Wire):
     """Tokens of the prompt and of the answer of a usual request."""
 
-    prompt: float = 500.0
-    answer: float = 100.0
+    prompt: wire.Float = 500.0
+    answer: wire.Float = 100.0
 
 
 class _Engine(wire.Wire):
     """The parameters of a service's engine; see `model.Engine`."""
 
-    slots: int = 1
-    kvCapacity: int = 0  # noqa: N815
-    stride: int = 1
+    slots: wire.Int = 1
+    kvCapacity: wire.Int = 0  # noqa: N815
+    stride: wire.Int = 1
     models: tuple[_Model, ...] = ()
-    step_ms: float = 10.0
-    per_seq_ms: float = 0.0
-    context_per_k: float = 0.0
-    read_per_s: float = 10_000.0
-    pairs_per_m: float = 0.0
-    chunk: int = 2048
-    loadsPerS: float = 1.0  # noqa: N815
-    loads_at_once: int = 1
+    step_ms: wire.Float = 10.0
+    per_seq_ms: wire.Float = 0.0
+    context_per_k: wire.Float = 0.0
+    read_per_s: wire.Float = 10_000.0
+    pairs_per_m: wire.Float = 0.0
+    chunk: wire.Int = 2048
+    loadsPerS: wire.Float = 1.0  # noqa: N815
+    loads_at_once: wire.Int = 1
     usual: _Usual = _Usual()
-    formMs: float = 0.0  # noqa: N815
-    report_lag_ms: float = 0.0
-    far_x: float = 1.0
+    formMs: wire.Float = 0.0  # noqa: N815
+    report_lag_ms: wire.Float = 0.0
+    far_x: wire.Float = 1.0
 
 
 class _Service(wire.Wire):
     name: str
     healthPath: str = "/"  # noqa: N815
-    maxConns: int = 64  # noqa: N815
-    coldS: float = 0.0  # noqa: N815
-    coldPerS: float = 0.0  # noqa: N815
+    maxConns: wire.Int = 64  # noqa: N815
+    coldS: wire.Float = 0.0  # noqa: N815
+    coldPerS: wire.Float = 0.0  # noqa: N815
     engine: Annotated[_Engine | None, wire.NONE_IF_EMPTY] = None
 
 
 class _Limits(wire.Wire):
-    headerBytes: int = 16_384  # noqa: N815
-    bodyBytes: int = 4_194_304  # noqa: N815
-    headerMs: int = 3000  # noqa: N815
-    idleMs: int = 15_000  # noqa: N815
+    headerBytes: wire.Int = 16_384  # noqa: N815
+    bodyBytes: wire.Int = 4_194_304  # noqa: N815
+    headerMs: wire.Int = 3000  # noqa: N815
+    idleMs: wire.Int = 15_000  # noqa: N815
 
 
 class _Tenant(wire.Wire):
     name: str
     apiKeys: tuple[str, ...] = ()  # noqa: N815
-    priority: int | None = None
+    priority: wire.Int | None = None
     allowedRegions: tuple[str, ...] = ()  # noqa: N815
 
     @pydantic.field_validator("allowedRegions", mode="before")
@@ -123,7 +123,7 @@
             request needs a key. An empty list removes the last account.
     """
 
-    version: int
+    version: wire.Int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
@@ -138,7 +138,7 @@
 class _Accounts(wire.Wire):
     """The part of a configuration that grants and revokes API keys."""
 
-    version: int
+    version: wire.Int
     tenants: tuple[Any, ...] | None = None
 
     @pydantic.field_validator("tenants", mode="before")
--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -18,13 +18,10 @@
 
 # The key becomes the value of a header.
 _KEY = re.compile(r"[\x21-\x7e]{1,200}")
-# JSON numbers up to this are whole and exact for all writers.
-_MAX_INT = 2**53
 _ADDRESS = "an IPv4 address and a port"
 
 _T = TypeVar("_T", bound=wire.Wire)
-_Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_INT)]
-_Born = Annotated[int, pydantic.Field(strict=True, ge=0, le=_MAX_INT)]
+_Born = Annotated[int, pydantic.Field(strict=True, ge=0, le=wire.MAX_INT)]
 
 
 def _check_address(address: str) -> str:
@@ -54,8 +51,8 @@
 
 class _WireGroup(wire.Wire):
     name: Annotated[str, pydantic.Field(max_length=200)]
-    epoch: _Count
-    rank: _Count
+    epoch: wire.Count
+    rank: wire.Count
     state: str
 
 
@@ -68,7 +65,7 @@
         born: Unix ms of the runner's start.
     """
 
-    domain: str | Annotated[int, pydantic.Field(ge=-_MAX_INT, le=_MAX_INT)] = ""
+    domain: str | wire.Int = ""
     staged: tuple[str | _WireModel, ...] = ()
     models: tuple[_WireModel, ...] = ()
     group: Annotated[_WireGroup | None, wire.NONE_IF_EMPTY] = None
@@ -78,30 +75,35 @@
 class _WireEntry(_WireStatus):
     """A row of the runner list, which is validated without conversions.
 
-    The row's `seq` is not read: it counts heartbeats, while that of a report
-    counts orders.
+    Fields that are not used are validated too: a row of another writer may
+    hold anything and names no runner.
+
+    Attributes:
+        seq: Counts heartbeats, while that of a report counts orders.
+        version: The version of the runner's software.
     """
 
     service: str
     address: Annotated[str, pydantic.AfterValidator(_check_address)]
     zone: str
-    slots: _Count
+    slots: wire.Count
     state: str
     group: Annotated[_WireGroup | None,
                      pydantic.BeforeValidator(_none_if_empty)] = None
     born: Annotated[_Born | None, pydantic.BeforeValidator(_refuse_null)] = None
-    coldLeftMs: Annotated[  # noqa: N815
-        float, pydantic.Field(allow_inf_nan=False)] = 0.0
+    coldLeftMs: wire.Float = 0.0  # noqa: N815
+    seq: wire.Count = 0
+    version: str = ""
 
 
 class _WireReport(_WireStatus):
     """A runner's report; `seq` counts the orders that the runner has begun."""
 
-    seq: int
+    seq: wire.Count
     busy: bool = False
-    queued: int = 0
-    active: int = 0
-    pace: float = 1.0
+    queued: wire.Count = 0
+    active: wire.Count = 0
+    pace: wire.Float = 1.0
 
 
 def decode_entry(instance: str,
@@ -242,7 +244,7 @@
     """
     try:
         value = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise exceptions.BadPeerMessage(f"invalid JSON: {error}",
                                         step=step,
                                         peer=peer) from None
--- a/cardamommill/platform/storecalls.py
+++ b/cardamommill/platform/storecalls.py
@@ -255,9 +255,12 @@
     def _rows(self, answer: dict[str, Any], sent_ms: float) -> Rows:
         try:
             rows = tuple(map(_row, answer.get("rows") or ()))
-            version = int(answer["schemaVersion"])
+            version = _version(answer["schemaVersion"])
             store_ms = float(answer["nowMs"])
-        except (KeyError, TypeError, ValueError) as error:
+            if not math.isfinite(store_ms):
+                raise ValueError("nowMs: not finite")
+        except (ArithmeticError, AttributeError, KeyError, TypeError,
+                ValueError) as error:
             raise exceptions.StoreError(
                 f"malformed answer with rows: {error!r}",
                 step="rows",
@@ -295,10 +298,17 @@
     deleted = bool(wire_row.get("deleted"))
     return Row(key=str(wire_row["key"]),
                value=b"" if deleted else _value(wire_row.get("value")),
-               version=int(wire_row.get("schemaVersion", 0)),
+               version=_version(wire_row.get("schemaVersion", 0)),
                deleted=deleted)
 
 
+def _version(value: Any) -> int:
+    version = int(value)
+    if not 0 <= version <= wire.MAX_INT:
+        raise ValueError("schemaVersion: out of range")
+    return version
+
+
 def _value(encoded: object) -> bytes:
     """Returns a row's value; one that can't be used if it isn't base64.
 
--- a/tests/gateway/shell/test_platformreader.py
+++ b/tests/gateway/shell/test_platformreader.py
@@ -156,8 +156,15 @@
     "goalMs": 150.5
 }, {
     "type": "strange"
+}, {
+    "timeoutMs": 10**400
+}, {
+    "goalMs": 1e308
 }]
-FAULT_IDS = ["refused-priority", "refused-region", "fraction", "undecodable"]
+FAULT_IDS = [
+    "refused-priority", "refused-region", "fraction", "undecodable", "huge",
+    "huge-fraction"
+]
 
 
 @pytest.mark.parametrize("change", FAULTS, ids=FAULT_IDS)
--- a/tests/gateway/test_foreign_rows.py
+++ b/tests/gateway/test_foreign_rows.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 import pytest
 
-from cardamommill import metrics
+from cardamommill import exceptions, metrics
 from cardamommill.domain import clock, model
 from cardamommill.experiment import modelstore, virtualloop
 from cardamommill.gateway.fleet import fleetview
@@ -59,7 +59,8 @@
             **SOUND,
             **changes
         }).encode(),
-        strategies.dictionaries(strategies.sampled_from([*SOUND, "born"]),
+        strategies.dictionaries(strategies.sampled_from(
+            [*SOUND, "born", "seq", "coldLeftMs", "version"]),
                                 FOREIGN_VALUES,
                                 min_size=1,
                                 max_size=3)),
@@ -271,6 +272,90 @@
     assert "list_entries_refused_total 200" in nodes[0].metrics.render()
 
 
+HUGE = 10**400
+DEEP = 100_000
+
+
+@pytest.mark.parametrize("field,value", [
+    ("seq", HUGE),
+    ("seq", -1),
+    ("seq", "3"),
+    ("coldLeftMs", 1e308),
+    ("coldLeftMs", HUGE),
+    ("slots", HUGE),
+    ("born", HUGE),
+    ("version", {}),
+    ("address", "10.0.0.9:70000"),
+    ("group", {
+        "name": "g",
+        "epoch": HUGE,
+        "rank": 0,
+        "state": "open"
+    }),
+])
+def test_row_with_a_number_out_of_range_names_no_runner(field, value):
+    """Guards against requests that go where no runner is."""
+    odd = json.dumps(SOUND | {field: value}).encode()
+    with pytest.raises(entryerrors.EntryRefused):
+        entries.decode_entry("i-1", odd, 1)
+    _, nodes = run([("foreign", "i-1", odd)])
+    for node in nodes:
+        assert set(node.listed()) == {"i-sound"}
+
+
+@pytest.mark.parametrize("value", [
+    b"[" * DEEP,
+    b'{"service": ' + b"[" * DEEP + b"]" * DEEP + b"}",
+    json.dumps(SOUND).encode()[:-1] + b', "more": ' + b"[" * DEEP +
+    b"]" * DEEP + b"}",
+],
+                         ids=["open", "field", "unknown-field"])
+def test_deeply_nested_row_names_no_runner(value):
+    """Guards against readers that stop at a row that they can't parse."""
+    _, nodes = run([("foreign", "i-1", value)])
+    for node in nodes:
+        assert set(node.listed()) == {"i-sound"}
+
+
+@pytest.mark.parametrize("answer", [
+    b"[" * DEEP,
+    b'{"rows": ' + b"[" * DEEP + b"]" * DEEP + b"}",
+    b'{"rows": [], "schemaVersion": 1e400, "nowMs": 1}',
+    b'{"rows": [], "schemaVersion": 1, "nowMs": 1e400}',
+    b'{"rows": [], "schemaVersion": 1, "nowMs": NaN}',
+    b'{"rows": [], "schemaVersion": %d, "nowMs": 1}' % HUGE,
+    b'{"rows": [{"key": "i-1", "schemaVersion": 1e400}], "schemaVersion": 1,'
+    b' "nowMs": 1}',
+    b'{"rows": [1], "schemaVersion": 1, "nowMs": 1}',
+    b'{"rows": 1, "schemaVersion": 1, "nowMs": 1}',
+])
+def test_answer_with_an_odd_value_is_an_error_of_the_store(answer):
+    """Guards against readers that end with an error they do not expect."""
+
+    async def script():
+        store = callers.CallerServer(
+            lambda request, reply: reply.send(200, [], answer),
+            lambda status: None)
+        await store.listen(*modelstore.ADDRESS)
+        with upstream.Pool() as pool:
+            with pytest.raises(exceptions.StoreError):
+                await storecalls.StoreClient(pool,
+                                             modelstore.ADDRESS).table(TABLE)
+
+    with virtualloop.running(1) as loop:
+        loop.run_until_complete(script())
+
+
+@pytest.mark.parametrize("field,value", [("seq", HUGE), ("pace", 1e308),
+                                         ("active", HUGE), ("queued", -1)])
+def test_report_with_a_number_out_of_range_is_refused(field, value):
+    """Guards against figures of a faulty runner that end a decision."""
+    report = {"seq": 2, "pace": 1.0, "active": 1, "queued": 0}
+    entries.decode_report("i-1", json.dumps(report).encode())
+    with pytest.raises(exceptions.BadPeerMessage):
+        entries.decode_report("i-1", json.dumps(report | {field: value}))
+
+
 KEY = model.GroupKey("g", 1)
 
 
