--- a/tests/gateway/shell/test_relay.py
+++ b/tests/gateway/shell/test_relay.py
@@ -7,7 +7,7 @@
 from cardamommill.domain import clock, model
 from cardamommill.gateway.requests import placing
 from cardamommill.gateway.shell import admitting, diversion, relay
-from cardamommill.transport import callers
+from cardamommill.transport import callers, upstream
 from tests.gateway import relays
 
 REFUSED = placing.Refused("all groups are full", 1300.0)
@@ -117,6 +117,47 @@
     assert [each.reply.status for each in streams].count(502) == 4
 
 
+def refuse_connection(exchange):
+    exchange.sent = False
+    exchange.receiver.on_end(upstream.Ending.NOT_SENT, "connect: refused")
+
+
+def test_refused_connections_use_none_of_the_retry_budget():
+    """Guards against 503 to others because of a row that names no runner."""
+
+    async def scenario(node, one):
+        del one
+        node.repeats_left = 0
+        for each in range(2):
+            refuse_connection(node.exchanges[each])
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        node.exchanges[2].head(200)
+        node.exchanges[2].event(1)
+
+    reply, node = run_scenario(scenario)
+    assert len(node.exchanges) == 3
+    assert reply.events == [1]
+    assert node.repeats_left == 0
+
+
+def test_retry_after_an_attempt_that_arrived_needs_the_budget():
+    """Guards against arrivals beyond the budget behind a refused connection."""
+
+    async def scenario(node, one):
+        del one
+        node.repeats_left = 0
+        refuse_connection(node.exchanges[0])
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        node.exchanges[1].cut()
+        await asyncio.sleep(0)
+
+    reply, node = run_scenario(scenario)
+    assert len(node.exchanges) == 2
+    assert reply.status == 502
+
+
 @pytest.mark.parametrize("is_suspect,sends", [(False, 2), (True, 1)])
 def test_request_that_seems_to_crash_runners_is_not_repeated(is_suspect, sends):
     """A node took one head after the other with its own attempts."""
