Bound the memory of all answer bodies that arrive together

What others saw: a faulty runner sends a body without end; the node keeps it all, runs out of memory, and the requests of its other callers end with it.

Cause: an answer ended at 8 MB, each by itself, and nothing bounded their sum; memory_mb was read by nothing.

Change: BufferBudget, an eighth of memory_mb (unlimited where the settings give no memory). Bodies with a length reserve it and wait unread, small ones never; of those without, the largest ends when their half is used up.

--- a/cardamommill/experiment/modelclients.py
+++ b/cardamommill/experiment/modelclients.py
@@ -94,6 +94,8 @@
 class _Receiver:
     """Receives an answer and verifies its bytes against the expected ones."""
 
+    keeps_body = False
+
     def __init__(self, kind: Kind, target: str, run_oracle: oracle.Oracle,
                  attempt: str) -> None:
         self.done: asyncio.Future[str] = (
--- a/cardamommill/gateway/shell/attempts.py
+++ b/cardamommill/gateway/shell/attempts.py
@@ -97,6 +97,11 @@
         if self.exchange is not None:
             self.exchange.cancel()
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether the answer is no stream, whose events are passed on."""
+        return self._parser is None
+
     def on_head(self, head: upstream.Head) -> bool:
         """Takes a head; skips an answer with the id of another request."""
         echo = head.get(wirenames.ATTEMPT_ID)
--- a/cardamommill/gateway/shell/entrynode.py
+++ b/cardamommill/gateway/shell/entrynode.py
@@ -1,8 +1,9 @@
 """The process of an entry VM: connects its parts to sockets and the clock."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 import dataclasses
+import math
 import os
 import pathlib
 import signal
@@ -10,7 +11,7 @@
 
 import logbook
 
-from cardamommill import logs, metrics
+from cardamommill import logs, metrics, units
 from cardamommill.domain import clock, entrysettings, model
 from cardamommill.gateway.fleet import availablegroups, fleetview, loadsums
 from cardamommill.gateway.groups import planning
@@ -55,9 +56,19 @@
 # Short, because another node can accept the request at once.
 STOPPED_RETRY_AFTER_S = 0.05
 
+# The part of a process's memory that is for answers which arrive. The rest is
+# for the process itself, requests, and answers to callers that read slowly.
+BODY_MEMORY_PART = 1 / 8
+
 _LOG = logbook.Logger("entry")
 
 
+def _body_memory_bytes(settings: entrysettings.EntrySettings) -> float:
+    if not settings.memory_mb:
+        return math.inf
+    return BODY_MEMORY_PART * settings.memory_mb * units.BYTES_PER_MB
+
+
 class EntryNode:
     """One entry node with all its parts; a context manager for its log."""
 
@@ -75,6 +86,8 @@
         self._incarnation = int(now_ms)
         self.metrics = metrics.Metrics()
         self.pool = upstream.Pool()
+        self.pool.budget.limit_bytes = _body_memory_bytes(settings)
+        self.metrics.collect(self._body_samples)
         self.view = fleetview.FleetView()
         self.view.max_standstill_ms = settings.bounds.stall_ms
         self._peers = peers.Peers(settings.node, settings.data_centre,
@@ -223,6 +236,12 @@
         if error is not None:
             _LOG.error(logs.line("task-failed", error=repr(error)))
 
+    def _body_samples(self) -> Iterable[metrics.Sample]:
+        budget = self.pool.budget
+        return (metrics.Sample("answer_body_bytes", budget.used_bytes),
+                metrics.Sample("answer_bodies_waiting", budget.waiting),
+                metrics.Sample("answer_bodies_ended", budget.ended))
+
     # Requests of callers.
 
     def _on_request(self, request: callers.CallerRequest,
@@ -454,6 +473,7 @@
         if settings is None:
             return
         self._settings = settings
+        self.pool.budget.limit_bytes = _body_memory_bytes(settings)
         self._freshness.revoke_ms = settings.bounds.revoke_ms
         self.view.max_standstill_ms = settings.bounds.stall_ms
         self._requests.reload(settings)
--- a/cardamommill/platform/fetching.py
+++ b/cardamommill/platform/fetching.py
@@ -37,6 +37,8 @@
 class _Collector:
     """Receives a small answer; see `upstream.Receiver`."""
 
+    keeps_body = True
+
     def __init__(self, request: bytes) -> None:
         self._is_caller_request = wirenames.ATTEMPT_ID.encode() in request
         self.future: asyncio.Future[Answer] = (
--- a/cardamommill/transport/httpheaders.py
+++ b/cardamommill/transport/httpheaders.py
@@ -28,6 +28,13 @@
                                         "chunked" in value)
 
 
+def content_length(headers: Headers) -> int | None:
+    """Returns the length of the body, or None if the head doesn't give it."""
+    if first_value(headers, "transfer-encoding") is not None:
+        return None
+    return number(first_value(headers, "content-length"))
+
+
 def keep_alive_ms(headers: Headers) -> float | None:
     """Returns the peer's keep-alive timeout, or None if it states none."""
     for part in (first_value(headers, "keep-alive") or "").split(","):
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -12,7 +12,7 @@
 
 from cardamommill import logs
 from cardamommill.domain import clock
-from cardamommill.transport import httpheaders
+from cardamommill.transport import bufferbudget, httpheaders
 
 # A connection is established within a few ms, also between two data centres. A
 # lost SYN is retransmitted only after 1 s, so an attempt to connect that takes
@@ -47,6 +47,8 @@
     NOT_HTTP = "not-http"
     # This node cancelled the exchange.
     CANCELLED = "cancelled"
+    # This node has no memory for the rest of the body.
+    NO_MEMORY = "no-memory"
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +66,10 @@
 class Receiver(Protocol):
     """Callbacks for an answer as it arrives."""
 
+    @property
+    def keeps_body(self) -> bool:
+        """Whether it keeps the body until it is whole; asked after the head."""
+
     def on_head(self, head: Head) -> bool:
         """Takes a head; returns False to skip an answer to another request."""
 
@@ -81,8 +87,18 @@
     connection: the next request on it would get them as its answer.
     """
 
-    def __init__(self, on_idle: Callable[["Connection"], None]) -> None:
+    def __init__(self,
+                 on_idle: Callable[["Connection"], None],
+                 budget: bufferbudget.BufferBudget | None = None) -> None:
+        """Initialises a connection that is not established.
+
+        Args:
+            on_idle: Called when the connection can be reused.
+            budget: The memory for bodies; unlimited by default.
+        """
         self._on_idle = on_idle
+        self._budget = budget or bufferbudget.BufferBudget()
+        self._body: bufferbudget.Body | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
         self._receiver: Receiver | None = None
@@ -231,12 +247,17 @@
         self._is_skipping = not self._receiver.on_head(self._head)
         self._has_accepted_head = not self._is_skipping
         self._must_close = self._must_close or self._is_skipping
+        if self._has_accepted_head and self._receiver.keeps_body:
+            self._body = self._budget.begin(
+                self, httpheaders.content_length(self._head.headers))
 
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body to the receiver; see httptools."""
         self._overhead_bytes -= 2 * len(data)
         if self._receiver is not None and self._has_accepted_head:
             self._receiver.on_body(data)
+        if self._body is not None:
+            self._budget.grow(self._body, len(data))
 
     def on_message_complete(self) -> None:
         """Ends the exchange; see httptools."""
@@ -263,17 +284,48 @@
 
     def _finish(self, ending: Ending, reason: str) -> None:
         receiver, self._receiver = self._receiver, None
+        body, self._body = self._body, None
+        if body is not None:
+            self._budget.end(body)
+            self.resume_reading()
         if receiver is None:
             return
         receiver.on_end(ending, reason)
 
-    def _log_unexpected_answer(self, count: int) -> None:
+    # Bodies; see `bufferbudget.BodyHolder`.
+
+    def pause_reading(self) -> None:
+        """Stops reading until memory for the body is free."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+            _LOG.info(
+                logs.line("body-waits",
+                          peer=self._peer(),
+                          used_bytes=self._budget.used_bytes))
+
+    def resume_reading(self) -> None:
+        """Goes on with reading."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def end_body(self, received_bytes: int) -> None:
+        """Ends the exchange, whose body is the largest without a length."""
+        _LOG.warning(
+            logs.line("body-ended",
+                      peer=self._peer(),
+                      received_bytes=received_bytes,
+                      used_bytes=self._budget.used_bytes))
+        self._abort()
+        self._finish(Ending.NO_MEMORY, "no memory for an answer without length")
+
+    def _peer(self) -> str:
         transport = self._transport
         peer = transport.get_extra_info("peername") if transport else None
+        return ":".join(map(str, peer or ()))
+
+    def _log_unexpected_answer(self, count: int) -> None:
         _LOG.warning(
-            logs.line("answer-unasked",
-                      peer=":".join(map(str, peer or ())),
-                      bytes=count or ""))
+            logs.line("answer-unasked", peer=self._peer(), bytes=count or ""))
 
     def _abort(self) -> None:
         self._must_close = True
@@ -285,9 +337,14 @@
 
 
 class Pool:
-    """A pool of connections to peers; closes the idle ones on exit."""
+    """A pool of connections to peers; closes the idle ones on exit.
+
+    Attributes:
+        budget: The memory for bodies that arrive on them.
+    """
 
     def __init__(self) -> None:
+        self.budget = bufferbudget.BufferBudget()
         self._idle: dict[Address, list[Connection]] = {}
         self._opening: set[asyncio.Task[None]] = set()
 
@@ -374,8 +431,8 @@
         loop = asyncio.get_running_loop()
         try:
             _, connection = await asyncio.wait_for(
-                loop.create_connection(lambda: Connection(on_idle), *address),
-                CONNECT_TIMEOUT_MS / 1000)
+                loop.create_connection(lambda: Connection(on_idle, self.budget),
+                                       *address), CONNECT_TIMEOUT_MS / 1000)
         except (OSError, TimeoutError) as error:
             if not exchange.cancelled:
                 receiver.on_end(Ending.NOT_SENT,
--- a/tests/gateway/test_misdelivered_bytes.py
+++ b/tests/gateway/test_misdelivered_bytes.py
@@ -22,6 +22,8 @@
 class RecordingReceiver:
     """Records the ends of an exchange."""
 
+    keeps_body = False
+
     def __init__(self):
         self.ends = []
 
