Serve requests that offer another protocol as HTTP/1.1

Callers saw: a request with Connection: Upgrade and Upgrade: h2c ran with 0 of 588 bytes of its body, and its connection was closed without an answer.

Cause: httptools reports such a message as complete after its head and then raises HttpParserUpgrade; the server dispatched it and then refused it, which aborts a connection whose request is being answered.

Change: nothing is dispatched while the parser would upgrade; the head is parsed again without the offer. CONNECT is refused with 400.

--- a/cardamommill/platform/fetching.py
+++ b/cardamommill/platform/fetching.py
@@ -7,7 +7,7 @@
 
 from cardamommill import logs
 from cardamommill.platform import wirenames
-from cardamommill.transport import upstream
+from cardamommill.transport import httpheaders, upstream
 
 # The store answers with a megabyte at most.
 MAX_ANSWER_BYTES = 16 << 20
@@ -110,8 +110,6 @@
                   headers: list[tuple[str, str]],
                   body: bytes = b"") -> bytes:
     """Returns an encoded request; adds the Content-Length of a body."""
-    lines = [f"{method} {target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers]
     if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    return httpheaders.request_head(method, target, headers) + body
--- a/cardamommill/transport/callers.py
+++ b/cardamommill/transport/callers.py
@@ -163,11 +163,30 @@
                 return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
+        except httptools.HttpParserUpgrade as error:
+            self._ignore_upgrade(data[error.args[0]:])
         except httptools.HttpParserError:
             self._refuse(400)
 
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Goes on in HTTP/1.1 after a head that offers another protocol.
+
+        The parser takes such a request for one without a body. So its head is
+        parsed again without the offer.
+
+        Args:
+            rest: The bytes after the head.
+        """
+        if self._parser.get_method() == b"CONNECT":
+            self._refuse(400)
+            return
+        head = httpheaders.request_head(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            httpheaders.without_upgrade(self._headers))
+        self._parser = httptools.HttpRequestParser(self)
+        self.data_received(head + rest)
+
     def _ends_head(self, data: bytes) -> bool:
         return b"\r\n\r\n" in data
 
@@ -214,6 +233,9 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head against the limits; see httptools."""
+        if self._parser.should_upgrade():
+            # Parsed again.
+            return
         self._is_in_head = False
         self._head_bytes = 0
         size = sum(len(name) + len(value) + 4 for name, value in self._headers)
@@ -247,6 +269,8 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request; see httptools."""
+        if self._parser.should_upgrade():
+            return
         self.partial_since_ms = 0.0
         self._head_bytes = 0
         self._is_in_head = True
--- a/cardamommill/transport/httpheaders.py
+++ b/cardamommill/transport/httpheaders.py
@@ -22,6 +22,31 @@
     return int(digits)
 
 
+def request_head(method: str, target: str, headers: Headers) -> bytes:
+    """Returns the encoded head of a request."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+
+
+def without_upgrade(headers: Headers) -> Headers:
+    """Returns the headers of a request without its offer of a protocol.
+
+    What else the connection header names stays: these headers concern one
+    connection only.
+    """
+    found: Headers = []
+    for name, value in headers:
+        if name.lower() == "upgrade":
+            continue
+        if name.lower() == "connection":
+            tokens = (each.strip() for each in value.split(","))
+            value = ", ".join(
+                each for each in tokens if each.lower() != "upgrade")
+        found.append((name, value))
+    return found
+
+
 def delimits_body(name: str, value: str) -> bool:
     """Whether a field, in lower case, determines where the body ends."""
     return name == "content-length" or (name == "transfer-encoding" and
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -245,3 +245,52 @@
         server.close()
 
     asyncio.run(script())
+
+
+OFFER = (b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+         b"HTTP2-Settings: AAMAAABkAAQCAAAAAAIAAAAA\r\n")
+
+
+@pytest.mark.parametrize("framing,body", [
+    (b"Content-Length: 5\r\n", b"abcde"),
+    (b"Transfer-Encoding: chunked\r\n", b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"),
+],
+                         ids=["length", "chunks"])
+@pytest.mark.parametrize("size", [1, 7, 100, 1000])
+@pytest.mark.parametrize("name", [b"h2c", b"websocket"])
+def test_offered_upgrade_is_ignored(framing, body, size, name):
+    """Guards against requests that run with an empty body, unanswered."""
+    text = (b"POST /x HTTP/1.1\r\nHost: h\r\n" + OFFER.replace(b"h2c", name) +
+            framing + b"\r\n" + body + GET)
+    parts = [text[at:at + size] for at in range(0, len(text), size)]
+    client, refused = run_script(send(*parts, wait_s=0.001), echo)
+    assert client.got.count(b"HTTP/1.1 200") == 2
+    assert b"POST /x abcde" in client.got
+    assert client.got.endswith(b"GET /x ")
+    assert not refused
+
+
+def test_upgrade_with_an_expectation_is_told_to_go_on_once():
+    """Guards against callers that wait, and against a second 100."""
+    head = (b"POST /x HTTP/1.1\r\nHost: h\r\n" + OFFER +
+            b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+    client, _ = run_script(send(head, b"ab"), echo)
+    assert client.got.count(b"HTTP/1.1 100") == 1
+    assert client.got.endswith(b"POST /x ab")
+
+
+def test_limits_hold_for_requests_with_an_offer():
+    """Guards against a way around the limits."""
+    text = (b"POST /x HTTP/1.1\r\nHost: h\r\n" + OFFER +
+            b"Content-Length: 5000\r\n\r\n")
+    client, refused = run_script(send(text), echo)
+    assert client.got.startswith(b"HTTP/1.1 413")
+    assert refused == [413]
+
+
+def test_connect_is_refused_with_an_answer():
+    """Guards against a connection that is closed without one."""
+    text = b"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n"
+    client, refused = run_script(send(text), echo)
+    assert client.got.startswith(b"HTTP/1.1 400")
+    assert refused == [400]
