Decide in one place whether an answer has a body

Callers saw: after a HEAD on a kept connection, which got 504 at its deadline, the answer to the next request began with the body of that 504.

Cause: the parser of runners' answers knows no method and waited for a body; and each answer to a caller was sent with a body, refusals of the node too.

Change: httpheaders.allows_body, by method and status (RFC 9112, 6.3), used towards runners, callers and between nodes. What follows an answer without a body closes the runner's connection.

Tests: five of the new tests of test_callers.py and test_upstream.py failed before (HEAD on both sides, a refusal, a body that follows all the same); those of 204 and 304 passed before too.

--- a/cardamommill/transport/callers.py
+++ b/cardamommill/transport/callers.py
@@ -292,7 +292,7 @@
             return
         self._is_answering = True
         request = self._pipelined.popleft()
-        self._reply = reply = replies.Reply(self)
+        self._reply = reply = replies.Reply(self, request.method)
         serving = run_handler(self._server.handler, request, reply)
         if not reply.ended:
             self._active = serving
@@ -325,9 +325,8 @@
             self.abort()
             return
         body = replies.REASONS[status].encode()
-        self.write(
-            replies.head_bytes(status, [("Content-Length",
-                                         str(len(body)))], True) + body)
+        method = self._parser.get_method().decode("latin-1")
+        self.write(replies.whole_bytes(method, status, [], body, True))
         self._server.on_refused(status)
         self.close()
 
--- a/cardamommill/transport/httpheaders.py
+++ b/cardamommill/transport/httpheaders.py
@@ -53,6 +53,16 @@
                                         "chunked" in value)
 
 
+def allows_body(method: str, status: int) -> bool:
+    """Whether an answer may have a body; see RFC 9112, section 6.3.
+
+    Args:
+        method: The method of the request.
+        status: The status of the answer.
+    """
+    return not (method == "HEAD" or status < 200 or status in (204, 304))
+
+
 def content_length(headers: Headers) -> int | None:
     """Returns the length of the body, or None if the head doesn't give it."""
     if first_value(headers, "transfer-encoding") is not None:
--- a/cardamommill/transport/replies.py
+++ b/cardamommill/transport/replies.py
@@ -7,6 +7,7 @@
 import logbook
 
 from cardamommill import exceptions, logs
+from cardamommill.transport import httpheaders
 
 REASONS = {each.value: each.phrase for each in http.HTTPStatus}
 
@@ -69,8 +70,18 @@
     does not allow it.
     """
 
-    def __init__(self, connection: ReplyConnection) -> None:
+    def __init__(self,
+                 connection: ReplyConnection,
+                 method: str = "GET") -> None:
+        """Initialises an answer of which nothing was sent.
+
+        Args:
+            connection: The connection on which it is sent.
+            method: The method of the request.
+        """
         self._connection = connection
+        self._method = method
+        self._allows_body = True
         self._sent = _Sent.NOTHING
         # Whether the head contained "Connection: close".
         self.announced_close = False
@@ -91,28 +102,31 @@
         self._advance(_Step.COMPLETE)
         self.announced_close = self._connection.closing
         self._connection.write(
-            head_bytes(status, [*headers, (
-                "Content-Length", str(len(body)))], self.announced_close) +
-            body)
+            whole_bytes(self._method, status, headers, body,
+                        self.announced_close))
         self._connection.answered()
 
     def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Sends the head of a chunked answer."""
         self._advance(_Step.START)
         self.announced_close = self._connection.closing
-        self._connection.write(
-            head_bytes(status, [*headers, ("Transfer-Encoding", "chunked")],
-                       self.announced_close))
+        self._allows_body = httpheaders.allows_body(self._method, status)
+        if self._allows_body:
+            headers = [*headers, ("Transfer-Encoding", "chunked")]
+        self._connection.write(head_bytes(status, headers,
+                                          self.announced_close))
 
     def write(self, data: bytes) -> None:
         """Sends a chunk of the body."""
         self._advance(_Step.CHUNK)
-        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self._allows_body:
+            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def end(self) -> None:
         """Ends a chunked answer that is complete."""
         self._advance(_Step.END)
-        self._connection.write(b"0\r\n\r\n")
+        if self._allows_body:
+            self._connection.write(b"0\r\n\r\n")
         self._connection.answered()
 
     def abort(self) -> None:
@@ -138,6 +152,23 @@
             f"{step.value} after {before.value} was sent", step="answer")
 
 
+def whole_bytes(method: str, status: int, headers: list[tuple[str, str]],
+                body: bytes, closing: bool) -> bytes:
+    """Returns an encoded answer; its body is left out if it may have none.
+
+    Args:
+        method: The method of the request.
+        status: The status of the answer.
+        headers: Its headers without those that frame the body.
+        body: The body that an answer to GET would have.
+        closing: Whether the connection closes after it.
+    """
+    allows_body = httpheaders.allows_body(method, status)
+    if allows_body or body:
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    return head_bytes(status, headers, closing) + (body if allows_body else b"")
+
+
 def head_bytes(status: int, headers: list[tuple[str, str]],
                closing: bool) -> bytes:
     """Returns the encoded status line and headers of an answer."""
--- a/cardamommill/transport/upstream.py
+++ b/cardamommill/transport/upstream.py
@@ -101,6 +101,8 @@
         self._body: bufferbudget.Body | None = None
         self._transport: asyncio.Transport | None = None
         self._parser: Any = None
+        # The method of the request in progress.
+        self._method = ""
         self._receiver: Receiver | None = None
         self._head = Head()
         # Whether the answer that arrives was rejected by the receiver, as one
@@ -128,6 +130,7 @@
     def send(self, request: bytes, receiver: Receiver) -> None:
         """Sends a request and passes its answer to the receiver."""
         self._receiver = receiver
+        self._method = request[:max(0, request.find(b" "))].decode("latin-1")
         self._parser = httptools.HttpResponseParser(self)
         self._has_accepted_head = False
         self._must_close = False
@@ -247,6 +250,13 @@
         self._is_skipping = not self._receiver.on_head(self._head)
         self._has_accepted_head = not self._is_skipping
         self._must_close = self._must_close or self._is_skipping
+        if self._has_accepted_head and not httpheaders.allows_body(
+                self._method, self._head.status):
+            # The parser may expect a body, and what follows belongs to no
+            # request.
+            self._decide_reuse()
+            self._finish(Ending.COMPLETE, "")
+            return
         if self._has_accepted_head and self._receiver.keeps_body:
             self._body = self._budget.begin(
                 self, httpheaders.content_length(self._head.headers))
@@ -254,6 +264,8 @@
     def on_body(self, data: bytes) -> None:
         """Passes a part of the body to the receiver; see httptools."""
         self._overhead_bytes -= 2 * len(data)
+        if self._receiver is None:
+            self._must_close = True
         if self._receiver is not None and self._has_accepted_head:
             self._receiver.on_body(data)
         if self._body is not None:
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -294,3 +294,20 @@
     client, refused = run_script(send(text), echo)
     assert client.got.startswith(b"HTTP/1.1 400")
     assert refused == [400]
+
+
+def test_answer_to_head_has_no_body():
+    """Guards against a body that is read as the caller's next answer."""
+    head = GET.replace(b"GET", b"HEAD")
+    client, _ = run_script(send(head, GET), echo)
+    first, _, rest = client.got.partition(b"\r\n\r\n")
+    assert first.startswith(b"HTTP/1.1 200")
+    assert rest.startswith(b"HTTP/1.1 200") and rest.endswith(b"GET /x ")
+
+
+def test_refusal_of_an_oversized_head_request_has_no_body():
+    """Guards against bytes after a refusal that are no answer."""
+    text = b"HEAD /x HTTP/1.1\r\nA: " + b"b" * 2000 + b"\r\n\r\n"
+    client, _ = run_script(send(text), echo)
+    assert client.got.startswith(b"HTTP/1.1 431")
+    assert client.got.endswith(b"\r\n\r\n")
--- a/tests/transport/test_upstream.py
+++ b/tests/transport/test_upstream.py
@@ -164,3 +164,63 @@
         return endings
 
     assert run(script) == [upstream.Ending.NOT_SENT]
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 204 No Content\r\n\r\n",
+    b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+])
+def test_answer_to_head_is_whole_without_a_body(answer):
+    """Guards against a wait until the deadline, and a body for the next."""
+
+    class Runner(asyncio.Protocol):
+
+        def connection_made(self, transport):
+            self._transport = transport
+
+        def data_received(self, data):
+            is_head = data.startswith(b"HEAD ")
+            self._transport.write(answer if is_head else ANSWER)
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        await loop.create_server(Runner, *ADDRESS)
+        with upstream.Pool() as pool:
+            found = []
+            for method in ("HEAD", "GET", "HEAD", "GET"):
+                request = fetching.request_bytes(method, "/", [("Host", "h")])
+                found.append(await fetching.fetch(pool, ADDRESS, request, 500))
+            return found
+
+    with virtualloop.running(1) as loop:
+        found = loop.run_until_complete(main())
+    assert [each.ending for each in found] == [upstream.Ending.COMPLETE] * 4
+    assert [each.body for each in found] == [b"", b"ok", b"", b"ok"]
+
+
+def test_body_that_follows_an_answer_to_head_belongs_to_no_request():
+    """Guards against a runner's bytes that are read as the next answer."""
+
+    class Runner(asyncio.Protocol):
+
+        def connection_made(self, transport):
+            self._transport = transport
+
+        def data_received(self, data):
+            del data
+            self._transport.write(ANSWER)
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        await loop.create_server(Runner, *ADDRESS)
+        with upstream.Pool() as pool:
+            request = fetching.request_bytes("HEAD", "/", [("Host", "h")])
+            answer = await fetching.fetch(pool, ADDRESS, request, 500)
+            return answer, pool.idle_count()
+
+    with virtualloop.running(1) as loop:
+        answer, idle = loop.run_until_complete(main())
+    assert answer.ending is upstream.Ending.COMPLETE and answer.body == b""
+    assert idle == 0
