Name the older version of a partial configuration directly

Configuration set a default of its own field after its construction, which a reader of a frozen class does not expect. It now has the older version, if there is one, and routes_version follows from it.

--- a/cardamommill/domain/model.py
+++ b/cardamommill/domain/model.py
@@ -328,8 +328,8 @@
     Attributes:
         version: The version of its client accounts.
         needs_keys: See `ClientAccounts`.
-        routes_version: The version of all other parts. It is older while the
-            newest version can't take effect as a whole.
+        older_version: The version of all other parts, if they are of an older
+            one because the newest can't take effect as a whole.
     """
 
     version: int
@@ -338,16 +338,18 @@
     limits: Limits
     tenants: tuple[Tenant, ...]
     needs_keys: bool = True
-    routes_version: int = 0
-
-    def __post_init__(self) -> None:
-        if not self.routes_version:
-            object.__setattr__(self, "routes_version", self.version)
+    older_version: int | None = None
 
     @property
     def is_partial(self) -> bool:
         """Whether only the client accounts of its version are in force."""
-        return self.routes_version != self.version
+        return self.older_version is not None
+
+    @property
+    def routes_version(self) -> int:
+        """The version of its routes, services and limits."""
+        return (self.version
+                if self.older_version is None else self.older_version)
 
     @property
     def order(self) -> tuple[int, int]:
@@ -364,7 +366,8 @@
         return dataclasses.replace(self,
                                    version=accounts.version,
                                    tenants=accounts.tenants,
-                                   needs_keys=accounts.needs_keys)
+                                   needs_keys=accounts.needs_keys,
+                                   older_version=self.routes_version)
 
     @property
     def group_services(self) -> frozenset[str]:
--- a/tests/test_live_memory.py
+++ b/tests/test_live_memory.py
@@ -42,5 +42,4 @@
                                            memory_mb=MEMORY_MB)
     assert {each.status for each in ended} == {502}
     assert {each.status for each in sound} == {200}
-    print(f"peak {found_mb:.0f} MB")
     assert found_mb < MEMORY_MB
