Run live tests in one group, and close duplicated sockets in any case

The live tests of shutdown and memory play real processes with bounds in seconds; in one xdist group they do not compete with each other. Duplicates of listening sockets are owned by an exit stack, so that an error between them leaves none open. tests/transport and the live tests pass.

--- a/cardamommill/transport/callers.py
+++ b/cardamommill/transport/callers.py
@@ -436,17 +436,20 @@
         Those that are established but were not accepted yet are accepted: they
         would be reset, and their callers may have sent requests.
         """
-        queues = [
-            each.dup() for server in self._servers for each in server.sockets
-        ]
-        for server in self._servers:
-            server.close()
-        for each in queues:
-            with each:
+        with contextlib.ExitStack() as stack:
+            queues = [
+                stack.enter_context(each.dup())
+                for server in self._servers
+                for each in server.sockets
+            ]
+            for server in self._servers:
+                server.close()
+            for each in queues:
                 self._accept_all(each)
 
     def _accept_all(self, queue: socket.socket) -> None:
         loop = asyncio.get_running_loop()
+        # Until none is left, or no descriptor for it.
         with contextlib.suppress(OSError):
             while True:
                 accepted, _ = queue.accept()
--- a/tests/test_live_memory.py
+++ b/tests/test_live_memory.py
@@ -8,6 +8,8 @@
 
 from tests import liveplain
 
+pytestmark = pytest.mark.xdist_group("live")
+
 MEMORY_MB = 300
 CALLERS = 80
 SOUND_CALLERS = 20
--- a/tests/test_live_shutdown.py
+++ b/tests/test_live_shutdown.py
@@ -6,8 +6,12 @@
 
 import asyncio
 
+import pytest
+
 from tests import livefleet, liveplain
 
+pytestmark = pytest.mark.xdist_group("live")
+
 ANSWER_BYTES = 4 << 20
 # A caller takes an answer in 5.6 s.
 READ_PER_S = 750_000
