--- a/cardamommill/gateway/shell/dispatcher.py
+++ b/cardamommill/gateway/shell/dispatcher.py
@@ -317,7 +317,7 @@
             budget.repeat(one.attempt_id, now_ms)
             self._metrics.count("repeats_total", service=one.service)
             self._log_repeat(one, budget, now_ms)
-        elif not one.attempted:
+        else:
             budget.request(now_ms)
         runner_id = target.known.runner.id
         self._plain_runners.add_request(runner_id)
--- a/cardamommill/gateway/shell/relay.py
+++ b/cardamommill/gateway/shell/relay.py
@@ -399,12 +399,8 @@
 
     @property
     def _is_retry(self) -> bool:
-        """Whether another attempt counts towards the retry budget.
-
-        A refused connection does not: requests to an address where nothing runs
-        used up the budget of all others.
-        """
-        return self._has_reached_runner
+        """Whether another attempt counts towards the retry budget."""
+        return bool(self.attempted) or self._has_reached_runner
 
     def _find_target(
             self) -> targets.Target | targets.PeerTarget | placing.Refused:
@@ -533,7 +529,10 @@
             return False
         if self._node.is_crash_suspect(self):
             return False
-        return not self._is_retry or self._node.may_retry(self.service)
+        if self._node.reaches_no_runner() and not self._has_reached_runner:
+            # No runner got the request, so the next attempt is its first one.
+            return True
+        return self._node.may_retry(self.service)
 
     def _request_bytes(self, target: targets.Target, now_ms: float) -> bytes:
         rank = None
