Accept a number as the version of a runner's software

Cause: took a row whose version is no text for one of another writer. So a platform that writes numbers would have had no runner in use.

Change: a text or a number; any other type names no runner, as before.

--- a/cardamommill/platform/entries.py
+++ b/cardamommill/platform/entries.py
@@ -93,7 +93,7 @@
     born: Annotated[_Born | None, pydantic.BeforeValidator(_refuse_null)] = None
     coldLeftMs: wire.Float = 0.0  # noqa: N815
     seq: wire.Count = 0
-    version: str = ""
+    version: str | wire.Count = ""
 
 
 class _WireReport(_WireStatus):
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -286,3 +286,20 @@
     report = entries.decode_report("i-1", json.dumps({"seq": 2}).encode())
     assert report.orders_begun == 2
     assert not hasattr(decode().status, "seq")
+
+
+@pytest.mark.parametrize("version", ["v1", 1, ""])
+def test_version_of_the_software_may_be_a_text_or_a_number(version):
+    """Guards against the refusal of all runners for a field of no use."""
+    entry = {
+        "service": "llm",
+        "address": "10.0.0.1:8080",
+        "zone": "a",
+        "version": version,
+        "slots": 6,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 3
+    }
+    found = entries.decode_entry("i-1", json.dumps(entry).encode(), 1)
+    assert found.id == "i-1"
