Close the connections of the live tests with their event loop

Cause: the plain runner of liveplain.py left its server and its connections open when the event loop of a test ended. They were collected during later tests of the same process, whose commands then ended with a fault.

The fault's own text was not looked at.

Change: the runner closes its server and its connections, and the nodes end before it does.

--- a/tests/liveplain.py
+++ b/tests/liveplain.py
@@ -50,20 +50,25 @@
         self.answered = []
 
     async def run(self):
-        await asyncio.start_server(self._serve, self._host, modelfleet.PORT)
-        while True:
-            self._store.put(
-                wirenames.SERVERS_TABLE, "i-1", {
-                    "service": "plain",
-                    "address": f"{self._host}:{modelfleet.PORT}",
-                    "zone": "a",
-                    "slots": 64,
-                    "state": "ready"
-                })
-            await asyncio.sleep(HEARTBEAT_S)
+        server = await asyncio.start_server(self._serve, self._host,
+                                            modelfleet.PORT)
+        try:
+            while True:
+                self._store.put(
+                    wirenames.SERVERS_TABLE, "i-1", {
+                        "service": "plain",
+                        "address": f"{self._host}:{modelfleet.PORT}",
+                        "zone": "a",
+                        "slots": 64,
+                        "state": "ready"
+                    })
+                await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            server.close()
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with (contextlib.closing(writer),
+              contextlib.suppress(OSError, asyncio.IncompleteReadError)):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 lines = dict(
@@ -171,11 +176,12 @@
         return self
 
     async def __aexit__(self, *exception):
-        self._task.cancel()
         for each in self.nodes:
             if each.process.returncode is None:
                 each.process.kill()
                 await each.process.wait()
+        self._task.cancel()
+        await asyncio.wait((self._task,))
 
     async def _start(self, node):
         await node.start(
