Reject requests once the port of a stopping node is closed

Found on the last reading: with a grace shorter than 3.6 s a stopping node closes its port before 2.6 s have passed, and still took requests on open connections, which it would cut at the end of the grace.

Cause: rejects() looked at the time since SIGTERM alone, not at the phase.

Test: test_shutdown.py::test_requests_are_rejected_once_the_port_closes, its case of 2 s failed before; all of test_shutdown.py pass.

--- a/cardamommill/gateway/shell/shutdown.py
+++ b/cardamommill/gateway/shell/shutdown.py
@@ -121,7 +121,9 @@
 
         A stream that began 6 s after SIGTERM was cut off midway.
         """
-        return (self.has_begun and now_ms - self._began_ms > LEAVE_ROTATION_MS)
+        return (self._phase not in (Phase.RUNNING, Phase.LEAVING) or
+                (self.has_begun and
+                 now_ms - self._began_ms > LEAVE_ROTATION_MS))
 
     def update(self, now_ms: float, grace_ms: float) -> None:
         """Goes on with the stop.
--- a/tests/gateway/shell/test_shutdown.py
+++ b/tests/gateway/shell/test_shutdown.py
@@ -40,3 +40,23 @@
         phase = shutdown.next_phase(phase,
                                     progress(since_ms, True, True, limit_ms))
         assert since_ms < limit_ms + 100.0
+
+
+class Servers:
+    """The servers and requests of a node that has none in progress."""
+
+    busy = unsent_bytes = 0
+
+    def __getattr__(self, name):
+        return lambda *arguments: False
+
+
+@pytest.mark.parametrize("grace_s,rejects", [(2.0, True), (8.0, False)])
+def test_requests_are_rejected_once_the_port_closes(grace_s, rejects):
+    """Guards against requests that begin at the end of a short grace."""
+    servers = Servers()
+    one = shutdown.Shutdown(servers, servers, servers, servers)
+    one.begin("SIGTERM", 0.0)
+    for now_ms in range(0, 1000, 20):
+        one.update(now_ms, 1000 * grace_s)
+    assert one.rejects(1000.0) is rejects
